Settle the layers, the shared types and the interfaces

Cause: work is to go on side by side, so what the parts say to each other has to stand first. Nothing is measured yet.

--- /dev/null
+++ b/src/lavendergap/errors.py
@@ -0,0 +1,48 @@
+"""The errors that a person may see; each message says what to do about it."""
+
+from dataclasses import dataclass
+
+
+class LavendergapError(Exception):
+    """Base of all errors shown to a person as one line on stderr.
+
+    `exit_code` is what the command line ends with; see docs/operators/commands.md.
+    """
+
+    exit_code = 1
+
+
+class SettingsError(LavendergapError):
+    """The settings cannot be used; nothing was started or written."""
+
+    exit_code = 2
+
+
+class UnreachableError(LavendergapError):
+    """No entry host, or no platform, answered in time."""
+
+    exit_code = 3
+
+
+class ConflictError(LavendergapError):
+    """Another operator's edit came first; the message shows what it changed."""
+
+    exit_code = 4
+
+
+class NotInForceError(LavendergapError):
+    """An accepted edit is not in force on every process within the time given."""
+
+    exit_code = 5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """One thing wrong in a settings file: where it stands and what was expected."""
+
+    file: str
+    path: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.path or '(top)'}: {self.expected}"
--- /dev/null
+++ b/src/lavendergap/state/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data that every other layer speaks of; no I/O and no clocks."""
--- /dev/null
+++ b/src/lavendergap/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, connections and HTTP; moves messages and accounts for connections."""
