--- /dev/null
+++ b/.ci/known_red.py
@@ -0,0 +1,88 @@
+"""Reads KNOWN-RED.txt, the list of tests that fail for a fault not mended yet.
+
+Each line is ``test, cause, issue``; blank lines and lines that start with ``#``
+are skipped. ``options`` prints pytest's options that leave just these tests out;
+``report`` runs them, prints each with its result, and fails when one passes (its
+line must go) or does not exist, so that the list can only hold true entries.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+LIST = Path("KNOWN-RED.txt")
+
+# More than this and the list would hide the state of the project.
+MAX_ENTRIES = 3
+
+PYTEST_TESTS_FAILED = 1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KnownRed:
+    """One test that is known to fail, why, and the issue that will mend it."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+class ListError(Exception):
+    """The list cannot be trusted; the message says which line and why."""
+
+
+def read_list(text: str) -> tuple[KnownRed, ...]:
+    """Parse the list, refusing a line that misses its test, cause or issue."""
+    entries = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        test, _, rest = line.partition(",")
+        cause, _, issue = rest.rpartition(",")
+        entry = KnownRed(test=test.strip(), cause=cause.strip(), issue=issue.strip())
+        if not (entry.cause and entry.issue and "::" in entry.test):
+            raise ListError(f"line {number}: expected `test, cause, issue`: {line}")
+        entries.append(entry)
+    if len(entries) > MAX_ENTRIES:
+        raise ListError(f"{len(entries)} entries; at most {MAX_ENTRIES} are allowed")
+    return tuple(entries)
+
+
+def report(entries: tuple[KnownRed, ...]) -> bool:
+    """Run each known red test by itself and tell whether all are still red."""
+    all_red = True
+    for entry in entries:
+        command = [sys.executable, "-m", "pytest", entry.test]
+        result = subprocess.run(command, check=False, capture_output=True, text=True)
+        still_red = result.returncode == PYTEST_TESTS_FAILED
+        verdict = "KNOWN RED" if still_red else "NOT AS LISTED, mend KNOWN-RED.txt"
+        print(f"{verdict}: {entry.test}: {entry.cause} ({entry.issue})")
+        if not still_red:
+            print(result.stdout)
+        all_red = all_red and still_red
+    return all_red
+
+
+def main(arguments: list[str]) -> int:
+    """Run one of the two commands; the exit code is 0 when all is as listed."""
+    try:
+        entries = read_list(LIST.read_text()) if LIST.exists() else ()
+    except ListError as error:
+        print(f"KNOWN-RED.txt: {error}", file=sys.stderr)
+        return 2
+    match arguments:
+        case ["options"]:
+            print(" ".join(f"--deselect={entry.test}" for entry in entries))
+            return 0
+        case ["report"]:
+            return 0 if report(entries) else 1
+        case _:
+            print("usage: known_red.py options|report", file=sys.stderr)
+            return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
