Start processes for experiments and leave none behind

Cause: the lab, the demo and the tests with real processes need the same care: a ready line awaited with a limit, free ports, paused processes, tidy ends.

A nursery around the caller's block was ruled out: it wraps the caller's errors in groups. PR_SET_PDEATHSIG was ruled out: trio starts processes from a worker thread, whose end would count as the parent's.

--- /dev/null
+++ b/lab/processes.py
@@ -0,0 +1,457 @@
+"""Starts the project's processes for experiments, and leaves none of them behind.
+
+Used by the lab, the demo and the tests that need real processes. Everything runs
+on 127.0.0.1; output goes to files in a temporary directory, so that a process which
+prints a lot is never stopped by a full pipe. For example::
+
+    shape = DeploymentShape(n_hosts=3, services=(ServiceShape(name="scheduler"),))
+    async with open_processes() as processes:
+        deployment = write_deployment(shape=shape, directory=processes.directory)
+        await processes.start_platform(deployment)
+        await processes.start_backend(deployment, only=("*",))
+        entry = await processes.start_entry(deployment, host="dc0-0")
+        entry.pause()
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+READY = "ready"
+READY_S = 20.0
+STOP_S = 10.0
+POLL_S = 0.02
+
+# What a shell reports for a program that a signal ended.
+SIGNAL_EXIT_BASE = 128
+
+# Below the range that the kernel hands to outgoing connections, so that a port
+# found free is not taken by a connection before the process listens on it.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
+LOCALHOST = "127.0.0.1"
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TAIL_LINES = 15
+
+
+class StartError(Exception):
+    """A process ended, or was not ready in time; the message shows its last lines."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Usage:
+    """What a process has used: seconds of processor time, resident bytes now."""
+
+    cpu_s: float
+    rss_bytes: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Read what the process `pid` has used, from /proc."""
+    stat = Path(f"/proc/{pid}/stat").read_text()
+    # The name in parentheses may hold spaces; fields count from behind it.
+    fields = stat.rpartition(")")[2].split()
+    user_ticks, system_ticks, rss_pages = (int(fields[i]) for i in (11, 12, 21))
+    return Usage(
+        cpu_s=(user_ticks + system_ticks) / CLOCK_TICKS_PER_S,
+        rss_bytes=rss_pages * PAGE_BYTES,
+    )
+
+
+def find_free_ports(n_ports: int) -> tuple[int, ...]:
+    """Find ports of 127.0.0.1 that are free for both TCP and UDP.
+
+    They are released before this returns, so another program may still take one;
+    the search starts at random places to make that unlikely.
+    """
+    held: list[socket.socket] = []
+    ports: list[int] = []
+    candidates = list(range(FIRST_PORT, LAST_PORT))
+    random.SystemRandom().shuffle(candidates)
+    try:
+        for port in candidates:
+            if len(ports) == n_ports:
+                return tuple(ports)
+            pair = _hold_port(port)
+            held.extend(pair)
+            if pair:
+                ports.append(port)
+    finally:
+        for each in held:
+            each.close()
+    raise StartError(f"fewer than {n_ports} free ports on {LOCALHOST}")
+
+
+def _hold_port(port: int) -> tuple[socket.socket, ...]:
+    """Bind `port` for TCP and UDP, or return nothing when either is taken."""
+    stream = socket.socket(type=socket.SOCK_STREAM)
+    datagram = socket.socket(type=socket.SOCK_DGRAM)
+    try:
+        stream.bind((LOCALHOST, port))
+        datagram.bind((LOCALHOST, port))
+    except OSError:
+        stream.close()
+        datagram.close()
+        return ()
+    return (stream, datagram)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceShape:
+    """A service to write into a settings file; each group is one shard.
+
+    `options` are written on the service's branch as they are.
+    """
+
+    name: str
+    n_groups: int = 1
+    n_servers: int = 2
+    idempotent: bool = True
+    slots: int = 2
+    connections: int = 25
+    options: Mapping[str, object] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DeploymentShape:
+    """How many hosts in how many data centres, and the services behind them.
+
+    `options` stand at the top of the tree; `control` is its branch of that name.
+    """
+
+    n_hosts: int
+    services: tuple[ServiceShape, ...]
+    n_data_centres: int = 2
+    options: Mapping[str, object] = field(default_factory=dict)
+    control: Mapping[str, object] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntryHost:
+    """An entry host of a written deployment, with its addresses as `ip:port`."""
+
+    name: str
+    data_centre: str
+    callers: str
+    peers: str
+    admin: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Deployment:
+    """A settings file on disk and the addresses that it names."""
+
+    settings: Path
+    platform: str
+    hosts: tuple[EntryHost, ...]
+
+
+def write_deployment(*, shape: DeploymentShape, directory: Path) -> Deployment:
+    """Write `settings.jsonc` of the given shape, on free ports, into `directory`."""
+    n_servers = sum(each.n_groups * each.n_servers for each in shape.services)
+    ports = iter(find_free_ports(1 + 3 * shape.n_hosts + n_servers))
+    platform = _take_address(ports)
+    hosts = tuple(_take_host(shape, i, ports) for i in range(shape.n_hosts))
+    tree = {
+        "deployment": "lab",
+        "platform": platform,
+        "control": dict(shape.control),
+        **shape.options,
+        "data_centres": _build_data_centres(hosts),
+        "services": {
+            each.name: _build_service(each, shape.n_data_centres, ports)
+            for each in shape.services
+        },
+    }
+    settings = directory / "settings.jsonc"
+    settings.write_text(json.dumps(tree, indent=2))
+    return Deployment(settings=settings, platform=platform, hosts=hosts)
+
+
+def _take_address(ports: Iterator[int]) -> str:
+    return f"{LOCALHOST}:{next(ports)}"
+
+
+def _take_host(shape: DeploymentShape, index: int, ports: Iterator[int]) -> EntryHost:
+    data_centre = f"dc{index % shape.n_data_centres}"
+    return EntryHost(
+        name=f"{data_centre}-{index // shape.n_data_centres}",
+        data_centre=data_centre,
+        callers=_take_address(ports),
+        peers=_take_address(ports),
+        admin=_take_address(ports),
+    )
+
+
+def _build_data_centres(hosts: Sequence[EntryHost]) -> dict[str, object]:
+    branches: dict[str, dict[str, object]] = {}
+    for host in hosts:
+        branches.setdefault(host.data_centre, {})[host.name] = {
+            "callers": host.callers,
+            "peers": host.peers,
+            "admin": host.admin,
+        }
+    return {name: {"hosts": branch} for name, branch in branches.items()}
+
+
+def _build_service(
+    shape: ServiceShape, n_data_centres: int, ports: Iterator[int]
+) -> dict[str, object]:
+    groups = {}
+    for group_index in range(shape.n_groups):
+        group = f"{shape.name}-{group_index:02}"
+        servers = {}
+        for index in range(shape.n_servers):
+            suffix = chr(ord("a") + index)
+            servers[f"{group}-{suffix}"] = {
+                "address": _take_address(ports),
+                "data_centre": f"dc{index % n_data_centres}",
+            }
+        groups[group] = {"servers": servers}
+    return {
+        "idempotent": shape.idempotent,
+        "slots": shape.slots,
+        "connections": shape.connections,
+        **shape.options,
+        "groups": groups,
+    }
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Running:
+    """A process that was started here, with the files that its output goes to."""
+
+    name: str
+    process: trio.Process
+    stdout: Path
+    stderr: Path
+
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self.process.pid
+
+    def is_alive(self) -> bool:
+        """Tell whether the process has not ended yet; a paused one is alive."""
+        return self.process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended already."""
+        if self.is_alive():
+            self.process.send_signal(number)
+
+    def pause(self) -> None:
+        """Stop the process where it stands, as a frozen host would (SIGSTOP)."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on (SIGCONT)."""
+        self.send(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """End the process without warning (SIGKILL) and wait until it is gone."""
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+    async def stop(self, *, limit_s: float = STOP_S) -> int:
+        """Ask the process to end (SIGTERM) and return its exit code.
+
+        A process that is still there after `limit_s` is killed; its exit code is
+        then -9, so that a caller who checks for 0 sees that it did not end by
+        itself.
+        """
+        self.resume()
+        self.send(signal.SIGTERM)
+        with trio.move_on_after(limit_s):
+            return await self.process.wait()
+        await self.kill()
+        return await self.process.wait()
+
+    def read_log(self) -> str:
+        """Return all that the process has written to stderr."""
+        return self.stderr.read_text(errors="replace")
+
+    def read_tail(self) -> str:
+        """Return the last lines of both outputs, for a message about a failure."""
+        text = self.stdout.read_text(errors="replace") + self.read_log()
+        return "\n".join(text.splitlines()[-TAIL_LINES:])
+
+
+class Processes:
+    """Starts processes and remembers them, so that `open_processes` can end them."""
+
+    def __init__(self, *, directory: Path) -> None:
+        self.directory = directory
+        self.running: list[Running] = []
+
+    async def start(
+        self,
+        module: str,
+        arguments: Sequence[str] = (),
+        *,
+        name: str | None = None,
+        ready_s: float = READY_S,
+        environment: Mapping[str, str] | None = None,
+    ) -> Running:
+        """Run `python -m module arguments` and return once it prints `ready`.
+
+        Raises `StartError` when the process ends first, or is not ready after
+        `ready_s` seconds; it is then ended with all others.
+        """
+        running = await self._spawn(module, arguments, name, environment or {})
+        with trio.move_on_after(ready_s):
+            await self._wait_until_ready(running)
+            return running
+        raise StartError(
+            f"{running.name}: not ready after {ready_s} s\n{running.read_tail()}"
+        )
+
+    async def _spawn(
+        self,
+        module: str,
+        arguments: Sequence[str],
+        name: str | None,
+        environment: Mapping[str, str],
+    ) -> Running:
+        title = f"{len(self.running):03}-{name or module}"
+        stdout = self.directory / f"{title}.out"
+        stderr = self.directory / f"{title}.err"
+        with stdout.open("wb") as out, stderr.open("wb") as err:
+            process = await trio.lowlevel.open_process(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+                env={**os.environ, "PYTHONUNBUFFERED": "1", **environment},
+                # Out of the terminal's foreground group: Ctrl-C then reaches this
+                # program alone, which stops its processes in order.
+                process_group=0,
+            )
+        running = Running(name=title, process=process, stdout=stdout, stderr=stderr)
+        self.running.append(running)
+        return running
+
+    async def _wait_until_ready(self, running: Running) -> None:
+        while READY not in running.stdout.read_text(errors="replace").splitlines():
+            if not running.is_alive():
+                code = running.process.returncode
+                raise StartError(
+                    f"{running.name}: ended with {code} before it was ready\n"
+                    f"{running.read_tail()}"
+                )
+            await trio.sleep(POLL_S)
+
+    async def start_platform(
+        self, deployment: Deployment, *, control: str | None = None
+    ) -> Running:
+        """Start the platform stand-in of a deployment, seeded from its settings."""
+        arguments = ["--listen", deployment.platform]
+        arguments += ["--control", control or find_free_address()]
+        arguments += ["--settings", str(deployment.settings)]
+        return await self.start("standins.platform", arguments, name="platform")
+
+    async def start_backend(
+        self,
+        deployment: Deployment,
+        *,
+        only: Sequence[str],
+        control: str | None = None,
+    ) -> Running:
+        """Start one process with every backend server whose name matches `only`."""
+        arguments = ["--settings", str(deployment.settings)]
+        for pattern in only:
+            arguments += ["--only", pattern]
+        arguments += ["--control", control or find_free_address()]
+        return await self.start("standins.backend", arguments, name="backend")
+
+    async def start_entry(
+        self, deployment: Deployment, *, host: str, options: Sequence[str] = ()
+    ) -> Running:
+        """Start the daemon of one entry host."""
+        arguments = ["entry", "--settings", str(deployment.settings), "--host", host]
+        return await self.start("lavendergap", [*arguments, *options], name=host)
+
+    async def stop_all(self) -> None:
+        """End every process that is still there, paused ones too."""
+        async with trio.open_nursery() as nursery:
+            for running in self.running:
+                nursery.start_soon(running.stop)
+
+
+def find_free_address() -> str:
+    """Find one free address, as `ip:port`."""
+    (port,) = find_free_ports(1)
+    return f"{LOCALHOST}:{port}"
+
+
+@asynccontextmanager
+async def open_processes(*, directory: Path | None = None) -> AsyncIterator[Processes]:
+    """Yield a `Processes`; whatever it started has ended when the block is left.
+
+    That holds for errors, cancellation, Ctrl-C, SIGTERM and SIGHUP too. Output goes
+    to `directory`, or to a temporary one that is removed at the end.
+    """
+    with _make_directory(directory) as place:
+        processes = Processes(directory=place)
+        body = trio.CancelScope()
+        listener = _Listener(scope=body)
+        # Not a nursery of its own: that would wrap the caller's errors in a group.
+        trio.lowlevel.spawn_system_task(listener.run)
+        try:
+            with body:
+                yield processes
+        finally:
+            listener.stop()
+            with trio.CancelScope(shield=True):
+                await processes.stop_all()
+        if listener.received is not None:
+            raise SystemExit(SIGNAL_EXIT_BASE + listener.received)
+
+
+class _Listener:
+    """Turns a request to end this program into cancellation, so that it tidies up.
+
+    Without it, SIGTERM would end this program at once and leave its processes.
+    """
+
+    def __init__(self, *, scope: trio.CancelScope) -> None:
+        self.received: int | None = None
+        self._body = scope
+        self._own = trio.CancelScope()
+
+    async def run(self) -> None:
+        with (
+            self._own,
+            trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals,
+        ):
+            async for number in signals:
+                self.received = number
+                self._body.cancel()
+
+    def stop(self) -> None:
+        self._own.cancel()
+
+
+@contextmanager
+def _make_directory(directory: Path | None) -> Iterator[Path]:
+    if directory is not None:
+        directory.mkdir(parents=True, exist_ok=True)
+        yield directory
+        return
+    with tempfile.TemporaryDirectory(prefix="lavendergap-") as name:
+        yield Path(name)
