Add the backend stand-in with its control port

Entry hosts need something to call. One process serves every matching backend server of a settings file, each with its own slots, bounded queue, connection limit and index versions; faults are set by name or pattern on a control port. The wait for a slot or for a service time is spent reading the connection, so that one task both keeps the time and sees the caller leave.

--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,607 @@
+"""A stand-in for backend servers: slots, a short queue, and faults on demand."""
+
+import random
+from collections import Counter, deque
+from dataclasses import asdict, dataclass, replace
+from fnmatch import fnmatchcase
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import trio
+
+from lavendergap.state.settings import Server
+
+from .faults import FaultHistory, Faults, Load, change_faults
+from .fleet import load_servers, parse_address
+from .http import (
+    Connection,
+    HttpServer,
+    Reply,
+    Request,
+    accept,
+    make_error,
+    make_json_reply,
+    open_listener,
+    serve_connection,
+)
+from .process import run_process
+
+QUEUE_PER_SLOT = 2
+MAX_RUNS_REMEMBERED = 200_000
+RETRY_AFTER_S = 1
+NOT_RUN = ("Outcome", "not-run")
+RETRY_AFTER = ("Retry-After", str(RETRY_AFTER_S))
+NO_DEADLINE_MS = 600_000.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Result:
+    """The result of a call, checkable by the caller that sent it.
+
+    `query` and `length` are those of the request's body, so that a caller can
+    verify that the answer belongs to its own request.
+    """
+
+    shard: str
+    version: int
+    server: str
+    query: str | None
+    length: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Query:
+    query: str | None = None
+
+
+_QUERY_DECODER = msgspec.json.Decoder(_Query)
+
+
+@dataclass(kw_only=True, slots=True)
+class Counts:
+    """What one backend server saw since it started."""
+
+    received: int = 0
+    run: int = 0
+    answered: int = 0
+    shed: int = 0
+    refused_state: int = 0
+    refused_version: int = 0
+    refused_shard: int = 0
+    late: int = 0
+    cancelled: int = 0
+    failed: int = 0
+    max_in_use: int = 0
+    max_queued: int = 0
+    connections: int = 0
+    max_connections: int = 0
+    connections_opened: int = 0
+    connections_refused: int = 0
+    runs_forgotten: int = 0
+
+
+class Call:
+    """One call to /search or /run between its arrival and its reply."""
+
+    def __init__(
+        self, *, request: Request, attempt: str, version: int, deadline: float
+    ):
+        self.request = request
+        self.attempt = attempt
+        self.deadline = deadline
+        self.shard = request.headers.get("shard", "")
+        self.version = version
+        self.scope = trio.CancelScope()
+        self.is_cancelled = False
+        self.has_slot = False
+
+    def cancel(self) -> None:
+        """Stop the call where it waits."""
+        self.is_cancelled = True
+        self.scope.cancel()
+
+    def give_slot(self) -> None:
+        """End the call's wait in the queue."""
+        self.has_slot = True
+        self.scope.cancel()
+
+
+class BackendServer:
+    """One backend server at its own address, with its own slots and faults."""
+
+    def __init__(self, *, server: Server, faults: Faults, queue_limit: int):
+        now = trio.current_time()
+        self.server = server
+        self.counts = Counts()
+        self.runs: Counter[str] = Counter()
+        self.history = FaultHistory(faults=faults, now=now)
+        self.queue_limit = queue_limit
+        self.port = server.address.port
+        self._random = self._make_random(faults)
+        self._in_use = 0
+        self._queue: deque[Call] = deque()
+        self._calls: dict[str, Call] = {}
+        self._connections: set[Connection] = set()
+        self._life = trio.CancelScope()
+        self._revival = trio.Event()
+        self._alive_since = now
+        self._last_answer: Reply | None = None
+        self._reported_load = self._measure_load()
+        self._load_reported_at = now
+
+    @property
+    def faults(self) -> Faults:
+        """The faults in force."""
+        return self.history.faults
+
+    def _make_random(self, faults: Faults) -> random.Random:
+        return random.Random(f"{faults.seed} {self.server.name}")
+
+    def get_counts(self) -> dict[str, int]:
+        """Return the counts, with those of the distinct runs of /run."""
+        return {
+            **asdict(self.counts),
+            "in_use": self._in_use,
+            "queued": len(self._queue),
+            "distinct_runs": len(self.runs),
+            "run_twice": sum(1 for n in self.runs.values() if n > 1),
+        }
+
+    # Life and death.
+
+    async def run(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled, dying and coming back as the faults say."""
+        is_started = False
+        while True:
+            if self.faults.dead:
+                if not is_started:
+                    is_started = True
+                    task_status.started(self.port)
+                await self._wait_for_revival()
+            listener = await open_listener(str(self.server.address.ip), self.port)
+            if self.faults.dead:
+                await listener.aclose()
+                continue
+            self.port = listener.socket.getsockname()[1]
+            self._alive_since = trio.current_time()
+            if not is_started:
+                is_started = True
+                task_status.started(self.port)
+            with trio.CancelScope() as self._life:
+                await self._serve(listener)
+
+    async def _wait_for_revival(self) -> None:
+        self._revival = trio.Event()
+        if self.faults.restart_ms is None:
+            await self._revival.wait()
+            return
+        with trio.move_on_after(self.faults.restart_ms / 1_000):
+            await self._revival.wait()
+        self.set_faults(replace(self.faults, dead=False, restart_ms=None))
+
+    async def _serve(self, listener: trio.SocketListener) -> None:
+        async with listener, trio.open_nursery() as nursery:
+            while True:
+                stream = await accept(listener)
+                self.counts.connections_opened += 1
+                if len(self._connections) >= self.server.connections:
+                    self.counts.connections_refused += 1
+                    await trio.aclose_forcefully(stream)
+                    continue
+                connection = Connection(stream=stream)
+                self._connections.add(connection)
+                n_open = len(self._connections)
+                self.counts.connections = n_open
+                self.counts.max_connections = max(self.counts.max_connections, n_open)
+                nursery.start_soon(self._serve_stream, stream, connection)
+
+    async def _serve_stream(
+        self, stream: trio.SocketStream, connection: Connection
+    ) -> None:
+        try:
+            if self.faults.connect_ms:
+                await trio.sleep(self.faults.connect_ms / 1_000)
+            await serve_connection(connection, self.handle)
+        finally:
+            self._connections.discard(connection)
+            self.counts.connections = len(self._connections)
+            await trio.aclose_forcefully(stream)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Put `faults` in force at once; `silence` and `dead` act now."""
+        before = self.faults
+        self.history.set_faults(faults, trio.current_time())
+        if faults.seed != before.seed:
+            self._random = self._make_random(faults)
+        if faults.cold_s and not before.cold_s:
+            self._alive_since = trio.current_time()
+        if faults.silence:
+            self._silence()
+        if faults.dead and not before.dead:
+            self._die()
+        if before.dead and not faults.dead:
+            self._revival.set()
+
+    def _silence(self) -> None:
+        for connection in self._connections:
+            connection.is_silent = True
+
+    def _die(self) -> None:
+        for connection in self._connections:
+            connection.reset()
+        self._life.cancel()
+
+    async def _crash(self) -> None:
+        self.set_faults(replace(self.faults, crash="no", dead=True))
+        await trio.sleep_forever()
+
+    # Requests.
+
+    async def handle(self, request: Request, connection: Connection) -> Reply:
+        """Answer one request of a caller of this server."""
+        match request.method, request.path:
+            case "POST", "/search" | "/run":
+                return await self._handle_call(request, connection)
+            case "POST", "/cancel":
+                return self._cancel(request)
+            case "GET", "/health":
+                return make_json_reply(self._report_health())
+            case "GET", "/load":
+                return make_json_reply(self._report_load())
+            case _, "/search" | "/run" | "/cancel" | "/health" | "/load":
+                return make_error(405, "This path takes another method.")
+        return make_error(404, "There is no such path.")
+
+    def _cancel(self, request: Request) -> Reply:
+        call = self._calls.get(request.headers.get("attempt", ""))
+        if call is not None and self.faults.cancels:
+            call.cancel()
+        return Reply(status=204)
+
+    def _report_health(self) -> dict[str, object]:
+        at = trio.current_time() - self.faults.health_lag_ms / 1_000
+        state: str = self.faults.health_says
+        if state == "truth":
+            state = self.history.get_state(at)
+        return {"state": state, "index_versions": self.history.get_index_versions(at)}
+
+    def _report_load(self) -> Load:
+        if self.faults.load_says is not None:
+            return self.faults.load_says
+        now = trio.current_time()
+        if now - self._load_reported_at >= self.faults.load_lag_ms / 1_000:
+            self._reported_load = self._measure_load()
+            self._load_reported_at = now
+        return self._reported_load
+
+    def _measure_load(self) -> Load:
+        return Load(
+            in_use=self._in_use, slots=self.server.slots, queued=len(self._queue)
+        )
+
+    # Calls.
+
+    async def _handle_call(self, request: Request, connection: Connection) -> Reply:
+        self.counts.received += 1
+        attempt = request.headers.get("attempt", "")
+        if not attempt:
+            return make_error(400, "A call needs the header Attempt.")
+        try:
+            left_ms = float(request.headers.get("deadline-ms", NO_DEADLINE_MS))
+            version = int(request.headers.get("index-version", "0"))
+        except ValueError:
+            return make_error(400, "Deadline-Ms or Index-Version is not a number.")
+        deadline = trio.current_time() + left_ms / 1_000
+        call = Call(
+            request=request, attempt=attempt, version=version, deadline=deadline
+        )
+        reply = self._refuse_at_arrival(call)
+        if reply is None:
+            reply = await self._queue_call(call, connection)
+        # The load is that after this call, which holds no slot any more.
+        load = f"{self._in_use}/{self.server.slots}/{len(self._queue)}"
+        return replace(reply, headers=(*reply.headers, ("Load", load)))
+
+    def _refuse_at_arrival(self, call: Call) -> Reply | None:
+        faults = self.faults
+        if faults.state != "serving":
+            self.counts.refused_state += 1
+            return self._refuse(call, 503, faults.state, RETRY_AFTER)
+        is_full = self._in_use >= self.server.slots
+        if faults.shed or (is_full and len(self._queue) >= self.queue_limit):
+            self.counts.shed += 1
+            return self._refuse(call, 503, "shed", RETRY_AFTER)
+        return None
+
+    async def _queue_call(self, call: Call, connection: Connection) -> Reply:
+        self._calls[call.attempt] = call
+        try:
+            return await self._take_slot(call, connection)
+        finally:
+            self._calls.pop(call.attempt, None)
+
+    async def _take_slot(self, call: Call, connection: Connection) -> Reply:
+        if self._in_use < self.server.slots:
+            self._in_use += 1
+            call.has_slot = True
+        elif not await self._wait_for_slot(call, connection):
+            return self._refuse_in_queue(call)
+        self.counts.max_in_use = max(self.counts.max_in_use, self._in_use)
+        try:
+            refusal = self._refuse_at_start(call)
+            if refusal is not None:
+                return refusal
+            return await self._run_call(call, connection)
+        finally:
+            self._release_slot()
+
+    async def _wait_for_slot(self, call: Call, connection: Connection) -> bool:
+        self._queue.append(call)
+        self.counts.max_queued = max(self.counts.max_queued, len(self._queue))
+        call.scope.deadline = call.deadline
+        try:
+            with call.scope:
+                await connection.wait_for_close()
+                call.is_cancelled = True
+        except trio.Cancelled:
+            # The server dies: a slot that came in the same moment goes back, or
+            # the server would come to life again with one slot less.
+            if call.has_slot:
+                self._release_slot()
+            raise
+        finally:
+            if not call.has_slot:
+                self._queue.remove(call)
+        return call.has_slot
+
+    def _refuse_in_queue(self, call: Call) -> Reply:
+        if call.is_cancelled:
+            self.counts.cancelled += 1
+            return self._refuse(call, 503, "cancelled", RETRY_AFTER)
+        self.counts.late += 1
+        return self._refuse(call, 408, "deadline passed in the queue")
+
+    def _release_slot(self) -> None:
+        if self._queue:
+            self._queue.popleft().give_slot()
+        else:
+            self._in_use -= 1
+
+    def _refuse_at_start(self, call: Call) -> Reply | None:
+        if call.is_cancelled:
+            self.counts.cancelled += 1
+            return self._refuse(call, 503, "cancelled", RETRY_AFTER)
+        if call.deadline <= trio.current_time():
+            self.counts.late += 1
+            return self._refuse(call, 408, "deadline passed in the queue")
+        served = self.history.get_index_versions(trio.current_time())
+        call.version = call.version or served[-1]
+        if call.version not in served:
+            self.counts.refused_version += 1
+            return self._refuse(call, 409, "that index version is not served")
+        shards = self.faults.shards
+        if shards is not None and call.shard not in shards.get(call.version, ()):
+            self.counts.refused_shard += 1
+            return self._refuse(call, 421, "not my shard")
+        return None
+
+    async def _run_call(self, call: Call, connection: Connection) -> Reply:
+        if self.faults.crash == "before run":
+            await self._crash()
+        fails = self._happens(self.faults.http_500)
+        if fails and not self.faults.http_500_runs:
+            return self._fail(call, "failed before it was run")
+        self._count_run(call)
+        call.scope = trio.CancelScope()
+        with call.scope:
+            call.scope.deadline = trio.current_time() + self._draw_service_s()
+            await self._serve_time(call, connection)
+        if call.is_cancelled:
+            self.counts.cancelled += 1
+            return self._fail(call, "cancelled")
+        if self.faults.crash == "after run":
+            await self._crash()
+        if fails:
+            return self._fail(call, "failed after it was run")
+        return self._answer(call)
+
+    async def _serve_time(self, call: Call, connection: Connection) -> None:
+        if not self.faults.cancels:
+            await trio.sleep_forever()
+        await connection.wait_for_close()
+        call.is_cancelled = True
+
+    def _count_run(self, call: Call) -> None:
+        self.counts.run += 1
+        if call.request.path != "/run":
+            return
+        key = call.request.headers.get("ticket", call.attempt)
+        if key not in self.runs and len(self.runs) >= MAX_RUNS_REMEMBERED:
+            self.counts.runs_forgotten += 1
+            return
+        self.runs[key] += 1
+
+    def _draw_service_s(self) -> float:
+        faults = self.faults
+        service_s = faults.service_ms / 1_000
+        match faults.service_law:
+            case "exponential":
+                service_s *= self._random.expovariate(1.0)
+            case "lognormal":
+                service_s *= self._random.lognormvariate(0.0, faults.service_sigma)
+            case "fixed":
+                pass
+        if self._happens(faults.straggle_share):
+            service_s *= faults.straggle_factor
+        return service_s * self._get_cold_factor()
+
+    def _get_cold_factor(self) -> float:
+        faults = self.faults
+        if not faults.cold_s:
+            return 1.0
+        age_s = trio.current_time() - self._alive_since
+        coldness = max(0.0, 1.0 - age_s / faults.cold_s)
+        return 1.0 + (faults.cold_factor - 1.0) * coldness
+
+    def _happens(self, share: float) -> bool:
+        return share > 0.0 and self._random.random() < share
+
+    # Replies.
+
+    def _refuse(
+        self, call: Call, status: int, reason: str, *more: tuple[str, str]
+    ) -> Reply:
+        headers = (*self._make_headers(call), NOT_RUN, *more)
+        return make_error(status, reason, headers=headers)
+
+    def _fail(self, call: Call, reason: str) -> Reply:
+        self.counts.failed += 1
+        return make_error(500, reason, headers=self._make_headers(call))
+
+    def _make_headers(self, call: Call) -> tuple[tuple[str, str], ...]:
+        now = trio.current_time()
+        versions = self.history.get_index_versions(now)
+        return (
+            ("Attempt", call.attempt),
+            ("Shard", call.shard),
+            ("Index-Version", str(call.version)),
+            ("Index-Versions", ",".join(map(str, versions))),
+            ("Server-State", self.faults.state),
+        )
+
+    def _answer(self, call: Call) -> Reply:
+        self.counts.answered += 1
+        faults = self.faults
+        request = call.request
+        result = Result(
+            shard=call.shard,
+            version=call.version,
+            server=self.server.name,
+            query=_read_query(request.body),
+            length=len(request.body),
+        )
+        if self._happens(faults.wrong_shard):
+            call.shard = f"not-{call.shard}"
+        if self._happens(faults.wrong_version):
+            call.version += 1
+        if self._happens(faults.wrong_attempt):
+            call.attempt = f"not-{call.attempt}"
+        reply = make_json_reply(result, headers=self._make_headers(call))
+        return self._spoil_answer(reply)
+
+    def _spoil_answer(self, reply: Reply) -> Reply:
+        faults = self.faults
+        own, last = reply, self._last_answer
+        if faults.crossed and last is not None and self._happens(faults.crossed):
+            reply = last
+        if faults.crossed:
+            self._last_answer = own
+        if self._happens(faults.truncated):
+            reply = replace(reply, n_sent=len(reply.body) // 2)
+        if self._happens(faults.duplicated):
+            reply = replace(reply, n_copies=2)
+        return reply
+
+
+def _read_query(body: bytes) -> str | None:
+    try:
+        return _QUERY_DECODER.decode(body).query
+    except msgspec.DecodeError:
+        return None
+
+
+class Fleet:
+    """The backend servers of one process and their control port."""
+
+    def __init__(self, *, servers: tuple[BackendServer, ...]):
+        self.servers = servers
+
+    async def handle(self, request: Request, connection: Connection) -> Reply:
+        """Answer one request to the control port."""
+        match request.method, request.path:
+            case "GET", "/faults":
+                return make_json_reply(
+                    {s.server.name: asdict(s.faults) for s in self.servers}
+                )
+            case "POST", "/faults":
+                return self._set_faults(request.body)
+            case "POST", "/faults/clear":
+                for server in self.servers:
+                    server.set_faults(Faults())
+                return make_json_reply({})
+            case "GET", "/counts":
+                return make_json_reply(
+                    {s.server.name: s.get_counts() for s in self.servers}
+                )
+            case "GET", "/runs":
+                return make_json_reply({s.server.name: s.runs for s in self.servers})
+        return make_error(404, "There is no such path.")
+
+    def _set_faults(self, body: bytes) -> Reply:
+        try:
+            changes = self._read_changes(body)
+        except ValueError as error:
+            return make_error(400, str(error))
+        for server, faults in changes:
+            server.set_faults(faults)
+        return make_json_reply({"changed": [s.server.name for s, _ in changes]})
+
+    def _read_changes(self, body: bytes) -> list[tuple[BackendServer, Faults]]:
+        by_pattern = msgspec.json.decode(body, type=dict[str, dict[str, Any]])
+        changes: dict[BackendServer, Faults] = {}
+        for pattern, change in by_pattern.items():
+            matching = [s for s in self.servers if fnmatchcase(s.server.name, pattern)]
+            if not matching:
+                raise ValueError(f"no backend server here matches {pattern!r}")
+            for server in matching:
+                before = changes.get(server, server.faults)
+                changes[server] = change_faults(before, change)
+        return list(changes.items())
+
+
+def make_fleet(
+    servers: tuple[Server, ...], *, faults: Faults, queue_per_slot: int
+) -> Fleet:
+    """Make the stand-ins of `servers`, each with a queue in proportion to its slots."""
+    return Fleet(
+        servers=tuple(
+            BackendServer(server=s, faults=faults, queue_limit=s.slots * queue_per_slot)
+            for s in servers
+        )
+    )
+
+
+@click.command()
+@click.option("--settings", type=click.Path(exists=True, path_type=Path), required=True)
+@click.option("--only", multiple=True, default=("*",), help="Pattern of names; many.")
+@click.option("--control", required=True, help="IP:PORT of the control port.")
+@click.option("--service-ms", type=float, default=5.0, show_default=True)
+@click.option("--queue-per-slot", type=int, default=QUEUE_PER_SLOT, show_default=True)
+def main(
+    settings: Path,
+    only: tuple[str, ...],
+    control: str,
+    service_ms: float,
+    queue_per_slot: int,
+) -> None:
+    """Serve every backend server of a settings file whose name matches --only."""
+    servers = load_servers(settings, only)
+    address = parse_address(control)
+    faults = Faults(service_ms=service_ms)
+
+    async def start(nursery: trio.Nursery) -> None:
+        fleet = make_fleet(servers, faults=faults, queue_per_slot=queue_per_slot)
+        for server in fleet.servers:
+            await nursery.start(server.run)
+        port = HttpServer(ip=address.ip, port=address.port, handle=fleet.handle)
+        await nursery.start(port.run)
+
+    run_process(start)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,117 @@
+"""The faults of a backend server: what the control port sets and shows."""
+
+from collections import deque
+from dataclasses import dataclass, fields, replace
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(ge=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Version = Annotated[int, msgspec.Meta(ge=1)]
+
+MAX_HISTORY = 64
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """What `GET /load` says: calls in service, slots and calls in the queue."""
+
+    in_use: int
+    slots: int
+    queued: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Faults:
+    """How one backend server behaves. A share is that of calls, from 0 to 1.
+
+    `silence` is an event: each time that it is set to true, the connections open
+    at that moment stop answering for good. `crash` is one too: the server dies at
+    its next call and the field goes back to "no". standins/README.md tells of
+    each field with an example.
+    """
+
+    service_ms: Positive = 5.0
+    service_law: Literal["fixed", "exponential", "lognormal"] = "fixed"
+    service_sigma: Positive = 0.5
+    straggle_share: Share = 0.0
+    straggle_factor: Positive = 20.0
+    seed: int = 1
+
+    index_versions: tuple[Version, ...] = (1,)
+    next_index_versions: tuple[Version, ...] = ()
+    switch_after_ms: Positive = 0.0
+    shards: dict[Version, tuple[str, ...]] | None = None
+
+    dead: bool = False
+    silence: bool = False
+    crash: Literal["no", "before run", "after run"] = "no"
+    restart_ms: Positive | None = None
+    connect_ms: Positive = 0.0
+    cold_s: Positive = 0.0
+    cold_factor: Positive = 10.0
+
+    shed: bool = False
+    state: Literal["serving", "starting", "draining"] = "serving"
+    cancels: bool = True
+
+    health_says: Literal["truth", "serving", "starting", "draining"] = "truth"
+    health_lag_ms: Positive = 0.0
+    load_says: Load | None = None
+    load_lag_ms: Positive = 0.0
+
+    truncated: Share = 0.0
+    wrong_shard: Share = 0.0
+    wrong_version: Share = 0.0
+    wrong_attempt: Share = 0.0
+    crossed: Share = 0.0
+    duplicated: Share = 0.0
+    http_500: Share = 0.0
+    http_500_runs: bool = True
+
+
+def change_faults(faults: Faults, change: dict[str, Any]) -> Faults:
+    """Return `faults` with the given fields changed.
+
+    Raises ValueError, which says what was expected, for an unknown field or a
+    wrong value.
+    """
+    unknown = change.keys() - {field.name for field in fields(Faults)}
+    if unknown:
+        raise ValueError(f"unknown faults: {', '.join(sorted(unknown))}")
+    checked = msgspec.convert(change, Faults, str_keys=True)
+    return replace(faults, **{name: getattr(checked, name) for name in change})
+
+
+class FaultHistory:
+    """The faults in force now and, for endpoints that lag, those of a while ago."""
+
+    def __init__(self, *, faults: Faults, now: float):
+        self.faults = faults
+        self.changed_at = now
+        self._entries = deque([(now, faults)], maxlen=MAX_HISTORY)
+
+    def set_faults(self, faults: Faults, now: float) -> None:
+        """Put `faults` in force from `now` on, in seconds."""
+        self.faults = faults
+        self.changed_at = now
+        self._entries.append((now, faults))
+
+    def get_state(self, at: float) -> str:
+        """Return the server's state at a moment."""
+        return self._find(at)[1].state
+
+    def get_index_versions(self, at: float) -> tuple[int, ...]:
+        """Return the index versions that were served at a moment."""
+        since, faults = self._find(at)
+        switch_at = since + faults.switch_after_ms / 1_000
+        if faults.next_index_versions and at >= switch_at:
+            return faults.next_index_versions
+        return faults.index_versions
+
+    def _find(self, at: float) -> tuple[float, Faults]:
+        for entry in reversed(self._entries):
+            if entry[0] <= at:
+                return entry
+        return self._entries[0]
--- /dev/null
+++ b/standins/http.py
@@ -0,0 +1,260 @@
+"""HTTP over trio streams by h11, as cheaply as the stand-ins can serve it."""
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qsl
+
+import h11
+import msgspec
+import trio
+
+MAX_BODY_BYTES = 2_000_000
+MAX_RECEIVE_BYTES = 65_536
+IDLE_TIMEOUT_S = 600.0
+BACKLOG = 512
+ACCEPT_PAUSE_S = 0.05
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """One whole request; names of headers are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+    def get_options(self) -> dict[str, str]:
+        """Return the options after the question mark; the last of a name counts."""
+        return dict(parse_qsl(self.query, keep_blank_values=True))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """One reply. The last two fields make faulty ones.
+
+    `n_sent` cuts the body after so many bytes and closes the connection, although
+    Content-Length promises all of it. `n_copies` sends the reply more than once.
+    """
+
+    status: int
+    body: bytes = b""
+    headers: Headers = ()
+    n_sent: int | None = None
+    n_copies: int = 1
+
+
+def make_json_reply(
+    value: object, *, status: int = 200, headers: Headers = ()
+) -> Reply:
+    """Encode `value` as the JSON body of a reply."""
+    return Reply(
+        status=status,
+        body=msgspec.json.encode(value),
+        headers=(("Content-Type", "application/json"), *headers),
+    )
+
+
+def make_error(status: int, message: str, *, headers: Headers = ()) -> Reply:
+    """Make the reply `{"error": message}`."""
+    return make_json_reply({"error": message}, status=status, headers=headers)
+
+
+class RequestTooLargeError(Exception):
+    """The body is over the limit."""
+
+
+class Connection:
+    """The server's end of one connection: requests in, replies out, in turn."""
+
+    def __init__(
+        self, *, stream: trio.SocketStream, max_body_bytes: int = MAX_BODY_BYTES
+    ):
+        self._stream = stream
+        self._max_body_bytes = max_body_bytes
+        self._http = h11.Connection(our_role=h11.SERVER)
+        self._has_early_bytes = False
+        self.is_silent = False
+
+    async def receive_request(self) -> Request | None:
+        """Return the next request, or None when the peer has closed or idles.
+
+        Raises h11.RemoteProtocolError for malformed input and RequestTooLargeError.
+        """
+        head: h11.Request | None = None
+        body: list[bytes] = []
+        n_bytes = 0
+        self._has_early_bytes = False
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    await self._send_continue()
+                with trio.move_on_after(IDLE_TIMEOUT_S) as scope:
+                    self._http.receive_data(
+                        await self._stream.receive_some(MAX_RECEIVE_BYTES)
+                    )
+                if scope.cancelled_caught:
+                    return None
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                n_bytes += len(event.data)
+                if n_bytes > self._max_body_bytes:
+                    raise RequestTooLargeError
+                body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _make_request(head, b"".join(body))
+            else:
+                return None
+
+    async def _send_continue(self) -> None:
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        await self._stream.send_all(self._http.send(go_on))
+
+    async def send_reply(self, reply: Reply) -> bool:
+        """Send `reply`; return whether the connection can serve another request."""
+        headers = [*reply.headers, ("Content-Length", str(len(reply.body)))]
+        head = h11.Response(status_code=reply.status, headers=headers)
+        data = self._http.send(head)
+        if reply.n_sent is not None:
+            cut = self._http.send(h11.Data(data=reply.body[: reply.n_sent]))
+            await self._stream.send_all(data + cut)
+            return False
+        if reply.body:
+            data += self._http.send(h11.Data(data=reply.body))
+        data += self._http.send(h11.EndOfMessage())
+        await self._stream.send_all(data * reply.n_copies)
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def wait_for_close(self) -> None:
+        """Return when the peer closes the connection; a caller cancels the wait.
+
+        The wait for a slot or for a service time is spent here, so that one task
+        both keeps the time and sees the peer go. Bytes of a next request are kept;
+        after the first of them the peer's close is no longer seen.
+        """
+        if not self._has_early_bytes:
+            try:
+                data = await self._stream.receive_some(MAX_RECEIVE_BYTES)
+            except trio.BrokenResourceError:
+                return
+            if not data:
+                return
+            self._has_early_bytes = True
+            self._http.receive_data(data)
+        await trio.sleep_forever()
+
+    async def ignore_until_closed(self) -> None:
+        """Read and drop all input, answering nothing, until the peer closes."""
+        while await self._stream.receive_some(MAX_RECEIVE_BYTES):
+            pass
+
+    def reset(self) -> None:
+        """Make the coming close a reset, as when a process or its host dies."""
+        linger = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._stream.socket.setsockopt(*linger)
+
+
+Handler = Callable[[Request, Connection], Awaitable[Reply | None]]
+
+
+def _make_request(head: h11.Request, body: bytes) -> Request:
+    path, _, query = head.target.decode("ascii").partition("?")
+    return Request(
+        method=head.method.decode("ascii"),
+        path=path,
+        query=query,
+        headers={n.decode("ascii"): v.decode("latin-1") for n, v in head.headers},
+        body=body,
+    )
+
+
+async def serve_connection(connection: Connection, handle: Handler) -> None:
+    """Answer request after request; a handler's None closes the connection."""
+    try:
+        while True:
+            request = await connection.receive_request()
+            if connection.is_silent:
+                return await connection.ignore_until_closed()
+            if request is None:
+                return None
+            reply = await handle(request, connection)
+            if connection.is_silent:
+                return await connection.ignore_until_closed()
+            if reply is None or not await connection.send_reply(reply):
+                return None
+    except h11.RemoteProtocolError as error:
+        await _send_last(connection, make_error(error.error_status_hint, str(error)))
+    except RequestTooLargeError:
+        await _send_last(connection, make_error(413, "The body is too large."))
+    except trio.BrokenResourceError:
+        pass
+
+
+async def _send_last(connection: Connection, reply: Reply) -> None:
+    try:
+        await connection.send_reply(reply)
+    except (trio.BrokenResourceError, h11.LocalProtocolError):
+        return
+
+
+@dataclass(kw_only=True, slots=True)
+class HttpServer:
+    """A listener that serves `handle` to at most `max_connections` at once."""
+
+    ip: str
+    port: int
+    handle: Handler
+    max_connections: int = 1_000
+    max_body_bytes: int = MAX_BODY_BYTES
+    n_connections: int = field(default=0, init=False)
+
+    async def run(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; the task's status is the port that listens."""
+        listener = await open_listener(self.ip, self.port)
+        async with listener, trio.open_nursery() as nursery:
+            task_status.started(listener.socket.getsockname()[1])
+            while True:
+                stream = await accept(listener)
+                if self.n_connections >= self.max_connections:
+                    await trio.aclose_forcefully(stream)
+                    continue
+                self.n_connections += 1
+                nursery.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = Connection(stream=stream, max_body_bytes=self.max_body_bytes)
+        try:
+            await serve_connection(connection, self.handle)
+        finally:
+            self.n_connections -= 1
+            await trio.aclose_forcefully(stream)
+
+
+async def open_listener(ip: str, port: int) -> trio.SocketListener:
+    """Listen on one address by IP number."""
+    (listener,) = await trio.open_tcp_listeners(port, host=ip, backlog=BACKLOG)
+    return listener
+
+
+async def accept(listener: trio.SocketListener) -> trio.SocketStream:
+    """Accept the next connection, pausing while the process has no descriptors."""
+    while True:
+        try:
+            return await listener.accept()
+        except OSError:
+            await trio.sleep(ACCEPT_PAUSE_S)
