--- /dev/null
+++ b/src/lavendergap/coordination/witness.py
@@ -0,0 +1,256 @@
+"""The witness of tickets: it records what another process starts, or voids it."""
+
+from dataclasses import dataclass, field
+
+from ..state.outcome import Outcome, Unknown
+from ..state.ticket import (
+    Ack,
+    CloseIssuer,
+    Forgotten,
+    Kept,
+    KeptReply,
+    OpenIssuer,
+    Peer,
+    RecordEnded,
+    RecordStarted,
+    Refused,
+    Started,
+    StartedReply,
+    Ticket,
+    TicketProblem,
+    Void,
+    Voided,
+    VoidReply,
+    VoidTicket,
+    WitnessRequest,
+    verify_mac,
+)
+
+MAX_ISSUERS = 4096
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _StartedRecord:
+    since: float
+    outcome: Outcome | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _VoidRecord:
+    since: float
+
+
+_Record = _StartedRecord | _VoidRecord
+
+
+@dataclass(kw_only=True, slots=True)
+class _IssuerState:
+    """What is held about one incarnation of an issuer."""
+
+    secret: bytes
+    floor: int = 0
+    closed: bool = False
+    tickets: dict[Ticket, None] = field(default_factory=dict)
+
+
+class Witness:
+    """Says of each ticket "started" or "void", never both, in one memory.
+
+    One for each process. "Started" and "void" exclude each other because both are
+    decided here, by one process that handles one message at a time. At most
+    `max_tickets` records, of the last `ticket_lifetime_ms`, are held, of at most
+    `max_issuers` issuers. `now` is in seconds on a clock that never goes back.
+
+    >>> from lavendergap.coordination.issuer import Issuer
+    >>> from lavendergap.state.ticket import Peer
+    >>> issuer = Issuer(
+    ...     peer=Peer(host="ptl-a-1", incarnation=7), secret=b"k" * 32,
+    ...     max_tickets=100, ticket_lifetime_ms=600_000)
+    >>> me = Peer(host="sea-a-1", incarnation=9)
+    >>> witness = Witness(peer=me, max_tickets=100, ticket_lifetime_ms=600_000)
+    >>> witness.answer(issuer.open(me), now=0.0)
+    Kept()
+    >>> ticket = issuer.issue(service="sponsor-ledger", witness=me, now=0.0)
+    >>> witness.void(ticket, now=1.0)
+    Voided()
+    >>> witness.start(ticket, now=1.1)
+    Void()
+    """
+
+    def __init__(
+        self,
+        *,
+        peer: Peer,
+        max_tickets: int,
+        ticket_lifetime_ms: int,
+        max_issuers: int = MAX_ISSUERS,
+    ) -> None:
+        self.peer = peer
+        self.max_tickets = max_tickets
+        self.ticket_lifetime_ms = ticket_lifetime_ms
+        self.max_issuers = max_issuers
+        # In the order of `since`, so that what has expired stands in front.
+        self._records: dict[Ticket, _Record] = {}
+        # The one not heard of for longest stands in front.
+        self._issuers: dict[Peer, _IssuerState] = {}
+        self._dropped_incarnation = -1
+
+    def __len__(self) -> int:
+        """Return the number of records held."""
+        return len(self._records)
+
+    def answer(
+        self, request: WitnessRequest, *, now: float
+    ) -> StartedReply | VoidReply | KeptReply:
+        """Answer any request that comes over the channel between hosts."""
+        match request:
+            case OpenIssuer():
+                return self.open(request, now=now)
+            case RecordStarted(ticket=ticket):
+                return self.start(ticket, now=now)
+            case VoidTicket(ticket=ticket):
+                return self.void(ticket, now=now)
+            case RecordEnded(ticket=ticket, outcome=outcome):
+                return self.end(ticket, outcome, now=now)
+            case CloseIssuer():
+                return self.close(request, now=now)
+
+    def start(self, ticket: Ticket, *, now: float) -> StartedReply:
+        """Record a ticket as started, unless it is void or may have been.
+
+        A repeat is acknowledged again: the issuer runs on its first `Ack` only.
+        """
+        state = self._find_state(ticket, now)
+        if not isinstance(state, _IssuerState):
+            return state
+        match self._records.get(ticket):
+            case _StartedRecord():
+                return Ack()
+            case _VoidRecord():
+                return Void()
+            case None if ticket.serial <= state.floor:
+                return Forgotten()
+            case None if state.closed:
+                return Void()
+            case None:
+                self._add(ticket, _StartedRecord(since=now), state)
+                return Ack()
+
+    def void(self, ticket: Ticket, *, now: float) -> VoidReply:
+        """Void a ticket, unless it was started or may have been.
+
+        After `Voided` the request has not run and never will, since its issuer
+        runs nothing without an `Ack` from here.
+        """
+        state = self._find_state(ticket, now)
+        if not isinstance(state, _IssuerState):
+            return state
+        match self._records.get(ticket):
+            case _StartedRecord(outcome=outcome):
+                return Started(outcome=outcome)
+            case _VoidRecord():
+                return Voided()
+            case None if ticket.serial <= state.floor:
+                return Forgotten()
+            case None if state.closed:
+                return Voided()
+            case None:
+                self._add(ticket, _VoidRecord(since=now), state)
+                return Voided()
+
+    def end(self, ticket: Ticket, outcome: Outcome, *, now: float) -> KeptReply:
+        """Keep the outcome of a started ticket, for those who ask after it.
+
+        A later outcome replaces an unknown one and no other.
+        """
+        state = self._find_state(ticket, now)
+        if not isinstance(state, _IssuerState):
+            return state
+        match self._records.get(ticket):
+            case _StartedRecord(since=since, outcome=None | Unknown()):
+                self._records[ticket] = _StartedRecord(since=since, outcome=outcome)
+            case _StartedRecord() | _VoidRecord():
+                pass
+            case None if ticket.serial <= state.floor:
+                return Forgotten()
+            case None:
+                # Given up by its issuer before the record of its start came here.
+                record = _StartedRecord(since=now, outcome=outcome)
+                self._add(ticket, record, state)
+        return Kept()
+
+    def open(self, opening: OpenIssuer, *, now: float) -> KeptReply:
+        """Hold a new issuer, or refuse one as old as any that was dropped."""
+        if opening.witness != self.peer:
+            return Forgotten()
+        issuer = opening.issuer
+        if issuer in self._issuers:
+            return Kept()
+        while len(self._issuers) >= self.max_issuers:
+            self._drop_issuer()
+        # An `OpenIssuer` that comes late, or twice, must not bring back an issuer
+        # whose records were dropped: a voided ticket of it could then start.
+        if issuer.incarnation <= self._dropped_incarnation:
+            return Forgotten()
+        self._issuers[issuer] = _IssuerState(secret=opening.secret)
+        return Kept()
+
+    def close(self, closing: CloseIssuer, *, now: float) -> KeptReply:
+        """Take a stopping issuer's word that what has not started never will."""
+        if closing.witness != self.peer:
+            return Forgotten()
+        state = self._issuers.get(closing.issuer)
+        if state is None:
+            return Forgotten()
+        state.closed = True
+        return Kept()
+
+    def _find_state(
+        self, ticket: Ticket, now: float
+    ) -> _IssuerState | Forgotten | Refused:
+        # A restarted host keeps its name but none of its records. Without this
+        # check it would void a ticket that its former life had seen started, and a
+        # caller would be told "not run" of a booking that ran.
+        if ticket.witness != self.peer:
+            return Forgotten()
+        self._drop_expired(now)
+        state = self._issuers.pop(ticket.issuer, None)
+        if state is None:
+            return Forgotten()
+        self._issuers[ticket.issuer] = state
+        if not verify_mac(ticket, state.secret):
+            return Refused(reason=TicketProblem.FORGED)
+        return state
+
+    def _drop_issuer(self) -> None:
+        # The one not heard of for longest goes. A late `OpenIssuer` of it is
+        # refused by the bound on incarnations, which grow with the time of start.
+        issuer = next(iter(self._issuers))
+        state = self._issuers.pop(issuer)
+        for ticket in state.tickets:
+            del self._records[ticket]
+        self._dropped_incarnation = max(self._dropped_incarnation, issuer.incarnation)
+
+    def _add(self, ticket: Ticket, record: _Record, state: _IssuerState) -> None:
+        while len(self._records) >= self.max_tickets:
+            self._drop_oldest()
+        self._records[ticket] = record
+        state.tickets[ticket] = None
+
+    def _drop_expired(self, now: float) -> None:
+        lifetime = self.ticket_lifetime_ms / 1000
+        while self._records:
+            oldest = next(iter(self._records.values()))
+            if now - oldest.since < lifetime:
+                return
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        # What is at or below the floor and has no record is `Forgotten`: a dropped
+        # "started" is never called void, and a dropped "void" never starts. Serials
+        # only grow, so the tickets in use lie above the floor.
+        ticket = next(iter(self._records))
+        del self._records[ticket]
+        state = self._issuers[ticket.issuer]
+        del state.tickets[ticket]
+        state.floor = max(state.floor, ticket.serial)
