--- /dev/null
+++ b/src/lavendergap/coordination/budget.py
@@ -0,0 +1,51 @@
+"""Budgets that keep extra calls to a small share of the calls that callers made."""
+
+
+class Budget:
+    """A token bucket filled by calls instead of by time.
+
+    Each call earns `share` of a token and each extra attempt spends a whole one, so
+    that an outage, which makes every call want an extra one, adds at most `share`
+    to the load. `burst` tokens are kept at most, which is also what a new bucket
+    starts with. `per_second` tokens come with time as well, so that a group with
+    few calls can still retry.
+
+    >>> budget = Budget(share=0.5, burst=1.0, per_second=0.0)
+    >>> budget.spend(now=0.0), budget.spend(now=0.0)
+    (True, False)
+    >>> budget.earn()
+    >>> budget.earn()
+    >>> budget.spend(now=0.0)
+    True
+    """
+
+    __slots__ = ("share", "burst", "per_second", "tokens", "_filled_at")
+
+    def __init__(self, *, share: float, burst: float, per_second: float) -> None:
+        self.share = share
+        self.burst = burst
+        self.per_second = per_second
+        self.tokens = burst if share > 0.0 else 0.0
+        self._filled_at: float | None = None
+
+    def earn(self) -> None:
+        """Count one call."""
+        tokens = self.tokens + self.share
+        self.tokens = tokens if tokens < self.burst else self.burst
+
+    def spend(self, *, now: float) -> bool:
+        """Take a token for one extra attempt; False when there is none."""
+        if self.share <= 0.0:
+            return False
+        self._fill(now)
+        # Sums of shares such as 0.1 fall short of 1 by rounding.
+        if self.tokens < 1.0 - 1e-9:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def _fill(self, now: float) -> None:
+        if self._filled_at is not None and self.per_second > 0.0:
+            came = (now - self._filled_at) * self.per_second
+            self.tokens = min(self.burst, self.tokens + max(0.0, came))
+        self._filled_at = now
--- /dev/null
+++ b/src/lavendergap/coordination/hedging.py
@@ -0,0 +1,57 @@
+"""When a second attempt is worth its cost: recent latencies and their quantiles."""
+
+from collections import deque
+
+# 256 calls see a quantile of 0.95 from 13 of them, and forget a slow spell within
+# seconds at the rates that our users run.
+WINDOW = 256
+# Below this many calls a high quantile is one call's luck.
+MIN_SAMPLES = 20
+# Sorting the window for each call would cost more than the rest of the decision.
+REFRESH_EVERY = 16
+
+
+class RecentLatencies:
+    """The latencies of the last calls of a group, in seconds.
+
+    A cancelled attempt counts with the time it had taken so far. Without it the
+    stragglers that hedging cuts short would be missing from the window, the quantile
+    would sink towards the median, and hedging would feed itself.
+
+    >>> recent = RecentLatencies(quantile=0.9)
+    >>> recent.delay is None
+    True
+    >>> for n in range(1, 101):
+    ...     recent.add(n / 1000)
+    >>> recent.delay
+    0.087
+    """
+
+    __slots__ = ("quantile", "delay", "median", "mean", "_samples", "_n_new")
+
+    def __init__(self, *, quantile: float) -> None:
+        self.quantile = quantile
+        self.delay: float | None = None
+        self.median: float | None = None
+        self.mean: float | None = None
+        self._samples: deque[float] = deque(maxlen=WINDOW)
+        self._n_new = 0
+
+    def __len__(self) -> int:
+        return len(self._samples)
+
+    def add(self, latency: float) -> None:
+        """Count one attempt's latency; the quantiles follow every 16 attempts."""
+        self._samples.append(latency)
+        self._n_new += 1
+        if self._n_new >= REFRESH_EVERY:
+            self._refresh()
+
+    def _refresh(self) -> None:
+        self._n_new = 0
+        ordered = sorted(self._samples)
+        n = len(ordered)
+        self.mean = sum(ordered) / n
+        self.median = ordered[n // 2]
+        if n >= MIN_SAMPLES:
+            self.delay = ordered[min(n - 1, int(n * self.quantile))]
--- /dev/null
+++ b/src/lavendergap/coordination/joining.py
@@ -0,0 +1,175 @@
+"""Joining the shards' answers into one answer, and when to stop waiting for more."""
+
+from statistics import median
+
+from ..state.outcome import (
+    Answered,
+    Coverage,
+    Missing,
+    NotRun,
+    Outcome,
+    Reason,
+    Step,
+    Unknown,
+)
+from ..state.settings import GiveUpStragglers, StragglerPolicy, WaitForCoverage
+from ..state.snapshot import Shard, Snapshot
+
+# Sums of shares such as 20 times 0.05 fall short of 1 by rounding.
+ROUNDING = 1e-9
+# A median of a few microseconds must not make the patience vanish altogether.
+SHORTEST_PATIENCE = 0.002
+
+
+class Join:
+    """The answers to one query, which is pinned to one snapshot.
+
+    `started` and `deadline` are in seconds on the loop's clock. Each shard counts
+    once, with its first outcome; coverage is computed from answers alone, so it can
+    not claim a shard whose answer did not come.
+
+    >>> shards = tuple(Shard(name=n, group=n, share=0.5) for n in ("s0", "s1"))
+    >>> join = Join(
+    ...     snapshot=Snapshot(service="fleet", version=7, shards=shards),
+    ...     policy=GiveUpStragglers(min_share=0.5, patience=2.0),
+    ...     started=0.0,
+    ...     deadline=0.28,
+    ... )
+    >>> join.add("s0", Answered(body=b"{}"), "fleet-00-a", now=0.010)
+    >>> round(join.next_wake(), 3)
+    0.03
+    >>> join.advance(now=0.030)
+    >>> join.is_done, join.give_up(), join.coverage().share
+    (True, ['s1'], 0.5)
+    """
+
+    __slots__ = (
+        "snapshot",
+        "policy",
+        "started",
+        "deadline",
+        "is_done",
+        "needs_newer_snapshot",
+        "n_ignored",
+        "_pending",
+        "_answers",
+        "_missing",
+        "_times",
+        "_share",
+        "_give_up_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        snapshot: Snapshot,
+        policy: StragglerPolicy,
+        started: float,
+        deadline: float,
+    ) -> None:
+        self.snapshot = snapshot
+        self.policy = policy
+        self.started = started
+        self.deadline = deadline
+        self.is_done = not snapshot.shards
+        self.needs_newer_snapshot = False
+        self.n_ignored = 0
+        self._pending: dict[str, Shard] = {s.name: s for s in snapshot.shards}
+        self._answers: dict[str, bytes] = {}
+        self._missing: dict[str, Missing] = {}
+        self._times: list[float] = []
+        self._share = 0.0
+        self._give_up_at: float | None = None
+
+    def add(self, shard: str, outcome: Outcome, server: str, *, now: float) -> None:
+        """Take the outcome of one shard's call.
+
+        An outcome for a shard that was not asked, or has one already, or that comes
+        when the query is done, is counted in `n_ignored` and changes nothing: what
+        was said of the coverage must stay true.
+        """
+        if self.is_done or shard not in self._pending:
+            self.n_ignored += 1
+            return
+        known = self._pending.pop(shard)
+        match outcome:
+            case Answered(body=body):
+                self._answers[shard] = body
+                self._share += known.share
+                self._times.append(now - self.started)
+            case NotRun(step=step, peer=peer, reason=reason):
+                self._miss(shard, reason, step, peer or server)
+                if reason is Reason.VERSION_GONE:
+                    self._start_over()
+            case Unknown(step=step, peer=peer, reason=reason):
+                self._miss(shard, reason, step, peer or server)
+        if not self._pending:
+            self.is_done = True
+        self._plan(now)
+
+    def advance(self, *, now: float) -> None:
+        """Stop waiting if the patience or the deadline has passed."""
+        wake = self.next_wake()
+        if wake is not None and wake <= now:
+            self.is_done = True
+
+    def next_wake(self) -> float | None:
+        """Return the time to call `advance` at, or None when the query is done."""
+        if self.is_done:
+            return None
+        if self._give_up_at is None:
+            return self.deadline
+        return min(self.deadline, self._give_up_at)
+
+    def give_up(self) -> list[str]:
+        """Return the shards still out, whose calls are to be cancelled.
+
+        The query is done from here on, and they count as stragglers.
+        """
+        self.is_done = True
+        return list(self._pending)
+
+    def coverage(self) -> Coverage:
+        """Return what the answers so far cover of the snapshot."""
+        missing = [
+            self._missing.get(shard.name) or self._make_straggler(shard)
+            for shard in self.snapshot.shards
+            if shard.name not in self._answers
+        ]
+        return Coverage(
+            n_asked=len(self.snapshot.shards),
+            n_answered=len(self._answers),
+            share=min(1.0, self._share) if missing else 1.0,
+            missing=tuple(missing),
+        )
+
+    def results(self) -> list[tuple[str, bytes]]:
+        """Return the answered shards and their answers, in the snapshot's order."""
+        names = [shard.name for shard in self.snapshot.shards]
+        return [(name, self._answers[name]) for name in names if name in self._answers]
+
+    def _miss(self, shard: str, reason: Reason, step: Step, peer: str) -> None:
+        self._missing[shard] = Missing(shard=shard, reason=reason, step=step, peer=peer)
+
+    def _make_straggler(self, shard: Shard) -> Missing:
+        return Missing(
+            shard=shard.name,
+            reason=Reason.STRAGGLER,
+            step=Step.RECEIVE,
+            peer=shard.group,
+        )
+
+    def _start_over(self) -> None:
+        # The shard is at another version now, and an answer that mixed versions
+        # would show a booking twice or not at all. The caller of this part starts
+        # again with another snapshot if there is time, else says "not covered".
+        self.needs_newer_snapshot = True
+
+    def _plan(self, now: float) -> None:
+        match self.policy:
+            case GiveUpStragglers(min_share=min_share, patience=patience):
+                if self._give_up_at is None and self._share + ROUNDING >= min_share:
+                    wait = max(SHORTEST_PATIENCE, patience * median(self._times))
+                    self._give_up_at = now + wait
+            case WaitForCoverage():
+                pass
--- /dev/null
+++ b/src/lavendergap/coordination/progress.py
@@ -0,0 +1,93 @@
+"""What the scheduler remembers of a call under way and of its attempts."""
+
+from ..state.outcome import NotRun, Reason, Unknown
+from .calls import Call, Cause
+from .replicas import Replica
+
+NOTHING: frozenset[str] = frozenset()
+
+
+class Attempt:
+    """An attempt in flight; it holds a slot of `replica` until the transport ends it.
+
+    `progress` is None once the call is finished and only the slot is outstanding.
+    """
+
+    __slots__ = ("attempt_id", "progress", "replica", "cause", "fresh", "started")
+
+    def __init__(
+        self,
+        *,
+        attempt_id: int,
+        progress: "Progress",
+        replica: Replica,
+        cause: Cause,
+        fresh: bool,
+        started: float,
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.progress: Progress | None = progress
+        self.replica = replica
+        self.cause = cause
+        self.fresh = fresh
+        self.started = started
+
+
+class Progress:
+    """A call that is queued or running.
+
+    `unknown` is the first outcome after which the call may have run: from then on it
+    can never be finished as "not run". `refusal` is the last proof that it has not.
+    """
+
+    __slots__ = (
+        "call",
+        "attempts",
+        "n_attempts",
+        "cause",
+        "fresh",
+        "excluded",
+        "tried",
+        "unknown",
+        "refusal",
+        "server",
+        "is_hedged",
+    )
+
+    def __init__(self, *, call: Call) -> None:
+        self.call = call
+        self.attempts: list[Attempt] = []
+        self.n_attempts = 0
+        self.cause: Cause = "first"
+        self.fresh = False
+        self.excluded = NOTHING
+        self.tried = NOTHING
+        self.unknown: Unknown | None = None
+        self.refusal: NotRun | None = None
+        self.server = ""
+        self.is_hedged = False
+
+    def note_failure(self, outcome: NotRun | Unknown, server: str) -> None:
+        """Remember a failed attempt, and which servers the next should not use."""
+        self.server = server
+        match outcome:
+            case NotRun():
+                self._note_refusal(outcome, server)
+            case Unknown(reason=reason):
+                self.unknown = self.unknown or outcome
+                self.tried |= {server}
+                if reason in (Reason.SILENT_CONNECTION, Reason.LOST_CONNECTION):
+                    self.fresh = True
+
+    def _note_refusal(self, outcome: NotRun, server: str) -> None:
+        # "Version gone" outlasts later refusals: it tells the coordinator to start
+        # again at another version, which the other reasons would hide.
+        if self.refusal is None or self.refusal.reason is not Reason.VERSION_GONE:
+            self.refusal = outcome
+        # A server that sheds is kept out by its backoff, for as long as it asked.
+        if outcome.reason is not Reason.SHED:
+            self.excluded |= {server}
+
+    def get_failure(self) -> NotRun | Unknown | None:
+        """Return the outcome of the attempts so far: "unknown" if any may have run."""
+        return self.unknown or self.refusal
--- /dev/null
+++ b/src/lavendergap/coordination/replicas.py
@@ -0,0 +1,368 @@
+"""What an owner knows of each replica of a group, and which one gets the next call."""
+
+from dataclasses import dataclass
+from random import Random
+
+from ..state.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from ..state.settings import Server
+from .calls import ServerReport
+
+# A backend server that was just started, or is back after failures, has cold caches:
+# with all its slots filled at once, its first answers would all be late together.
+SLOW_START = 3.0
+# Twice the pause of a garbage collection; short enough to try again within a
+# query's deadline when the failure was a blip.
+FIRST_EJECTION = 0.1
+LONGEST_EJECTION = 10.0
+# A server that names a longer time is asked again after this one all the same: a
+# wrong `Retry-After` of an hour must not take a replica away for an hour.
+LONGEST_BACKOFF = 5.0
+# For servers that shed without saying for how long.
+DEFAULT_BACKOFF = 0.05
+# A report is about one moment; after this time it says nothing of the load.
+REPORT_LIFETIME = 1.0
+# How long answers outweigh what a health endpoint says to the contrary.
+ANSWER_LIFETIME = 5.0
+# A server that said in an answer that it drains is tried again after this time if
+# its health endpoint has said "serving" throughout: the drain was called off. Much
+# longer than any drain, so that a lying endpoint brings a leaving server no work.
+DRAIN_MEMORY = 60.0
+# A latency estimate is worth half after this time without an answer, so that a
+# replica that was slow once is tried again.
+LATENCY_HALF_LIFE = 2.0
+LATENCY_GAIN = 0.125
+# How much of an ejection one failure is worth; at 1 the server is ejected. A refused
+# connection is beyond doubt. A lost or silent connection says as much of the
+# connection as of the server, unless it was a fresh one.
+BLAME = {
+    Reason.REFUSED_CONNECTION: 1.0,
+    Reason.LOST_CONNECTION: 0.5,
+    Reason.SILENT_CONNECTION: 0.5,
+    Reason.SERVER_ERROR: 0.34,
+    Reason.WRONG_ANSWER: 0.34,
+    Reason.DEADLINE: 0.34,
+}
+MISSED_PROBE_BLAME = 0.5
+NEVER = float("inf")
+
+
+class Replica:
+    """One backend server as this owner sees it.
+
+    Own calls in flight are known for certain. All else is what the server said or
+    how it behaved, and is believed for a time that fits its source: answers before
+    health endpoints, which may lag or mislead.
+    """
+
+    __slots__ = (
+        "server",
+        "in_flight",
+        "state",
+        "state_at",
+        "state_from_answer",
+        "health_left_serving",
+        "versions",
+        "versions_at",
+        "versions_from_answer",
+        "backoff_until",
+        "ejected_until",
+        "n_ejections",
+        "blame",
+        "ramp_from",
+        "latency",
+        "latency_at",
+        "foreign",
+        "foreign_at",
+    )
+
+    def __init__(self, *, server: Server, ramp_from: float = -NEVER) -> None:
+        self.server = server
+        self.in_flight = 0
+        self.state = "serving"
+        self.state_at = -NEVER
+        self.state_from_answer = False
+        self.health_left_serving = False
+        self.versions: tuple[int, ...] = ()
+        self.versions_at = -NEVER
+        self.versions_from_answer = False
+        self.backoff_until = -NEVER
+        self.ejected_until = -NEVER
+        self.n_ejections = 0
+        self.blame = 0.0
+        self.ramp_from = ramp_from
+        self.latency = 0.0
+        self.latency_at = -NEVER
+        self.foreign = 0
+        self.foreign_at = -NEVER
+
+    def limit(self, now: float) -> int:
+        """Count the slots that may be in use now: few in slow start, then all."""
+        slots = self.server.slots
+        if self.state == "starting":
+            return 1
+        since = now - self.ramp_from
+        if since >= SLOW_START:
+            return slots
+        return 1 + int((slots - 1) * since / SLOW_START)
+
+    def may_serve(self, version: int) -> bool:
+        """Tell whether the server may serve an index version.
+
+        A version newer than all it named may have come since; an older one that it
+        does not name is gone and does not come back.
+        """
+        versions = self.versions
+        if version == 0 or not versions or version in versions:
+            return True
+        return version > max(versions)
+
+    def score(self, now: float, typical: float) -> float:
+        """Estimate what one more call would meet; the lowest is the best replica.
+
+        The load is own calls in flight plus calls of others that the last report
+        showed, which fade as the report grows old. It is weighed by how slow the
+        server has been against `typical`, the group's mean latency in seconds.
+        """
+        load = self.in_flight + 1.0
+        age = now - self.foreign_at
+        if age < REPORT_LIFETIME:
+            load += self.foreign * (1.0 - age / REPORT_LIFETIME)
+        score = load / self.server.slots
+        if typical > 0.0 and self.latency > 0.0:
+            weight = 0.5 ** ((now - self.latency_at) / LATENCY_HALF_LIFE)
+            ratio = min(4.0, max(0.5, self.latency / typical))
+            score *= 1.0 + (ratio - 1.0) * weight
+        if now - self.ramp_from < SLOW_START or self.state == "starting":
+            score += 0.5
+        return score
+
+    def note_end(
+        self, outcome: Outcome, *, elapsed: float, fresh: bool, now: float, dice: Random
+    ) -> None:
+        """Learn from how an attempt ended."""
+        match outcome:
+            case Answered():
+                self._note_success(elapsed, now)
+            case NotRun(reason=Reason.SHED, retry_after_ms=ms):
+                wait = min(LONGEST_BACKOFF, ms / 1000) if ms > 0 else DEFAULT_BACKOFF
+                self.backoff_until = max(self.backoff_until, now + wait)
+            case Unknown(reason=Reason.CANCELLED):
+                self._note_at_least(elapsed, now)
+            case NotRun(reason=reason) | Unknown(reason=reason):
+                blame = BLAME.get(reason, 0.0)
+                self.add_blame(2 * blame if fresh else blame, now=now, dice=dice)
+
+    def _note_success(self, elapsed: float, now: float) -> None:
+        if self.latency == 0.0:
+            self.latency = elapsed
+        else:
+            self.latency += (elapsed - self.latency) * LATENCY_GAIN
+        self.latency_at = now
+        self.blame = 0.0
+        if self.n_ejections:
+            # The failures were real enough to start over gently, not to wait longer.
+            if now < self.ejected_until or self.ramp_from < self.ejected_until:
+                self.ramp_from = now
+                self.ejected_until = now
+            elif now - self.ramp_from >= SLOW_START:
+                self.n_ejections = 0
+
+    def _note_at_least(self, elapsed: float, now: float) -> None:
+        # A server whose attempts are all cut short would otherwise look as fast as
+        # its last answer, and go on getting calls that hedging has to save.
+        if elapsed > self.latency:
+            self.latency += (elapsed - self.latency) * LATENCY_GAIN
+            self.latency_at = now
+
+    def add_blame(self, blame: float, *, now: float, dice: Random) -> None:
+        """Count a failure, and eject the server for a growing time at a full one."""
+        self.blame += blame
+        if self.blame < 1.0 or now < self.ejected_until:
+            return
+        wait = min(LONGEST_EJECTION, FIRST_EJECTION * 2**self.n_ejections)
+        # Owners that saw one failure together should not come back together.
+        self.ejected_until = now + wait * dice.uniform(0.8, 1.2)
+        self.ramp_from = self.ejected_until
+        self.n_ejections = min(self.n_ejections + 1, 10)
+        self.blame = 0.0
+
+    def note_answer(
+        self, report: ServerReport, *, started: float, own: int, now: float
+    ) -> None:
+        """Take in the report of an answer to an attempt that started at `started`.
+
+        `own` counts the own calls in flight when the report was made.
+        """
+        self._note_load(report, own=own, now=now)
+        if report.versions:
+            self.versions = report.versions
+            self.versions_at = now
+            self.versions_from_answer = True
+        # Answers may cross: one to an attempt from before the drain was seen may
+        # have left the server before it began to drain.
+        if self.state == "draining" and started <= self.state_at:
+            return
+        self._set_state(report.state, from_answer=True, now=now)
+
+    def note_health(self, report: ServerReport, *, now: float) -> None:
+        """Take in a health probe: it may count against the server, never for it."""
+        if report.versions and not self._has_answered_since(now):
+            self.versions = report.versions
+            self.versions_at = now
+            self.versions_from_answer = False
+        foreign = report.in_use + report.queued - self.in_flight
+        if foreign > self.foreign or now - self.foreign_at >= REPORT_LIFETIME:
+            self._note_load(report, own=self.in_flight, now=now)
+        if report.state != "serving":
+            self.health_left_serving = True
+            self._note_worse_health(report, now)
+        elif self._may_rejoin(now):
+            self._set_state("serving", from_answer=False, now=now)
+
+    def note_no_health(self, *, now: float, dice: Random) -> None:
+        """Take in that a health probe had no answer."""
+        self.health_left_serving = True
+        self.add_blame(MISSED_PROBE_BLAME, now=now, dice=dice)
+
+    def _note_worse_health(self, report: ServerReport, now: float) -> None:
+        if report.state == "draining" or self.state == "draining":
+            # After a drain, "starting" is a new process: slow start, not draining.
+            self._set_state(report.state, from_answer=False, now=now)
+        elif not (self.state_from_answer and now - self.state_at < ANSWER_LIFETIME):
+            self._set_state(report.state, from_answer=False, now=now)
+
+    def _may_rejoin(self, now: float) -> bool:
+        if self.state == "serving":
+            return False
+        if not self.state_from_answer or self.health_left_serving:
+            return True
+        # Nothing but "serving" from the endpoint although an answer said otherwise:
+        # it lags or lies, and is believed only when the answer is long past.
+        memory = DRAIN_MEMORY if self.state == "draining" else ANSWER_LIFETIME
+        return now - self.state_at >= memory
+
+    def get_opening(self, now: float) -> float:
+        """Return the next time at which the server may take more than now."""
+        closed_until = max(self.backoff_until, self.ejected_until)
+        if closed_until > now:
+            return closed_until
+        ramp_ends = self.ramp_from + SLOW_START
+        return ramp_ends if ramp_ends > now else NEVER
+
+    def _has_answered_since(self, now: float) -> bool:
+        return self.versions_from_answer and now - self.versions_at < ANSWER_LIFETIME
+
+    def _note_load(self, report: ServerReport, *, own: int, now: float) -> None:
+        self.foreign = max(0, report.in_use + report.queued - own)
+        self.foreign_at = now
+
+    def _set_state(self, state: str, *, from_answer: bool, now: float) -> None:
+        if state != self.state:
+            self.health_left_serving = False
+            if state == "serving":
+                self.ramp_from = now
+        self.state = state
+        self.state_at = now
+        self.state_from_answer = from_answer
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Chosen:
+    """The replica that gets the attempt, and why."""
+
+    replica: Replica
+    why: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Busy:
+    """No replica has a free slot for the call now, but one may yet."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NoneLeft:
+    """No replica can take the call, now or later; `reason` says why."""
+
+    reason: Reason
+
+
+Choice = Chosen | Busy | NoneLeft
+BUSY = Busy()
+
+
+def choose(
+    replicas: list[Replica],
+    *,
+    version: int,
+    excluded: frozenset[str],
+    tried: frozenset[str],
+    typical: float,
+    now: float,
+    dice: Random,
+) -> Choice:
+    """Choose the replica for one attempt.
+
+    Servers in `excluded` refused this very call; those in `tried` failed it and are
+    taken only if no other has a free slot. When failures have ejected every server
+    that could serve, all of them are candidates again: the fault may be on this
+    host's side, and an attempt tells more than waiting does. `why` then says so.
+    """
+    possible = []
+    rumoured = []
+    reason = Reason.NO_REPLICA
+    for replica in replicas:
+        if replica.server.name in excluded:
+            continue
+        if not replica.may_serve(version):
+            reason = Reason.VERSION_GONE
+        elif replica.state != "draining":
+            possible.append(replica)
+        elif not replica.state_from_answer:
+            rumoured.append(replica)
+    # A health endpoint that wrongly says "draining" on every replica would empty the
+    # group. A server that truly drains refuses, and its answer settles the matter.
+    possible = possible or rumoured
+    if not possible:
+        return NoneLeft(reason=reason)
+    healthy = [r for r in possible if r.ejected_until <= now]
+    best = _pick_best(healthy or possible, tried, typical, now, dice)
+    if best is None:
+        return BUSY
+    note = "" if healthy else " (all ejected: failing open)"
+    if possible is rumoured:
+        note += " (all said to drain: failing open)"
+    return Chosen(replica=best, why=_explain(possible, best, now) + note)
+
+
+def _pick_best(
+    candidates: list[Replica],
+    tried: frozenset[str],
+    typical: float,
+    now: float,
+    dice: Random,
+) -> Replica | None:
+    best = None
+    best_score = NEVER
+    for replica in candidates:
+        if replica.backoff_until > now or replica.in_flight >= replica.limit(now):
+            continue
+        score = replica.score(now, typical)
+        if replica.server.name in tried:
+            score += 1_000.0
+        if score < best_score or (score == best_score and dice.random() < 0.5):
+            best = replica
+            best_score = score
+    return best
+
+
+def _explain(possible: list[Replica], best: Replica, now: float) -> str:
+    loads = [
+        f"{r.server.name}={r.in_flight}/{r.server.slots}"
+        + (
+            f"+{r.foreign}"
+            if r.foreign and now - r.foreign_at < REPORT_LIFETIME
+            else ""
+        )
+        for r in possible
+    ]
+    return f"{' '.join(loads)} -> {best.server.name}"
--- /dev/null
+++ b/src/lavendergap/coordination/scheduler.py
@@ -0,0 +1,590 @@
+"""The owner's decisions for one group of replicas: dispatch, queue, retry, hedge."""
+
+from dataclasses import dataclass
+from heapq import heapify, heappop, heappush
+from itertools import count
+from random import Random
+
+from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
+from ..state.settings import Control, Group, Service
+from .admission import Capacity, WaitingCalls, estimate_wait, suggest_retry_after
+from .budget import Budget
+from .calls import (
+    AttemptEnded,
+    Call,
+    CancelAttempt,
+    Cause,
+    Effect,
+    FinishCall,
+    ServerReport,
+    StartAttempt,
+)
+from .hedging import RecentLatencies
+from .progress import Attempt, Progress
+from .replicas import (
+    BLAME,
+    NEVER,
+    Busy,
+    Choice,
+    Chosen,
+    NoneLeft,
+    Replica,
+    choose,
+)
+
+# A call is tried at most this often whatever the budgets hold, so that one call that
+# breaks each server it meets cannot go round the group.
+MAX_ATTEMPTS = 4
+RETRY_BURST = 10.0
+# A group with few calls still may retry once a second: an outage is not made by that.
+RETRIES_PER_SECOND = 1.0
+# Small, so that a slow spell of the whole group is not answered by a volley.
+HEDGE_BURST = 3.0
+SHORTEST_HEDGE_DELAY = 0.001
+# How many waiting calls that no free replica can take are passed over in one go, so
+# that a long queue for one version costs a bounded time at each event.
+MAX_PASSED_OVER = 8
+# A finished call's timer stays in the heap until its time comes; beyond this many
+# stale ones the heap is rebuilt, so that a long deadline does not fill the memory.
+MAX_STALE_TIMERS = 256
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerSummary:
+    """A backend server as its owner sees it now."""
+
+    name: str
+    state: str
+    in_flight: int
+    slots: int
+    latency_ms: float
+    backed_off_ms: float
+    ejected_ms: float
+    versions: tuple[int, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GroupSummary:
+    """A group as its owner sees it now; counts are since the scheduler was made."""
+
+    group: str
+    n_waiting: int
+    n_running: int
+    n_in_flight: int
+    n_calls: int
+    n_refused: int
+    n_retries: int
+    n_hedges: int
+    n_budget_denials: int
+    retry_tokens: float
+    hedge_tokens: float
+    hedge_delay_ms: float | None
+    service_time_ms: float | None
+    is_stopping: bool
+    servers: tuple[ServerSummary, ...]
+
+
+class GroupScheduler:
+    """Runs the calls to one group on its replicas, within their slots.
+
+    Every method takes the present time in seconds and returns what is to be done, in
+    order. Each submitted call gets exactly one `FinishCall`; each `StartAttempt` is
+    owed exactly one `AttemptEnded`, also after `CancelAttempt`, and holds a slot of
+    its server until then. `next_wake` tells when to call `advance` if nothing else
+    happens before. Attempt ids count from 1 within the scheduler.
+    """
+
+    def __init__(
+        self, *, group: Group, service: Service, control: Control, random: Random
+    ) -> None:
+        self.group = group
+        self.service = service
+        self.control = control
+        self.random = random
+        self._replicas = [Replica(server=server) for server in group.servers]
+        self._calls: dict[int, Progress] = {}
+        self._attempts: dict[int, Attempt] = {}
+        self._waiting = WaitingCalls()
+        self._timers: list[tuple[float, int]] = []
+        self._attempt_ids = count(1)
+        self._recent = RecentLatencies(quantile=service.hedge_after_quantile)
+        self._retries = Budget(
+            share=service.retry_budget,
+            burst=RETRY_BURST,
+            per_second=RETRIES_PER_SECOND,
+        )
+        self._hedges = Budget(
+            share=service.hedge_budget, burst=HEDGE_BURST, per_second=0.0
+        )
+        self._opens_at = NEVER
+        self._is_stopping = False
+        self._n_calls = 0
+        self._n_refused = 0
+        self._n_retries = 0
+        self._n_hedges = 0
+        self._n_budget_denials = 0
+
+    # What happens.
+
+    def submit(self, call: Call, *, now: float) -> list[Effect]:
+        """Take a call: start it, let it wait for a slot, or refuse it at once.
+
+        A call that cannot finish before its deadline, given the calls ahead of it
+        and the time that recent ones took, is refused as not run: an answer that
+        comes too late costs a slot and helps nobody.
+        """
+        if call.call_id in self._calls:
+            raise ValueError(f"call {call.call_id} was already submitted")
+        progress = Progress(call=call)
+        self._n_calls += 1
+        self._retries.earn()
+        if call.idempotent:
+            self._hedges.earn()
+        if self._is_stopping:
+            return [self._refuse(progress, Step.ADMIT, Reason.STOPPING)]
+        if call.deadline <= now:
+            return [self._refuse(progress, Step.ADMIT, Reason.DEADLINE)]
+        if not self._waiting:
+            match self._choose(progress, now):
+                case Chosen() as chosen:
+                    self._calls[call.call_id] = progress
+                    return [self._start(progress, chosen, now)]
+                case NoneLeft(reason=reason):
+                    return [self._refuse(progress, Step.ROUTE, reason)]
+        return self._admit(progress, now)
+
+    def end_attempt(self, ended: AttemptEnded, *, now: float) -> list[Effect]:
+        """Take the end of an attempt; its slot is free from now on."""
+        attempt = self._attempts.pop(ended.attempt_id, None)
+        if attempt is None:
+            return []
+        self._learn(attempt, ended, now)
+        effects: list[Effect] = []
+        progress = attempt.progress
+        if progress is not None:
+            progress.attempts.remove(attempt)
+            self._settle(progress, attempt, ended.outcome, now, effects)
+        if self._waiting:
+            self._dispatch(now, effects)
+        return effects
+
+    def cancel(self, call_id: int, *, now: float) -> list[Effect]:
+        """Give up a call that nobody waits for any more; a late cancel is no error."""
+        progress = self._calls.get(call_id)
+        if progress is None:
+            return []
+        effects: list[Effect] = []
+        self._give_up(progress, Reason.CANCELLED, effects)
+        return effects
+
+    def observe(
+        self, server: str, report: ServerReport | None, *, now: float
+    ) -> list[Effect]:
+        """Take the result of a health probe; None when there was no answer."""
+        for replica in self._replicas:
+            if replica.server.name != server:
+                continue
+            if report is None:
+                replica.note_no_health(now=now, dice=self.random)
+            else:
+                replica.note_health(report, now=now)
+        return self.advance(now=now)
+
+    def advance(self, *, now: float) -> list[Effect]:
+        """Do what has become due: end late calls, hedge slow ones, use free slots."""
+        effects: list[Effect] = []
+        while self._timers and self._timers[0][0] <= now:
+            _, call_id = heappop(self._timers)
+            progress = self._calls.get(call_id)
+            if progress is not None and progress.attempts:
+                self._look_after(progress, now, effects)
+        if self._waiting:
+            self._dispatch(now, effects)
+        return effects
+
+    def replace(
+        self, *, group: Group, service: Service, control: Control, now: float
+    ) -> list[Effect]:
+        """Act on changed settings from now on; running calls go on.
+
+        A server that is gone, or has another address, gets nothing new. A new one
+        starts slowly, as its caches are cold.
+        """
+        known = {replica.server.name: replica for replica in self._replicas}
+        self._replicas = []
+        for server in group.servers:
+            replica = known.get(server.name)
+            if replica is None or replica.server.address != server.address:
+                replica = Replica(server=server, ramp_from=now)
+            replica.server = server
+            self._replicas.append(replica)
+        self.group = group
+        self.service = service
+        self.control = control
+        self._recent.quantile = service.hedge_after_quantile
+        self._retries.share = service.retry_budget
+        self._hedges.share = service.hedge_budget
+        return self.advance(now=now)
+
+    def stop(self, *, now: float) -> list[Effect]:
+        """End the calls that wait, truly not run; those that run may finish."""
+        self._is_stopping = True
+        effects: list[Effect] = []
+        while self._waiting:
+            progress = self._waiting[0]
+            refusal = self._make_refusal(Step.QUEUE, Reason.STOPPING)
+            self._finish(progress, progress.unknown or refusal, effects)
+        return effects
+
+    def next_wake(self) -> float | None:
+        """Return the time at which `advance` has something to do, or None."""
+        timers = self._timers
+        while timers and timers[0][1] not in self._calls:
+            heappop(timers)
+        wake = timers[0][0] if timers else NEVER
+        first_deadline = self._waiting.first_deadline
+        if first_deadline is not None:
+            wake = min(wake, self._opens_at, first_deadline - self._needed_time())
+        return None if wake == NEVER else wake
+
+    def describe(self, *, now: float) -> GroupSummary:
+        """Return a summary for logs and the status page."""
+        return GroupSummary(
+            group=self.group.name,
+            n_waiting=len(self._waiting),
+            n_running=len(self._calls) - len(self._waiting),
+            n_in_flight=len(self._attempts),
+            n_calls=self._n_calls,
+            n_refused=self._n_refused,
+            n_retries=self._n_retries,
+            n_hedges=self._n_hedges,
+            n_budget_denials=self._n_budget_denials,
+            retry_tokens=self._retries.tokens,
+            hedge_tokens=self._hedges.tokens,
+            hedge_delay_ms=_to_ms(self._recent.delay),
+            service_time_ms=_to_ms(self._recent.mean),
+            is_stopping=self._is_stopping,
+            servers=tuple(_summarize(replica, now) for replica in self._replicas),
+        )
+
+    # Admission and dispatch.
+
+    def _admit(self, progress: Progress, now: float) -> list[Effect]:
+        call = progress.call
+        if len(self._waiting) >= self.service.queue_limit:
+            wait = self._estimate_wait(len(self._waiting), now)
+            return [self._refuse_overload(progress, wait)]
+        wait = self._estimate_wait(self._waiting.count_ahead(call.deadline), now)
+        if now + wait + self._needed_time() > call.deadline:
+            return [self._refuse_overload(progress, wait)]
+        self._calls[call.call_id] = progress
+        self._waiting.add(progress)
+        effects: list[Effect] = []
+        self._dispatch(now, effects)
+        return effects
+
+    def _estimate_wait(self, n_ahead: int, now: float) -> float:
+        return estimate_wait(
+            n_ahead,
+            capacity=self._measure_capacity(now),
+            service_time=self._recent.mean or 0.0,
+        )
+
+    def _measure_capacity(self, now: float) -> Capacity:
+        n_slots = 0
+        opens_at = NEVER
+        for replica in self._replicas:
+            if replica.state == "draining":
+                continue
+            closed_until = max(replica.backoff_until, replica.ejected_until)
+            opens_at = min(opens_at, closed_until)
+            if closed_until <= now:
+                n_slots += replica.limit(now)
+        opens_in = max(0.0, opens_at - now) if opens_at < NEVER else 0.0
+        return Capacity(n_slots=n_slots, opens_in=0.0 if n_slots else opens_in)
+
+    def _needed_time(self) -> float:
+        """Return the least time left, in seconds, with which a start is useful."""
+        return self._recent.median or 0.0
+
+    def _dispatch(self, now: float, effects: list[Effect]) -> None:
+        waiting = self._waiting
+        for late in waiting.pop_late(now=now, needed=self._needed_time()):
+            self._end_late(late, now, effects)
+        index = 0
+        while index < min(len(waiting), MAX_PASSED_OVER) and self._has_room(now):
+            progress = waiting[index]
+            match self._choose(progress, now):
+                case Chosen() as chosen:
+                    waiting.discard(progress)
+                    effects.append(self._start(progress, chosen, now))
+                case NoneLeft(reason=reason):
+                    outcome = self._make_refusal(Step.ROUTE, reason)
+                    self._finish(progress, progress.get_failure() or outcome, effects)
+                case Busy():
+                    index += 1
+        self._opens_at = min(
+            (replica.get_opening(now) for replica in self._replicas), default=NEVER
+        )
+
+    def _end_late(self, progress: Progress, now: float, effects: list[Effect]) -> None:
+        wait = self._estimate_wait(0, now)
+        outcome = self._make_refusal(Step.QUEUE, Reason.DEADLINE, wait)
+        self._finish(progress, progress.get_failure() or outcome, effects)
+
+    def _has_room(self, now: float) -> bool:
+        return any(r.in_flight < r.limit(now) for r in self._replicas)
+
+    def _choose(self, progress: Progress, now: float) -> Choice:
+        excluded = progress.excluded
+        for attempt in progress.attempts:
+            excluded |= {attempt.replica.server.name}
+        return choose(
+            self._replicas,
+            version=progress.call.version,
+            excluded=excluded,
+            tried=progress.tried,
+            typical=self._recent.mean or 0.0,
+            now=now,
+            dice=self.random,
+        )
+
+    def _start(self, progress: Progress, chosen: Chosen, now: float) -> StartAttempt:
+        return self._start_as(progress.cause, progress, chosen, now)
+
+    def _start_as(
+        self, cause: Cause, progress: Progress, chosen: Chosen, now: float
+    ) -> StartAttempt:
+        replica = chosen.replica
+        replica.in_flight += 1
+        attempt = Attempt(
+            attempt_id=next(self._attempt_ids),
+            progress=progress,
+            replica=replica,
+            cause=cause,
+            fresh=progress.fresh,
+            started=now,
+        )
+        self._attempts[attempt.attempt_id] = attempt
+        progress.attempts.append(attempt)
+        progress.n_attempts += 1
+        self._set_timer(progress, now)
+        return StartAttempt(
+            attempt_id=attempt.attempt_id,
+            call=progress.call,
+            server=replica.server.name,
+            cause=cause,
+            fresh_connection=progress.fresh,
+            why=chosen.why,
+        )
+
+    # Ends of attempts and retries.
+
+    def _learn(self, attempt: Attempt, ended: AttemptEnded, now: float) -> None:
+        replica = attempt.replica
+        own = replica.in_flight
+        replica.in_flight -= 1
+        if ended.report is not None:
+            replica.note_answer(ended.report, started=attempt.started, own=own, now=now)
+        replica.note_end(
+            ended.outcome,
+            elapsed=ended.elapsed,
+            fresh=attempt.fresh,
+            now=now,
+            dice=self.random,
+        )
+        match ended.outcome:
+            case Answered():
+                self._recent.add(ended.elapsed)
+            case Unknown(reason=Reason.CANCELLED | Reason.DEADLINE):
+                if ended.elapsed > (self._recent.median or 0.0):
+                    self._recent.add(ended.elapsed)
+
+    def _settle(
+        self,
+        progress: Progress,
+        attempt: Attempt,
+        outcome: Outcome,
+        now: float,
+        effects: list[Effect],
+    ) -> None:
+        server = attempt.replica.server.name
+        match outcome:
+            case Answered():
+                progress.server = server
+                self._finish(progress, outcome, effects)
+                return
+            case NotRun() | Unknown():
+                progress.note_failure(outcome, server)
+        if progress.attempts:
+            return
+        if not self._retry(progress, now, effects):
+            self._finish(progress, progress.get_failure() or outcome, effects)
+
+    def _retry(self, progress: Progress, now: float, effects: list[Effect]) -> bool:
+        """Start or queue one more attempt; False when there can be none."""
+        call = progress.call
+        # Once a byte of a non-idempotent call may have left, a second attempt could
+        # run it twice: a sponsor billed twice. Only the server's or the connection's
+        # proof that it has not run allows another.
+        if progress.unknown is not None and not call.idempotent:
+            return False
+        if progress.n_attempts >= MAX_ATTEMPTS:
+            return False
+        if now + self._needed_time() >= call.deadline:
+            return False
+        choice = self._choose(progress, now)
+        match choice:
+            case NoneLeft():
+                return False
+            case Busy():
+                opens_in = self._measure_capacity(now).opens_in
+                if self._is_stopping or now + opens_in >= call.deadline:
+                    return False
+        if not self._retries.spend(now=now):
+            self._n_budget_denials += 1
+            return False
+        self._n_retries += 1
+        progress.cause = "retry"
+        match choice:
+            case Chosen():
+                effects.append(self._start(progress, choice, now))
+            case _:
+                self._waiting.add(progress)
+        return True
+
+    # Timers and hedges.
+
+    def _set_timer(self, progress: Progress, now: float) -> None:
+        call = progress.call
+        due = self._get_hedge_time(progress)
+        if due <= now:
+            # It was due, but there was no free slot or no token: look again.
+            due = now + max(SHORTEST_HEDGE_DELAY, (self._recent.delay or 0.0) / 2)
+        due = min(due, call.deadline)
+        heappush(self._timers, (due, call.call_id))
+        if len(self._timers) > MAX_STALE_TIMERS + 2 * len(self._calls):
+            self._drop_stale_timers()
+
+    def _get_hedge_time(self, progress: Progress) -> float:
+        delay = self._recent.delay
+        if delay is None or not progress.call.idempotent or progress.is_hedged:
+            return NEVER
+        return progress.attempts[0].started + max(SHORTEST_HEDGE_DELAY, delay)
+
+    def _drop_stale_timers(self) -> None:
+        first: dict[int, float] = {}
+        for due, call_id in self._timers:
+            if call_id in self._calls:
+                first[call_id] = min(due, first.get(call_id, NEVER))
+        self._timers = [(due, call_id) for call_id, due in first.items()]
+        heapify(self._timers)
+
+    def _look_after(
+        self, progress: Progress, now: float, effects: list[Effect]
+    ) -> None:
+        if progress.call.deadline <= now:
+            for attempt in progress.attempts:
+                attempt.replica.add_blame(
+                    BLAME[Reason.DEADLINE], now=now, dice=self.random
+                )
+            self._give_up(progress, Reason.DEADLINE, effects)
+            return
+        effects.extend(self._hedge(progress, now))
+        # Whether hedged or not: next time is another try, or the deadline.
+        self._set_timer(progress, now)
+
+    def _hedge(self, progress: Progress, now: float) -> list[Effect]:
+        """Start a second attempt on a replica with a free slot, within the budget."""
+        call = progress.call
+        # While calls wait, a free slot is theirs: a hedge would delay one call to
+        # speed up another, and slow the group when it is slowest.
+        if not call.idempotent or progress.is_hedged or self._waiting:
+            return []
+        if self._is_stopping or self._get_hedge_time(progress) > now:
+            return []
+        match self._choose(progress, now):
+            case Chosen(replica=replica) as chosen if replica.ejected_until <= now:
+                if not self._hedges.spend(now=now):
+                    self._n_budget_denials += 1
+                    return []
+                progress.is_hedged = True
+                self._n_hedges += 1
+                return [self._start_as("hedge", progress, chosen, now)]
+        return []
+
+    # Outcomes.
+
+    def _refuse(self, progress: Progress, step: Step, reason: Reason) -> FinishCall:
+        self._n_refused += 1
+        refusal = self._make_refusal(step, reason)
+        return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
+
+    def _refuse_overload(self, progress: Progress, wait: float) -> FinishCall:
+        self._n_refused += 1
+        refusal = self._make_refusal(Step.QUEUE, Reason.OVERLOADED, wait)
+        return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
+
+    def _make_refusal(
+        self, step: Step, reason: Reason, wait: float | None = None
+    ) -> NotRun:
+        retry_after_ms = 0
+        if wait is not None:
+            retry_after_ms = suggest_retry_after(wait, self.random.random())
+        return NotRun(
+            step=step,
+            peer=self.group.name,
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _give_up(
+        self, progress: Progress, reason: Reason, effects: list[Effect]
+    ) -> None:
+        """End a call for which an answer is no longer of use."""
+        outcome: Outcome
+        if progress.attempts:
+            progress.server = progress.attempts[0].replica.server.name
+            outcome = progress.unknown or Unknown(
+                step=Step.RECEIVE, peer=progress.server, reason=reason
+            )
+        else:
+            outcome = progress.unknown or self._make_refusal(Step.QUEUE, reason)
+        self._finish(progress, outcome, effects)
+
+    def _finish(
+        self, progress: Progress, outcome: Outcome, effects: list[Effect]
+    ) -> None:
+        call = progress.call
+        del self._calls[call.call_id]
+        if not progress.attempts:
+            self._waiting.discard(progress)
+        effects.append(
+            FinishCall(
+                call=call,
+                outcome=outcome,
+                server=progress.server,
+                n_attempts=progress.n_attempts,
+            )
+        )
+        for attempt in progress.attempts:
+            attempt.progress = None
+            effects.append(CancelAttempt(attempt_id=attempt.attempt_id))
+        progress.attempts.clear()
+
+
+def _summarize(replica: Replica, now: float) -> ServerSummary:
+    return ServerSummary(
+        name=replica.server.name,
+        state=replica.state,
+        in_flight=replica.in_flight,
+        slots=replica.server.slots,
+        latency_ms=replica.latency * 1000,
+        backed_off_ms=max(0.0, replica.backoff_until - now) * 1000,
+        ejected_ms=max(0.0, replica.ejected_until - now) * 1000,
+        versions=replica.versions,
+    )
+
+
+def _to_ms(seconds: float | None) -> float | None:
+    return None if seconds is None else seconds * 1000
