Read settings files from one table of options

The table names every option with its kind, unit, range, default and the levels at which it may stand. Reading resolves inheritance, keeps the source of each value and tells every problem at once with its place in the tree.

So comments are blanked and plain JSON is read by the standard library; anything else goes to json5 unchanged. Ruled out: pyjson5, which keeps the last of two equal keys in silence.

Failures found while testing, each a test that failed first: a branch of the wrong shape was told twice (its children were then missing as well).

--- a/src/lavendergap/errors.py
+++ b/src/lavendergap/errors.py
@@ -3,6 +3,22 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """One thing wrong in a settings file: where it stands and what was expected.
+
+    `path` is the place in the tree, such as `services.scheduler.deadline_ms`, or
+    `line:column` where the text is no JSON at all.
+    """
+
+    file: str
+    path: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.path or '(top)'}: {self.expected}"
+
+
 class LavendergapError(Exception):
     """Base of all errors shown to a person as one line on stderr.
 
@@ -13,10 +29,18 @@
 
 
 class SettingsError(LavendergapError):
-    """The settings cannot be used; nothing was started or written."""
+    """The settings cannot be used; nothing was started or written.
+
+    `problems` holds everything that is wrong, so that an operator mends a file in
+    one go.
+    """
 
     exit_code = 2
 
+    def __init__(self, *, problems: tuple[Problem, ...]) -> None:
+        self.problems = problems
+        super().__init__("\n".join(str(problem) for problem in problems))
+
 
 class UnreachableError(LavendergapError):
     """No entry host, or no platform, answered in time."""
@@ -34,15 +58,3 @@
     """An accepted edit is not in force on every process within the time given."""
 
     exit_code = 5
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Problem:
-    """One thing wrong in a settings file: where it stands and what was expected."""
-
-    file: str
-    path: str
-    expected: str
-
-    def __str__(self) -> str:
-        return f"{self.file}: {self.path or '(top)'}: {self.expected}"
--- /dev/null
+++ b/src/lavendergap/state/check.py
@@ -0,0 +1,158 @@
+"""Checks what no branch of the settings tree can tell alone.
+
+References between branches, names and addresses that stand twice, and values that
+are each in range but impossible together.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .branch import DEFAULT, Branch, Resolved
+from .options import HEDGE_MINIMUM_MS, OPTIONS, AddressValue, Level, Value
+from .settings import Address
+
+_ADDRESSES = tuple(
+    option.name for option in OPTIONS if isinstance(option.kind, AddressValue)
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Finding:
+    """Something wrong at `path` and what was expected there."""
+
+    path: str
+    expected: str
+
+
+def check_tree(tree: Branch) -> Iterator[Finding]:
+    """Yield what is wrong between the branches of `tree`, without an order.
+
+    Values that were refused already are passed over, so that one mistake is told
+    once.
+    """
+    yield from _check_presence(tree)
+    yield from _check_names(tree)
+    yield from _check_addresses(tree)
+    yield from _check_control(tree)
+    for branch in tree.walk():
+        match branch.level:
+            case Level.SERVICE:
+                yield from _check_service(branch)
+            case Level.SERVER:
+                yield from _check_server(branch, tree)
+
+
+def _check_presence(tree: Branch) -> Iterator[Finding]:
+    branches = list(tree.walk())
+    if not all(branch.is_whole for branch in branches):
+        # What is missing may stand where an object was expected.
+        return
+    levels = {branch.level for branch in branches}
+    if Level.HOST not in levels:
+        yield Finding(path="data_centres", expected="expected at least one entry host")
+    if Level.SERVICE not in levels:
+        yield Finding(path="services", expected="expected at least one service")
+    for branch in branches:
+        if branch.children:
+            continue
+        match branch.level:
+            case Level.SERVICE:
+                what = "expected at least one group"
+                yield Finding(path=f"{branch.path}.groups", expected=what)
+            case Level.GROUP:
+                what = "expected at least one backend server"
+                yield Finding(path=f"{branch.path}.servers", expected=what)
+
+
+def _check_names(tree: Branch) -> Iterator[Finding]:
+    """Refuse two peers, or two groups, of one name.
+
+    Log lines, outcomes and the choice of an owner know a peer and a group by the
+    name alone; two of one name would be taken for each other.
+    """
+    peers: dict[str, str] = {}
+    groups: dict[str, str] = {}
+    for branch in tree.walk():
+        match branch.level:
+            case Level.HOST | Level.SERVER:
+                taken = peers
+            case Level.GROUP:
+                taken = groups
+            case _:
+                continue
+        first = taken.setdefault(branch.name, branch.path)
+        if first != branch.path:
+            what = f"expected a name of its own, but {first} has it too"
+            yield Finding(path=branch.path, expected=what)
+
+
+def _check_addresses(tree: Branch) -> Iterator[Finding]:
+    taken: dict[Address, str] = {}
+    for branch in tree.walk():
+        for name in _ADDRESSES:
+            address = branch.get(name)
+            if not isinstance(address, Address):
+                continue
+            path = f"{branch.path}.{name}" if branch.path else name
+            first = taken.setdefault(address, path)
+            if first != path:
+                what = f"expected an address of its own, but {first} has {address} too"
+                yield Finding(path=path, expected=what)
+
+
+def _check_control(tree: Branch) -> Iterator[Finding]:
+    for branch in tree.list_children(Level.CONTROL):
+        interval = branch.get("probe_interval_ms")
+        if not _is_below(branch.get("probe_timeout_ms"), interval, if_missing=True):
+            what = f"expected less than probe_interval_ms, {interval}"
+            yield _find(branch, "probe_timeout_ms", what)
+        if _is_below(branch.get("suspect_ms"), interval, if_missing=False):
+            what = f"expected at least probe_interval_ms, {interval}"
+            yield _find(branch, "suspect_ms", what)
+
+
+def _check_service(branch: Branch) -> Iterator[Finding]:
+    if branch.get("idempotent") is False:
+        for option in OPTIONS:
+            if option.extra_calls and _is_below(0.0, branch.get(option.name)):
+                what = "expected 0: the service is not idempotent"
+                yield _find(branch, option.name, what)
+    hedges = _is_below(0.0, branch.get("hedge_budget"))
+    if hedges and _is_below(branch.get("deadline_ms"), HEDGE_MINIMUM_MS):
+        what = f"expected at least {HEDGE_MINIMUM_MS} to hedge in, or hedge_budget 0"
+        yield _find(branch, "deadline_ms", what)
+
+
+def _check_server(branch: Branch, tree: Branch) -> Iterator[Finding]:
+    known = [child.name for child in tree.list_children(Level.DATA_CENTRE)]
+    data_centre = branch.get("data_centre")
+    if data_centre is not None and data_centre not in known:
+        what = f"expected a data centre of this file: {', '.join(known) or 'none'}"
+        yield _find(branch, "data_centre", what)
+    connections = branch.get("connections")
+    if _is_below(connections, branch.get("slots")):
+        what = f"expected at most connections, {connections}"
+        yield _find(branch, "slots", what)
+
+
+def _is_below(
+    left: Value | None, right: Value | None, *, if_missing: bool = False
+) -> bool:
+    """Compare two numbers; a value that was refused already is no new mistake."""
+    if isinstance(left, (int, float)) and isinstance(right, (int, float)):
+        return left < right
+    return if_missing
+
+
+def _find(branch: Branch, name: str, expected: str) -> Finding:
+    found = branch.options[name]
+    path = f"{branch.path}.{name}"
+    return Finding(path=path, expected=f"{expected}, found {_describe(found, branch)}")
+
+
+def _describe(found: Resolved, branch: Branch) -> str:
+    if found.source == branch.path:
+        return f"{found.value}"
+    if found.source == DEFAULT:
+        return f"{found.value}, the default"
+    return f"{found.value}, inherited from {found.source or 'the top'}"
--- /dev/null
+++ b/src/lavendergap/state/options.py
@@ -0,0 +1,486 @@
+"""The table of every option of the settings file.
+
+The check of a file, `lavendergap settings show` and the reference page for
+operators all follow from `OPTIONS` and `BRANCHES`; an option that is not here does
+not exist.
+"""
+
+import functools
+import ipaddress
+import math
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from .settings import Address, StragglerPolicy, WaitForCoverage
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
+"""Names hold no dot, so that a dotted path into the tree has one meaning."""
+
+HEDGE_MINIMUM_MS = 20
+"""The least deadline, in milliseconds, that leaves a hedge time to answer."""
+
+
+class Level(StrEnum):
+    """The kinds of branches in the settings tree."""
+
+    DEPLOYMENT = "deployment"
+    CONTROL = "control"
+    DATA_CENTRE = "data centre"
+    HOST = "host"
+    SERVICE = "service"
+    GROUP = "group"
+    SERVER = "server"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IntegerValue:
+    """A whole number from `low` to `high`, both included."""
+
+    low: int
+    high: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NumberValue:
+    """A finite number from `low` to `high`, both included."""
+
+    low: float
+    high: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FlagValue:
+    """True or false."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NameValue:
+    """A name of letters, digits, hyphens and underscores."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AddressValue:
+    """An IPv4 number and a port, such as 127.0.0.1:8001."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StragglersValue:
+    """What a service does about shards that lag behind the others."""
+
+
+Kind = (
+    IntegerValue | NumberValue | FlagValue | NameValue | AddressValue | StragglersValue
+)
+Value = int | float | bool | str | Address | StragglerPolicy
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Option:
+    """One option: its kind, its default and the levels at which it may stand.
+
+    The first of `levels` is the highest; the branch at the last one uses the value.
+    `default` is None where an operator has to decide. `unit` is empty for plain
+    numbers. `extra_calls` marks options that let a call be made twice: 0 is then the
+    only value, and the default, of a service that is not idempotent.
+    """
+
+    name: str
+    kind: Kind
+    levels: tuple[Level, ...]
+    help: str
+    unit: str = ""
+    default: Value | None = None
+    extra_calls: bool = False
+
+    @property
+    def lowest(self) -> Level:
+        """The level whose branches use the value."""
+        return self.levels[-1]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BranchKind:
+    """A key that opens branches below `parent`.
+
+    `named` branches are a map from names to branches of `level`; the others are one
+    branch.
+    """
+
+    key: str
+    parent: Level
+    level: Level
+    named: bool
+    help: str
+
+
+BRANCHES: tuple[BranchKind, ...] = (
+    BranchKind(
+        key="control",
+        parent=Level.DEPLOYMENT,
+        level=Level.CONTROL,
+        named=False,
+        help="Timing of what the entry hosts do together.",
+    ),
+    BranchKind(
+        key="data_centres",
+        parent=Level.DEPLOYMENT,
+        level=Level.DATA_CENTRE,
+        named=True,
+        help="The data centres, by name.",
+    ),
+    BranchKind(
+        key="hosts",
+        parent=Level.DATA_CENTRE,
+        level=Level.HOST,
+        named=True,
+        help="The entry hosts in this data centre, by name.",
+    ),
+    BranchKind(
+        key="services",
+        parent=Level.DEPLOYMENT,
+        level=Level.SERVICE,
+        named=True,
+        help="The services, by name.",
+    ),
+    BranchKind(
+        key="groups",
+        parent=Level.SERVICE,
+        level=Level.GROUP,
+        named=True,
+        help="The groups of replicas, by name; each serves one shard.",
+    ),
+    BranchKind(
+        key="servers",
+        parent=Level.GROUP,
+        level=Level.SERVER,
+        named=True,
+        help="The backend servers of the group, by name.",
+    ),
+)
+
+_TO_SERVICE = (Level.DEPLOYMENT, Level.SERVICE)
+_TO_SERVER = (Level.DEPLOYMENT, Level.SERVICE, Level.GROUP, Level.SERVER)
+
+
+def _make_timing(name: str, *, default: int, low: int, high: int, help: str) -> Option:
+    return Option(
+        name=name,
+        kind=IntegerValue(low=low, high=high),
+        unit="ms",
+        default=default,
+        levels=(Level.CONTROL,),
+        help=help,
+    )
+
+
+OPTIONS: tuple[Option, ...] = (
+    Option(
+        name="deployment",
+        kind=NameValue(),
+        levels=(Level.DEPLOYMENT,),
+        help="Name of the deployment; the platform keeps its settings under it.",
+    ),
+    Option(
+        name="platform",
+        kind=AddressValue(),
+        levels=(Level.DEPLOYMENT,),
+        help="Address of the platform's object API.",
+    ),
+    Option(
+        name="callers",
+        kind=AddressValue(),
+        levels=(Level.HOST,),
+        help="Address on which the host serves callers over HTTP.",
+    ),
+    Option(
+        name="peers",
+        kind=AddressValue(),
+        levels=(Level.HOST,),
+        help="Address of the host for its peers, over UDP and TCP.",
+    ),
+    Option(
+        name="admin",
+        kind=AddressValue(),
+        levels=(Level.HOST,),
+        help="Address of metrics, health, readiness and status.",
+    ),
+    Option(
+        name="address",
+        kind=AddressValue(),
+        levels=(Level.SERVER,),
+        help="Address of the backend server.",
+    ),
+    Option(
+        name="data_centre",
+        kind=NameValue(),
+        levels=(Level.SERVICE, Level.GROUP, Level.SERVER),
+        help="The data centre in which the backend server runs.",
+    ),
+    Option(
+        name="slots",
+        kind=IntegerValue(low=1, high=10_000),
+        unit="calls",
+        default=2,
+        levels=_TO_SERVER,
+        help="Calls that one backend server runs at once.",
+    ),
+    Option(
+        name="connections",
+        kind=IntegerValue(low=1, high=100_000),
+        unit="connections",
+        default=25,
+        levels=_TO_SERVER,
+        help="Connections that one backend server accepts; at least its slots.",
+    ),
+    Option(
+        name="idempotent",
+        kind=FlagValue(),
+        levels=_TO_SERVICE,
+        help=(
+            "Whether a call may run twice without harm. True: the service is queried, "
+            "and calls are retried and hedged. False: requests run at most once, "
+            "against a ticket."
+        ),
+    ),
+    Option(
+        name="deadline_ms",
+        kind=IntegerValue(low=1, high=600_000),
+        unit="ms",
+        default=280,
+        levels=_TO_SERVICE,
+        help="Deadline of a request whose caller names none.",
+    ),
+    Option(
+        name="stragglers",
+        kind=StragglersValue(),
+        default=WaitForCoverage(),
+        levels=_TO_SERVICE,
+        help=(
+            'What to do about straggling shards. {"kind": "wait"} waits for all of '
+            'them up to the deadline. {"kind": "give up", "min_share": 0.95, '
+            '"patience": 2.0} answers once that share of the library is covered and '
+            "that many times the median shard's time has passed."
+        ),
+    ),
+    Option(
+        name="hedge_budget",
+        kind=NumberValue(low=0.0, high=1.0),
+        unit="share of calls",
+        default=0.05,
+        levels=_TO_SERVICE,
+        extra_calls=True,
+        help="Extra calls allowed for hedging; 0 if not idempotent.",
+    ),
+    Option(
+        name="hedge_after_quantile",
+        kind=NumberValue(low=0.5, high=0.999),
+        unit="quantile",
+        default=0.95,
+        levels=_TO_SERVICE,
+        help="A call is hedged once it is slower than this quantile of recent calls.",
+    ),
+    Option(
+        name="retry_budget",
+        kind=NumberValue(low=0.0, high=1.0),
+        unit="share of calls",
+        default=0.05,
+        levels=_TO_SERVICE,
+        extra_calls=True,
+        help="Extra calls allowed for retries; 0 if not idempotent.",
+    ),
+    Option(
+        name="queue_limit",
+        kind=IntegerValue(low=0, high=100_000),
+        unit="calls",
+        default=64,
+        levels=_TO_SERVICE,
+        help="Calls that may wait for a slot of one group before more are refused.",
+    ),
+    Option(
+        name="max_body_bytes",
+        kind=IntegerValue(low=1, high=16_777_216),
+        unit="bytes",
+        default=65_536,
+        levels=_TO_SERVICE,
+        help="The longest body of a request; longer ones are refused.",
+    ),
+    Option(
+        name="weight",
+        kind=NumberValue(low=0.01, high=100.0),
+        default=1.0,
+        levels=_TO_SERVICE,
+        help="The service's share of an overloaded host, relative to the others.",
+    ),
+    _make_timing(
+        "probe_interval_ms",
+        default=1_000,
+        low=50,
+        high=60_000,
+        help="Time between two probes that a host sends to peers.",
+    ),
+    _make_timing(
+        "probe_timeout_ms",
+        default=300,
+        low=10,
+        high=30_000,
+        help="Time until a probe counts as unanswered; below probe_interval_ms.",
+    ),
+    _make_timing(
+        "suspect_ms",
+        default=4_000,
+        low=100,
+        high=600_000,
+        help="Time that a suspected peer has to refute its death.",
+    ),
+    _make_timing(
+        "server_probe_interval_ms",
+        default=1_000,
+        low=50,
+        high=60_000,
+        help="Time between two looks at a backend server's health.",
+    ),
+    _make_timing(
+        "idle_connection_ms",
+        default=15_000,
+        low=100,
+        high=600_000,
+        help="Time for which an unused connection is trusted.",
+    ),
+    Option(
+        name="watch_holders",
+        kind=IntegerValue(low=1, high=16),
+        unit="hosts",
+        default=2,
+        levels=(Level.CONTROL,),
+        help="Hosts that watch the platform; the others learn from their peers.",
+    ),
+    _make_timing(
+        "ticket_lifetime_ms",
+        default=600_000,
+        low=1_000,
+        high=86_400_000,
+        help="Time for which a ticket's outcome can be asked for.",
+    ),
+    Option(
+        name="max_tickets",
+        kind=IntegerValue(low=1, high=10_000_000),
+        unit="tickets",
+        default=20_000,
+        levels=(Level.CONTROL,),
+        help="Tickets that one host keeps; more are refused.",
+    ),
+    _make_timing(
+        "drain_ms",
+        default=10_000,
+        low=0,
+        high=600_000,
+        help="Time that running requests have to finish when a host stops.",
+    ),
+)
+
+STRAGGLERS_OPTIONS: Mapping[str, tuple[Option, ...]] = {
+    "wait": (),
+    "give up": (
+        Option(
+            name="min_share",
+            kind=NumberValue(low=0.0, high=1.0),
+            unit="share of the library",
+            default=0.95,
+            levels=(),
+            help="The least share that an answer covers before shards are given up.",
+        ),
+        Option(
+            name="patience",
+            kind=NumberValue(low=0.0, high=1_000.0),
+            unit="median shard times",
+            default=2.0,
+            levels=(),
+            help="How long to wait for more once that share is covered.",
+        ),
+    ),
+}
+
+
+@functools.cache
+def list_options(level: Level) -> tuple[Option, ...]:
+    """Return the options that may stand at `level`, in the table's order."""
+    return tuple(option for option in OPTIONS if level in option.levels)
+
+
+@functools.cache
+def list_branches(parent: Level) -> tuple[BranchKind, ...]:
+    """Return the keys that open branches below `parent`."""
+    return tuple(branch for branch in BRANCHES if branch.parent is parent)
+
+
+def describe_kind(kind: Kind) -> str:
+    """Say what a value of `kind` looks like, as the end of "expected ..."."""
+    match kind:
+        case IntegerValue(low=low, high=high):
+            return f"a whole number from {low} to {high}"
+        case NumberValue(low=low, high=high):
+            return f"a number from {low:g} to {high:g}"
+        case FlagValue():
+            return "true or false"
+        case NameValue():
+            return "a name of at most 63 letters, digits, hyphens and underscores"
+        case AddressValue():
+            return "an IPv4 number and a port, such as 127.0.0.1:8001"
+        case StragglersValue():
+            return '{"kind": "wait"} or {"kind": "give up", ...}'
+
+
+def check_value(kind: Kind, raw: object) -> Value | None:
+    """Return `raw` as a value of `kind`, or None where it is not one.
+
+    `StragglersValue` holds options of its own and is read by `state.tree`.
+    """
+    match kind:
+        case IntegerValue(low=low, high=high):
+            return raw if type(raw) is int and low <= raw <= high else None
+        case NumberValue(low=low, high=high):
+            return _check_number(raw, low=low, high=high)
+        case FlagValue():
+            return raw if isinstance(raw, bool) else None
+        case NameValue():
+            return raw if isinstance(raw, str) and is_name(raw) else None
+        case AddressValue():
+            return parse_address(raw) if isinstance(raw, str) else None
+        case StragglersValue():
+            return None
+
+
+def is_name(text: str) -> bool:
+    """Tell whether `text` may name a branch."""
+    return NAME_PATTERN.fullmatch(text) is not None
+
+
+def parse_address(text: str) -> Address | None:
+    """Return the address that `text` writes as ip:port, or None.
+
+    Only IPv4 numbers of one host are taken: names need a lookup that can fail or
+    change, and 0.0.0.0 tells a peer nothing.
+    """
+    ip, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or len(port) > 5:
+        return None
+    if not 1 <= int(port) <= 65_535:
+        return None
+    try:
+        number = ipaddress.IPv4Address(ip)
+    except ValueError:
+        return None
+    if number.is_unspecified or number.is_multicast:
+        return None
+    return Address(ip=ip, port=int(port))
+
+
+def _check_number(raw: object, *, low: float, high: float) -> float | None:
+    if isinstance(raw, bool) or not isinstance(raw, (int, float)):
+        return None
+    # A NaN compares false with everything and an integer may exceed any float.
+    if isinstance(raw, float) and not math.isfinite(raw):
+        return None
+    return float(raw) if low <= raw <= high else None
--- /dev/null
+++ b/tests/test_tree.py
@@ -0,0 +1,302 @@
+"""Settings files: what is inherited, and all that is refused with its place."""
+
+import copy
+import json
+import math
+from typing import Any
+
+import pytest
+
+from lavendergap.errors import SettingsError
+from lavendergap.state import syntax
+from lavendergap.state.branch import DEFAULT
+from lavendergap.state.settings import Address, GiveUpStragglers, WaitForCoverage
+from lavendergap.state.tree import load_settings, parse_settings, parse_tree
+
+TREE: dict[str, Any] = {
+    "deployment": "small",
+    "platform": "127.0.0.1:7000",
+    "slots": 3,
+    "data_centres": {
+        "dc-1": {
+            "hosts": {
+                "host-1": {
+                    "callers": "127.0.0.1:8001",
+                    "peers": "127.0.0.1:8101",
+                    "admin": "127.0.0.1:8201",
+                }
+            }
+        }
+    },
+    "services": {
+        "search": {
+            "idempotent": True,
+            "groups": {
+                "search-0": {
+                    "servers": {
+                        "search-0-a": {
+                            "address": "127.0.0.1:20000",
+                            "data_centre": "dc-1",
+                        },
+                        "search-0-b": {
+                            "address": "127.0.0.1:20001",
+                            "data_centre": "dc-1",
+                            "slots": 1,
+                        },
+                    }
+                }
+            },
+        },
+        "ledger": {
+            "idempotent": False,
+            "data_centre": "dc-1",
+            "groups": {
+                "ledger-0": {"servers": {"ledger-0-a": {"address": "127.0.0.1:20002"}}}
+            },
+        },
+    },
+}
+SEARCH = "services.search"
+SERVER_A = "services.search.groups.search-0.servers.search-0-a"
+REMOVED = object()
+
+
+def edit(path, value):
+    """Return the text of the small tree with one place set, or removed."""
+    tree = copy.deepcopy(TREE)
+    *parents, last = path.split(".")
+    branch = tree
+    for key in parents:
+        branch = branch.setdefault(key, {})
+    if value is REMOVED:
+        del branch[last]
+    else:
+        branch[last] = value
+    return json.dumps(tree)
+
+
+def get_services(text):
+    settings = parse_settings(text, file="f")
+    return {service.name: service for service in settings.services}
+
+
+def list_problems(text):
+    """Return the problems that `text` is refused with, as (path, expected)."""
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text, file="f.jsonc")
+    assert all(problem.file == "f.jsonc" for problem in caught.value.problems)
+    return [(problem.path, problem.expected) for problem in caught.value.problems]
+
+
+class TestInheritance:
+    def test_nearest_branch_wins(self):
+        settings = parse_settings(json.dumps(TREE), file="f", version=9)
+        servers = settings.services[0].groups[0].servers
+        assert [server.slots for server in servers] == [3, 1]
+        assert [server.connections for server in servers] == [25, 25]
+        assert servers[1].address == Address(ip="127.0.0.1", port=20001)
+        assert (settings.version, settings.hosts[0].data_centre) == (9, "dc-1")
+
+    def test_each_value_tells_its_source(self):
+        tree = parse_tree(json.dumps(TREE), file="f")
+        found = {branch.path: branch for branch in tree.walk()}
+        options = found[SERVER_A].options
+        assert (options["slots"].value, options["slots"].source) == (3, "")
+        assert options["connections"].source == DEFAULT
+        assert options["address"].source == SERVER_A
+        ledger = found["services.ledger.groups.ledger-0.servers.ledger-0-a"]
+        assert ledger.options["data_centre"].source == "services.ledger"
+
+    def test_extra_calls_default_to_none_where_calls_are_not_idempotent(self):
+        services = get_services(json.dumps(TREE))
+        ledger = services["ledger"]
+        search = services["search"]
+        assert (ledger.hedge_budget, ledger.retry_budget) == (0.0, 0.0)
+        assert (search.hedge_budget, search.retry_budget) == (0.05, 0.05)
+
+    def test_stragglers_fill_in_their_own_defaults(self):
+        text = edit("stragglers", {"kind": "give up", "min_share": 0.9})
+        text = text.replace('"ledger": {', '"ledger": {"stragglers":{"kind":"wait"},')
+        services = get_services(text)
+        given_up = GiveUpStragglers(min_share=0.9, patience=2.0)
+        assert services["search"].stragglers == given_up
+        assert services["ledger"].stragglers == WaitForCoverage()
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("path", "value", "place", "words"),
+        [
+            ("slosts", 2, "slosts", "unknown; did you mean slots?"),
+            (f"{SEARCH}.groop", {}, f"{SEARCH}.groop", "did you mean groups?"),
+            (f"{SEARCH}.admin", "x", f"{SEARCH}.admin", "may stand at: host"),
+            (f"{SEARCH}.hosts", {}, f"{SEARCH}.hosts", "belongs in a data centre"),
+            ("slots", "2", "slots", "a whole number from 1 to 10000, found '2'"),
+            ("slots", True, "slots", "found true"),
+            ("slots", 2.0, "slots", "found 2.0"),
+            ("slots", None, "slots", "found null"),
+            ("slots", 0, "slots", "found 0"),
+            ("slots", 10**400, "slots", "found 1000"),
+            ("weight", math.nan, "weight", "a number from 0.01 to 100, found nan"),
+            ("weight", 10**400, "weight", "a number from 0.01 to 100"),
+            ("platform", "localhost:1", "platform", "an IPv4 number and a port"),
+            ("platform", "1.2.3.4:65536", "platform", "an IPv4 number and a port"),
+            ("platform", "0.0.0.0:80", "platform", "an IPv4 number and a port"),
+            ("platform", "127.0.0.1:\u0661", "platform", "an IPv4 number and a port"),
+            ("deployment", "a.b", "deployment", "letters, digits"),
+            ("deployment", REMOVED, "deployment", "missing"),
+            ("stragglers", {"kind": "hope"}, "stragglers", '{"kind": "wait"} or'),
+            ("stragglers", [], "stragglers", "found a list"),
+            (
+                "stragglers",
+                {"kind": "give up", "min_share": 1.01},
+                "stragglers.min_share",
+                "a number from 0 to 1, found 1.01",
+            ),
+            (
+                "stragglers",
+                {"kind": "wait", "patience": 1},
+                "stragglers.patience",
+                "unknown; expected one of: nothing",
+            ),
+            (f"{SEARCH}.idempotent", REMOVED, f"{SEARCH}.idempotent", "missing"),
+            (f"{SEARCH}.groups", [], f"{SEARCH}.groups", "maps names to groups"),
+            (SEARCH, 7, SEARCH, "expected an object"),
+            ("services", {}, "services", "at least one service"),
+            (f"{SEARCH}.groups", {}, f"{SEARCH}.groups", "at least one group"),
+            (
+                f"{SEARCH}.groups.search-0.servers",
+                REMOVED,
+                f"{SEARCH}.groups.search-0.servers",
+                "at least one backend server",
+            ),
+            ("data_centres.dc-1.hosts", {}, "data_centres", "one entry host"),
+            ("data_centres.d c", {}, 'data_centres."d c"', "a name of letters"),
+            (f"{SERVER_A}.data_centre", "dc-2", f"{SERVER_A}.data_centre", "dc-1"),
+            (f"{SERVER_A}.data_centre", REMOVED, f"{SERVER_A}.data_centre", "missing"),
+            (
+                f"{SERVER_A}.address",
+                "127.0.0.1:8101",
+                f"{SERVER_A}.address",
+                "data_centres.dc-1.hosts.host-1.peers has 127.0.0.1:8101 too",
+            ),
+            (
+                "services.ledger.groups.ledger-0.servers.search-0-a",
+                {"address": "127.0.0.1:20009"},
+                "services.ledger.groups.ledger-0.servers.search-0-a",
+                f"a name of its own, but {SERVER_A} has it too",
+            ),
+            (
+                "services.ledger.groups.search-0",
+                {"servers": {"x": {"address": "127.0.0.1:20009"}}},
+                "services.ledger.groups.search-0",
+                f"{SEARCH}.groups.search-0 has it too",
+            ),
+            (f"{SERVER_A}.slots", 26, f"{SERVER_A}.slots", "at most connections, 25"),
+            (
+                f"{SEARCH}.deadline_ms",
+                19,
+                f"{SEARCH}.deadline_ms",
+                "at least 20 to hedge in, or hedge_budget 0, found 19",
+            ),
+            (
+                "hedge_budget",
+                0.1,
+                "services.ledger.hedge_budget",
+                "expected 0: the service is not idempotent, found 0.1, inherited from",
+            ),
+            (
+                "services.ledger.retry_budget",
+                0.1,
+                "services.ledger.retry_budget",
+                "not idempotent",
+            ),
+            (
+                "control",
+                {"probe_timeout_ms": 1000},
+                "control.probe_timeout_ms",
+                "less than probe_interval_ms, 1000, found 1000",
+            ),
+            (
+                "control",
+                {"suspect_ms": 999},
+                "control.suspect_ms",
+                "at least probe_interval_ms, 1000, found 999",
+            ),
+            ("control", [], "control", "expected an object"),
+        ],
+    )
+    def test_one_mistake_is_one_problem_in_its_place(self, path, value, place, words):
+        ((found, expected),) = list_problems(edit(path, value))
+        assert found == place
+        assert words in expected
+
+    def test_all_mistakes_are_told_at_once(self):
+        text = edit("slots", 0).replace('"idempotent": false', '"idempotent": 0')
+        text = text.replace("127.0.0.1:20001", "127.0.0.1:20000")
+        places = [path for path, _ in list_problems(text)]
+        assert places == [
+            "slots",
+            "services.ledger.idempotent",
+            f"{SEARCH}.groups.search-0.servers.search-0-b.address",
+        ]
+
+    def test_a_garbled_file_does_not_flood_the_terminal(self):
+        tree = TREE | {f"key-{n}\x1b[2J": n for n in range(1000)}
+        problems = list_problems(json.dumps(tree))
+        assert len(problems) == 51
+        assert problems[-1][1] == "950 more problems, not shown"
+        assert not any("\x1b" in path for path, _ in problems)
+
+
+class TestSyntax:
+    def test_comments_and_looser_json_read_alike(self):
+        plain = json.dumps(TREE)
+        commented = plain.replace(
+            '"slots": 3,', '/* " */ "slots" // "slots": 4,\r\n: 3, // \u2028'
+        ).replace("\u2028", "\u2028\n")
+        loose = commented.replace('"deployment"', "deployment")[:-1] + ",}"
+        wanted = parse_settings(plain, file="f")
+        assert parse_settings(commented, file="f") == wanted
+        assert parse_settings(loose.encode(), file="f") == wanted
+
+    @pytest.mark.parametrize("end", ["\r", "\u2028"])
+    def test_every_line_end_of_json5_ends_a_comment(self, end):
+        """The fast way must not read another tree than json5 does.
+
+        A comment that swallowed the next line would drop an option in silence, and
+        the operator would see the default in force.
+        """
+        raw = syntax.parse_text(f'{{"a": 1 // b{end}, "c": 2}}', file="f")
+        assert raw == {"a": 1, "c": 2}
+
+    @pytest.mark.parametrize(
+        ("text", "place", "words"),
+        [
+            ('{"a": 1,\n "b" 2}', "2:6", "Unexpected"),
+            ('{"a": {\n "b": 2', "2:8", "the file ends too early, as if cut short"),
+            ("", "", "JSON with comments"),
+            ("[1]", "", "an object { ... }"),
+            ('{"a": {"b": 1, "b": 1}}', "a.b", "stands here twice"),
+            ("{a: 1, 'a': 1}", "a", "stands here twice"),
+            ('{"a":' * 13 + "1" + "}" * 13, ".".join("a" * 12), "12 levels"),
+            ("[" * 100_000, "", "at most 12 levels"),
+            ('{"a": ' + "9" * 5000 + "}", "", "JSON with comments"),
+            (b'{"a": "\xff"}', "byte 7", "UTF-8"),
+            ('{"a": "\ud800"}', "byte 7", "UTF-8"),
+            (" " * 1_000_001, "", "at most 1000000 bytes, but this has 1000001"),
+        ],
+    )
+    def test_text_that_is_no_settings_file(self, text, place, words):
+        ((found, expected),) = list_problems(text)
+        assert found == place
+        assert words in expected
+
+    @pytest.mark.parametrize("share", [0.1, 0.5, 0.9, 0.999])
+    def test_a_file_cut_short_is_refused(self, share):
+        text = json.dumps(TREE)
+        assert list_problems(text[: int(len(text) * share)])
+
+    def test_a_file_that_cannot_be_read(self, tmp_path):
+        with pytest.raises(SettingsError, match=r"none\.jsonc: .*No such file"):
+            load_settings(tmp_path / "none.jsonc")
