--- a/src/lavendergap/coordination/__init__.py
+++ b/src/lavendergap/coordination/__init__.py
@@ -13,3 +13,11 @@
 from .resolution import resolve_by_issuer as resolve_by_issuer
 from .resolution import resolve_by_witness as resolve_by_witness
 from .witness import Witness as Witness
+from .documents import Documents as Documents
+from .documents import FetchDocument as FetchDocument
+from .membership import Membership as Membership
+from .ranking import Ranking as Ranking
+from .ranking import rank_hosts as rank_hosts
+from .ranking import rank_owner as rank_owner
+from .watchers import choose_watch_holders as choose_watch_holders
+from .watchers import draw_read_delay as draw_read_delay
--- /dev/null
+++ b/src/lavendergap/coordination/documents.py
@@ -0,0 +1,224 @@
+"""The newest known version of each document, from whatever source it comes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from xxhash import xxh3_64_intdigest
+
+from ..state.member import DocumentsDigest, DocumentVersion
+
+MAX_DIGEST_BYTES = 400
+"""Room for the listed versions in one datagram."""
+
+_BYTES_FOR_EACH = 24
+_WORD = 8
+
+Checker = Callable[[str, bytes], str | None]
+"""Given a document's name and body, returns why it can't be used, or None."""
+
+
+class Source(StrEnum):
+    """Where a version of a document came from."""
+
+    PLATFORM = "platform"
+    PEER = "peer"
+    FILE = "file"
+
+
+class IgnoredReason(StrEnum):
+    """Why an offered version was not put in force."""
+
+    OLDER = "older"
+    SAME = "same"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Accepted:
+    """The version is in force now."""
+
+    name: str
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ignored:
+    """Nothing changed. `detail` is the checker's word on a refused body."""
+
+    name: str
+    version: int
+    reason: IgnoredReason
+    detail: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Document:
+    """A document in force."""
+
+    name: str
+    version: int
+    body: bytes
+    source: Source
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """A version that was refused, newer than the one in force."""
+
+    name: str
+    version: int
+    reason: str
+    source: Source
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FetchDocument:
+    """Ask a peer for the body of `name` at version `at_least` or newer."""
+
+    name: str
+    at_least: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Comparison:
+    """What another host's digest says against ours.
+
+    `complete` is False when the two differ in documents that the digest had no
+    room to list; then the full list is to be asked for.
+    """
+
+    wanted: tuple[FetchDocument, ...]
+    offered: tuple[DocumentVersion, ...]
+    complete: bool
+
+
+class Documents:
+    """The documents in force at one host; versions only ever grow.
+
+    >>> documents = Documents(check=lambda name, body: None)
+    >>> documents.offer("index/scheduler", 7, b"{}", Source.PLATFORM)
+    Accepted(name='index/scheduler', version=7)
+    >>> documents.offer("index/scheduler", 6, b"{}", Source.PEER).reason.value
+    'older'
+    >>> documents.get("index/scheduler").version
+    7
+    """
+
+    def __init__(self, *, check: Checker) -> None:
+        self._check = check
+        self._documents: dict[str, Document] = {}
+        self._problems: dict[str, Problem] = {}
+        self._digest: DocumentsDigest | None = None
+
+    def get(self, name: str) -> Document | None:
+        """Return the document in force, or None when none is known."""
+        return self._documents.get(name)
+
+    def problems(self) -> tuple[Problem, ...]:
+        """Return the refused versions that nothing newer has replaced yet."""
+        return tuple(self._problems.values())
+
+    def versions(self) -> tuple[DocumentVersion, ...]:
+        """Return all documents in force, the last changed first."""
+        newest_first = sorted(
+            self._documents.values(), key=lambda d: (d.version, d.name), reverse=True
+        )
+        return tuple(
+            DocumentVersion(name=document.name, version=document.version)
+            for document in newest_first
+        )
+
+    def offer(
+        self, name: str, version: int, body: bytes, source: Source
+    ) -> Accepted | Ignored:
+        """Put a version in force if it is newer than all that is known of it.
+
+        The source does not matter: a platform that answers with a stale replica
+        and a peer that woke from a pause are refused alike, since either would
+        take an accepted edit back.
+        """
+        if (known := self._newest_seen(name)) >= version:
+            return self._ignore_old(name, version, known)
+        if (complaint := self._check(name, body)) is not None:
+            self._problems[name] = Problem(
+                name=name, version=version, reason=complaint, source=source
+            )
+            return Ignored(
+                name=name,
+                version=version,
+                reason=IgnoredReason.REFUSED,
+                detail=complaint,
+            )
+        self._documents[name] = Document(
+            name=name, version=version, body=body, source=source
+        )
+        self._problems.pop(name, None)
+        self._digest = None
+        return Accepted(name=name, version=version)
+
+    def digest(self) -> DocumentsDigest:
+        """Return what to tell other hosts with each datagram."""
+        if self._digest is None:
+            self._digest = _summarise(self.versions())
+        return self._digest
+
+    def compare(self, digest: DocumentsDigest) -> Comparison:
+        """Return what to fetch from the host that sent `digest`, and what it lacks.
+
+        A version that was refused here is not fetched again; a newer one is.
+        """
+        ours = self.digest()
+        if digest.fingerprint == ours.fingerprint:
+            return Comparison(wanted=(), offered=(), complete=True)
+        wanted = tuple(
+            FetchDocument(name=theirs.name, at_least=theirs.version)
+            for theirs in digest.newest
+            if theirs.version > self._newest_seen(theirs.name)
+        )
+        known = {theirs.name: theirs.version for theirs in digest.newest}
+        # What a truncated digest leaves out is older than all that it lists.
+        floor = min((d.version for d in digest.newest), default=-1)
+        floor = floor if digest.truncated else -1
+        offered = tuple(
+            mine
+            for mine in self.versions()
+            if mine.version > known.get(mine.name, floor)
+        )
+        complete = not digest.truncated or bool(wanted or offered)
+        return Comparison(wanted=wanted, offered=offered, complete=complete)
+
+    def _newest_seen(self, name: str) -> int:
+        document = self._documents.get(name)
+        problem = self._problems.get(name)
+        return max(
+            document.version if document else -1, problem.version if problem else -1
+        )
+
+    def _ignore_old(self, name: str, version: int, known: int) -> Ignored:
+        problem = self._problems.get(name)
+        if problem is not None and problem.version == version:
+            return Ignored(
+                name=name,
+                version=version,
+                reason=IgnoredReason.REFUSED,
+                detail=problem.reason,
+            )
+        reason = IgnoredReason.SAME if known == version else IgnoredReason.OLDER
+        return Ignored(name=name, version=version, reason=reason)
+
+
+def _summarise(versions: tuple[DocumentVersion, ...]) -> DocumentsDigest:
+    fingerprint = 0
+    n_bytes = 0
+    newest = []
+    for entry in versions:
+        fingerprint ^= xxh3_64_intdigest(f"{entry.name}\0{entry.version}".encode())
+        n_bytes += _BYTES_FOR_EACH + len(entry.name.encode()) + _WORD
+        if n_bytes <= MAX_DIGEST_BYTES:
+            newest.append(entry)
+    return DocumentsDigest(
+        fingerprint=fingerprint,
+        newest=tuple(newest),
+        truncated=len(newest) < len(versions),
+    )
--- /dev/null
+++ b/src/lavendergap/coordination/membership.py
@@ -0,0 +1,646 @@
+"""Who is in the fleet: hosts probe each other and pass on what they find.
+
+The protocol is of the SWIM family (Das, Gupta and Motivala, 2002): each host
+probes one other in turn, asks a few others to try when it gets no answer, and news
+rides on the probes. See docs/design/membership.md for the ways weighed.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from random import Random
+
+from ..state.gossip import (
+    Ack,
+    DocumentsHeard,
+    Event,
+    Gossip,
+    MemberChanged,
+    Message,
+    Ping,
+    ProbeRequest,
+    Send,
+    Summary,
+    Table,
+)
+from ..state.member import DocumentsDigest, Member, MemberState
+from ..state.settings import Address, Control
+from .dissemination import Dissemination, estimate_bytes
+from .roster import Roster, choose_bucket
+
+N_INDIRECT = 3
+"""How many others are asked to try a member that did not answer."""
+
+N_SPREAD = 3
+"""To how many others fresh news goes at once, beside riding on probes."""
+
+MAX_TABLE_BYTES = 1_100
+MAX_TABLES = 8
+"""Datagrams of table in one exchange; what is left waits for the next one."""
+
+MAX_HINTS = 2_048
+MAX_EVENTS = 4_096
+MAX_RELAYS = 256
+JOIN_S = 60.0
+RETRY_DEAD_S = 21_600.0
+"""How long a dead member is tried again: regions lose each other for an hour."""
+
+_SPREAD_DELAY = 0.1
+_SPREAD_SPACING = 0.25
+_SYNC_PROBES = 30
+_SYNC_SOON = 0.2
+_RETRY_PROBES = 10
+_ALONE_PROBES = 5
+_MAX_SYNCS_IN_A_ROW = 40
+
+
+@dataclass(kw_only=True, slots=True)
+class _Probe:
+    """A ping that waits for its answer; `name` is empty when only a hint is tried."""
+
+    name: str
+    incarnation: int
+    address: Address
+    ask_others_at: float
+    fails_at: float
+    asked_others: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Relay:
+    """A ping sent for another host."""
+
+    requester: Address
+    sequence: int
+    expires_at: float
+
+
+class Membership:
+    """One host's view of the fleet. Datagrams and time go in, datagrams come out.
+
+    The caller hands each received message to `receive`, calls `advance` no later
+    than `next_wake()`, and sends whatever these return. Times are seconds of one
+    monotonic clock. Nothing is believed on the word of the platform's host list:
+    hints are only tried.
+
+    >>> def build(name: str, port: int) -> Membership:
+    ...     own = Member(name=name, data_centre="ptl-a", incarnation=1,
+    ...                  peers=Address(ip="127.0.0.1", port=port))
+    ...     return Membership(own=own, control=Control(), random=Random(port))
+    >>> first, second = build("ptl-a-1", 8101), build("ptl-a-2", 8102)
+    >>> first.join([second.own.peers])
+    >>> [send] = first.advance(now=0.0)
+    >>> [answer] = second.receive(send.message, sender=first.own.peers, now=0.0)
+    >>> _ = first.receive(answer.message, sender=second.own.peers, now=0.001)
+    >>> sorted(first.live())
+    ['ptl-a-1', 'ptl-a-2']
+    """
+
+    def __init__(self, *, own: Member, control: Control, random: Random) -> None:
+        self.own = own
+        self.documents = DocumentsDigest()
+        self.superseded = False
+        self.joined = False
+        self.changes = 0
+        self.n_old_incarnations = 0
+        self._random = random
+        self._interval = control.probe_interval_ms / 1000
+        self._timeout = control.probe_timeout_ms / 1000
+        self._suspect = control.suspect_ms / 1000
+        self._roster = Roster()
+        self._news = Dissemination()
+        self._hints: dict[Address, None] = {}
+        self._events: list[Event] = []
+        self._live: tuple[frozenset[str], bool, frozenset[str]] | None = None
+        self._sequence = 0
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._suspicions: dict[str, float] = {}
+        self._turns: list[str] = []
+        self._started_at: float | None = None
+        self._last_seen = 0.0
+        self._probe_at = 0.0
+        self._retry_at = 0.0
+        self._sync_at = 0.0
+        self._n_syncs_in_a_row = 0
+        self._spread_at: float | None = None
+        self._last_spread = 0.0
+
+    # What the rest of the process asks.
+
+    def live(self) -> frozenset[str]:
+        """Return the names of the hosts to which new work may go, this one included.
+
+        The same object is returned until it changes.
+        """
+        others = self._roster.names_that_may_own()
+        if self._live is None or self._live[:2] != (others, self.own.may_own):
+            own = {self.own.name} if self.own.may_own else set()
+            self._live = (others, self.own.may_own, others | own)
+        return self._live[2]
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the records of all members but the dead, this host's own first."""
+        return (self.own, *self._roster.members())
+
+    def get(self, name: str) -> Member | None:
+        """Return what is known of a member, also of a dead one, or None."""
+        return self.own if name == self.own.name else self._roster.get(name)
+
+    def take_events(self) -> list[Event]:
+        """Return what happened since the last call, the oldest first."""
+        events = self._events
+        self._events = []
+        return events
+
+    def next_wake(self) -> float:
+        """Return the time by which `advance` is to be called."""
+        times = [self._probe_at, self._retry_at, self._sync_at]
+        if self._spread_at is not None:
+            times.append(self._spread_at)
+        for probe in self._probes.values():
+            times.append(probe.fails_at if probe.asked_others else probe.ask_others_at)
+        times.extend(self._suspicions.values())
+        return min(times)
+
+    # What the rest of the process does.
+
+    def join(self, hints: Iterable[Address]) -> None:
+        """Take addresses to try, from the settings or the platform's host list.
+
+        A hint makes nobody live or dead: the platform's list lags, and a host
+        that it still shows as live may be gone.
+        """
+        for address in hints:
+            if address != self.own.peers and len(self._hints) < MAX_HINTS:
+                self._hints[address] = None
+
+    def announce(
+        self, *, documents: DocumentsDigest, settings_version: int, now: float
+    ) -> list[Send]:
+        """Tell a few members at once which documents this host holds now."""
+        self.documents = documents
+        self.own = replace(self.own, settings_version=settings_version)
+        return self._spread(now)
+
+    def leave(self, *, now: float) -> list[Send]:
+        """Tell that this host takes no new work; go on answering probes."""
+        self._declare(MemberState.LEAVING, told_by=self.own.name)
+        return self._spread(now)
+
+    def depart(self, *, now: float) -> list[Send]:
+        """Tell that this process ends now, so that nobody needs to detect it."""
+        self._declare(MemberState.DEAD, told_by=self.own.name)
+        return self._spread(now)
+
+    def receive(self, message: Message, *, sender: Address, now: float) -> list[Send]:
+        """Take a datagram in and return those to send because of it."""
+        if self.superseded:
+            return []
+        self._note_time(now)
+        source = message.source
+        if source.name == self.own.name:
+            self._hear_of_self(source, told_by=source.name)
+            return []
+        known = self._roster.get(source.name)
+        if known is not None and source.incarnation < known.incarnation:
+            # The process was replaced: what it says is out of date, and it is told
+            # so that it stops.
+            self.n_old_incarnations += 1
+            return [self._tell(sender, known)]
+        self._hear(source, told_by=source.name, now=now)
+        match message:
+            case Ping():
+                self._hear_all(message.updates, source, now)
+                self._compare_documents(source, message.documents)
+                return [self._answer(message, sender)]
+            case Ack():
+                self._hear_all(message.updates, source, now)
+                self._compare_documents(source, message.documents)
+                return [*self._accept(message, now), *self._correct(source, sender)]
+            case Gossip():
+                order = self.own.order
+                self._hear_all(message.updates, source, now)
+                self._compare_documents(source, message.documents)
+                refuted = [] if self.own.order == order else [self._tell(sender)]
+                return [*refuted, *self._correct(source, sender)]
+            case ProbeRequest():
+                return self._relay(message, sender, now)
+            case Summary():
+                return self._compare(message, sender, now)
+            case Table():
+                self._hear_all(self._leave_unknown_dead(message.members), source, now)
+                return []
+
+    def advance(self, *, now: float) -> list[Send]:
+        """Do whatever is due and return the datagrams to send."""
+        if self.superseded:
+            return []
+        self._note_time(now)
+        sends = self._check_probes(now)
+        self._confirm_suspicions(now)
+        self._join_alone(now)
+        if now >= self._probe_at:
+            self._probe_at = now + self._interval
+            sends += self._probe_next(now)
+        if now >= self._retry_at:
+            self._retry_at = now + self._retry_delay()
+            self._roster.forget_dead(now=now)
+            sends += self._try_unknown(now)
+        if now >= self._sync_at:
+            sends += self._sync(now)
+        if self._spread_at is not None and now >= self._spread_at:
+            sends += self._spread(now)
+        return sends
+
+    # Time.
+
+    def _note_time(self, now: float) -> None:
+        """Notice a pause of this process, in which silence proves nothing.
+
+        A process that was stopped for minutes finds all its timers expired. If it
+        acted on them it would declare everyone dead who answered while it slept.
+        """
+        if self._started_at is None:
+            self._started_at = now
+            self._last_seen = now
+            self._probe_at = now
+            self._retry_at = now
+            self._sync_at = now + self._interval * _SYNC_SOON
+        gap = now - self._last_seen
+        self._last_seen = now
+        if gap <= 2 * self._interval:
+            return
+        self._probes.clear()
+        self._relays.clear()
+        for name in self._suspicions:
+            self._suspicions[name] = now + self._suspect
+        if gap > self._suspect:
+            self._news.clear()
+            self._roster.mark_all_stale()
+            self._n_syncs_in_a_row = 0
+            self._sync_at = now
+
+    def _join_alone(self, now: float) -> None:
+        """Serve alone when no hint answers, as the first host of a fleet does."""
+        waited = now - (now if self._started_at is None else self._started_at)
+        alone = next(self._roster.members(), None) is None
+        if not self.joined and alone and waited >= _ALONE_PROBES * self._interval:
+            self.joined = True
+
+    def _retry_delay(self) -> float:
+        return self._interval * (_RETRY_PROBES if self.joined else 1)
+
+    # Probing.
+
+    def _probe_next(self, now: float) -> list[Send]:
+        while self._turns:
+            member = self._roster.get(self._turns.pop())
+            if member is not None and member.state is not MemberState.DEAD:
+                return [self._ping(member.name, member.peers, now, member.incarnation)]
+        self._turns = [member.name for member in self._roster.members()]
+        self._random.shuffle(self._turns)
+        return self._probe_next(now) if self._turns else []
+
+    def _ping(
+        self, name: str, address: Address, now: float, incarnation: int = 0
+    ) -> Send:
+        self._sequence += 1
+        self._probes[self._sequence] = _Probe(
+            name=name,
+            incarnation=incarnation,
+            address=address,
+            ask_others_at=now + self._timeout,
+            fails_at=now + self._interval,
+        )
+        return self._build_ping(self._sequence, name, address)
+
+    def _build_ping(self, sequence: int, name: str, address: Address) -> Send:
+        ping = Ping(
+            source=self.own,
+            sequence=sequence,
+            documents=self.documents,
+            updates=self._take_news(name),
+        )
+        return Send(to=address, message=ping)
+
+    def _check_probes(self, now: float) -> list[Send]:
+        sends: list[Send] = []
+        for sequence, probe in list(self._probes.items()):
+            if now >= probe.fails_at:
+                del self._probes[sequence]
+                sends += self._suspect_member(probe.name, probe.incarnation, now)
+            elif now >= probe.ask_others_at and not probe.asked_others:
+                probe.asked_others = True
+                sends += self._ask_others(sequence, probe)
+        for sequence, relay in list(self._relays.items()):
+            if now >= relay.expires_at:
+                del self._relays[sequence]
+        return sends
+
+    def _ask_others(self, sequence: int, probe: _Probe) -> list[Send]:
+        """Have others try, since only the way between the two may be cut."""
+        target = self._roster.get(probe.name)
+        if target is None:
+            return []
+        request = ProbeRequest(source=self.own, sequence=sequence, target=target)
+        others = self._choose_others(N_INDIRECT, without=probe.name)
+        again = self._build_ping(sequence, probe.name, probe.address)
+        return [again, *(Send(to=other.peers, message=request) for other in others)]
+
+    def _relay(self, request: ProbeRequest, sender: Address, now: float) -> list[Send]:
+        if len(self._relays) >= MAX_RELAYS:
+            return []
+        self._sequence += 1
+        self._relays[self._sequence] = _Relay(
+            requester=sender,
+            sequence=request.sequence,
+            expires_at=now + self._interval,
+        )
+        target = request.target
+        return [self._build_ping(self._sequence, target.name, target.peers)]
+
+    def _answer(self, ping: Ping, sender: Address) -> Send:
+        ack = Ack(
+            source=self.own,
+            sequence=ping.sequence,
+            subject=None,
+            documents=self.documents,
+            updates=self._take_news(ping.source.name),
+        )
+        return Send(to=sender, message=ack)
+
+    def _accept(self, ack: Ack, now: float) -> list[Send]:
+        relay = self._relays.pop(ack.sequence, None)
+        if relay is not None:
+            passed_on = Ack(
+                source=self.own,
+                sequence=relay.sequence,
+                subject=ack.source,
+                documents=self.documents,
+                updates=(),
+            )
+            return [Send(to=relay.requester, message=passed_on)]
+        subject = ack.subject or ack.source
+        if ack.subject is not None:
+            self._hear(ack.subject, told_by=ack.source.name, now=now)
+        probe = self._probes.get(ack.sequence)
+        if probe is None or probe.name not in ("", subject.name):
+            return []
+        del self._probes[ack.sequence]
+        if probe.name == "":
+            self._hints.pop(probe.address, None)
+            return [] if self.joined else self._sync(now)
+        if subject.state is MemberState.LEAVING:
+            self._suspicions.pop(subject.name, None)
+        return []
+
+    # Suspicion.
+
+    def _suspect_member(self, name: str, incarnation: int, now: float) -> list[Send]:
+        member = self._roster.get(name)
+        if member is None or member.incarnation != incarnation:
+            return []
+        match member.state:
+            case MemberState.LIVE if not self._roster.is_stale(name):
+                suspect = replace(member, state=MemberState.SUSPECT)
+                self._hear(suspect, told_by=self.own.name, now=now)
+                # Told first, so that its refutation overtakes the suspicion.
+                return [self._tell(member.peers, suspect)]
+            case MemberState.LEAVING:
+                # Kept to ourselves: a suspicion told to all would hide that it is
+                # leaving, and it would be given work again until it refutes.
+                self._suspicions.setdefault(name, now + self._suspect)
+        return []
+
+    def _confirm_suspicions(self, now: float) -> None:
+        due = [name for name, at in self._suspicions.items() if now >= at]
+        for name in due:
+            del self._suspicions[name]
+            member = self._roster.get(name)
+            if member is not None and member.state is not MemberState.DEAD:
+                dead = replace(member, state=MemberState.DEAD)
+                self._hear(dead, told_by=self.own.name, now=now)
+
+    # Hearing.
+
+    def _hear_all(self, members: Iterable[Member], source: Member, now: float) -> None:
+        for member in members:
+            self._hear(member, told_by=source.name, now=now)
+
+    def _leave_unknown_dead(self, members: Iterable[Member]) -> list[Member]:
+        """Leave out the dead that were never heard of here.
+
+        Taken from tables they would go from host to host, each remembering them
+        anew, and no tombstone would ever be forgotten.
+        """
+        return [
+            member
+            for member in members
+            if member.state is not MemberState.DEAD or self.get(member.name)
+        ]
+
+    def _hear(self, member: Member, *, told_by: str, now: float) -> None:
+        if member.name == self.own.name:
+            self._hear_of_self(member, told_by=told_by)
+            return
+        previous = self._roster.get(member.name)
+        if not self._roster.merge(member, now=now):
+            return
+        self._note_change(member, previous, told_by)
+        self._news.add(member)
+        self._plan_spread(now)
+        self._suspicions.pop(member.name, None)
+        if member.state is MemberState.SUSPECT:
+            self._suspicions[member.name] = now + self._suspect
+        if previous is None and member.state is not MemberState.DEAD:
+            self._turns.insert(self._random.randint(0, len(self._turns)), member.name)
+
+    def _hear_of_self(self, member: Member, *, told_by: str) -> None:
+        """Refute what is falsely said of this process, or learn of a successor.
+
+        A process that was paused or cut off finds itself suspect or dead. Only a
+        record with a higher order undoes that, and only this process makes one.
+        """
+        if member.incarnation > self.own.incarnation:
+            self._hear_of_successor(member)
+        elif member.incarnation == self.own.incarnation:
+            false = member.state in (MemberState.SUSPECT, MemberState.DEAD)
+            if false and member.order > self.own.order:
+                refutations = max(member.refutations, self.own.refutations)
+                self.own = replace(self.own, refutations=refutations)
+                self._declare(self.own.state, told_by=told_by)
+                self._spread_at = self._last_seen
+
+    def _hear_of_successor(self, member: Member) -> None:
+        """Tell a clock that was set back from a process that took our place.
+
+        After a restart with a clock set back, the old process looks newer than
+        this one and all would ignore us: just after the start we go beyond it.
+        Later the newer record is of a process that replaced this one while it was
+        paused, and fighting it would give the fleet two owners of one name.
+        """
+        started = self._last_seen if self._started_at is None else self._started_at
+        if self._last_seen - started < JOIN_S:
+            self.own = replace(
+                self.own, incarnation=member.incarnation + 1, refutations=0
+            )
+            self._news.add(self.own)
+        else:
+            self.superseded = True
+
+    def _declare(self, state: MemberState, *, told_by: str) -> None:
+        previous = self.own
+        self.own = replace(previous, state=state, refutations=previous.refutations + 1)
+        self._news.add(self.own)
+        self._note_change(self.own, previous, told_by)
+
+    def _note_change(
+        self, member: Member, previous: Member | None, told_by: str
+    ) -> None:
+        self.changes += 1
+        if len(self._events) < MAX_EVENTS:
+            event = MemberChanged(member=member, previous=previous, told_by=told_by)
+            self._events.append(event)
+
+    def _compare_documents(self, source: Member, documents: DocumentsDigest) -> None:
+        differ = documents.fingerprint != self.documents.fingerprint
+        if differ and len(self._events) < MAX_EVENTS:
+            heard = DocumentsHeard(member=source, documents=documents)
+            self._events.append(heard)
+
+    # Telling.
+
+    def _take_news(self, receiver: str) -> tuple[Member, ...]:
+        known = self._roster.get(receiver)
+        first = None
+        if known is not None and known.state in (
+            MemberState.SUSPECT,
+            MemberState.DEAD,
+        ):
+            first = known
+        return self._news.take(len(self.live()), first)
+
+    def _tell(self, to: Address, *members: Member) -> Send:
+        gossip = Gossip(source=self.own, documents=self.documents, updates=members)
+        return Send(to=to, message=gossip)
+
+    def _correct(self, source: Member, sender: Address) -> list[Send]:
+        """Tell a member that is held dead or suspect so, for it to refute."""
+        known = self._roster.get(source.name)
+        if known is None or known.state not in (
+            MemberState.SUSPECT,
+            MemberState.DEAD,
+        ):
+            return []
+        return [self._tell(sender, known)]
+
+    def _plan_spread(self, now: float) -> None:
+        soon = now + _SPREAD_DELAY * self._interval
+        spaced = self._last_spread + _SPREAD_SPACING * self._interval
+        due = max(soon, spaced)
+        self._spread_at = due if self._spread_at is None else min(due, self._spread_at)
+
+    def _spread(self, now: float) -> list[Send]:
+        self._spread_at = None
+        self._last_spread = now
+        sends = []
+        for other in self._choose_others(N_SPREAD, without=""):
+            gossip = Gossip(
+                source=self.own,
+                documents=self.documents,
+                updates=self._take_news(other.name),
+            )
+            sends.append(Send(to=other.peers, message=gossip))
+        return sends
+
+    def _choose_others(self, n_wanted: int, *, without: str) -> list[Member]:
+        others = [
+            member
+            for member in self._roster.members()
+            if member.name != without and member.state is not MemberState.SUSPECT
+        ]
+        return self._random.sample(others, min(n_wanted, len(others)))
+
+    # Comparing tables.
+
+    def _try_unknown(self, now: float) -> list[Send]:
+        """Try one address that belongs to no live member: a hint or a dead one.
+
+        After a cut between regions each side holds the other dead and no probe
+        crosses; this is what finds the way back.
+        """
+        known = {member.peers for member in self._roster.members()}
+        tried = {p.address for p in self._probes.values() if p.name == ""}
+        dead = self._roster.dead_since(now - RETRY_DEAD_S)
+        addresses = dict.fromkeys([*self._hints, *(member.peers for member in dead)])
+        unknown = [a for a in addresses if a not in known and a not in tried]
+        n_tries = 1 if self.joined else N_INDIRECT
+        chosen = self._random.sample(unknown, min(n_tries, len(unknown)))
+        return [self._ping("", address, now) for address in chosen]
+
+    def _sync(self, now: float) -> list[Send]:
+        self._sync_at = now + self._interval * _SYNC_PROBES * self._random.uniform(
+            0.75, 1.25
+        )
+        others = self._choose_others(1, without="")
+        return [Send(to=other.peers, message=self._summarise()) for other in others]
+
+    def _summarise(
+        self, *, is_answer: bool = False, truncated: bool = False
+    ) -> Summary:
+        return Summary(
+            source=self.own,
+            is_answer=is_answer,
+            truncated=truncated,
+            buckets=self._roster.hash_buckets(self.own),
+        )
+
+    def _compare(self, summary: Summary, sender: Address, now: float) -> list[Send]:
+        ours = self._roster.hash_buckets(self.own)
+        theirs = summary.buckets
+        differing = {
+            index
+            for index, (mine, other) in enumerate(zip(ours, theirs, strict=False))
+            if mine != other
+        }
+        sends, truncated = self._send_tables(differing, sender)
+        if not summary.is_answer:
+            answer = self._summarise(is_answer=True, truncated=truncated)
+            return [*sends, Send(to=sender, message=answer)]
+        self._finish_sync(differing, summary.truncated, now)
+        return sends
+
+    def _finish_sync(self, differing: set[int], truncated: bool, now: float) -> None:
+        if not truncated:
+            self.joined = True
+            if not differing:
+                self._drop_unconfirmed()
+        self._n_syncs_in_a_row += 1
+        if not differing:
+            self._n_syncs_in_a_row = 0
+        elif self._n_syncs_in_a_row < _MAX_SYNCS_IN_A_ROW:
+            self._sync_at = now + self._interval * _SYNC_SOON
+
+    def _drop_unconfirmed(self) -> None:
+        for member in self._roster.drop_stale():
+            self._suspicions.pop(member.name, None)
+            self.changes += 1
+
+    def _send_tables(self, buckets: set[int], to: Address) -> tuple[list[Send], bool]:
+        members = self._roster.list_buckets(buckets)
+        self._random.shuffle(members)
+        if choose_bucket(self.own.name) in buckets:
+            members.insert(0, self.own)
+        sends: list[Send] = []
+        while members and len(sends) < MAX_TABLES:
+            part = _take_part(members)
+            sends.append(Send(to=to, message=Table(source=self.own, members=part)))
+        return sends, bool(members)
+
+
+def _take_part(members: list[Member]) -> tuple[Member, ...]:
+    part: list[Member] = []
+    room = MAX_TABLE_BYTES
+    while members and (room := room - estimate_bytes(members[-1])) >= 0:
+        part.append(members.pop())
+    return tuple(part)
--- /dev/null
+++ b/src/lavendergap/coordination/ranking.py
@@ -0,0 +1,95 @@
+"""Which host owns a key: rendezvous hashing, alike on every host without talk."""
+
+from collections.abc import Iterable
+from heapq import nlargest
+
+from xxhash import xxh3_64_intdigest
+
+RANKING_DEPTH = 4
+"""How many hosts a `Ranking` keeps for each key: the owner and who takes over."""
+
+_MIN_KEPT = 2
+
+
+def score_host(key: str, host: str) -> int:
+    """Return the weight of `host` for `key`; the highest weight owns the key."""
+    return xxh3_64_intdigest(f"{key}\0{host}".encode())
+
+
+def rank_hosts(key: str, hosts: Iterable[str]) -> list[str]:
+    """Return `hosts` in the order in which they own `key`, the owner first.
+
+    All hosts that know the same set agree, and when one leaves only its own keys
+    move, each to the host that was ranked next:
+
+    >>> hosts = ["ptl-a-1", "ptl-a-2", "sea-a-1"]
+    >>> ranked = rank_hosts("scheduler-00", hosts)
+    >>> rank_hosts("scheduler-00", ranked[1:]) == ranked[1:]
+    True
+    """
+    return sorted(hosts, key=lambda host: (score_host(key, host), host), reverse=True)
+
+
+def rank_owner(key: str, hosts: Iterable[str]) -> str | None:
+    """Return the host that owns `key`, or None when there is no host.
+
+    >>> rank_owner("scheduler-00", ["ptl-a-1"])
+    'ptl-a-1'
+    """
+    return max(hosts, key=lambda host: (score_host(key, host), host), default=None)
+
+
+class Ranking:
+    """The first hosts of each key for one set of live hosts, remembered.
+
+    A query asks for 85 keys, so the answer has to be a look-up. When the set
+    changes, `replace_hosts` gives a new ranking that keeps what still holds: a
+    host that leaves is struck out, and one that joins costs one hash for each key.
+
+    >>> ranking = Ranking(hosts=frozenset({"ptl-a-1", "ptl-a-2"}))
+    >>> sorted(ranking.rank("scheduler-00"))
+    ['ptl-a-1', 'ptl-a-2']
+    >>> ranking.replace_hosts(frozenset({"ptl-a-2"})).rank("scheduler-00")
+    ('ptl-a-2',)
+    """
+
+    def __init__(self, *, hosts: frozenset[str]) -> None:
+        self.hosts = hosts
+        self._scored: dict[str, tuple[tuple[int, str], ...]] = {}
+        self._ranked: dict[str, tuple[str, ...]] = {}
+
+    def rank(self, key: str) -> tuple[str, ...]:
+        """Return up to `RANKING_DEPTH` hosts for `key`, the owner first."""
+        ranked = self._ranked.get(key)
+        if ranked is None:
+            scored = ((score_host(key, host), host) for host in self.hosts)
+            ranked = self._keep(key, tuple(nlargest(RANKING_DEPTH, scored)))
+        return ranked
+
+    def replace_hosts(self, hosts: frozenset[str]) -> "Ranking":
+        """Return the ranking for another set of hosts; this one stays as it is."""
+        if hosts == self.hosts:
+            return self
+        ranking = Ranking(hosts=hosts)
+        joined = hosts - self.hosts
+        n_wanted = min(_MIN_KEPT, len(hosts))
+        for key, scored in self._scored.items():
+            kept = [entry for entry in scored if entry[1] in hosts]
+            if len(kept) < n_wanted:
+                continue
+            # What is kept are the first of the hosts that stayed, so a newcomer's
+            # place is known only when it comes before the last of these.
+            lowest = kept[-1]
+            complete = len(scored) == len(self.hosts)
+            for host in joined:
+                entry = (score_host(key, host), host)
+                if complete or entry > lowest:
+                    kept.append(entry)
+            ranking._keep(key, tuple(nlargest(RANKING_DEPTH, kept)))
+        return ranking
+
+    def _keep(self, key: str, scored: tuple[tuple[int, str], ...]) -> tuple[str, ...]:
+        self._scored[key] = scored
+        ranked = tuple(host for _, host in scored)
+        self._ranked[key] = ranked
+        return ranked
--- /dev/null
+++ b/src/lavendergap/coordination/roster.py
@@ -0,0 +1,167 @@
+"""The table of members: merges what is heard and remembers the dead for a while."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from ..state.member import Member, MemberState
+
+N_BUCKETS = 64
+"""Into how many parts the table is hashed: 512 bytes of a datagram."""
+
+TOMBSTONE_S = 86_400.0
+"""How long the dead are remembered: far beyond the life of any datagram."""
+
+MAX_TOMBSTONES = 4_096
+"""Six days of 680 replacements a day, about a megabyte; the oldest go first."""
+
+
+@dataclass(kw_only=True, slots=True)
+class _Entry:
+    member: Member
+    digest: int
+    stale: bool = False
+
+
+def _hash_member(member: Member) -> int:
+    order = f"{member.name}\0{member.incarnation}\0{member.refutations}\0{member.state}"
+    return xxh3_64_intdigest(order.encode())
+
+
+def choose_bucket(name: str) -> int:
+    """Return the part of the table in which the member called `name` stands."""
+    return xxh3_64_intdigest(name.encode()) % N_BUCKETS
+
+
+class Roster:
+    """The newest record of each other member, the dead included for a while.
+
+    A record replaces another of the same name only if its order (incarnation,
+    refutations, state) is higher. So the dead notice of an earlier process never
+    kills the one that was started after it, and a record that was overtaken on
+    the way changes nothing.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self._died_at: dict[str, float] = {}
+        self._buckets = [0] * N_BUCKETS
+        self._live: frozenset[str] | None = None
+
+    def get(self, name: str) -> Member | None:
+        """Return the record of a member, dead or alive, or None."""
+        entry = self._entries.get(name)
+        return entry.member if entry else None
+
+    def members(self) -> Iterator[Member]:
+        """Iterate over all records except those of the dead."""
+        return (
+            entry.member
+            for entry in self._entries.values()
+            if entry.member.state is not MemberState.DEAD
+        )
+
+    def names_that_may_own(self) -> frozenset[str]:
+        """Return the names of the members to which new work may go."""
+        if self._live is None:
+            self._live = frozenset(m.name for m in self.members() if m.may_own)
+        return self._live
+
+    def dead_since(self, earliest: float) -> list[Member]:
+        """Return the records of those that died at `earliest` or later."""
+        return [
+            self._entries[name].member
+            for name, died_at in self._died_at.items()
+            if died_at >= earliest
+        ]
+
+    def merge(self, member: Member, *, now: float) -> bool:
+        """Take `member` in if it is newer than what is known; say whether it was."""
+        entry = self._entries.get(member.name)
+        if entry is None:
+            self._put(member, now=now)
+            return True
+        known = entry.member
+        if member.order < known.order:
+            return False
+        if entry.stale:
+            entry.stale = False
+            self._toggle(entry)
+        if member.order > known.order:
+            self._put(member, now=now)
+            return True
+        if member.settings_version > known.settings_version:
+            entry.member = member
+        return False
+
+    def mark_all_stale(self) -> None:
+        """Doubt all records: this process slept while others went on.
+
+        A doubted record is told to nobody until it is heard again. Without this a
+        process that wakes after hours would bring back members whose tombstones
+        the others have dropped meanwhile.
+        """
+        for entry in self._entries.values():
+            if not entry.stale and entry.member.state is not MemberState.DEAD:
+                self._toggle(entry)
+                entry.stale = True
+
+    def is_stale(self, name: str) -> bool:
+        """Whether the record of `name` has not been heard since a pause."""
+        entry = self._entries.get(name)
+        return entry is not None and entry.stale
+
+    def drop_stale(self) -> list[Member]:
+        """Forget the records that nobody has confirmed, and return them."""
+        dropped = [entry.member for entry in self._entries.values() if entry.stale]
+        for member in dropped:
+            del self._entries[member.name]
+        if dropped:
+            self._live = None
+        return dropped
+
+    def forget_dead(self, *, now: float) -> None:
+        """Drop the tombstones that are too old, or too many, the oldest first."""
+        while self._died_at:
+            name, died_at = next(iter(self._died_at.items()))
+            if len(self._died_at) <= MAX_TOMBSTONES and now - died_at < TOMBSTONE_S:
+                return
+            del self._died_at[name]
+            del self._entries[name]
+
+    def hash_buckets(self, own: Member) -> tuple[int, ...]:
+        """Return the hash of each bucket of the table with `own` added to it.
+
+        The dead are left out because hosts forget them at different times, which
+        must not make their tables differ.
+        """
+        buckets = list(self._buckets)
+        buckets[choose_bucket(own.name)] ^= _hash_member(own)
+        return tuple(buckets)
+
+    def list_buckets(self, buckets: set[int]) -> list[Member]:
+        """Return what stands in some buckets, the dead included."""
+        return [
+            entry.member
+            for name, entry in self._entries.items()
+            if not entry.stale and choose_bucket(name) in buckets
+        ]
+
+    def _put(self, member: Member, *, now: float) -> None:
+        old = self._entries.get(member.name)
+        if old is not None and not old.stale:
+            self._toggle(old)
+        entry = _Entry(member=member, digest=_hash_member(member))
+        self._entries[member.name] = entry
+        self._toggle(entry)
+        self._died_at.pop(member.name, None)
+        if member.state is MemberState.DEAD:
+            self._died_at[member.name] = now
+        if old is None or old.member.may_own != member.may_own:
+            self._live = None
+
+    def _toggle(self, entry: _Entry) -> None:
+        """Take an entry into, or out of, the hash of its bucket."""
+        if entry.member.state is not MemberState.DEAD:
+            self._buckets[choose_bucket(entry.member.name)] ^= entry.digest
