--- a/standins/backend.py
+++ b/standins/backend.py
@@ -13,8 +13,8 @@
 
 from lavendergap.state.settings import Server
 
-from .faults import FaultHistory, Faults, Load, change_faults
-from .fleet import load_servers, parse_address
+from .faults import BackendFaults, FaultHistory, Load, change_faults
+from .fleet import list_servers, parse_address, read_settings
 from .http import (
     Connection,
     HttpServer,
@@ -111,7 +111,7 @@
 class BackendServer:
     """One backend server at its own address, with its own slots and faults."""
 
-    def __init__(self, *, server: Server, faults: Faults, queue_limit: int):
+    def __init__(self, *, server: Server, faults: BackendFaults, queue_limit: int):
         now = trio.current_time()
         self.server = server
         self.counts = Counts()
@@ -132,11 +132,11 @@
         self._load_reported_at = now
 
     @property
-    def faults(self) -> Faults:
+    def faults(self) -> BackendFaults:
         """The faults in force."""
         return self.history.faults
 
-    def _make_random(self, faults: Faults) -> random.Random:
+    def _make_random(self, faults: BackendFaults) -> random.Random:
         return random.Random(f"{faults.seed} {self.server.name}")
 
     def get_counts(self) -> dict[str, int]:
@@ -211,7 +211,7 @@
             self.counts.connections = len(self._connections)
             await trio.aclose_forcefully(stream)
 
-    def set_faults(self, faults: Faults) -> None:
+    def set_faults(self, faults: BackendFaults) -> None:
         """Put `faults` in force at once; `silence` and `dead` act now."""
         before = self.faults
         self.history.set_faults(faults, trio.current_time())
@@ -531,7 +531,7 @@
                 return self._set_faults(request.body)
             case "POST", "/faults/clear":
                 for server in self.servers:
-                    server.set_faults(Faults())
+                    server.set_faults(BackendFaults())
                 return make_json_reply({})
             case "GET", "/counts":
                 return make_json_reply(
@@ -550,9 +550,9 @@
             server.set_faults(faults)
         return make_json_reply({"changed": [s.server.name for s, _ in changes]})
 
-    def _read_changes(self, body: bytes) -> list[tuple[BackendServer, Faults]]:
+    def _read_changes(self, body: bytes) -> list[tuple[BackendServer, BackendFaults]]:
         by_pattern = msgspec.json.decode(body, type=dict[str, dict[str, Any]])
-        changes: dict[BackendServer, Faults] = {}
+        changes: dict[BackendServer, BackendFaults] = {}
         for pattern, change in by_pattern.items():
             matching = [s for s in self.servers if fnmatchcase(s.server.name, pattern)]
             if not matching:
@@ -564,7 +564,7 @@
 
 
 def make_fleet(
-    servers: tuple[Server, ...], *, faults: Faults, queue_per_slot: int
+    servers: tuple[Server, ...], *, faults: BackendFaults, queue_per_slot: int
 ) -> Fleet:
     """Make the stand-ins of `servers`, each with a queue in proportion to its slots."""
     return Fleet(
@@ -589,9 +589,9 @@
     queue_per_slot: int,
 ) -> None:
     """Serve every backend server of a settings file whose name matches --only."""
-    servers = load_servers(settings, only)
+    servers = list_servers(read_settings(settings), only)
     address = parse_address(control)
-    faults = Faults(service_ms=service_ms)
+    faults = BackendFaults(service_ms=service_ms)
 
     async def start(nursery: trio.Nursery) -> None:
         fleet = make_fleet(servers, faults=faults, queue_per_slot=queue_per_slot)
--- a/standins/client.py
+++ b/standins/client.py
@@ -89,7 +89,7 @@
             if event is h11.NEED_DATA:
                 data = await self._stream.receive_some(MAX_RECEIVE_BYTES)
                 self._has_answer_bytes = self._has_answer_bytes or bool(data)
-                self._http.receive_data(data)
+                self._http.receive_data(bytes(data))
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,13 +1,14 @@
-"""The faults of a backend server: what the control port sets and shows."""
+"""The faults of the stand-ins: what their control ports set and show."""
 
 from collections import deque
 from dataclasses import dataclass, fields, replace
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 
 Positive = Annotated[float, msgspec.Meta(ge=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
 Version = Annotated[int, msgspec.Meta(ge=1)]
 
 MAX_HISTORY = 64
@@ -23,7 +24,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Faults:
+class BackendFaults:
     """How one backend server behaves. A share is that of calls, from 0 to 1.
 
     `silence` is an event: each time that it is set to true, the connections open
@@ -71,28 +72,51 @@
     http_500_runs: bool = True
 
 
-def change_faults(faults: Faults, change: dict[str, Any]) -> Faults:
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformFaults:
+    """How the platform behaves.
+
+    `lose_replies` counts down: so many writes take effect and are not answered.
+    `lose_requests` does too: so many writes are neither done nor answered.
+    """
+
+    down: bool = False
+    silent: bool = False
+    delay_ms: Positive = 0.0
+    stale_reads_ms: Positive = 0.0
+    stale_watches_ms: Positive = 0.0
+    hosts_lag_ms: Positive = 2_000.0
+    lose_replies: Count = 0
+    lose_requests: Count = 0
+    writes_per_s: Positive = 300.0
+    reads_per_s: Positive = 2_000.0
+
+
+AnyFaults = TypeVar("AnyFaults", BackendFaults, PlatformFaults)
+
+
+def change_faults(faults: AnyFaults, change: dict[str, Any]) -> AnyFaults:
     """Return `faults` with the given fields changed.
 
     Raises ValueError, which says what was expected, for an unknown field or a
     wrong value.
     """
-    unknown = change.keys() - {field.name for field in fields(Faults)}
+    unknown = change.keys() - {field.name for field in fields(faults)}
     if unknown:
         raise ValueError(f"unknown faults: {', '.join(sorted(unknown))}")
-    checked = msgspec.convert(change, Faults, str_keys=True)
+    checked = msgspec.convert(change, type(faults), str_keys=True)
     return replace(faults, **{name: getattr(checked, name) for name in change})
 
 
 class FaultHistory:
     """The faults in force now and, for endpoints that lag, those of a while ago."""
 
-    def __init__(self, *, faults: Faults, now: float):
+    def __init__(self, *, faults: BackendFaults, now: float):
         self.faults = faults
         self.changed_at = now
         self._entries = deque([(now, faults)], maxlen=MAX_HISTORY)
 
-    def set_faults(self, faults: Faults, now: float) -> None:
+    def set_faults(self, faults: BackendFaults, now: float) -> None:
         """Put `faults` in force from `now` on, in seconds."""
         self.faults = faults
         self.changed_at = now
@@ -110,7 +134,7 @@
             return faults.next_index_versions
         return faults.index_versions
 
-    def _find(self, at: float) -> tuple[float, Faults]:
+    def _find(self, at: float) -> tuple[float, BackendFaults]:
         for entry in reversed(self._entries):
             if entry[0] <= at:
                 return entry
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,45 +1,48 @@
-"""The backend servers of a settings file, as far as the stand-ins need it."""
+"""The backend servers, hosts and first objects that a settings file gives."""
 
 from fnmatch import fnmatchcase
 from pathlib import Path
-from typing import Any
 
-import json5
+import click
+import msgspec
 
-from lavendergap.state.settings import Address, Server
-
-DEFAULT_SLOTS = 2
-DEFAULT_CONNECTIONS = 25
+from lavendergap.errors import SettingsError
+from lavendergap.state.settings import Address, Server, Service, Settings
+from lavendergap.state.tree import load_settings
 
 
 def parse_address(text: str) -> Address:
-    """Parse "127.0.0.1:7000"; raises ValueError for anything else."""
+    """Parse "127.0.0.1:7000"; raises click.BadParameter for anything else."""
     ip, _, port = text.rpartition(":")
-    if not ip:
-        raise ValueError(f"{text!r} is not an address such as 127.0.0.1:7000")
+    if not ip or not port.isdecimal():
+        raise click.BadParameter(f"{text!r} is not an address such as 127.0.0.1:7000")
     return Address(ip=ip, port=int(port))
 
 
-def load_servers(path: Path, patterns: tuple[str, ...]) -> tuple[Server, ...]:
-    """Read the backend servers whose names match one of the shell `patterns`."""
-    tree = json5.loads(path.read_text(), allow_duplicate_keys=False)
-    found = []
-    for service in tree["services"].values():
-        for group in service["groups"].values():
-            for name, server in group["servers"].items():
-                branches = (tree, service, group, server)
-                found.append(_make_server(name, branches))
-    return tuple(s for s in found if any(fnmatchcase(s.name, p) for p in patterns))
-
-
-def _make_server(name: str, branches: tuple[dict[str, Any], ...]) -> Server:
-    options: dict[str, Any] = {}
-    for branch in branches:
-        options.update(branch)
-    return Server(
-        name=name,
-        address=parse_address(options["address"]),
-        data_centre=options.get("data_centre", ""),
-        slots=options.get("slots", DEFAULT_SLOTS),
-        connections=options.get("connections", DEFAULT_CONNECTIONS),
+def read_settings(path: Path) -> Settings:
+    """Read a settings file; raises click.ClickException with what is wrong."""
+    try:
+        return load_settings(path)
+    except SettingsError as error:
+        raise click.ClickException(str(error)) from None
+
+
+def list_servers(settings: Settings, patterns: tuple[str, ...]) -> tuple[Server, ...]:
+    """Return the backend servers whose names match one of the shell `patterns`."""
+    return tuple(
+        server
+        for service in settings.services
+        for group in service.groups
+        for server in group.servers
+        if any(fnmatchcase(server.name, pattern) for pattern in patterns)
     )
+
+
+def make_index_object(service: Service) -> bytes:
+    """Return the value of `index/SERVICE`: version 1, a shard for each group."""
+    share = 1 / len(service.groups)
+    shards = [
+        {"name": f"s{i:02}", "group": group.name, "share": share}
+        for i, group in enumerate(service.groups)
+    ]
+    return msgspec.json.encode({"snapshots": [{"version": 1, "shards": shards}]})
--- a/tests/test_standins_backend.py
+++ b/tests/test_standins_backend.py
@@ -10,7 +10,7 @@
 from standins import client
 from standins.backend import BackendServer, Fleet
 from standins.client import Client
-from standins.faults import Faults, change_faults
+from standins.faults import BackendFaults, change_faults
 from standins.http import Connection, Request
 
 
@@ -34,7 +34,7 @@
             slots=slots,
             connections=connections,
         ),
-        faults=change_faults(Faults(), faults),
+        faults=change_faults(BackendFaults(), faults),
         queue_limit=2,
     )
     async with trio.open_nursery() as nursery:
