--- a/src/lavendergap/coordination/joining.py
+++ b/src/lavendergap/coordination/joining.py
@@ -1,5 +1,6 @@
 """Joining the shards' answers into one answer, and when to stop waiting for more."""
 
+from dataclasses import dataclass
 from statistics import median
 
 from ..state.outcome import (
@@ -21,6 +22,14 @@
 SHORTEST_PATIENCE = 0.002
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardBody:
+    """What one shard answered."""
+
+    shard: str
+    body: bytes
+
+
 class Join:
     """The answers to one query, which is pinned to one snapshot.
 
@@ -143,10 +152,13 @@
             missing=tuple(missing),
         )
 
-    def results(self) -> list[tuple[str, bytes]]:
+    def results(self) -> list[ShardBody]:
         """Return the answered shards and their answers, in the snapshot's order."""
-        names = [shard.name for shard in self.snapshot.shards]
-        return [(name, self._answers[name]) for name in names if name in self._answers]
+        return [
+            ShardBody(shard=shard.name, body=self._answers[shard.name])
+            for shard in self.snapshot.shards
+            if shard.name in self._answers
+        ]
 
     def _miss(self, shard: str, reason: Reason, step: Step, peer: str) -> None:
         self._missing[shard] = Missing(shard=shard, reason=reason, step=step, peer=peer)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -441,7 +441,7 @@
                 opens_in = self._measure_capacity(now).opens_in
                 if self._is_stopping or now + opens_in >= call.deadline:
                     return False
-        if not self._retries.spend(now=now):
+        if not self._may_spend_retry(progress, now):
             self._n_budget_denials += 1
             return False
         self._n_retries += 1
@@ -453,6 +453,14 @@
                 self._waiting.add(progress)
         return True
 
+    def _may_spend_retry(self, progress: Progress, now: float) -> bool:
+        # A refusal cost its server next to nothing, and the server that refused is
+        # excluded, backed off or ejected: such a retry can not amplify an outage.
+        # One that may have run did cost a slot's time, and is paid for.
+        if progress.unknown is None:
+            return True
+        return self._retries.spend(now=now)
+
     # Timers and hedges.
 
     def _set_timer(self, progress: Progress, now: float) -> None:
