--- /dev/null
+++ b/src/lavendergap/transport/gossip.py
@@ -0,0 +1,217 @@
+"""The UDP service that carries a host's membership."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import trio
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from ..coordination.membership import Membership
+from ..protocol.gossip import MAX_DATAGRAM_BYTES, GossipCodec, Refused
+from ..state.gossip import Event, MemberChanged, Message, Send
+from ..state.settings import Address
+
+logger = logging.getLogger("lavendergap.membership")
+
+Clock = Callable[[], float]
+
+
+class GossipMetrics:
+    """What operators see of the membership's datagrams."""
+
+    def __init__(self, *, registry: CollectorRegistry) -> None:
+        self.datagrams = Counter(
+            "lavendergap_gossip_datagrams",
+            "Membership datagrams by direction and kind of message.",
+            ["direction", "kind"],
+            registry=registry,
+        )
+        self.bytes = Counter(
+            "lavendergap_gossip_bytes",
+            "Bytes of membership datagrams, without UDP and IP headers.",
+            ["direction"],
+            registry=registry,
+        )
+        self.refused = Counter(
+            "lavendergap_gossip_refused",
+            "Datagrams that were not understood or could not be sent, by reason.",
+            ["direction", "reason"],
+            registry=registry,
+        )
+        self.changes = Counter(
+            "lavendergap_member_changes",
+            "Changes of what this host believes of a member, by new state.",
+            ["state"],
+            registry=registry,
+        )
+        self.live = Gauge(
+            "lavendergap_members_live",
+            "Hosts to which this host believes that new work may go.",
+            registry=registry,
+        )
+
+
+class GossipEndpoint:
+    """A UDP socket with the codec of one deployment; drops what it can't use."""
+
+    def __init__(
+        self,
+        *,
+        socket: trio.socket.SocketType,
+        codec: GossipCodec,
+        metrics: GossipMetrics,
+    ) -> None:
+        self.metrics = metrics
+        self._socket = socket
+        self._codec = codec
+        self._woken = trio.Event()
+
+    @property
+    def address(self) -> Address:
+        """The address that the socket is bound to."""
+        ip, port = self._socket.getsockname()[:2]
+        return Address(ip=ip, port=port)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    async def send(self, sends: Iterable[Send]) -> None:
+        """Send messages; one that can't be sent is lost like any datagram."""
+        for send in sends:
+            encoded = self._codec.encode(send.message)
+            if isinstance(encoded, Refused):
+                self.metrics.refused.labels("sent", encoded.reason.value).inc()
+                continue
+            try:
+                await self._socket.sendto(encoded, (send.to.ip, send.to.port))
+            except OSError as error:
+                # A route that is gone is the very thing that probes find out; the
+                # loop has to outlive it.
+                reason = type(error).__name__
+                self.metrics.refused.labels("sent", reason).inc()
+                continue
+            self._count("sent", send.message, encoded)
+        self.wake()
+
+    async def receive(self) -> tuple[Message, Address]:
+        """Wait for the next datagram that is a message."""
+        while True:
+            try:
+                data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
+            except OSError as error:
+                # An ICMP error of an earlier send may surface here.
+                reason = type(error).__name__
+                self.metrics.refused.labels("received", reason).inc()
+                await trio.lowlevel.checkpoint()
+                continue
+            message = self._codec.decode(data)
+            if isinstance(message, Refused):
+                self.metrics.refused.labels("received", message.reason.value).inc()
+                continue
+            self._count("received", message, data)
+            return message, Address(ip=sender[0], port=sender[1])
+
+    def wake(self) -> None:
+        """Have the timer loop look again at when it is due."""
+        self._woken.set()
+
+    async def wait_until(self, deadline: float, clock: Clock) -> None:
+        """Wait for a time of `clock`, or less when something woke the loop."""
+        with trio.move_on_after(max(0.0, deadline - clock())):
+            await self._woken.wait()
+        self._woken = trio.Event()
+
+    def _count(self, direction: str, message: Message, data: bytes) -> None:
+        self.metrics.datagrams.labels(direction, type(message).__name__).inc()
+        self.metrics.bytes.labels(direction).inc(len(data))
+
+
+async def open_gossip(
+    address: Address, *, deployment: str, metrics: GossipMetrics
+) -> GossipEndpoint:
+    """Bind the UDP socket of a host's `peers` address."""
+    family = trio.socket.AF_INET6 if ":" in address.ip else trio.socket.AF_INET
+    socket = trio.socket.socket(family, trio.socket.SOCK_DGRAM)
+    try:
+        await socket.bind((address.ip, address.port))
+    except OSError:
+        socket.close()
+        raise
+    codec = GossipCodec(deployment=deployment)
+    return GossipEndpoint(socket=socket, codec=codec, metrics=metrics)
+
+
+async def run_gossip(
+    membership: Membership,
+    endpoint: GossipEndpoint,
+    *,
+    on_change: Callable[[Event], None],
+    clock: Clock = trio.current_time,
+) -> None:
+    """Drive `membership` over `endpoint` until cancelled.
+
+    `on_change` is called with each event in turn, from this task, and must not
+    block. To leave or announce from elsewhere, hand what the membership returns to
+    `endpoint.send`.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_run_receiver, membership, endpoint, on_change, clock)
+        nursery.start_soon(_run_timer, membership, endpoint, on_change, clock)
+
+
+async def _run_receiver(
+    membership: Membership,
+    endpoint: GossipEndpoint,
+    on_change: Callable[[Event], None],
+    clock: Clock,
+) -> None:
+    while True:
+        message, sender = await endpoint.receive()
+        sends = membership.receive(message, sender=sender, now=clock())
+        _report(membership, endpoint.metrics, on_change)
+        await endpoint.send(sends)
+
+
+async def _run_timer(
+    membership: Membership,
+    endpoint: GossipEndpoint,
+    on_change: Callable[[Event], None],
+    clock: Clock,
+) -> None:
+    while True:
+        sends = membership.advance(now=clock())
+        _report(membership, endpoint.metrics, on_change)
+        await endpoint.send(sends)
+        await endpoint.wait_until(membership.next_wake(), clock)
+
+
+def _report(
+    membership: Membership,
+    metrics: GossipMetrics,
+    on_change: Callable[[Event], None],
+) -> None:
+    for event in membership.take_events():
+        if isinstance(event, MemberChanged):
+            _log_change(event)
+            metrics.changes.labels(event.member.state.value).inc()
+            metrics.live.set(len(membership.live()))
+        on_change(event)
+
+
+def _log_change(event: MemberChanged) -> None:
+    member = event.member
+    logger.info(
+        "member %s is %s (was %s), told by %s",
+        member.name,
+        member.state.value,
+        event.previous.state.value if event.previous else "unknown",
+        event.told_by,
+        extra={
+            "member": member.name,
+            "state": member.state.value,
+            "incarnation": member.incarnation,
+            "refutations": member.refutations,
+            "told_by": event.told_by,
+        },
+    )
