--- /dev/null
+++ b/src/lavendergap/entry/bookings.py
@@ -0,0 +1,517 @@
+"""Requests that must run at most once: tickets issued, run, witnessed, asked after.
+
+The decisions are in coordination.issuer, witness and resolution; this module carries
+their messages between hosts and runs a request when, and only when, its issuer says
+so.
+"""
+
+import logging
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import trio
+
+from ..coordination.calls import Call, FinishCall
+from ..coordination.issuer import Issuer
+from ..coordination.resolution import (
+    Pending,
+    Rejected,
+    Settled,
+    resolve_by_issuer,
+    resolve_by_witness,
+)
+from ..coordination.witness import Witness
+from ..logs import log_decision
+from ..protocol.answers import Refusal, name_outcome
+from ..protocol.peer import BadFrameError, Ran, TicketAsk, TicketReply
+from ..protocol.peer import Run as RunMessage
+from ..protocol.tickets import (
+    ASK,
+    RUN,
+    WITNESS_VERBS,
+    Reply,
+    decode_reply,
+    decode_request,
+    encode_reply,
+    encode_request,
+    read_ticket,
+)
+from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
+from ..state.settings import Group, Service, Settings
+from ..state.ticket import (
+    Ack,
+    AlreadyRunning,
+    BadTicket,
+    Forgotten,
+    IssuerLost,
+    IssuerReply,
+    Kept,
+    Known,
+    NotBegun,
+    Peer,
+    RecordEnded,
+    RecordStarted,
+    Refused,
+    Run,
+    Started,
+    StartedReply,
+    Ticket,
+    TicketProblem,
+    Void,
+    Voided,
+    VoidReply,
+    VoidTicket,
+    WitnessLost,
+    WitnessRequest,
+    parse_ticket,
+)
+from ..transport.callers import CallerRequest, RunAnswer, RunResult, TicketText
+from ..transport.callers import Pending as PendingAnswer
+from ..transport.channel import Dialer, Loss
+from ..transport.web import BadRequestError
+from .fleet import Fleet
+from .owner import Owner, Wanted
+
+logger = logging.getLogger("lavendergap.once")
+
+WITNESS_LIMIT = 0.5
+WITNESS_TRIES = 2
+ASK_LIMIT = 1.0
+CONFIRM_INTERVAL = 2.0
+CONFIRM_BATCH = 50
+RECORD_SHARE = 0.5
+N_WITNESSES_TRIED = 3
+
+
+@dataclass(kw_only=True, slots=True)
+class Execution:
+    """A request that its issuer runs now; `done` is set with the reply."""
+
+    done: trio.Event = field(default_factory=trio.Event)
+
+
+class Bookings:
+    """This host as issuer, as witness, and as whoever is asked about a ticket."""
+
+    def __init__(
+        self,
+        *,
+        peer: Peer,
+        issuer: Issuer,
+        witness: Witness,
+        settings: Settings,
+        fleet: Fleet,
+        owner: Owner,
+        dialer: Dialer,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._peer = peer
+        self._issuer = issuer
+        self._witness = witness
+        self._settings = settings
+        self._fleet = fleet
+        self._owner = owner
+        self._dialer = dialer
+        self._nursery = nursery
+        self._executions: dict[int, Execution] = {}
+        self._opened: set[Peer] = set()
+
+    def replace(self, settings: Settings) -> None:
+        """Put new settings in force."""
+        self._settings = settings
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request of a ticket issued here is being run."""
+        return bool(self._executions)
+
+    # For callers.
+
+    async def issue(self, request: CallerRequest) -> TicketText | Refusal:
+        """Issue a ticket whose witness stands in another data centre if one can."""
+        witness = await self._open_witness()
+        issued = self._issuer.issue(
+            service=request.service.name, witness=witness, now=trio.current_time()
+        )
+        if isinstance(issued, NotRun):
+            return Refusal(request_id=request.request_id, outcome=issued)
+        log_decision(
+            logger,
+            "issue",
+            request_id=request.request_id,
+            service=request.service.name,
+            serial=issued.serial,
+            witness=witness.host if witness else "none",
+        )
+        return TicketText(text=str(issued))
+
+    async def run(self, request: CallerRequest, text: str) -> RunAnswer:
+        """Run a ticket's request at its issuer, or tell what became of it."""
+        ticket = parse_ticket(text, service=request.service.name)
+        if isinstance(ticket, BadTicket):
+            return _reject(ticket.reason)
+        reply = await self._run_at_issuer(ticket, request.body, request.deadline)
+        return await self._conclude(request.request_id, ticket, reply)
+
+    async def look_up(self, request_id: str, text: str) -> RunAnswer:
+        """Tell what has become of a ticket; never runs anything."""
+        ticket = parse_ticket(text)
+        if isinstance(ticket, BadTicket):
+            return _reject(ticket.reason)
+        reply = await self._ask_issuer(ticket)
+        return await self._conclude(request_id, ticket, reply)
+
+    async def _conclude(
+        self, request_id: str, ticket: Ticket, reply: IssuerReply
+    ) -> RunAnswer:
+        verdict = resolve_by_issuer(ticket, reply)
+        if isinstance(verdict, VoidTicket):
+            said = await self._ask_witness_to_void(ticket)
+            verdict = resolve_by_witness(ticket, said)
+        log_decision(
+            logger,
+            "ticket",
+            request_id=request_id,
+            issuer=ticket.issuer.host,
+            serial=ticket.serial,
+            said=type(reply).__name__,
+            verdict=_describe(verdict),
+        )
+        match verdict:
+            case Rejected(reason=reason):
+                return _reject(reason)
+            case Pending(begun=begun):
+                return PendingAnswer(
+                    request_id=request_id, state="running" if begun else "not begun"
+                )
+            case Settled(outcome=outcome):
+                return _render(request_id, outcome)
+
+    # As the issuer.
+
+    async def _run_at_issuer(
+        self, ticket: Ticket, body: bytes, deadline: float
+    ) -> IssuerReply:
+        if ticket.issuer == self._peer:
+            return await self._run_here(ticket, body, deadline)
+        left_ms = int((deadline - trio.current_time()) * 1_000)
+        ask = TicketAsk(verb=RUN, ticket=str(ticket), body=body, left_ms=left_ms)
+        # The issuer answers by the deadline; the time after it is for its words.
+        limit = left_ms / 1_000 + 0.25
+        return _take_issuer(await self._ask_peer(ticket.issuer, ask, limit=limit))
+
+    async def _run_here(
+        self, ticket: Ticket, body: bytes, deadline: float
+    ) -> IssuerReply:
+        begun = self._issuer.begin(ticket, body=body, now=trio.current_time())
+        match begun:
+            case Refused() | Known():
+                return begun
+            case AlreadyRunning():
+                execution = self._executions.get(ticket.serial)
+            case RecordStarted() | Run():
+                execution = Execution()
+                self._executions[ticket.serial] = execution
+                # In a task of its own: the caller may leave midway, and what has
+                # begun must come to its end and be recorded all the same.
+                self._nursery.start_soon(
+                    self._execute, begun, body, deadline, execution
+                )
+        if execution is not None:
+            with trio.move_on_at(deadline):
+                await execution.done.wait()
+        reply = self._issuer.ask(ticket, now=trio.current_time())
+        if isinstance(reply, AlreadyRunning):
+            # By its deadline the caller gets an answer; the request runs on, and
+            # what becomes of it is told to whoever asks after the ticket.
+            doubt = Unknown(
+                step=Step.RECEIVE, peer=self._peer.host, reason=Reason.DEADLINE
+            )
+            return Known(outcome=doubt)
+        return reply
+
+    async def _execute(
+        self,
+        begun: RecordStarted | Run,
+        body: bytes,
+        deadline: float,
+        execution: Execution,
+    ) -> None:
+        ticket = begun.ticket
+        try:
+            decided: Run | Known | AlreadyRunning = Run(ticket=ticket)
+            if isinstance(begun, RecordStarted):
+                limit = (deadline - trio.current_time()) * RECORD_SHARE
+                said = await self._record_started(begun, limit=limit)
+                decided = self._issuer.record(ticket, said, now=trio.current_time())
+            if isinstance(decided, Run):
+                outcome = await self._send_once(ticket, body, deadline)
+                ended = self._issuer.end(ticket, outcome, now=trio.current_time())
+                self._nursery.start_soon(self._record_ended, ended)
+        finally:
+            del self._executions[ticket.serial]
+            execution.done.set()
+
+    async def _record_started(
+        self, begun: RecordStarted, *, limit: float
+    ) -> StartedReply:
+        witness = begun.ticket.witness
+        assert witness is not None
+        reply = await self._ask_witness(witness, begun, limit=limit)
+        match reply:
+            case Ack() | Void() | Forgotten() | Refused():
+                return reply
+            case _:
+                return WitnessLost()
+
+    async def _record_ended(self, ended: RecordEnded) -> None:
+        witness = ended.ticket.witness
+        if witness is None:
+            return
+        reply = await self._ask_witness(witness, ended, limit=WITNESS_LIMIT)
+        if isinstance(reply, Kept | Forgotten):
+            self._issuer.confirm(ended.ticket)
+
+    async def keep_confirming(self) -> None:
+        """Send outcomes again, now and then, until their witness has them."""
+        while True:
+            await trio.sleep(CONFIRM_INTERVAL)
+            for ended in self._issuer.get_unconfirmed(limit=CONFIRM_BATCH):
+                await self._record_ended(ended)
+
+    async def hand_over(self) -> None:
+        """Give the witnesses all that others may ask about; nothing starts after."""
+        messages = self._issuer.hand_over(now=trio.current_time())
+        for message in messages:
+            match message:
+                case RecordEnded():
+                    await self._record_ended(message)
+                case closing:
+                    await self._ask_witness(
+                        closing.witness, closing, limit=WITNESS_LIMIT
+                    )
+
+    async def _send_once(self, ticket: Ticket, body: bytes, deadline: float) -> Outcome:
+        """Send the request to the group's owner, which sends it on at most once.
+
+        Only an owner that was certainly not reached, or that says "stopping", is
+        followed by the next: after anything else the request may have run.
+        """
+        service = self._settings.get_service(ticket.service)
+        if service is None:
+            return NotRun(
+                step=Step.ROUTE, peer=ticket.service, reason=Reason.UNKNOWN_SERVICE
+            )
+        group = service.groups[ticket.serial % len(service.groups)]
+        outcome: Outcome = NotRun(
+            step=Step.ROUTE, peer=group.name, reason=Reason.NO_REPLICA
+        )
+        for host in self._fleet.rank(group.name):
+            outcome = await self._send_to(host, ticket, service, group, body, deadline)
+            match outcome:
+                case NotRun(step=Step.ROUTE):
+                    continue
+                case _:
+                    break
+        return outcome
+
+    async def _send_to(
+        self,
+        host: str,
+        ticket: Ticket,
+        service: Service,
+        group: Group,
+        body: bytes,
+        deadline: float,
+    ) -> Outcome:
+        if host == self._peer.host:
+            return await self._submit(ticket, service, group, body, deadline)
+        address = self._fleet.get_address(host)
+        channel = await self._dialer.dial(host, address) if address else Loss.REFUSED
+        if isinstance(channel, Loss):
+            return NotRun(step=Step.ROUTE, peer=host, reason=Reason.REFUSED_CONNECTION)
+        left = deadline - trio.current_time()
+        message = RunMessage(
+            request_id=f"{ticket.issuer.host}-{ticket.serial}",
+            service=service.name,
+            group=group.name,
+            left_ms=max(0, int(left * 1_000)),
+            body=body,
+        )
+        reply = await channel.ask(message, limit=left + 0.25)
+        if isinstance(reply, Ran):
+            return reply.outcome
+        return Unknown(step=Step.RECEIVE, peer=host, reason=Reason.LOST_CONNECTION)
+
+    async def _submit(
+        self,
+        ticket: Ticket,
+        service: Service,
+        group: Group,
+        body: bytes,
+        deadline: float,
+    ) -> Outcome:
+        ended: list[FinishCall] = []
+        done = trio.Event()
+
+        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+            ended.append(end)
+            done.set()
+
+        call = Call(
+            call_id=self._owner.make_call_id(),
+            request_id=f"{ticket.issuer.host}-{ticket.serial}",
+            service=service.name,
+            group=group.name,
+            shard="",
+            version=0,
+            deadline=deadline,
+            body=body,
+            idempotent=False,
+        )
+        self._owner.submit([Wanted(call=call, finish=finish)])
+        await done.wait()
+        return ended[0].outcome
+
+    # As the witness, and as whoever asks one.
+
+    async def _open_witness(self) -> Peer | None:
+        """Return a witness that holds this issuer, in another data centre if any."""
+        own = self._settings.get_host(self._peer.host)
+        centres = {host.name: host.data_centre for host in self._settings.hosts}
+        own_centre = own.data_centre if own else ""
+        names = [name for name in self._fleet.live if name != self._peer.host]
+        names.sort(key=lambda name: (centres.get(name) == own_centre, name))
+        offset = self._peer.incarnation
+        elsewhere = [name for name in names if centres.get(name) != own_centre] or names
+        for turn in range(min(N_WITNESSES_TRIED, len(elsewhere))):
+            host = elsewhere[(offset + turn) % len(elsewhere)]
+            witness = await self._open_at(host)
+            if witness is not None:
+                return witness
+        return None
+
+    async def _open_at(self, host: str) -> Peer | None:
+        address = self._fleet.get_address(host)
+        channel = await self._dialer.dial(host, address) if address else Loss.REFUSED
+        if isinstance(channel, Loss) or channel.peer is None:
+            return None
+        witness = Peer(host=host, incarnation=channel.peer.incarnation)
+        if witness in self._opened:
+            return witness
+        reply = await self._ask_witness(
+            witness, self._issuer.open(witness), limit=WITNESS_LIMIT
+        )
+        if not isinstance(reply, Kept):
+            return None
+        self._opened.add(witness)
+        return witness
+
+    async def _ask_witness_to_void(self, ticket: Ticket) -> VoidReply:
+        if ticket.witness is None:
+            return WitnessLost()
+        reply = await self._ask_witness(
+            ticket.witness, VoidTicket(ticket=ticket), limit=ASK_LIMIT
+        )
+        match reply:
+            case Voided() | Started() | Forgotten() | Refused():
+                return reply
+            case _:
+                return WitnessLost()
+
+    async def _ask_witness(
+        self, witness: Peer, request: WitnessRequest, *, limit: float
+    ) -> Reply | WitnessLost:
+        if witness == self._peer:
+            return self._witness.answer(request, now=trio.current_time())
+        ask = encode_request(request)
+        reply: Reply | IssuerLost = IssuerLost()
+        with trio.move_on_after(limit):
+            # All requests to a witness may be repeated, so a channel that turns
+            # out to be lost is replaced and the request sent again.
+            for _ in range(WITNESS_TRIES):
+                reply = await self._ask_peer(witness, ask, limit=limit)
+                if not isinstance(reply, IssuerLost):
+                    return reply
+        return WitnessLost()
+
+    async def _ask_issuer(self, ticket: Ticket) -> IssuerReply:
+        if ticket.issuer == self._peer:
+            return self._issuer.ask(ticket, now=trio.current_time())
+        ask = TicketAsk(verb=ASK, ticket=str(ticket))
+        return _take_issuer(await self._ask_peer(ticket.issuer, ask, limit=ASK_LIMIT))
+
+    async def _ask_peer(self, peer: Peer, ask: TicketAsk, *, limit: float) -> Reply:
+        """Ask one life of a host; a later life of it cannot answer for it."""
+        address = self._fleet.get_address(peer.host)
+        if address is None or peer.host == self._peer.host:
+            return IssuerLost()
+        channel = await self._dialer.dial(peer.host, address)
+        if isinstance(channel, Loss) or channel.peer is None:
+            return IssuerLost()
+        if channel.peer.incarnation != peer.incarnation:
+            return IssuerLost()
+        reply = await channel.ask(ask, limit=limit)
+        if not isinstance(reply, TicketReply):
+            return IssuerLost()
+        try:
+            return decode_reply(reply)
+        except BadFrameError:
+            return IssuerLost()
+
+    # For peers.
+
+    async def answer(self, ask: TicketAsk) -> TicketReply:
+        """Answer a peer's order or question about a ticket."""
+        return encode_reply(await self._answer(ask))
+
+    async def _answer(self, ask: TicketAsk) -> Reply:
+        now = trio.current_time()
+        try:
+            if ask.verb in WITNESS_VERBS:
+                return self._witness.answer(decode_request(ask), now=now)
+            ticket = read_ticket(ask)
+        except BadFrameError:
+            return Refused(reason=TicketProblem.MALFORMED)
+        if ask.verb == RUN:
+            deadline = now + ask.left_ms / 1_000
+            return await self._run_here(ticket, ask.body, deadline)
+        if ask.verb == ASK:
+            return self._issuer.ask(ticket, now=now)
+        return Refused(reason=TicketProblem.MALFORMED)
+
+
+def _describe(verdict: Settled | Pending | Rejected) -> str:
+    match verdict:
+        case Settled(outcome=NotRun(reason=reason) | Unknown(reason=reason)):
+            return f"{name_outcome(verdict.outcome)}: {reason.value}"
+        case Settled():
+            return "answered"
+        case Pending():
+            return "pending"
+        case Rejected(reason=problem):
+            return f"rejected: {problem.value}"
+
+
+def _render(request_id: str, outcome: Outcome) -> RunAnswer:
+    match outcome:
+        case Answered(body=body):
+            return RunResult(request_id=request_id, result=body)
+        case NotRun() | Unknown():
+            return Refusal(request_id=request_id, outcome=outcome)
+
+
+def _take_issuer(reply: Reply) -> IssuerReply:
+    match reply:
+        case Known() | AlreadyRunning() | NotBegun() | Refused():
+            return reply
+        case _:
+            return IssuerLost()
+
+
+def _reject(problem: TicketProblem) -> BadRequestError:
+    return BadRequestError(
+        status=HTTPStatus.UNPROCESSABLE_ENTITY,
+        problem="bad ticket",
+        detail=f"{problem.value}: take a new ticket from /tickets",
+    )
--- /dev/null
+++ b/src/lavendergap/entry/daemon.py
@@ -0,0 +1,303 @@
+"""The daemon on an entry host: starts its parts, and stops them without a cut."""
+
+import functools
+import logging
+import secrets
+import signal
+import sys
+import time
+from random import Random
+
+import trio
+
+from .. import metrics
+from ..coordination.documents import Documents
+from ..coordination.issuer import Issuer
+from ..coordination.pinning import Pinning
+from ..coordination.witness import Witness
+from ..errors import LavendergapError, Problem, SettingsError
+from ..logs import LineHandler, flush_logs, log_decision
+from ..protocol.answers import Refusal, SearchResult
+from ..protocol.peer import Frame, Hello
+from ..state.settings import Host, Settings
+from ..state.snapshot import Published
+from ..state.ticket import Peer
+from ..transport.admin import AdminApp
+from ..transport.callers import CallerRequest, CallersApp, Handlers
+from ..transport.channel import Acceptor, Channel, Dialer
+from .bookings import Bookings
+from .documents import INDEX_PREFIX, check_document, make_default_index, read_index
+from .fleet import Fleet
+from .owner import Owner
+from .peers import PeerService
+from .ports import serve_port
+from .search import Coordinator, Query
+from .status import HostStatus, MemberStatus, ServiceStatus, SettingsStatus
+
+logger = logging.getLogger("lavendergap.entry")
+
+# The balancer asks for readiness every second or so; until it has noticed, it still
+# sends callers here, and they are served.
+LEAVE_NOTICE = 3.0
+DRAIN_CHECK = 0.05
+SWEEP_INTERVAL = 5.0
+BACKLOG = 256
+
+
+def run_entry(settings: Settings, host: str, settings_path: str) -> None:
+    """Run the daemon of `host` until SIGTERM; raise SettingsError for no such host."""
+    own = settings.get_host(host)
+    if own is None:
+        names = ", ".join(h.name for h in settings.hosts)
+        problem = Problem(
+            file=settings_path,
+            path="data_centres",
+            expected=f"a host {host!r}; the file has {names}",
+        )
+        raise SettingsError(problems=(problem,))
+    daemon = Daemon(settings=settings, own=own)
+    trio.run(daemon.run)
+
+
+def make_incarnation() -> int:
+    """Return a number that a later start of this process exceeds.
+
+    Milliseconds of the wall clock, since a host keeps nothing over a restart; a
+    restart takes longer than one.
+    """
+    return int(time.time() * 1_000)
+
+
+class Daemon:
+    """One entry process. `run` returns once it has stopped as planned."""
+
+    def __init__(self, *, settings: Settings, own: Host) -> None:
+        self._settings = settings
+        self._own = own
+        self._incarnation = make_incarnation()
+        self._random = Random(secrets.randbits(64))
+        self._documents = Documents(check=check_document)
+        self._fleet = Fleet(own_name=own.name, settings=settings)
+        self._pinnings: dict[str, Pinning] = {}
+        self._is_leaving = False
+        self._stop = trio.Event()
+        self._source = "file"
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                print("ready", flush=True)
+                async for _ in signals:
+                    break
+            await self._leave()
+            nursery.cancel_scope.cancel()
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        self._build(nursery)
+        self._use_settings(self._settings)
+        for handler in logging.getLogger().handlers:
+            if isinstance(handler, LineHandler):
+                nursery.start_soon(flush_logs, handler)
+        nursery.start_soon(self._acceptor.serve, await self._listen())
+        nursery.start_soon(self._sweep)
+        nursery.start_soon(self._bookings.keep_confirming)
+        await self._open_ports(nursery)
+        log_decision(
+            logger,
+            "started",
+            request_id=None,
+            host=self._own.name,
+            incarnation=self._incarnation,
+        )
+
+    def _build(self, nursery: trio.Nursery) -> None:
+        hello = Hello(
+            deployment=self._settings.deployment,
+            host=self._own.name,
+            incarnation=self._incarnation,
+        )
+        control = self._settings.control
+        peer = Peer(host=self._own.name, incarnation=self._incarnation)
+        self._owner = Owner(
+            settings=self._settings,
+            nursery=nursery,
+            random=self._random,
+            attempt_prefix=f"{self._own.name}-{self._incarnation}",
+        )
+        self._dialer = Dialer(own=hello, nursery=nursery)
+        self._bookings = Bookings(
+            peer=peer,
+            issuer=Issuer(
+                peer=peer,
+                secret=secrets.token_bytes(32),
+                max_tickets=control.max_tickets,
+                ticket_lifetime_ms=control.ticket_lifetime_ms,
+            ),
+            witness=Witness(
+                peer=peer,
+                max_tickets=control.max_tickets,
+                ticket_lifetime_ms=control.ticket_lifetime_ms,
+            ),
+            settings=self._settings,
+            fleet=self._fleet,
+            owner=self._owner,
+            dialer=self._dialer,
+            nursery=nursery,
+        )
+        self._peers = PeerService(
+            owner=self._owner,
+            documents=self._documents,
+            nursery=nursery,
+            answer_ticket=self._bookings.answer,
+        )
+        self._acceptor = Acceptor(
+            own=hello, handle=self._handle_peer, lose=self._peers.drop
+        )
+        self._coordinator = Coordinator(
+            fleet=self._fleet,
+            owner=self._owner,
+            dialer=self._dialer,
+            nursery=nursery,
+            pinnings=self._pinnings,
+        )
+
+    def _handle_peer(self, channel: Channel, frame: Frame) -> None:
+        self._peers.handle(channel, frame)
+
+    async def _listen(self) -> trio.SocketListener:
+        address = self._own.peers
+        try:
+            [listener] = await trio.open_tcp_listeners(
+                address.port, host=address.ip, backlog=BACKLOG
+            )
+        except OSError as error:
+            raise LavendergapError(
+                f"cannot listen on {address}: {error.strerror}; is another process "
+                "of this host running?"
+            ) from error
+        return listener
+
+    async def _open_ports(self, nursery: trio.Nursery) -> None:
+        drain = self._settings.control.drain_ms / 1_000
+        handlers = Handlers(
+            get_settings=lambda: self._settings,
+            search=self._search,
+            issue=self._bookings.issue,
+            run=self._bookings.run,
+            look_up=self._bookings.look_up,
+            is_leaving=lambda: self._is_leaving,
+        )
+        self._callers = CallersApp(handlers=handlers)
+        admin = AdminApp(get_unready=self._get_unready, get_status=self._get_status)
+        for app, address in (
+            (self._callers, self._own.callers),
+            (admin, self._own.admin),
+        ):
+            serve = functools.partial(
+                serve_port, app, address, stop=self._stop, drain_limit=drain
+            )
+            await nursery.start(serve)
+
+    async def _search(self, request: CallerRequest) -> SearchResult | Refusal:
+        query = Query(
+            request_id=request.request_id,
+            service=request.service,
+            body=request.body,
+            started=request.started,
+            deadline=request.deadline,
+        )
+        return await self._coordinator.search(query)
+
+    # Settings and snapshots in force.
+
+    def _use_settings(self, settings: Settings) -> None:
+        self._settings = settings
+        self._fleet.replace_settings(settings)
+        self._owner.replace(settings)
+        self._bookings.replace(settings)
+        metrics.settings_version.set(settings.version)
+        for service in settings.services:
+            held = self._documents.get(INDEX_PREFIX + service.name)
+            published = make_default_index(service)
+            if held is not None:
+                published = read_index(service.name, held.version, held.body)
+            self._use_index(published)
+        log_decision(
+            logger,
+            "settings in force",
+            request_id=None,
+            version=settings.version,
+            source=self._source,
+        )
+
+    def _use_index(self, published: Published) -> None:
+        pinning = self._pinnings.get(published.service)
+        if pinning is None:
+            self._pinnings[published.service] = Pinning(published=published)
+        else:
+            pinning.replace(published, now=trio.current_time())
+
+    # What others are told.
+
+    def _get_unready(self) -> str:
+        if self._is_leaving:
+            return "stopping"
+        return ""
+
+    def _get_status(self) -> HostStatus:
+        now = trio.current_time()
+        return HostStatus(
+            host=self._own.name,
+            data_centre=self._own.data_centre,
+            incarnation=self._incarnation,
+            state="leaving" if self._is_leaving else "live",
+            unready=self._get_unready(),
+            settings=SettingsStatus(
+                version=self._settings.version, source=self._source
+            ),
+            members=[
+                MemberStatus(name=name, data_centre="", state="live", incarnation=0)
+                for name in sorted(self._fleet.live)
+            ],
+            services=[
+                ServiceStatus(
+                    name=name,
+                    version=(snapshot := pinning.choose(now=now)).version,
+                    n_shards=len(snapshot.shards),
+                )
+                for name, pinning in self._pinnings.items()
+            ],
+        )
+
+    # Housekeeping and the planned stop.
+
+    async def _sweep(self) -> None:
+        while True:
+            await trio.sleep(SWEEP_INTERVAL)
+            self._owner.close_unused()
+
+    async def _leave(self) -> None:
+        """Stop without cutting a request.
+
+        First the balancer and the peers are told, and callers are served as before
+        until both have noticed. Then nothing new is taken, what runs is finished,
+        what others may ask about is handed over, and the ports close.
+        """
+        drain = self._settings.control.drain_ms / 1_000
+        self._is_leaving = True
+        log_decision(logger, "leaving", request_id=None, host=self._own.name)
+        self._acceptor.announce_leaving()
+        await trio.sleep(min(LEAVE_NOTICE, drain / 2))
+        with trio.move_on_after(drain):
+            while self._callers.n_running or self._bookings.is_busy:
+                await trio.sleep(DRAIN_CHECK)
+            self._owner.stop()
+            while self._owner.is_busy:
+                await trio.sleep(DRAIN_CHECK)
+            await self._bookings.hand_over()
+        self._stop.set()
+        await trio.sleep(DRAIN_CHECK)
+        log_decision(logger, "stopped", request_id=None, host=self._own.name)
+        sys.stderr.flush()
--- /dev/null
+++ b/src/lavendergap/entry/owner.py
@@ -0,0 +1,370 @@
+"""What this host does as the owner of groups: runs their schedulers' effects."""
+
+import itertools
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+
+from .. import metrics
+from ..coordination.calls import (
+    AttemptEnded,
+    Call,
+    CancelAttempt,
+    Effect,
+    FinishCall,
+    StartAttempt,
+)
+from ..coordination.scheduler import GroupScheduler
+from ..logs import log_decision
+from ..protocol.leaf import Verdict
+from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
+from ..state.settings import Group, Service, Settings
+from ..transport.backend import BackendClient
+
+logger = logging.getLogger("lavendergap.route")
+
+# Told how a call ended, and which index versions the server said it has.
+Finish = Callable[[FinishCall, tuple[int, ...]], None]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Wanted:
+    """A call that somebody wants made, and who is told how it ended."""
+
+    call: Call
+    finish: Finish
+
+
+class GroupRunner:
+    """One group's scheduler, its connections and the attempts that are running."""
+
+    def __init__(
+        self,
+        *,
+        group: Group,
+        service: Service,
+        settings: Settings,
+        nursery: trio.Nursery,
+        random: Random,
+        attempt_prefix: str,
+    ) -> None:
+        self.group = group
+        self.service = service
+        self.used_at = trio.current_time()
+        self.scheduler = GroupScheduler(
+            group=group, service=service, control=settings.control, random=random
+        )
+        self._settings = settings
+        self._nursery = nursery
+        self._prefix = attempt_prefix
+        self._clients: dict[str, BackendClient] = {}
+        self._finishes: dict[int, Finish] = {}
+        self._scopes: dict[int, trio.CancelScope] = {}
+        self._versions: dict[str, tuple[int, ...]] = {}
+        self._alarm = trio.CancelScope()
+        self._life = trio.CancelScope()
+        self._count = {
+            cause: metrics.attempts.labels(service.name, cause)
+            for cause in ("first", "retry", "hedge")
+        }
+        self._add_clients(group)
+        nursery.start_soon(self._live)
+
+    def _add_clients(self, group: Group) -> None:
+        idle_limit = self._settings.control.idle_connection_ms / 1_000
+        for server in group.servers:
+            held = self._clients.get(server.name)
+            if held is None or held.server != server:
+                self._clients[server.name] = BackendClient(
+                    server=server, idle_limit=idle_limit
+                )
+
+    def replace(self, *, group: Group, service: Service, settings: Settings) -> None:
+        """Act on new settings; calls that run are finished as they started."""
+        self.group = group
+        self.service = service
+        self._settings = settings
+        self._add_clients(group)
+        self.apply(
+            self.scheduler.replace(
+                group=group,
+                service=service,
+                control=settings.control,
+                now=trio.current_time(),
+            )
+        )
+
+    def submit(self, wanted: Wanted) -> list[StartAttempt]:
+        """Submit a call; return the attempts that start at once, for the log."""
+        now = trio.current_time()
+        self.used_at = now
+        self._finishes[wanted.call.call_id] = wanted.finish
+        return self.apply(self.scheduler.submit(wanted.call, now=now), is_logged=True)
+
+    def cancel(self, call_id: int) -> None:
+        """Cancel a call that nobody waits for any more."""
+        if call_id in self._finishes:
+            self.apply(self.scheduler.cancel(call_id, now=trio.current_time()))
+
+    def stop(self) -> None:
+        """Refuse what is queued; what runs goes on."""
+        self.apply(self.scheduler.stop(now=trio.current_time()))
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether any call has not ended yet."""
+        return bool(self._finishes) or bool(self._scopes)
+
+    def close(self) -> None:
+        """End the group's tasks; used once it is no longer busy."""
+        self._life.cancel()
+
+    def apply(
+        self, effects: list[Effect], *, is_logged: bool = False
+    ) -> list[StartAttempt]:
+        """Carry out effects in their order; return the attempts started."""
+        starts = []
+        for effect in effects:
+            match effect:
+                case StartAttempt():
+                    starts.append(effect)
+                    self._count[effect.cause].inc()
+                    self._nursery.start_soon(self._attempt, effect)
+                    if not is_logged or effect.cause != "first":
+                        self._log_start(effect)
+                case CancelAttempt(attempt_id=attempt_id):
+                    scope = self._scopes.get(attempt_id)
+                    if scope is not None:
+                        scope.cancel()
+                case FinishCall():
+                    self._finish(effect)
+        wake_at = self.scheduler.next_wake()
+        if wake_at is not None and wake_at < self._alarm.deadline:
+            self._alarm.deadline = wake_at
+        return starts
+
+    def _log_start(self, effect: StartAttempt) -> None:
+        log_decision(
+            logger,
+            effect.cause,
+            request_id=effect.call.request_id,
+            shard=effect.call.shard,
+            server=effect.server,
+            why=effect.why,
+        )
+
+    def _finish(self, effect: FinishCall) -> None:
+        finish = self._finishes.pop(effect.call.call_id)
+        match effect.outcome:
+            case NotRun() | Unknown() as outcome:
+                log_decision(
+                    logger,
+                    "no answer",
+                    request_id=effect.call.request_id,
+                    shard=effect.call.shard,
+                    server=effect.server,
+                    step=outcome.step.value,
+                    peer=outcome.peer,
+                    reason=outcome.reason.value,
+                    n_attempts=effect.n_attempts,
+                )
+        finish(effect, self._versions.get(effect.server, ()))
+
+    async def _attempt(self, effect: StartAttempt) -> None:
+        started = trio.current_time()
+        client = self._clients[effect.server]
+        attempt = f"{self._prefix}-{self.group.name}-{effect.attempt_id}".encode()
+        with trio.CancelScope() as scope:
+            self._scopes[effect.attempt_id] = scope
+            verdict = await client.call(
+                effect.call, attempt=attempt, fresh=effect.fresh_connection
+            )
+        del self._scopes[effect.attempt_id]
+        if scope.cancelled_caught:
+            verdict = Verdict(outcome=_judge_cancelled(effect.server), report=None)
+        now = trio.current_time()
+        self._count_end(verdict.outcome)
+        if verdict.report is not None:
+            self._versions[effect.server] = verdict.report.versions
+        self.apply(
+            self.scheduler.end_attempt(
+                AttemptEnded(
+                    attempt_id=effect.attempt_id,
+                    outcome=verdict.outcome,
+                    report=verdict.report,
+                    elapsed=now - started,
+                ),
+                now=now,
+            )
+        )
+
+    def _count_end(self, outcome: Outcome) -> None:
+        match outcome:
+            case NotRun(reason=reason) | Unknown(reason=reason):
+                metrics.attempt_ends.labels(self.service.name, reason.value).inc()
+                if reason is Reason.WRONG_ANSWER:
+                    metrics.dropped_answers.labels("wrong answer of a server").inc()
+
+    async def _live(self) -> None:
+        """Keep time and probe until closed; then close the idle connections."""
+        with self._life:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._keep_time)
+                nursery.start_soon(self._keep_probing)
+        with trio.CancelScope(shield=True):
+            for client in self._clients.values():
+                await client.close()
+
+    async def _keep_time(self) -> None:
+        while True:
+            wake_at = self.scheduler.next_wake()
+            deadline = float("inf") if wake_at is None else wake_at
+            with trio.CancelScope(deadline=deadline) as self._alarm:
+                await trio.sleep_forever()
+            self.apply(self.scheduler.advance(now=trio.current_time()))
+
+    async def _keep_probing(self) -> None:
+        """Ask each server's health endpoint now and then, one after the other."""
+        while True:
+            for server in self.group.servers:
+                client = self._clients[server.name]
+                report = await client.probe()
+                now = trio.current_time()
+                self.apply(self.scheduler.observe(server.name, report, now=now))
+                await client.close_idle(now=now)
+            await trio.sleep(self._settings.control.server_probe_interval_ms / 1_000)
+
+
+def _judge_cancelled(server: str) -> Outcome:
+    return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.CANCELLED)
+
+
+class Owner:
+    """Every group that this host owns, or stands in for while its owner is away.
+
+    Runners are made when a group is first asked for, and go once the group has not
+    been asked for during `idle_connection_ms`, so that a group that moved to another
+    host leaves no connections behind.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        nursery: trio.Nursery,
+        random: Random,
+        attempt_prefix: str,
+    ) -> None:
+        self._settings = settings
+        self._nursery = nursery
+        self._random = random
+        self._prefix = attempt_prefix
+        self._runners: dict[str, GroupRunner] = {}
+        self._call_ids = itertools.count(1)
+        self._is_stopping = False
+
+    def make_call_id(self) -> int:
+        """Return an id that no other call of this process has."""
+        return next(self._call_ids)
+
+    def replace(self, settings: Settings) -> None:
+        """Put new settings in force for every group that runs here."""
+        self._settings = settings
+        for name, runner in list(self._runners.items()):
+            found = self._find(runner.service.name, name)
+            if found is None:
+                runner.stop()
+            else:
+                runner.replace(group=found[1], service=found[0], settings=settings)
+
+    def _find(self, service_name: str, group_name: str) -> tuple[Service, Group] | None:
+        service = self._settings.get_service(service_name)
+        if service is None:
+            return None
+        for group in service.groups:
+            if group.name == group_name:
+                return service, group
+        return None
+
+    def _get_runner(self, call: Call) -> GroupRunner | None:
+        runner = self._runners.get(call.group)
+        if runner is not None:
+            return runner
+        found = self._find(call.service, call.group)
+        if found is None:
+            return None
+        runner = GroupRunner(
+            group=found[1],
+            service=found[0],
+            settings=self._settings,
+            nursery=self._nursery,
+            random=self._random,
+            attempt_prefix=self._prefix,
+        )
+        self._runners[call.group] = runner
+        return runner
+
+    def submit(self, wanted: list[Wanted]) -> None:
+        """Submit the calls of one query, and log where they were placed."""
+        placed = []
+        for one in wanted:
+            if self._is_stopping:
+                self._refuse(one, Reason.STOPPING)
+                continue
+            runner = self._get_runner(one.call)
+            if runner is None:
+                self._refuse(one, Reason.UNKNOWN_SERVICE)
+                continue
+            placed += runner.submit(one)
+        self._log_plan(wanted, placed)
+
+    def _log_plan(self, wanted: list[Wanted], placed: list[StartAttempt]) -> None:
+        call = wanted[0].call
+        log_decision(
+            logger,
+            "plan",
+            request_id=call.request_id,
+            service=call.service,
+            version=call.version,
+            n_calls=len(wanted),
+            n_queued=len(wanted) - len(placed),
+            placements=" ".join(
+                [f"{start.call.shard}={start.server}[{start.why}]" for start in placed]
+            ),
+        )
+
+    def _refuse(self, wanted: Wanted, reason: Reason) -> None:
+        outcome = NotRun(step=Step.ROUTE, peer=wanted.call.group, reason=reason)
+        wanted.finish(
+            FinishCall(call=wanted.call, outcome=outcome, server="", n_attempts=0), ()
+        )
+
+    def cancel(self, calls: list[Call]) -> None:
+        """Cancel calls that nobody waits for any more."""
+        for call in calls:
+            runner = self._runners.get(call.group)
+            if runner is not None:
+                runner.cancel(call.call_id)
+
+    def close_unused(self) -> None:
+        """End the runners of groups that nobody has asked for in a while."""
+        limit = self._settings.control.idle_connection_ms / 1_000
+        now = trio.current_time()
+        for name, runner in list(self._runners.items()):
+            if not runner.is_busy and now - runner.used_at > limit:
+                runner.close()
+                del self._runners[name]
+
+    def stop(self) -> None:
+        """Take nothing new; refuse what is queued; what runs goes on."""
+        self._is_stopping = True
+        for runner in self._runners.values():
+            runner.stop()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether any call has not ended yet."""
+        return any(runner.is_busy for runner in self._runners.values())
--- /dev/null
+++ b/src/lavendergap/entry/peers.py
@@ -0,0 +1,162 @@
+"""What this host does for its peers: serves the requests on their channels."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from .. import metrics
+from ..coordination.calls import Call, FinishCall
+from ..coordination.documents import Documents
+from ..protocol.peer import (
+    Answers,
+    Cancel,
+    Document,
+    Fetch,
+    Frame,
+    Ran,
+    Run,
+    Search,
+    ShardAnswer,
+    TicketAsk,
+    TicketReply,
+)
+from ..transport.channel import Channel
+from .owner import Owner, Wanted
+
+
+@dataclass(kw_only=True, slots=True)
+class Served:
+    """A peer's Search: its calls that run, and the answers not yet sent."""
+
+    calls: dict[str, Call] = field(default_factory=dict)
+    answers: list[ShardAnswer] = field(default_factory=list)
+
+
+class PeerService:
+    """Serves peers' requests; `answer_ticket` decides on tickets."""
+
+    def __init__(
+        self,
+        *,
+        owner: Owner,
+        documents: Documents,
+        nursery: trio.Nursery,
+        answer_ticket: Callable[[TicketAsk], Awaitable[TicketReply]],
+    ) -> None:
+        self._owner = owner
+        self._documents = documents
+        self._nursery = nursery
+        self._answer_ticket = answer_ticket
+        self._served: dict[Channel, dict[int, Served]] = {}
+
+    def handle(self, channel: Channel, frame: Frame) -> None:
+        """Take one request of a peer; replies go out as they come."""
+        match frame.message:
+            case Search() as search:
+                self._search(channel, frame.id, search)
+            case Cancel(shards=shards):
+                self._cancel(channel, frame.id, shards)
+            case Run() as run:
+                self._run(channel, frame.id, run)
+            case Fetch() as fetch:
+                self._fetch(channel, frame.id, fetch)
+            case TicketAsk() as ask:
+                self._nursery.start_soon(self._ticket, channel, frame.id, ask)
+            case _:
+                metrics.rejected_input.labels("peers", "unexpected message").inc()
+
+    def drop(self, channel: Channel) -> None:
+        """Cancel what a lost channel's peer had asked for."""
+        for served in self._served.pop(channel, {}).values():
+            self._owner.cancel(list(served.calls.values()))
+
+    def _search(self, channel: Channel, frame_id: int, search: Search) -> None:
+        served = Served()
+        self._served.setdefault(channel, {})[frame_id] = served
+        deadline = trio.current_time() + search.left_ms / 1_000
+
+        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+            answer = ShardAnswer(
+                shard=end.call.shard,
+                server=end.server,
+                outcome=end.outcome,
+                versions=versions,
+            )
+            self._collect(channel, frame_id, served, answer)
+
+        wanted = []
+        for ref in search.shards:
+            call = Call(
+                call_id=self._owner.make_call_id(),
+                request_id=search.request_id,
+                service=search.service,
+                group=ref.group,
+                shard=ref.shard,
+                version=search.version,
+                deadline=deadline,
+                body=search.body,
+                idempotent=True,
+            )
+            served.calls[ref.shard] = call
+            wanted.append(Wanted(call=call, finish=finish))
+        if wanted:
+            self._owner.submit(wanted)
+
+    def _collect(
+        self, channel: Channel, frame_id: int, served: Served, answer: ShardAnswer
+    ) -> None:
+        """Keep an answer for the flush that follows in the next turn of the loop.
+
+        Answers that come within one turn then share one message.
+        """
+        if served.calls.pop(answer.shard, None) is None:
+            return
+        if not served.answers:
+            self._nursery.start_soon(self._flush, channel, frame_id, served)
+        served.answers.append(answer)
+
+    async def _flush(self, channel: Channel, frame_id: int, served: Served) -> None:
+        answers, served.answers = served.answers, []
+        channel.send(Frame(id=frame_id, message=Answers(answers=tuple(answers))))
+        if not served.calls:
+            self._served.get(channel, {}).pop(frame_id, None)
+
+    def _cancel(self, channel: Channel, frame_id: int, shards: tuple[str, ...]) -> None:
+        served = self._served.get(channel, {}).get(frame_id)
+        if served is None:
+            return
+        calls = [served.calls.pop(s) for s in shards if s in served.calls]
+        self._owner.cancel(calls)
+        if not served.calls:
+            self._served[channel].pop(frame_id, None)
+
+    def _run(self, channel: Channel, frame_id: int, run: Run) -> None:
+        call = Call(
+            call_id=self._owner.make_call_id(),
+            request_id=run.request_id,
+            service=run.service,
+            group=run.group,
+            shard="",
+            version=0,
+            deadline=trio.current_time() + run.left_ms / 1_000,
+            body=run.body,
+            idempotent=False,
+        )
+
+        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+            ran = Ran(server=end.server, outcome=end.outcome)
+            channel.send(Frame(id=frame_id, message=ran))
+
+        self._owner.submit([Wanted(call=call, finish=finish)])
+
+    def _fetch(self, channel: Channel, frame_id: int, fetch: Fetch) -> None:
+        held = self._documents.get(fetch.name)
+        reply = Document(name=fetch.name, version=0, body=b"")
+        if held is not None and held.version >= fetch.at_least:
+            reply = Document(name=fetch.name, version=held.version, body=held.body)
+        channel.send(Frame(id=frame_id, message=reply))
+
+    async def _ticket(self, channel: Channel, frame_id: int, ask: TicketAsk) -> None:
+        reply = await self._answer_ticket(ask)
+        channel.send(Frame(id=frame_id, message=reply))
--- /dev/null
+++ b/src/lavendergap/entry/search.py
@@ -0,0 +1,366 @@
+"""What this host does as the coordinator of a query that a caller brought it."""
+
+import logging
+from dataclasses import dataclass, field
+
+import trio
+
+from .. import metrics
+from ..coordination.calls import Call, FinishCall
+from ..coordination.joining import Join
+from ..coordination.pinning import Pinning
+from ..logs import log_decision
+from ..protocol.answers import Refusal, SearchResult, ShardResult
+from ..protocol.peer import (
+    Answers,
+    Cancel,
+    Frame,
+    Message,
+    Search,
+    ShardAnswer,
+    ShardRef,
+)
+from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
+from ..state.settings import Service
+from ..state.snapshot import Shard, Snapshot
+from ..transport.channel import Channel, Dialer, Exchange, Loss
+from .fleet import Fleet
+from .owner import Owner, Wanted
+
+logger = logging.getLogger("lavendergap.route")
+
+# A shard whose owner was lost goes to the host ranked next, and once more after
+# that: two lost in one query is a rack, more is a data centre, and by then most of
+# the deadline is gone.
+MAX_OWNERS_TRIED = 3
+MAX_SNAPSHOTS_TRIED = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Query:
+    """A caller's query; `deadline` is in seconds on the loop's clock."""
+
+    request_id: str
+    service: Service
+    body: bytes
+    started: float
+    deadline: float
+
+
+@dataclass(kw_only=True, slots=True)
+class Part:
+    """The shards of a query that one owner was asked for, and those still open."""
+
+    host: str
+    channel: Channel | None = None
+    request_id: int = 0
+    calls: list[Call] = field(default_factory=list)
+    open_shards: dict[str, Shard] = field(default_factory=dict)
+
+
+class Coordinator:
+    """Runs the queries of this host's callers over the owners of their shards."""
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        owner: Owner,
+        dialer: Dialer,
+        nursery: trio.Nursery,
+        pinnings: dict[str, Pinning],
+    ) -> None:
+        self._fleet = fleet
+        self._owner = owner
+        self._dialer = dialer
+        self._nursery = nursery
+        self._pinnings = pinnings
+
+    async def search(self, query: Query) -> SearchResult | Refusal:
+        """Answer a query from one snapshot, by its deadline at the latest."""
+        result: SearchResult | Refusal | None = None
+        for _ in range(MAX_SNAPSHOTS_TRIED):
+            pinning = self._pinnings[query.service.name]
+            snapshot = pinning.choose(now=trio.current_time())
+            run = SearchRun(
+                query=query,
+                snapshot=snapshot,
+                pinning=pinning,
+                fleet=self._fleet,
+                owner=self._owner,
+                dialer=self._dialer,
+                nursery=self._nursery,
+            )
+            result = await run.run()
+            if not run.needs_newer_snapshot:
+                break
+            if pinning.choose(now=trio.current_time()).version == snapshot.version:
+                break
+            if trio.current_time() >= query.deadline:
+                break
+            log_decision(
+                logger,
+                "newer snapshot",
+                request_id=query.request_id,
+                gone=snapshot.version,
+            )
+        assert result is not None
+        return result
+
+
+class SearchRun:
+    """One query at one snapshot."""
+
+    def __init__(
+        self,
+        *,
+        query: Query,
+        snapshot: Snapshot,
+        pinning: Pinning,
+        fleet: Fleet,
+        owner: Owner,
+        dialer: Dialer,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._query = query
+        self._snapshot = snapshot
+        self._pinning = pinning
+        self._fleet = fleet
+        self._owner = owner
+        self._dialer = dialer
+        self._nursery = nursery
+        self._parts: list[Part] = []
+        self._tried: dict[str, list[str]] = {}
+        self._refusals: list[NotRun] = []
+        self._may_have_run = False
+        self._progress = trio.Event()
+        self._join = Join(
+            snapshot=snapshot,
+            policy=query.service.stragglers,
+            started=query.started,
+            deadline=query.deadline,
+        )
+
+    @property
+    def needs_newer_snapshot(self) -> bool:
+        """Whether a shard no longer has this index version."""
+        return self._join.needs_newer_snapshot
+
+    async def run(self) -> SearchResult | Refusal:
+        """Ask every owner, join the answers, give up when policy or time say so."""
+        try:
+            self._send(list(self._snapshot.shards))
+            await self._wait()
+        finally:
+            self._withdraw()
+        return self._conclude()
+
+    async def _wait(self) -> None:
+        while not self._join.is_done and not self._join.needs_newer_snapshot:
+            wake_at = self._join.next_wake()
+            limit = self._query.deadline
+            if wake_at is not None:
+                limit = min(limit, wake_at)
+            self._progress = trio.Event()
+            with trio.move_on_at(limit):
+                await self._progress.wait()
+            now = trio.current_time()
+            self._join.advance(now=now)
+            if now >= self._query.deadline:
+                break
+
+    def _send(self, shards: list[Shard]) -> None:
+        by_host: dict[str, list[Shard]] = {}
+        for shard in shards:
+            host = self._choose_owner(shard)
+            if host is None:
+                self._miss(shard, Reason.NO_REPLICA, shard.group)
+            else:
+                by_host.setdefault(host, []).append(shard)
+        log_decision(
+            logger,
+            "route",
+            request_id=self._query.request_id,
+            version=self._snapshot.version,
+            owners={host: len(part) for host, part in by_host.items()},
+        )
+        for host, part in by_host.items():
+            self._send_part(host, part)
+
+    def _choose_owner(self, shard: Shard) -> str | None:
+        tried = self._tried.setdefault(shard.name, [])
+        if len(tried) >= MAX_OWNERS_TRIED:
+            return None
+        for host in self._fleet.rank(shard.group):
+            if host not in tried:
+                tried.append(host)
+                return host
+        return None
+
+    def _send_part(self, host: str, shards: list[Shard]) -> None:
+        part = Part(host=host, open_shards={s.name: s for s in shards})
+        self._parts.append(part)
+        if host == self._fleet.own_name:
+            self._submit(part, shards)
+            return
+        channel = self._dialer.get_open(host)
+        if channel is not None:
+            self._ask(part, channel)
+        else:
+            self._nursery.start_soon(self._dial_and_ask, part)
+
+    def _submit(self, part: Part, shards: list[Shard]) -> None:
+        query = self._query
+        wanted = []
+        for shard in shards:
+            call = Call(
+                call_id=self._owner.make_call_id(),
+                request_id=query.request_id,
+                service=query.service.name,
+                group=shard.group,
+                shard=shard.name,
+                version=self._snapshot.version,
+                deadline=query.deadline,
+                body=query.body,
+                idempotent=True,
+            )
+            part.calls.append(call)
+            wanted.append(
+                Wanted(
+                    call=call,
+                    finish=lambda end, versions: self._finish(part, end, versions),
+                )
+            )
+        self._owner.submit(wanted)
+
+    def _finish(self, part: Part, end: FinishCall, versions: tuple[int, ...]) -> None:
+        answer = ShardAnswer(
+            shard=end.call.shard,
+            server=end.server,
+            outcome=end.outcome,
+            versions=versions,
+        )
+        self._take(part, answer)
+
+    async def _dial_and_ask(self, part: Part) -> None:
+        address = self._fleet.get_address(part.host)
+        if address is None:
+            self._lose(part, Loss.REFUSED)
+            return
+        channel = await self._dialer.dial(part.host, address)
+        if isinstance(channel, Loss):
+            self._lose(part, channel)
+        else:
+            self._ask(part, channel)
+
+    def _ask(self, part: Part, channel: Channel) -> None:
+        query = self._query
+        left = query.deadline - trio.current_time()
+        part.channel = channel
+        part.request_id = channel.request(
+            Search(
+                request_id=query.request_id,
+                service=query.service.name,
+                version=self._snapshot.version,
+                left_ms=max(0, int(left * 1_000)),
+                body=query.body,
+                shards=tuple(
+                    ShardRef(shard=s.name, group=s.group)
+                    for s in part.open_shards.values()
+                ),
+            ),
+            Exchange(
+                reply=lambda message: self._take_message(part, message),
+                lose=lambda loss: self._lose(part, loss),
+            ),
+        )
+
+    def _take_message(self, part: Part, message: Message) -> None:
+        match message:
+            case Answers(answers=answers):
+                for answer in answers:
+                    self._take(part, answer)
+            case _:
+                metrics.dropped_answers.labels("unexpected reply of a peer").inc()
+
+    def _take(self, part: Part, answer: ShardAnswer) -> None:
+        shard = part.open_shards.pop(answer.shard, None)
+        if shard is None:
+            metrics.dropped_answers.labels("answer for a shard not asked for").inc()
+            return
+        if not part.open_shards and part.channel is not None:
+            part.channel.forget(part.request_id)
+        now = trio.current_time()
+        self._pinning.observe(shard=shard.name, versions=answer.versions, now=now)
+        match answer.outcome:
+            case NotRun(reason=Reason.STOPPING):
+                self._send([shard])
+                return
+            case NotRun(reason=Reason.VERSION_GONE):
+                self._pinning.mark_gone(
+                    shard=shard.name, version=self._snapshot.version, now=now
+                )
+            case NotRun() as refusal:
+                self._refusals.append(refusal)
+            case _:
+                self._may_have_run = True
+        self._join.add(answer.shard, answer.outcome, answer.server, now=now)
+        self._progress.set()
+
+    def _lose(self, part: Part, loss: Loss) -> None:
+        """Send what a lost owner had not answered to the hosts ranked next."""
+        if not part.open_shards:
+            return
+        shards = list(part.open_shards.values())
+        part.open_shards.clear()
+        log_decision(
+            logger,
+            "owner lost",
+            request_id=self._query.request_id,
+            host=part.host,
+            loss=loss.value,
+            n_shards=len(shards),
+        )
+        if loss is not Loss.REFUSED:
+            self._may_have_run = True
+        if trio.current_time() >= self._query.deadline:
+            return
+        self._send(shards)
+
+    def _miss(self, shard: Shard, reason: Reason, peer: str) -> None:
+        outcome: Outcome = Unknown(step=Step.ROUTE, peer=peer, reason=reason)
+        self._join.add(shard.name, outcome, "", now=trio.current_time())
+        self._progress.set()
+
+    def _withdraw(self) -> None:
+        """Cancel whatever is still open: nobody waits for it any more."""
+        for part in self._parts:
+            if not part.open_shards:
+                continue
+            self._may_have_run = True
+            names = tuple(part.open_shards)
+            part.open_shards.clear()
+            if part.channel is None:
+                open_calls = [call for call in part.calls if call.shard in names]
+                self._owner.cancel(open_calls)
+            else:
+                part.channel.forget(part.request_id)
+                frame = Frame(id=part.request_id, message=Cancel(shards=names))
+                part.channel.send(frame)
+
+    def _conclude(self) -> SearchResult | Refusal:
+        results = self._join.results()
+        query = self._query
+        if not results and not self._may_have_run and self._refusals:
+            worst = max(self._refusals, key=lambda refusal: refusal.retry_after_ms)
+            return Refusal(request_id=query.request_id, outcome=worst)
+        return SearchResult(
+            request_id=query.request_id,
+            service=query.service.name,
+            version=self._snapshot.version,
+            coverage=self._join.coverage(),
+            results=tuple(
+                ShardResult(shard=result.shard, result=result.body)
+                for result in results
+            ),
+        )
--- /dev/null
+++ b/src/lavendergap/metrics.py
@@ -0,0 +1,61 @@
+"""Every metric of the daemon, by the name that operators scrape."""
+
+from prometheus_client import REGISTRY, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS = (0.005, 0.01, 0.02, 0.04, 0.08, 0.14, 0.2, 0.28, 0.4, 0.8, 1.6, 5)
+
+requests = Counter(
+    "lavendergap_requests",
+    "Requests of callers by service and outcome.",
+    ["service", "outcome"],
+)
+request_seconds = Histogram(
+    "lavendergap_request_seconds",
+    "Time from a caller's request to its answer.",
+    ["service"],
+    buckets=LATENCY_BUCKETS,
+)
+coverage_share = Histogram(
+    "lavendergap_coverage_share",
+    "Share of the snapshot that an answer covered.",
+    ["service"],
+    buckets=(0.5, 0.8, 0.9, 0.95, 0.99, 1.0),
+)
+attempts = Counter(
+    "lavendergap_attempts",
+    "Calls to backend servers by service and cause (first, retry, hedge).",
+    ["service", "cause"],
+)
+attempt_ends = Counter(
+    "lavendergap_attempt_ends",
+    "Ends of calls to backend servers by service and reason.",
+    ["service", "reason"],
+)
+rejected_input = Counter(
+    "lavendergap_rejected_input",
+    "Malformed input refused, by port and problem.",
+    ["port", "problem"],
+)
+dropped_answers = Counter(
+    "lavendergap_dropped_answers",
+    "Answers that failed a check and were not used, by check.",
+    ["check"],
+)
+backend_connections = Gauge(
+    "lavendergap_backend_connections", "Open connections to backend servers."
+)
+peer_channels = Gauge("lavendergap_peer_channels", "Open channels to peers.")
+channel_losses = Counter(
+    "lavendergap_channel_losses", "Channels to peers lost, by reason.", ["reason"]
+)
+control_bytes = Counter(
+    "lavendergap_control_bytes", "Bytes sent for control, by kind.", ["kind"]
+)
+settings_version = Gauge(
+    "lavendergap_settings_version", "Version of the settings in force here."
+)
+log_lines_dropped = Counter(
+    "lavendergap_log_lines_dropped", "Log lines dropped because stderr was full."
+)
+
+__all__ = ["REGISTRY"]
--- /dev/null
+++ b/src/lavendergap/transport/admin.py
@@ -0,0 +1,62 @@
+"""The HTTP port for operators and the balancer: metrics, health, status."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from .web import Receive, Response, Scope, Send, send_response, serve_lifespan
+
+
+class ReadyBody(msgspec.Struct):
+    """Whether the balancer may send callers here, and if not, why."""
+
+    ready: bool
+    reason: str
+
+
+class AdminApp:
+    """An ASGI application; `get_unready` returns why not, or "" when ready."""
+
+    def __init__(
+        self,
+        *,
+        get_unready: Callable[[], str],
+        get_status: Callable[[], msgspec.Struct],
+    ) -> None:
+        self._get_unready = get_unready
+        self._get_status = get_status
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await send_response(send, self._serve(scope))
+
+    def _serve(self, scope: Scope) -> Response:
+        if scope["method"] != "GET":
+            return _answer(HTTPStatus.METHOD_NOT_ALLOWED, {"error": "use GET"})
+        match scope["path"]:
+            case "/metrics":
+                return Response(
+                    status=HTTPStatus.OK,
+                    body=generate_latest(),
+                    content_type=CONTENT_TYPE_LATEST.encode(),
+                )
+            case "/health":
+                return _answer(HTTPStatus.OK, {"health": "alive"})
+            case "/ready":
+                reason = self._get_unready()
+                status = HTTPStatus.SERVICE_UNAVAILABLE if reason else HTTPStatus.OK
+                return _answer(status, ReadyBody(ready=not reason, reason=reason))
+            case "/status":
+                return _answer(HTTPStatus.OK, self._get_status())
+            case _:
+                paths = "/metrics, /health, /ready or /status"
+                return _answer(HTTPStatus.NOT_FOUND, {"error": f"use {paths}"})
+
+
+def _answer(status: HTTPStatus, body: object) -> Response:
+    return Response(status=status, body=msgspec.json.encode(body))
--- /dev/null
+++ b/src/lavendergap/transport/callers.py
@@ -0,0 +1,336 @@
+"""The HTTP port for callers: checks what comes in, answers what came out."""
+
+import math
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import msgspec
+import trio
+
+from .. import metrics
+from ..protocol.answers import (
+    Refusal,
+    SearchResult,
+    encode_refusal,
+    encode_search,
+    get_retry_after_ms,
+    name_outcome,
+)
+from ..state.outcome import NotRun
+from ..state.settings import Service, Settings
+from .web import (
+    JSON_TYPE,
+    BadRequestError,
+    Receive,
+    Response,
+    Scope,
+    Send,
+    get_headers,
+    read_body,
+    reject,
+    send_response,
+    serve_lifespan,
+)
+
+PORT = "callers"
+MAX_DEADLINE_MS = 60_000
+MAX_REQUEST_ID = 128
+MAX_TICKET = 512
+_check_json = msgspec.json.Decoder(msgspec.Raw).decode
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerRequest:
+    """A checked request; `deadline` is in seconds on the loop's clock."""
+
+    request_id: str
+    service: Service
+    body: bytes
+    started: float
+    deadline: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TicketText:
+    """A ticket that was issued to a caller."""
+
+    text: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunResult:
+    """The answer to a request that ran once, as the JSON its server sent."""
+
+    request_id: str
+    result: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pending:
+    """A ticket whose request has no outcome yet."""
+
+    request_id: str
+    state: str
+
+
+RunAnswer = RunResult | Refusal | Pending | BadRequestError
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Handlers:
+    """What the daemon does for callers; none of these raises for a failure."""
+
+    get_settings: Callable[[], Settings]
+    search: Callable[[CallerRequest], Awaitable[SearchResult | Refusal]]
+    issue: Callable[[CallerRequest], Awaitable[TicketText | Refusal]]
+    run: Callable[[CallerRequest, str], Awaitable[RunAnswer]]
+    look_up: Callable[[str, str], Awaitable[RunAnswer]]
+    is_leaving: Callable[[], bool]
+
+
+class CallersApp:
+    """An ASGI application; see docs/design/interfaces.md for its calls."""
+
+    def __init__(self, *, handlers: Handlers) -> None:
+        self.n_running = 0
+        self._handlers = handlers
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        self.n_running += 1
+        try:
+            response = await self._serve(scope, receive)
+            if self._handlers.is_leaving():
+                # The balancer keeps connections open; one that we close while a
+                # request is on its way would cut it. Told so in an answer, the
+                # other side closes it itself, between two requests.
+                response = _add_header(response, b"connection", b"close")
+            await send_response(send, response)
+        finally:
+            self.n_running -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive) -> Response:
+        try:
+            return await self._route(scope, receive)
+        except BadRequestError as error:
+            return reject(port=PORT, error=error)
+
+    async def _route(self, scope: Scope, receive: Receive) -> Response:
+        match scope["path"].strip("/").split("/"):
+            case ["v1", "services", name, "query"]:
+                request = await self._read(scope, receive, name)
+                return await self._search(request)
+            case ["v1", "services", name, "tickets"]:
+                request = await self._read(scope, receive, name, needs_body=False)
+                return await self._issue(request)
+            case ["v1", "services", name, "requests"]:
+                request = await self._read(scope, receive, name)
+                return await self._run(request, _read_ticket(scope))
+            case ["v1", "tickets", ticket]:
+                _need_method(scope, "GET")
+                answer = await self._handlers.look_up(make_request_id(scope), ticket)
+                return _render_run(answer)
+            case _:
+                raise BadRequestError(
+                    status=HTTPStatus.NOT_FOUND,
+                    problem="unknown path",
+                    detail="use /v1/services/SERVICE/query, /tickets or /requests",
+                )
+
+    async def _read(
+        self, scope: Scope, receive: Receive, name: str, *, needs_body: bool = True
+    ) -> CallerRequest:
+        _need_method(scope, "POST")
+        service = self._handlers.get_settings().get_service(name)
+        if service is None:
+            raise BadRequestError(
+                status=HTTPStatus.NOT_FOUND,
+                problem="unknown service",
+                detail=f"there is no service {name[:64]!r} in the settings in force",
+            )
+        started = trio.current_time()
+        deadline = started + _read_deadline_ms(scope, service) / 1_000
+        body = b""
+        if needs_body:
+            _need_json(scope)
+            body = await read_body(scope, receive, limit=service.max_body_bytes)
+            try:
+                _check_json(body)
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                raise BadRequestError(
+                    status=HTTPStatus.BAD_REQUEST,
+                    problem="malformed body",
+                    detail=f"the body is not JSON: {error}",
+                ) from error
+        return CallerRequest(
+            request_id=make_request_id(scope),
+            service=service,
+            body=body,
+            started=started,
+            deadline=deadline,
+        )
+
+    async def _search(self, request: CallerRequest) -> Response:
+        if not request.service.idempotent:
+            raise BadRequestError(
+                status=HTTPStatus.UNPROCESSABLE_ENTITY,
+                problem="not a query",
+                detail="this service is not idempotent: take a ticket, then POST "
+                "to /requests with it",
+            )
+        result = await self._handlers.search(request)
+        name = request.service.name
+        metrics.request_seconds.labels(name).observe(
+            trio.current_time() - request.started
+        )
+        match result:
+            case Refusal():
+                outcome = name_outcome(result.outcome)
+                metrics.requests.labels(name, outcome).inc()
+                return _render_refusal(result)
+            case SearchResult():
+                outcome = "answered" if result.is_whole else "partly answered"
+                metrics.requests.labels(name, outcome).inc()
+                metrics.coverage_share.labels(name).observe(result.coverage.share)
+                status = HTTPStatus.OK if result.results else HTTPStatus.GATEWAY_TIMEOUT
+                return Response(status=status, body=encode_search(result))
+
+    async def _issue(self, request: CallerRequest) -> Response:
+        _need_not_idempotent(request.service)
+        issued = await self._handlers.issue(request)
+        match issued:
+            case TicketText(text=text):
+                body = msgspec.json.encode({"ticket": text})
+                return Response(status=HTTPStatus.CREATED, body=body)
+            case Refusal():
+                return _render_refusal(issued)
+
+    async def _run(self, request: CallerRequest, ticket: str) -> Response:
+        _need_not_idempotent(request.service)
+        answer = await self._handlers.run(request, ticket)
+        name = request.service.name
+        match answer:
+            case RunResult():
+                metrics.requests.labels(name, "answered").inc()
+            case Refusal(outcome=outcome):
+                metrics.requests.labels(name, name_outcome(outcome)).inc()
+        return _render_run(answer)
+
+
+def _add_header(response: Response, name: bytes, value: bytes) -> Response:
+    return Response(
+        status=response.status,
+        body=response.body,
+        content_type=response.content_type,
+        headers=(*response.headers, (name, value)),
+    )
+
+
+def _need_method(scope: Scope, method: str) -> None:
+    if scope["method"] != method:
+        raise BadRequestError(
+            status=HTTPStatus.METHOD_NOT_ALLOWED,
+            problem="wrong method",
+            detail=f"use {method}",
+        )
+
+
+def _need_json(scope: Scope) -> None:
+    stated = get_headers(scope).get(b"content-type", JSON_TYPE)
+    if stated.split(b";")[0].strip().lower() != JSON_TYPE:
+        raise BadRequestError(
+            status=HTTPStatus.UNSUPPORTED_MEDIA_TYPE,
+            problem="wrong media type",
+            detail="send application/json",
+        )
+
+
+def _need_not_idempotent(service: Service) -> None:
+    if service.idempotent:
+        raise BadRequestError(
+            status=HTTPStatus.UNPROCESSABLE_ENTITY,
+            problem="not a booking",
+            detail="this service is queried: POST to /query, without a ticket",
+        )
+
+
+def _read_deadline_ms(scope: Scope, service: Service) -> float:
+    stated = get_headers(scope).get(b"deadline-ms")
+    if stated is None:
+        return service.deadline_ms
+    try:
+        deadline_ms = float(stated)
+    except ValueError:
+        deadline_ms = math.nan
+    if not 1 <= deadline_ms <= MAX_DEADLINE_MS:
+        raise BadRequestError(
+            status=HTTPStatus.UNPROCESSABLE_ENTITY,
+            problem="impossible deadline",
+            detail=f"Deadline-Ms is a number from 1 to {MAX_DEADLINE_MS}",
+        )
+    return deadline_ms
+
+
+def _read_ticket(scope: Scope) -> str:
+    headers = get_headers(scope)
+    if b"idempotency-key" in headers:
+        raise BadRequestError(
+            status=HTTPStatus.UNPROCESSABLE_ENTITY,
+            problem="idempotency key",
+            detail="a key chosen by the caller cannot be promised to run at most "
+            "once: take a ticket from /tickets and send it as Ticket",
+        )
+    ticket = headers.get(b"ticket")
+    if ticket is None or len(ticket) > MAX_TICKET:
+        raise BadRequestError(
+            status=HTTPStatus.PRECONDITION_REQUIRED,
+            problem="no ticket",
+            detail="take a ticket from /tickets and send it as Ticket, so that a "
+            "retry cannot run the request twice",
+        )
+    return ticket.decode("latin-1")
+
+
+def make_request_id(scope: Scope) -> str:
+    """Return the caller's Request-Id if it is usable, or a new one."""
+    stated = get_headers(scope).get(b"request-id", b"").decode("latin-1")
+    if stated and len(stated) <= MAX_REQUEST_ID and stated.isprintable():
+        return stated
+    return secrets.token_hex(8)
+
+
+def _render_refusal(refusal: Refusal) -> Response:
+    after = math.ceil(get_retry_after_ms(refusal.outcome) / 1_000)
+    status = HTTPStatus.GATEWAY_TIMEOUT
+    if isinstance(refusal.outcome, NotRun):
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+    return Response(
+        status=status,
+        body=encode_refusal(refusal),
+        headers=((b"retry-after", b"%d" % after),),
+    )
+
+
+def _render_run(answer: RunAnswer) -> Response:
+    match answer:
+        case BadRequestError():
+            raise answer
+        case Refusal():
+            return _render_refusal(answer)
+        case Pending(request_id=request_id, state=state):
+            body = {"request_id": request_id, "outcome": "pending", "state": state}
+            return Response(status=HTTPStatus.OK, body=msgspec.json.encode(body))
+        case RunResult(request_id=request_id, result=result):
+            answered = {
+                "request_id": request_id,
+                "outcome": "answered",
+                "result": msgspec.Raw(result),
+            }
+            return Response(status=HTTPStatus.OK, body=msgspec.json.encode(answered))
--- /dev/null
+++ b/src/lavendergap/transport/channel.py
@@ -0,0 +1,351 @@
+"""A TCP channel between two entry processes, which proves that it is alive.
+
+The dialling side sends requests and the accepting side replies, any number of times
+for each request. What several tasks send within one turn of the loop leaves in one
+write.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+import trio
+
+from .. import metrics
+from ..protocol.peer import (
+    FORMAT,
+    LENGTH,
+    MAX_FRAME_BYTES,
+    BadFrameError,
+    Frame,
+    GoingAway,
+    Hello,
+    Message,
+    Ping,
+    Pong,
+    decode_frame,
+    encode_frame,
+)
+from ..state.settings import Address
+
+logger = logging.getLogger("lavendergap.connections")
+
+CONNECT_LIMIT = 0.5
+HEARTBEAT_AFTER = 0.25
+SILENCE_LIMIT = 0.75
+READ_SIZE = 65_536
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
+
+
+class Loss(StrEnum):
+    """Why a channel ended."""
+
+    CLOSED = "closed by the peer"
+    RESET = "connection reset"
+    SILENT = "silent"
+    BAD_FRAME = "bad frame"
+    SLOW_READER = "peer does not read"
+    STOPPED = "stopped here"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Exchange:
+    """What to do with the replies to a request, and with the loss of its channel."""
+
+    reply: Callable[[Message], None]
+    lose: Callable[[Loss], None]
+
+
+class Channel:
+    """One TCP connection between two entry processes.
+
+    `handle` is called on the accepting side with each request's frame; it answers
+    with `send`. The dialling side calls `request`, and `forget` when it expects no
+    more replies.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: trio.SocketStream,
+        own: Hello,
+        handle: Callable[["Channel", Frame], None] | None = None,
+        lose: Callable[["Channel", Loss], None] | None = None,
+    ) -> None:
+        self.peer: Hello | None = None
+        self.greeted = trio.Event()
+        self.is_open = True
+        self.is_leaving = False
+        self._stream = stream
+        self._own = own
+        self._handle = handle
+        self._lose = lose
+        self._exchanges: dict[int, Exchange] = {}
+        self._last_id = 0
+        self._received_at = 0.0
+        self._sent_ping = False
+        self._unsent = bytearray()
+        self._has_unsent = trio.Event()
+        self._scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        """Read and write until the channel ends, then tell all who wait."""
+        metrics.peer_channels.inc()
+        loss = Loss.STOPPED
+        self._received_at = trio.current_time()
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write)
+                    nursery.start_soon(self._watch)
+                    await self._read()
+                    nursery.cancel_scope.cancel()
+                    loss = Loss.CLOSED
+        except* BadFrameError as group:
+            loss = Loss.BAD_FRAME
+            metrics.rejected_input.labels("peers", "bad frame").inc()
+            logger.warning("bad frame from %s: %s", self._peer_name, group.exceptions)
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            loss = Loss.RESET
+        finally:
+            metrics.peer_channels.dec()
+            await self._end(loss)
+
+    @property
+    def _peer_name(self) -> str:
+        return self.peer.host if self.peer else "a peer that has not said its name"
+
+    async def _end(self, loss: Loss) -> None:
+        loss = self._forced_loss or loss
+        self.is_open = False
+        self.greeted.set()
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(self._stream)
+        metrics.channel_losses.labels(loss.value).inc()
+        exchanges, self._exchanges = self._exchanges, {}
+        for exchange in exchanges.values():
+            exchange.lose(loss)
+        if self._lose is not None:
+            self._lose(self, loss)
+
+    _forced_loss: Loss | None = None
+
+    def close(self, loss: Loss = Loss.STOPPED) -> None:
+        """End the channel at once; requests that wait are told `loss`."""
+        self.is_open = False
+        self._forced_loss = loss
+        self._scope.cancel()
+
+    def send(self, frame: Frame) -> None:
+        """Queue a frame for the next write; closes on a peer that does not read."""
+        if not self.is_open:
+            return
+        self._unsent += encode_frame(frame)
+        if len(self._unsent) > MAX_UNSENT_BYTES:
+            # A peer that stopped reading would otherwise hold our memory until
+            # we die of it; closing frees it and its requests go elsewhere.
+            self.close(Loss.SLOW_READER)
+        self._has_unsent.set()
+
+    def request(self, message: Message, exchange: Exchange) -> int:
+        """Send a request; its replies and its loss go to `exchange`."""
+        self._last_id += 1
+        if not self._exchanges:
+            self._received_at = trio.current_time()
+        self._exchanges[self._last_id] = exchange
+        self.send(Frame(id=self._last_id, message=message))
+        return self._last_id
+
+    def forget(self, request_id: int) -> None:
+        """Drop whatever still comes for this request."""
+        self._exchanges.pop(request_id, None)
+
+    async def ask(self, message: Message, *, limit: float) -> Message | Loss:
+        """Send a request and wait up to `limit` seconds for its one reply."""
+        sender, receiver = trio.open_memory_channel[Message | Loss](1)
+
+        def put(result: Message | Loss) -> None:
+            sender.send_nowait(result)
+            sender.close()
+
+        request_id = self.request(message, Exchange(reply=put, lose=put))
+        try:
+            with trio.move_on_after(limit):
+                return await receiver.receive()
+        finally:
+            self.forget(request_id)
+        return Loss.SILENT
+
+    async def _write(self) -> None:
+        while True:
+            await self._has_unsent.wait()
+            self._has_unsent = trio.Event()
+            data, self._unsent = self._unsent, bytearray()
+            await self._stream.send_all(data)
+
+    async def _watch(self) -> None:
+        # Something between the ends may lose track of a connection: both ends
+        # believe in it and nothing arrives. While somebody waits for a reply, any
+        # byte proves the channel; without one for a while a Ping asks, and
+        # without an answer to that the channel ends, so that the requests on it
+        # are tried over a new one well within their deadlines.
+        while True:
+            await trio.sleep(HEARTBEAT_AFTER / 2)
+            silence = trio.current_time() - self._received_at
+            if not self._exchanges:
+                self._sent_ping = False
+            elif silence > SILENCE_LIMIT:
+                self.close(Loss.SILENT)
+            elif silence > HEARTBEAT_AFTER and not self._sent_ping:
+                self._sent_ping = True
+                self.send(Frame(id=0, message=Ping()))
+
+    async def _read(self) -> None:
+        buffer = bytearray()
+        while data := await self._stream.receive_some(READ_SIZE):
+            self._received_at = trio.current_time()
+            self._sent_ping = False
+            buffer += data
+            self._take_frames(buffer)
+
+    def _take_frames(self, buffer: bytearray) -> None:
+        start = 0
+        while len(buffer) - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(buffer, start)
+            if length > MAX_FRAME_BYTES:
+                raise BadFrameError(problem=f"a frame of {length} bytes")
+            end = start + LENGTH.size + length
+            if len(buffer) < end:
+                break
+            self._take(decode_frame(bytes(buffer[start + LENGTH.size : end])))
+            start = end
+        del buffer[:start]
+
+    def _take(self, frame: Frame) -> None:
+        match frame.message:
+            case Hello() as hello:
+                self._greet(hello)
+            case Ping():
+                self.send(Frame(id=0, message=Pong()))
+            case Pong():
+                pass
+            case GoingAway():
+                self.is_leaving = True
+            case message:
+                self._dispatch(frame, message)
+
+    def _greet(self, hello: Hello) -> None:
+        if hello.format != FORMAT:
+            raise BadFrameError(problem=f"format {hello.format}, ours is {FORMAT}")
+        if hello.deployment != self._own.deployment:
+            raise BadFrameError(problem=f"deployment {hello.deployment!r}")
+        self.peer = hello
+        self.greeted.set()
+
+    def _dispatch(self, frame: Frame, message: Message) -> None:
+        if self.peer is None:
+            raise BadFrameError(problem="a message before Hello")
+        if self._handle is not None:
+            self._handle(self, frame)
+            return
+        exchange = self._exchanges.get(frame.id)
+        if exchange is None:
+            metrics.dropped_answers.labels("late reply of a peer").inc()
+        else:
+            exchange.reply(message)
+
+
+class Dialer:
+    """Keeps one channel to each peer that is asked, dialled when first needed."""
+
+    def __init__(self, *, own: Hello, nursery: trio.Nursery) -> None:
+        self._own = own
+        self._nursery = nursery
+        self._channels: dict[str, Channel] = {}
+        self._locks: dict[str, trio.Lock] = {}
+
+    def get_open(self, host: str) -> Channel | None:
+        """Return the channel to `host` if it can take a request now."""
+        channel = self._channels.get(host)
+        if channel is None or not channel.is_open:
+            return None
+        return channel
+
+    async def dial(self, host: str, address: Address) -> Channel | Loss:
+        """Return a channel to `host`, a new one if none is open."""
+        lock = self._locks.setdefault(host, trio.Lock())
+        async with lock:
+            channel = self.get_open(host)
+            return channel if channel is not None else await self._open(host, address)
+
+    async def _open(self, host: str, address: Address) -> Channel | Loss:
+        try:
+            with trio.fail_after(CONNECT_LIMIT):
+                stream = await trio.open_tcp_stream(address.ip, address.port)
+        except trio.TooSlowError:
+            return Loss.SILENT
+        except OSError:
+            return Loss.REFUSED
+        channel = Channel(stream=stream, own=self._own, lose=self._drop)
+        channel.send(Frame(id=0, message=self._own))
+        self._nursery.start_soon(channel.run)
+        with trio.move_on_after(CONNECT_LIMIT):
+            await channel.greeted.wait()
+        return self._admit(host, channel)
+
+    def _admit(self, host: str, channel: Channel) -> Channel | Loss:
+        # An address may have passed to another host since we learnt it. What is
+        # asked of one host must not be done by another, so the name has to match.
+        if channel.peer is None or channel.peer.host != host:
+            channel.close(Loss.REFUSED)
+            return Loss.REFUSED if channel.peer else Loss.SILENT
+        self._channels[host] = channel
+        return channel
+
+    def _drop(self, channel: Channel, loss: Loss) -> None:
+        for host, held in list(self._channels.items()):
+            if held is channel:
+                del self._channels[host]
+                logger.info("channel to %s ended: %s", host, loss.value)
+
+
+class Acceptor:
+    """Accepts peers' channels and hands each request to `handle`."""
+
+    def __init__(
+        self,
+        *,
+        own: Hello,
+        handle: Callable[[Channel, Frame], None],
+        lose: Callable[[Channel], None],
+    ) -> None:
+        self._own = own
+        self._handle = handle
+        self._tell_lost = lose
+        self._channels: set[Channel] = set()
+
+    async def serve(self, listener: trio.SocketListener) -> None:
+        """Accept channels until cancelled."""
+        await trio.serve_listeners(self._serve_one, [listener])
+
+    async def _serve_one(self, stream: trio.SocketStream) -> None:
+        channel = Channel(
+            stream=stream,
+            own=self._own,
+            handle=self._handle,
+            lose=self._drop,
+        )
+        self._channels.add(channel)
+        channel.send(Frame(id=0, message=self._own))
+        await channel.run()
+
+    def _drop(self, channel: Channel, loss: Loss) -> None:
+        self._channels.discard(channel)
+        self._tell_lost(channel)
+
+    def announce_leaving(self) -> None:
+        """Tell every peer that this process is stopping."""
+        for channel in self._channels:
+            channel.send(Frame(id=0, message=GoingAway()))
--- /dev/null
+++ b/src/lavendergap/transport/web.py
@@ -0,0 +1,114 @@
+"""Reading requests and sending answers over ASGI, within limits, for both ports."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import trio
+
+from .. import metrics
+from ..protocol.answers import encode_error
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Scope = dict[str, Any]
+
+# A caller that sends its body slower than this holds one of our few connections
+# for nothing, since its deadline is long past by then.
+BODY_LIMIT = 5.0
+JSON_TYPE = b"application/json"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Response:
+    """An answer to send: a status, a body and extra headers."""
+
+    status: int
+    body: bytes
+    content_type: bytes = JSON_TYPE
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+class BadRequestError(Exception):
+    """Input that cannot be served; becomes an answer with `status`."""
+
+    def __init__(self, *, status: HTTPStatus, problem: str, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.problem = problem
+        self.detail = detail
+
+
+def reject(*, port: str, error: BadRequestError) -> Response:
+    """Count a bad request and return its answer."""
+    metrics.rejected_input.labels(port, error.problem).inc()
+    return Response(status=error.status, body=encode_error(error.detail))
+
+
+def get_headers(scope: Scope) -> dict[bytes, bytes]:
+    """Return the request's headers by their lower-case names."""
+    return dict(scope["headers"])
+
+
+async def read_body(scope: Scope, receive: Receive, *, limit: int) -> bytes:
+    """Return the whole body, or raise BadRequestError past `limit` bytes or time."""
+    stated = get_headers(scope).get(b"content-length")
+    if stated is not None and int(stated) > limit:
+        raise _too_large(limit)
+    parts: list[bytes] = []
+    n_bytes = 0
+    with trio.move_on_after(BODY_LIMIT):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise BadRequestError(
+                    status=HTTPStatus.BAD_REQUEST,
+                    problem="caller left",
+                    detail="the connection closed before the body was complete",
+                )
+            parts.append(message.get("body", b""))
+            n_bytes += len(parts[-1])
+            if n_bytes > limit:
+                raise _too_large(limit)
+            if not message.get("more_body"):
+                return b"".join(parts)
+    raise BadRequestError(
+        status=HTTPStatus.REQUEST_TIMEOUT,
+        problem="slow body",
+        detail=f"send the whole body within {BODY_LIMIT:g} s",
+    )
+
+
+def _too_large(limit: int) -> BadRequestError:
+    return BadRequestError(
+        status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        problem="body too large",
+        detail=f"send at most {limit} bytes",
+    )
+
+
+async def send_response(send: Send, response: Response) -> None:
+    """Send a whole answer."""
+    headers = [
+        (b"content-type", response.content_type),
+        (b"content-length", b"%d" % len(response.body)),
+        *response.headers,
+    ]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": int(response.status),
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": response.body})
+
+
+async def serve_lifespan(receive: Receive, send: Send) -> None:
+    """Answer the server's lifespan events, without which it stops silently."""
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
