Wire membership and documents into the daemon

Cause: hosts of the settings file counted as live for ever and settings came from the file alone. Now membership decides who owns what, two watch holders read the platform, the others fetch by gossip, and a process is ready only once it has settings that the platform or a ready peer gave. Trials, not yet tests.

--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -13,20 +13,25 @@
 from .. import metrics
 from ..coordination.documents import Documents
 from ..coordination.issuer import Issuer
+from ..coordination.membership import Membership
 from ..coordination.pinning import Pinning
 from ..coordination.witness import Witness
 from ..errors import LavendergapError, Problem, SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
 from ..protocol.answers import Refusal, SearchResult
 from ..protocol.peer import Frame, Hello
+from ..state.gossip import DocumentsHeard, Event, MemberChanged
+from ..state.member import Member
 from ..state.settings import Host, Settings
 from ..state.snapshot import Published
 from ..state.ticket import Peer
 from ..transport.admin import AdminApp
 from ..transport.callers import CallerRequest, CallersApp, Handlers
 from ..transport.channel import Acceptor, Channel, Dialer
+from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
+from ..transport.platform import PlatformClient
 from .bookings import Bookings
-from .documents import INDEX_PREFIX, check_document, make_default_index, read_index
+from .documents import DocumentKeeper, check_document
 from .fleet import Fleet
 from .owner import Owner
 from .peers import PeerService
@@ -81,26 +86,34 @@
         self._pinnings: dict[str, Pinning] = {}
         self._is_leaving = False
         self._stop = trio.Event()
-        self._source = "file"
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
         async with trio.open_nursery() as nursery:
             await self._start(nursery)
             with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                print("ready", flush=True)
+                nursery.start_soon(self._announce_ready)
                 async for _ in signals:
                     break
             await self._leave()
             nursery.cancel_scope.cancel()
 
     async def _start(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        listener = await self._listen()
+        self._endpoint = await open_gossip(
+            self._own.peers,
+            deployment=self._settings.deployment,
+            metrics=GossipMetrics(registry=metrics.REGISTRY),
+        )
         self._build(nursery)
         self._use_settings(self._settings)
         for handler in logging.getLogger().handlers:
             if isinstance(handler, LineHandler):
                 nursery.start_soon(flush_logs, handler)
-        nursery.start_soon(self._acceptor.serve, await self._listen())
+        nursery.start_soon(self._acceptor.serve, listener)
+        nursery.start_soon(self._gossip)
+        nursery.start_soon(self._keeper.run)
         nursery.start_soon(self._sweep)
         nursery.start_soon(self._bookings.keep_confirming)
         await self._open_ports(nursery)
@@ -112,6 +125,30 @@
             incarnation=self._incarnation,
         )
 
+    async def _announce_ready(self) -> None:
+        """Print `ready` once, for whoever started this process and waits."""
+        while self._get_unready():
+            await trio.sleep(DRAIN_CHECK)
+        print("ready", flush=True)
+
+    async def _gossip(self) -> None:
+        self._membership.join(host.peers for host in self._settings.hosts)
+        await run_gossip(self._membership, self._endpoint, on_change=self._take_event)
+
+    def _take_event(self, event: Event) -> None:
+        match event:
+            case MemberChanged():
+                self._fleet.replace_live(
+                    {
+                        member.name: member.peers
+                        for member in self._membership.members()
+                        if member.may_own
+                    }
+                )
+            case DocumentsHeard(member=member, documents=digest):
+                comparison = self._documents.compare(digest)
+                self._keeper.hear(member.name, comparison.wanted)
+
     def _build(self, nursery: trio.Nursery) -> None:
         hello = Hello(
             deployment=self._settings.deployment,
@@ -127,6 +164,28 @@
             attempt_prefix=f"{self._own.name}-{self._incarnation}",
         )
         self._dialer = Dialer(own=hello, nursery=nursery)
+        self._membership = Membership(
+            own=Member(
+                name=self._own.name,
+                data_centre=self._own.data_centre,
+                peers=self._own.peers,
+                incarnation=self._incarnation,
+            ),
+            control=control,
+            random=self._random,
+        )
+        self._keeper = DocumentKeeper(
+            settings=self._settings,
+            documents=self._documents,
+            platform=PlatformClient(address=self._settings.platform),
+            fleet=self._fleet,
+            dialer=self._dialer,
+            nursery=nursery,
+            random=self._random,
+            get_members=self._membership.members,
+            use_settings=self._use_settings,
+            use_index=self._use_index,
+        )
         self._bookings = Bookings(
             peer=peer,
             issuer=Issuer(
@@ -218,19 +277,18 @@
         self._owner.replace(settings)
         self._bookings.replace(settings)
         metrics.settings_version.set(settings.version)
-        for service in settings.services:
-            held = self._documents.get(INDEX_PREFIX + service.name)
-            published = make_default_index(service)
-            if held is not None:
-                published = read_index(service.name, held.version, held.body)
+        for published in self._keeper.get_published(settings):
             self._use_index(published)
-        log_decision(
-            logger,
-            "settings in force",
-            request_id=None,
-            version=settings.version,
-            source=self._source,
+        self._membership.join(host.peers for host in settings.hosts)
+        self._tell_peers()
+
+    def _tell_peers(self) -> None:
+        sends = self._membership.announce(
+            documents=self._documents.digest(),
+            settings_version=self._settings.version,
+            now=trio.current_time(),
         )
+        self._nursery.start_soon(self._endpoint.send, sends)
 
     def _use_index(self, published: Published) -> None:
         pinning = self._pinnings.get(published.service)
@@ -238,16 +296,24 @@
             self._pinnings[published.service] = Pinning(published=published)
         else:
             pinning.replace(published, now=trio.current_time())
+        self._tell_peers()
 
     # What others are told.
 
     def _get_unready(self) -> str:
         if self._is_leaving:
             return "stopping"
+        if not self._membership.joined:
+            return "no peer has answered yet"
+        if not self._keeper.is_settled:
+            # The file may be older than what is in force elsewhere: serving by it
+            # would take accepted edits back.
+            return "no settings from the platform or a peer yet"
         return ""
 
     def _get_status(self) -> HostStatus:
         now = trio.current_time()
+        in_force = self._keeper.describe()
         return HostStatus(
             host=self._own.name,
             data_centre=self._own.data_centre,
@@ -255,11 +321,21 @@
             state="leaving" if self._is_leaving else "live",
             unready=self._get_unready(),
             settings=SettingsStatus(
-                version=self._settings.version, source=self._source
+                version=in_force.version,
+                source=in_force.source,
+                problem=in_force.problem,
             ),
             members=[
-                MemberStatus(name=name, data_centre="", state="live", incarnation=0)
-                for name in sorted(self._fleet.live)
+                MemberStatus(
+                    name=member.name,
+                    data_centre=member.data_centre,
+                    state=member.state.value,
+                    incarnation=member.incarnation,
+                    settings_version=member.settings_version,
+                )
+                for member in sorted(
+                    self._membership.members(), key=lambda member: member.name
+                )
             ],
             services=[
                 ServiceStatus(
@@ -289,6 +365,7 @@
         self._is_leaving = True
         log_decision(logger, "leaving", request_id=None, host=self._own.name)
         self._acceptor.announce_leaving()
+        await self._endpoint.send(self._membership.leave(now=trio.current_time()))
         await trio.sleep(min(LEAVE_NOTICE, drain / 2))
         with trio.move_on_after(drain):
             while self._callers.n_running or self._bookings.is_busy:
@@ -298,6 +375,7 @@
                 await trio.sleep(DRAIN_CHECK)
             await self._bookings.hand_over()
         self._stop.set()
+        await self._endpoint.send(self._membership.depart(now=trio.current_time()))
         await trio.sleep(DRAIN_CHECK)
         log_decision(logger, "stopped", request_id=None, host=self._own.name)
         sys.stderr.flush()
--- a/src/lavendergap/entry/fleet.py
+++ b/src/lavendergap/entry/fleet.py
@@ -9,9 +9,8 @@
 
     def __init__(self, *, own_name: str, settings: Settings) -> None:
         self.own_name = own_name
-        self._settings = settings
         self._addresses = {host.name: host.peers for host in settings.hosts}
-        self._ranking = Ranking(hosts=frozenset(self._addresses) | {own_name})
+        self._ranking = Ranking(hosts=frozenset({own_name}))
 
     def rank(self, group: str) -> tuple[str, ...]:
         """Return the first live hosts for a group, its owner first.
