--- a/standins/backend.py
+++ b/standins/backend.py
@@ -30,6 +30,7 @@
 
 QUEUE_PER_SLOT = 2
 MAX_RUNS_REMEMBERED = 200_000
+MAX_QUERIES_REMEMBERED = 200_000
 RETRY_AFTER_S = 1
 NOT_RUN = ("Outcome", "not-run")
 RETRY_AFTER = ("Retry-After", str(RETRY_AFTER_S))
@@ -80,6 +81,7 @@
     connections_opened: int = 0
     connections_refused: int = 0
     runs_forgotten: int = 0
+    queries_forgotten: int = 0
 
 
 class Call:
@@ -116,6 +118,7 @@
         self.server = server
         self.counts = Counts()
         self.runs: Counter[str] = Counter()
+        self.queries: Counter[str] = Counter()
         self.history = FaultHistory(faults=faults, now=now)
         self.queue_limit = queue_limit
         self.port = server.address.port
@@ -287,6 +290,8 @@
 
     async def _handle_call(self, request: Request, connection: Connection) -> Reply:
         self.counts.received += 1
+        if self.faults.remember_queries:
+            self._remember_query(request)
         attempt = request.headers.get("attempt", "")
         if not attempt:
             return make_error(400, "A call needs the header Attempt.")
@@ -306,6 +311,13 @@
         load = f"{self._in_use}/{self.server.slots}/{len(self._queue)}"
         return replace(reply, headers=(*reply.headers, ("Load", load)))
 
+    def _remember_query(self, request: Request) -> None:
+        query = _read_query(request.body) or ""
+        if query not in self.queries and len(self.queries) >= MAX_QUERIES_REMEMBERED:
+            self.counts.queries_forgotten += 1
+            return
+        self.queries[query] += 1
+
     def _refuse_at_arrival(self, call: Call) -> Reply | None:
         faults = self.faults
         if faults.state != "serving":
@@ -539,6 +551,8 @@
                 )
             case "GET", "/runs":
                 return make_json_reply({s.server.name: s.runs for s in self.servers})
+            case "GET", "/queries":
+                return make_json_reply({s.server.name: s.queries for s in self.servers})
         return make_error(404, "There is no such path.")
 
     def _set_faults(self, body: bytes) -> Reply:
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -71,6 +71,8 @@
     http_500: Share = 0.0
     http_500_runs: bool = True
 
+    remember_queries: bool = False
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlatformFaults:
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -31,7 +31,7 @@
 @pytest.fixture
 def clock():
     """Jump only after a real pause, since the bytes go through the kernel."""
-    return MockClock(autojump_threshold=0.02)
+    return MockClock(autojump_threshold=0.005)
 
 
 class Caller:
