Admit whole queries, bypass silent owners, stop for callers that left

Cause: three gaps of the thin path. (1) Each group refused on its own, so at twice the capacity a query would lose a different half of its shards in each: now a gate at the coordinator admits whole queries (additive increase, multiplicative decrease on refusals and slow medians). Ruled out: a rate counted from arrivals, which forgets the capacity in a quiet hour. (2) An owner that is paused or cut off was found after 750 ms, past the deadline: now it is pinged after a fifth and bypassed after 45 % of the time left, and passed over for 2 s. (3) A caller that left kept its slots.

--- /dev/null
+++ b/src/lavendergap/entry/admission.py
@@ -0,0 +1,68 @@
+"""The gate of each service on this host: queries enter, wait briefly or are refused."""
+
+import trio
+
+from ..coordination.gate import Entered, Gate, Waiting
+from ..state.outcome import NotRun, Reason, Step
+
+# A query that is still waiting after this share of its time is refused: what is left
+# would not do for an answer, and the caller is told while it can still go elsewhere.
+MAX_WAIT_SHARE = 0.6
+LATE_RETRY_AFTER_MS = 500
+
+
+class GateKeeper:
+    """A service's gate and the queries that wait at it."""
+
+    def __init__(self) -> None:
+        self.gate = Gate()
+        self._waiting: dict[int, trio.Event] = {}
+
+    async def enter(self, *, deadline: float) -> NotRun | None:
+        """Return None once the query may start, or why it may not."""
+        now = trio.current_time()
+        verdict = self.gate.enter(now=now, left=deadline - now)
+        match verdict:
+            case Entered():
+                return None
+            case NotRun():
+                return verdict
+            case Waiting(number=number):
+                return await self._wait(number, now + MAX_WAIT_SHARE * (deadline - now))
+
+    async def _wait(self, number: int, until: float) -> NotRun | None:
+        ready = trio.Event()
+        self._waiting[number] = ready
+        try:
+            with trio.move_on_at(until):
+                await ready.wait()
+        except trio.Cancelled:
+            # The caller left. Its place, or the room that it was just given, goes
+            # to the next; without this the gate would narrow with each of them.
+            self._give_back(number, ready)
+            raise
+        if ready.is_set():
+            return None
+        self._give_back(number, ready)
+        return NotRun(
+            step=Step.ADMIT,
+            peer="",
+            reason=Reason.OVERLOADED,
+            retry_after_ms=LATE_RETRY_AFTER_MS,
+        )
+
+    def _give_back(self, number: int, ready: trio.Event) -> None:
+        if ready.is_set():
+            now = trio.current_time()
+            self.leave(started=now, is_congested=False)
+            return
+        del self._waiting[number]
+        self.gate.leave_queue(number)
+
+    def leave(self, *, started: float, is_congested: bool) -> None:
+        """Note the end of a query that entered at `started`; let others in."""
+        self.gate.leave(
+            now=trio.current_time(), started=started, is_congested=is_congested
+        )
+        while (number := self.gate.pop_ready()) is not None:
+            self._waiting.pop(number).set()
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -45,7 +45,7 @@
 # sends callers here, and they are served.
 LEAVE_NOTICE = 3.0
 DRAIN_CHECK = 0.05
-SWEEP_INTERVAL = 5.0
+SWEEP_INTERVAL = 1.0
 BACKLOG = 256
 
 
@@ -353,6 +353,7 @@
         while True:
             await trio.sleep(SWEEP_INTERVAL)
             self._owner.close_unused()
+            self._fleet.forgive(now=trio.current_time())
 
     async def _leave(self) -> None:
         """Stop without cutting a request.
--- a/src/lavendergap/entry/fleet.py
+++ b/src/lavendergap/entry/fleet.py
@@ -3,6 +3,8 @@
 from ..coordination.ranking import Ranking
 from ..state.settings import Address, Settings
 
+SHUN_TIME = 2.0
+
 
 class Fleet:
     """This host's view of all entry hosts; changes as settings and members do."""
@@ -11,13 +13,30 @@
         self.own_name = own_name
         self._addresses = {host.name: host.peers for host in settings.hosts}
         self._ranking = Ranking(hosts=frozenset({own_name}))
+        self._shunned: dict[str, float] = {}
 
     def rank(self, group: str) -> tuple[str, ...]:
         """Return the first live hosts for a group, its owner first.
 
-        Never empty: a host that knows of no other owns everything itself.
+        Never empty: a host that knows of no other owns everything itself. Hosts
+        that are shunned come last.
         """
-        return self._ranking.rank(group) or (self.own_name,)
+        ranked = self._ranking.rank(group) or (self.own_name,)
+        if not self._shunned:
+            return ranked
+        return tuple(sorted(ranked, key=self._shunned.__contains__))
+
+    def shun(self, host: str, *, now: float) -> None:
+        """Pass over a host that was found silent or refused a channel.
+
+        Membership takes seconds to tell a dead host from a slow one; until then
+        each query would lose half of its time on it.
+        """
+        self._shunned[host] = now + SHUN_TIME
+
+    def forgive(self, *, now: float) -> None:
+        """Try hosts again whose time of being passed over has ended at `now`."""
+        self._shunned = {h: t for h, t in self._shunned.items() if t > now}
 
     def get_address(self, host: str) -> Address | None:
         """Return where a host takes peers' channels."""
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -7,6 +7,7 @@
 
 from .. import metrics
 from ..coordination.calls import Call, FinishCall
+from ..coordination.gate import is_slow
 from ..coordination.joining import Join
 from ..coordination.pinning import Pinning
 from ..logs import log_decision
@@ -24,6 +25,7 @@
 from ..state.settings import Service
 from ..state.snapshot import Shard, Snapshot
 from ..transport.channel import Channel, Dialer, Exchange, Loss
+from .admission import GateKeeper
 from .fleet import Fleet
 from .owner import Owner, Wanted
 
@@ -34,6 +36,11 @@
 # the deadline is gone.
 MAX_OWNERS_TRIED = 3
 MAX_SNAPSHOTS_TRIED = 3
+# An owner of which no byte has come after this share of the time left is pinged, and
+# after the second share it is lost: its shards go to the hosts ranked next while
+# there is time. A live owner answers a ping within a turn of its loop.
+PING_SHARE = 0.2
+LOSE_SHARE = 0.45
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -54,6 +61,9 @@
     host: str
     channel: Channel | None = None
     request_id: int = 0
+    sent_at: float = 0.0
+    check_at: float = float("inf")
+    is_pinged: bool = False
     calls: list[Call] = field(default_factory=list)
     open_shards: dict[str, Shard] = field(default_factory=dict)
 
@@ -75,9 +85,41 @@
         self._dialer = dialer
         self._nursery = nursery
         self._pinnings = pinnings
+        self._gates: dict[str, GateKeeper] = {}
 
     async def search(self, query: Query) -> SearchResult | Refusal:
-        """Answer a query from one snapshot, by its deadline at the latest."""
+        """Answer a query from one snapshot, by its deadline at the latest.
+
+        A query that is refused here has reached no backend server.
+        """
+        gate = self._gates.setdefault(query.service.name, GateKeeper())
+        refusal = await gate.enter(deadline=query.deadline)
+        if refusal is not None:
+            log_decision(
+                logger,
+                "refuse",
+                request_id=query.request_id,
+                service=query.service.name,
+                n_running=gate.gate.n_running,
+                limit=round(gate.gate.limit, 1),
+                retry_after_ms=refusal.retry_after_ms,
+            )
+            return Refusal(request_id=query.request_id, outcome=refusal)
+        started = trio.current_time()
+        run: SearchRun | None = None
+        try:
+            run, result = await self._search_pinned(query)
+        finally:
+            gate.leave(
+                started=started, is_congested=run is not None and run.is_congested
+            )
+        return result
+
+    async def _search_pinned(
+        self, query: Query
+    ) -> tuple["SearchRun", SearchResult | Refusal]:
+        """Run the query at a snapshot, and again at a newer one if that is gone."""
+        run: SearchRun | None = None
         result: SearchResult | Refusal | None = None
         for _ in range(MAX_SNAPSHOTS_TRIED):
             pinning = self._pinnings[query.service.name]
@@ -104,8 +146,8 @@
                 request_id=query.request_id,
                 gone=snapshot.version,
             )
-        assert result is not None
-        return result
+        assert run is not None and result is not None
+        return run, result
 
 
 class SearchRun:
@@ -133,6 +175,8 @@
         self._tried: dict[str, list[str]] = {}
         self._refusals: list[NotRun] = []
         self._may_have_run = False
+        self._began = trio.current_time()
+        self._times: list[float] = []
         self._progress = trio.Event()
         self._join = Join(
             snapshot=snapshot,
@@ -146,6 +190,12 @@
         """Whether a shard no longer has this index version."""
         return self._join.needs_newer_snapshot
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether the groups refused part of it, or answered late as a whole."""
+        limit = self._query.deadline - self._began
+        return bool(self._refusals) or is_slow(self._times, limit=limit)
+
     async def run(self) -> SearchResult | Refusal:
         """Ask every owner, join the answers, give up when policy or time say so."""
         try:
@@ -157,18 +207,42 @@
 
     async def _wait(self) -> None:
         while not self._join.is_done and not self._join.needs_newer_snapshot:
-            wake_at = self._join.next_wake()
             limit = self._query.deadline
+            wake_at = self._join.next_wake()
             if wake_at is not None:
                 limit = min(limit, wake_at)
+            for part in self._parts:
+                limit = min(limit, part.check_at)
             self._progress = trio.Event()
             with trio.move_on_at(limit):
                 await self._progress.wait()
             now = trio.current_time()
             self._join.advance(now=now)
+            self._check_parts(now)
             if now >= self._query.deadline:
                 break
 
+    def _check_parts(self, now: float) -> None:
+        """Find owners that are silent while there is still time to ask others."""
+        for part in list(self._parts):
+            if now < part.check_at:
+                continue
+            channel = part.channel
+            if not part.open_shards or (
+                channel is not None and channel.has_received_since(part.sent_at)
+            ):
+                part.check_at = float("inf")
+            elif channel is not None and not part.is_pinged:
+                part.is_pinged = True
+                part.check_at = self._share_time(part.sent_at, LOSE_SHARE)
+                channel.ping()
+            else:
+                part.check_at = float("inf")
+                self._lose(part, Loss.SILENT)
+
+    def _share_time(self, since: float, share: float) -> float:
+        return since + share * (self._query.deadline - since)
+
     def _send(self, shards: list[Shard]) -> None:
         by_host: dict[str, list[Shard]] = {}
         for shard in shards:
@@ -198,11 +272,16 @@
         return None
 
     def _send_part(self, host: str, shards: list[Shard]) -> None:
-        part = Part(host=host, open_shards={s.name: s for s in shards})
+        now = trio.current_time()
+        part = Part(
+            host=host, sent_at=now, open_shards={shard.name: shard for shard in shards}
+        )
         self._parts.append(part)
         if host == self._fleet.own_name:
             self._submit(part, shards)
             return
+        part.check_at = self._share_time(now, PING_SHARE)
+        self._progress.set()
         channel = self._dialer.get_open(host)
         if channel is not None:
             self._ask(part, channel)
@@ -248,6 +327,8 @@
             self._lose(part, Loss.REFUSED)
             return
         channel = await self._dialer.dial(part.host, address)
+        if not part.open_shards:
+            return
         if isinstance(channel, Loss):
             self._lose(part, channel)
         else:
@@ -257,6 +338,7 @@
         query = self._query
         left = query.deadline - trio.current_time()
         part.channel = channel
+        part.sent_at = trio.current_time()
         part.request_id = channel.request(
             Search(
                 request_id=query.request_id,
@@ -302,8 +384,10 @@
                 )
             case NotRun() as refusal:
                 self._refusals.append(refusal)
-            case _:
+            case Unknown():
                 self._may_have_run = True
+            case _:
+                self._times.append(now - self._began)
         self._join.add(answer.shard, answer.outcome, answer.server, now=now)
         self._progress.set()
 
@@ -313,6 +397,9 @@
             return
         shards = list(part.open_shards.values())
         part.open_shards.clear()
+        self._cancel(part, tuple(shard.name for shard in shards))
+        now = trio.current_time()
+        self._fleet.shun(part.host, now=now)
         log_decision(
             logger,
             "owner lost",
@@ -323,9 +410,8 @@
         )
         if loss is not Loss.REFUSED:
             self._may_have_run = True
-        if trio.current_time() >= self._query.deadline:
-            return
-        self._send(shards)
+        if now < self._query.deadline:
+            self._send(shards)
 
     def _miss(self, shard: Shard, reason: Reason, peer: str) -> None:
         outcome: Outcome = Unknown(step=Step.ROUTE, peer=peer, reason=reason)
@@ -344,9 +430,13 @@
                 open_calls = [call for call in part.calls if call.shard in names]
                 self._owner.cancel(open_calls)
             else:
-                part.channel.forget(part.request_id)
-                frame = Frame(id=part.request_id, message=Cancel(shards=names))
-                part.channel.send(frame)
+                self._cancel(part, names)
+
+    def _cancel(self, part: Part, names: tuple[str, ...]) -> None:
+        """Tell an owner that these shards are no longer wanted of it."""
+        if part.channel is not None:
+            part.channel.forget(part.request_id)
+            part.channel.send(Frame(id=part.request_id, message=Cancel(shards=names)))
 
     def _conclude(self) -> SearchResult | Refusal:
         results = self._join.results()
--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -126,7 +126,8 @@
         match scope["path"].strip("/").split("/"):
             case ["v1", "services", name, "query"]:
                 request = await self._read(scope, receive, name)
-                return await self._search(request)
+                _need_idempotent(request.service)
+                return await self._search_while_wanted(request, receive)
             case ["v1", "services", name, "tickets"]:
                 request = await self._read(scope, receive, name, needs_body=False)
                 return await self._issue(request)
@@ -177,14 +178,28 @@
             deadline=deadline,
         )
 
+    async def _search_while_wanted(
+        self, request: CallerRequest, receive: Receive
+    ) -> Response:
+        """Search, but stop when the caller's connection closes.
+
+        A caller that left would otherwise hold slots of every group to the end.
+        """
+        response = Response(status=HTTPStatus.BAD_REQUEST, body=b"")
+        async with trio.open_nursery() as nursery:
+
+            async def cancel_on_disconnect() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                metrics.requests.labels(request.service.name, "caller left").inc()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(cancel_on_disconnect)
+            response = await self._search(request)
+            nursery.cancel_scope.cancel()
+        return response
+
     async def _search(self, request: CallerRequest) -> Response:
-        if not request.service.idempotent:
-            raise BadRequestError(
-                status=HTTPStatus.UNPROCESSABLE_ENTITY,
-                problem="not a query",
-                detail="this service is not idempotent: take a ticket, then POST "
-                "to /requests with it",
-            )
         result = await self._handlers.search(request)
         name = request.service.name
         metrics.request_seconds.labels(name).observe(
@@ -252,6 +267,16 @@
         )
 
 
+def _need_idempotent(service: Service) -> None:
+    if not service.idempotent:
+        raise BadRequestError(
+            status=HTTPStatus.UNPROCESSABLE_ENTITY,
+            problem="not a query",
+            detail="this service is not idempotent: take a ticket, then POST to "
+            "/requests with it",
+        )
+
+
 def _need_not_idempotent(service: Service) -> None:
     if service.idempotent:
         raise BadRequestError(
--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -85,6 +85,8 @@
         self._exchanges: dict[int, Exchange] = {}
         self._last_id = 0
         self._received_at = 0.0
+        # Silence counts from here when nobody waited for anything before.
+        self._quiet_since = 0.0
         self._sent_ping = False
         self._unsent = bytearray()
         self._has_unsent = trio.Event()
@@ -153,11 +155,20 @@
         """Send a request; its replies and its loss go to `exchange`."""
         self._last_id += 1
         if not self._exchanges:
-            self._received_at = trio.current_time()
+            self._quiet_since = trio.current_time()
         self._exchanges[self._last_id] = exchange
         self.send(Frame(id=self._last_id, message=message))
         return self._last_id
 
+    def has_received_since(self, time: float) -> bool:
+        """Tell whether any byte has come since `time`, on the loop's clock."""
+        return self._received_at > time
+
+    def ping(self) -> None:
+        """Ask for a sign of life before the channel's own heartbeat would."""
+        self._sent_ping = True
+        self.send(Frame(id=0, message=Ping()))
+
     def forget(self, request_id: int) -> None:
         """Drop whatever still comes for this request."""
         self._exchanges.pop(request_id, None)
@@ -193,14 +204,13 @@
         # are tried over a new one well within their deadlines.
         while True:
             await trio.sleep(HEARTBEAT_AFTER / 2)
-            silence = trio.current_time() - self._received_at
+            silence = trio.current_time() - max(self._received_at, self._quiet_since)
             if not self._exchanges:
                 self._sent_ping = False
             elif silence > SILENCE_LIMIT:
                 self.close(Loss.SILENT)
             elif silence > HEARTBEAT_AFTER and not self._sent_ping:
-                self._sent_ping = True
-                self.send(Frame(id=0, message=Ping()))
+                self.ping()
 
     async def _read(self) -> None:
         buffer = bytearray()
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,127 @@
+"""Admission of whole queries at the host that callers reach."""
+
+from random import Random
+
+import trio
+import trio.testing
+
+from lavendergap.coordination.gate import MIN_LIMIT, Entered, Gate, Waiting
+from lavendergap.entry.admission import GateKeeper
+from lavendergap.state.outcome import NotRun, Reason
+
+DEADLINE = 0.28
+
+
+class TestGate:
+    def test_refuses_at_once_what_cannot_start_in_time(self):
+        # A caller arrives with hundreds before it. It is told "not run" in the same
+        # instant, with a time to come back, since by the time that its turn came
+        # nothing would be left of its deadline.
+        gate = Gate()
+        verdicts = [gate.enter(now=0.0, left=DEADLINE) for _ in range(500)]
+        refused = [v for v in verdicts if isinstance(v, NotRun)]
+        assert len(refused) > 400
+        assert all(v.reason is Reason.OVERLOADED for v in refused)
+        assert all(v.retry_after_ms > 0 for v in refused)
+
+    def test_quiet_hour_does_not_narrow_the_gate(self):
+        # Nobody asks for an hour, then all callers arrive within one minute. Were
+        # the rate counted from arrivals, the hour would count as slowness and the
+        # first burst be refused.
+        gate = Gate()
+        for turn in range(50):
+            gate.enter(now=turn * 0.02, left=DEADLINE)
+            gate.leave(now=turn * 0.02 + 0.015, started=turn * 0.02, is_congested=False)
+        verdicts = [gate.enter(now=3_600.0, left=DEADLINE) for _ in range(20)]
+        assert not any(isinstance(v, NotRun) for v in verdicts)
+
+    def test_one_burst_of_late_queries_shrinks_the_limit_once(self):
+        # Ten queries that entered together all find the queues full. They speak of
+        # one moment; counted one by one they would shrink the limit to nothing.
+        gate = Gate()
+        gate.limit = 10.0
+        for _ in range(10):
+            assert gate.enter(now=0.0, left=DEADLINE) == Entered()
+        for _ in range(10):
+            gate.leave(now=0.2, started=0.0, is_congested=True)
+        assert gate.limit == 8.5
+
+    def test_settles_where_the_slots_are_busy(self):
+        # Twice what the slots can do arrives. The limit must settle near what is
+        # served at once (here 4 slots, 10 ms a call), neither at its floor nor far
+        # above, where each query would wait in queues until its deadline.
+        limits = run_overload(n_slots=4, service_s=0.01, rate=800.0, duration=20.0)
+        settled = limits[len(limits) // 2 :]
+        mean = sum(settled) / len(settled)
+        assert 4.0 <= mean <= 40.0
+        assert min(settled) > MIN_LIMIT
+
+
+def run_overload(
+    *, n_slots: int, service_s: float, rate: float, duration: float
+) -> list[float]:
+    """Return the gate's limits over time in front of a first-come-first-served pool."""
+    gate = Gate()
+    random = Random(7)
+    free_at = [0.0] * n_slots
+    ends: list[tuple[float, float, bool]] = []
+    limits = []
+    now = 0.0
+    while now < duration:
+        now += random.expovariate(rate)
+        for end, started, late in [e for e in ends if e[0] <= now]:
+            gate.leave(now=end, started=started, is_congested=late)
+            ends.remove((end, started, late))
+            while (gate.pop_ready()) is not None:
+                ends.append(place(free_at, end, service_s))
+        if gate.enter(now=now, left=DEADLINE) == Entered():
+            ends.append(place(free_at, now, service_s))
+        limits.append(gate.limit)
+    return limits
+
+
+def place(
+    free_at: list[float], now: float, service_s: float
+) -> tuple[float, float, bool]:
+    """Return end, start and lateness of a query that takes the first free slot."""
+    slot = min(range(len(free_at)), key=free_at.__getitem__)
+    free_at[slot] = max(now, free_at[slot]) + service_s
+    return free_at[slot], now, free_at[slot] - now > 0.3 * DEADLINE
+
+
+class TestGateKeeper:
+    async def test_room_of_a_caller_that_left_goes_to_the_next(self, autojump_clock):
+        # A caller waits at the gate and leaves just as it is given room. Unless the
+        # room is given back the gate narrows by one with each such caller, until
+        # nobody enters.
+        keeper = GateKeeper()
+        keeper.gate.limit = 1.0
+        assert await keeper.enter(deadline=trio.current_time() + 10) is None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait_and_leave, keeper)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+            keeper.leave(started=trio.current_time(), is_congested=False)
+        assert keeper.gate.n_running == 0
+        assert await keeper.enter(deadline=trio.current_time() + 10) is None
+
+    async def test_late_place_is_refused_before_the_deadline(self, autojump_clock):
+        # The queries ahead take longer than foreseen. The caller is told while it
+        # still has time to ask elsewhere, not at its deadline.
+        keeper = GateKeeper()
+        keeper.gate.limit = 1.0
+        start = trio.current_time()
+        assert await keeper.enter(deadline=start + 10) is None
+        refusal = await keeper.enter(deadline=start + 1.0)
+        assert isinstance(refusal, NotRun)
+        assert trio.current_time() - start < 1.0
+
+    def test_waiting_comes_before_refusing(self):
+        gate = Gate()
+        gate.limit = 1.0
+        assert gate.enter(now=0.0, left=DEADLINE) == Entered()
+        assert isinstance(gate.enter(now=0.0, left=DEADLINE), Waiting)
+
+
+async def wait_and_leave(keeper: GateKeeper) -> None:
+    await keeper.enter(deadline=trio.current_time() + 10)
