Let a fake stand for backend servers and for TCP in tests

Cause: the coordinator, owner and channels could only be tried against real sockets, so their failures could not be walked on a virtual clock. No behaviour changes.

--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 import trio
 
@@ -15,17 +16,46 @@
     CancelAttempt,
     Effect,
     FinishCall,
+    ServerReport,
     StartAttempt,
 )
 from ..coordination.scheduler import GroupScheduler
 from ..logs import log_decision
 from ..protocol.leaf import Verdict
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
-from ..state.settings import Group, Service, Settings
+from ..state.settings import Group, Server, Service, Settings
 from ..transport.backend import BackendClient
 
 logger = logging.getLogger("lavendergap.route")
 
+
+class Client(Protocol):
+    """What a group needs of the connections to one of its backend servers."""
+
+    server: Server
+
+    async def call(self, call: Call, *, attempt: bytes, fresh: bool) -> Verdict:
+        """Make one attempt at a call."""
+
+    async def probe(self) -> ServerReport | None:
+        """Ask for the server's health."""
+
+    async def close_idle(self, *, now: float) -> None:
+        """Close what has been idle for too long."""
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+
+
+# Returns the connections to a backend server; tests put a fake here.
+MakeClient = Callable[[Server, float], Client]
+
+
+def make_backend_client(server: Server, idle_limit: float) -> Client:
+    """Return the connections to `server`, idle ones kept for `idle_limit` seconds."""
+    return BackendClient(server=server, idle_limit=idle_limit)
+
+
 # Told how a call ended, and which index versions the server said it has.
 Finish = Callable[[FinishCall, tuple[int, ...]], None]
 
@@ -50,6 +80,7 @@
         nursery: trio.Nursery,
         random: Random,
         attempt_prefix: str,
+        make_client: MakeClient,
     ) -> None:
         self.group = group
         self.service = service
@@ -60,7 +91,8 @@
         self._settings = settings
         self._nursery = nursery
         self._prefix = attempt_prefix
-        self._clients: dict[str, BackendClient] = {}
+        self._make_client = make_client
+        self._clients: dict[str, Client] = {}
         self._finishes: dict[int, Finish] = {}
         self._scopes: dict[int, trio.CancelScope] = {}
         self._versions: dict[str, tuple[int, ...]] = {}
@@ -78,9 +110,7 @@
         for server in group.servers:
             held = self._clients.get(server.name)
             if held is None or held.server != server:
-                self._clients[server.name] = BackendClient(
-                    server=server, idle_limit=idle_limit
-                )
+                self._clients[server.name] = self._make_client(server, idle_limit)
 
     def replace(self, *, group: Group, service: Service, settings: Settings) -> None:
         """Act on new settings; calls that run are finished as they started."""
@@ -257,11 +287,13 @@
         nursery: trio.Nursery,
         random: Random,
         attempt_prefix: str,
+        make_client: MakeClient = make_backend_client,
     ) -> None:
         self._settings = settings
         self._nursery = nursery
         self._random = random
         self._prefix = attempt_prefix
+        self._make_client = make_client
         self._runners: dict[str, GroupRunner] = {}
         self._call_ids = itertools.count(1)
         self._is_stopping = False
@@ -303,6 +335,7 @@
             nursery=self._nursery,
             random=self._random,
             attempt_prefix=self._prefix,
+            make_client=self._make_client,
         )
         self._runners[call.group] = runner
         return runner
--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -69,7 +69,7 @@
     def __init__(
         self,
         *,
-        stream: trio.SocketStream,
+        stream: trio.abc.Stream,
         own: Hello,
         handle: Callable[["Channel", Frame], None] | None = None,
         lose: Callable[["Channel", Loss], None] | None = None,
@@ -267,12 +267,24 @@
             exchange.reply(message)
 
 
+async def connect_tcp(address: Address) -> trio.abc.Stream:
+    """Open a TCP connection; raises OSError when it is refused."""
+    return await trio.open_tcp_stream(address.ip, address.port)
+
+
 class Dialer:
     """Keeps one channel to each peer that is asked, dialled when first needed."""
 
-    def __init__(self, *, own: Hello, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        *,
+        own: Hello,
+        nursery: trio.Nursery,
+        connect: Callable[[Address], Awaitable[trio.abc.Stream]] = connect_tcp,
+    ) -> None:
         self._own = own
         self._nursery = nursery
+        self._connect = connect
         self._channels: dict[str, Channel] = {}
         self._locks: dict[str, trio.Lock] = {}
 
@@ -293,7 +305,7 @@
     async def _open(self, host: str, address: Address) -> Channel | Loss:
         try:
             with trio.fail_after(CONNECT_LIMIT):
-                stream = await trio.open_tcp_stream(address.ip, address.port)
+                stream = await self._connect(address)
         except trio.TooSlowError:
             return Loss.SILENT
         except OSError:
@@ -338,9 +350,10 @@
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept channels until cancelled."""
-        await trio.serve_listeners(self._serve_one, [listener])
+        await trio.serve_listeners(self.serve_stream, [listener])
 
-    async def _serve_one(self, stream: trio.SocketStream) -> None:
+    async def serve_stream(self, stream: trio.abc.Stream) -> None:
+        """Serve one accepted connection until it ends."""
         channel = Channel(
             stream=stream,
             own=self._own,
