--- a/standins/client.py
+++ b/standins/client.py
@@ -1,5 +1,6 @@
 """One HTTP client connection by h11, for the load tool, measurements and tests."""
 
+import select
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -40,7 +41,7 @@
 class Client:
     """A connection that sends one request at a time and is kept alive."""
 
-    def __init__(self, *, stream: trio.abc.Stream):
+    def __init__(self, *, stream: trio.SocketStream):
         self._stream = stream
         self._http = h11.Connection(our_role=h11.CLIENT)
         self._has_answer_bytes = False
@@ -50,6 +51,16 @@
         """Whether another request may be sent."""
         return self._http.our_state is h11.IDLE
 
+    def has_input(self) -> bool:
+        """Whether there is something to read: between requests, that is the end.
+
+        An idle connection that the other side has closed would lose the request
+        sent over it.
+        """
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def request(
         self,
         method: str,
--- a/standins/process.py
+++ b/standins/process.py
@@ -21,3 +21,23 @@
             async for _ in signals:
                 nursery.cancel_scope.cancel()
                 break
+
+
+def run_to_end(main: Callable[..., Awaitable[None]], *arguments: object) -> None:
+    """Run `main` until it returns or a signal comes; either ends with status 0."""
+    trio.run(_run_to_end, main, arguments)
+
+
+async def _run_to_end(
+    main: Callable[..., Awaitable[None]], arguments: tuple[object, ...]
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+
+            async def stop_on_signal() -> None:
+                async for _ in signals:
+                    nursery.cancel_scope.cancel()
+
+            nursery.start_soon(stop_on_signal)
+            await main(*arguments)
+            nursery.cancel_scope.cancel()
