--- a/lab/processes.py
+++ b/lab/processes.py
@@ -308,12 +308,28 @@
         ready_s: float = READY_S,
         environment: Mapping[str, str] | None = None,
     ) -> Running:
-        """Run `python -m module arguments` and return once it prints `ready`.
+        """Run `python -m module arguments` and return once it prints `ready`."""
+        return await self.start_program(
+            [sys.executable, "-m", module, *arguments],
+            name=name or module,
+            ready_s=ready_s,
+            environment=environment,
+        )
+
+    async def start_program(
+        self,
+        command: Sequence[str],
+        *,
+        name: str,
+        ready_s: float = READY_S,
+        environment: Mapping[str, str] | None = None,
+    ) -> Running:
+        """Run `command` and return once it prints `ready`.
 
         Raises `StartError` when the process ends first, or is not ready after
         `ready_s` seconds; it is then ended with all others.
         """
-        running = await self._spawn(module, arguments, name, environment or {})
+        running = await self._spawn(command, name, environment or {})
         with trio.move_on_after(ready_s):
             await self._wait_until_ready(running)
             return running
@@ -323,17 +339,16 @@
 
     async def _spawn(
         self,
-        module: str,
-        arguments: Sequence[str],
-        name: str | None,
+        command: Sequence[str],
+        name: str,
         environment: Mapping[str, str],
     ) -> Running:
-        title = f"{len(self.running):03}-{name or module}"
+        title = f"{len(self.running):03}-{name}"
         stdout = self.directory / f"{title}.out"
         stderr = self.directory / f"{title}.err"
         with stdout.open("wb") as out, stderr.open("wb") as err:
             process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", module, *arguments],
+                command,
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=err,
