Import trio without starting a second process

Cause: strace showed each start of the built file running /sbin/ldconfig. trio 0.35 looks up the thread library at import, through ctypes.util.find_library.

Ruled out: the way of building (a plain python -c "import trio" does it too); importing it in the package itself (those who embed the library would get trio, too).

--- /dev/null
+++ b/tests/test_startup.py
@@ -0,0 +1,38 @@
+"""Tests of how the program starts."""
+
+import subprocess
+import sys
+
+# Prints the audit events by which Python starts processes, as they occur.
+WATCH = """
+import sys
+starts = ("subprocess.Popen", "os.fork", "os.forkpty", "os.posix_spawn", "os.system")
+sys.addaudithook(lambda event, _: event in starts and print(event))
+"""
+
+
+def run(program):
+    command = [sys.executable, "-c", WATCH + program]
+    return subprocess.run(command, check=True, capture_output=True, text=True).stdout
+
+
+class TestImportTrio:
+    # An operator whose hosts forbid a second process sees the daemon fail as it
+    # starts: `import trio` alone runs /sbin/ldconfig through ctypes.
+    def test_the_daemon_starts_no_other_process(self):
+        program = (
+            "from lavendergap.startup import import_trio\n"
+            "import_trio()\n"
+            "import lavendergap.entry.daemon\n"
+        )
+        assert run(program) == ""
+
+    def test_finding_libraries_works_again_afterwards(self):
+        program = (
+            "import ctypes.util\n"
+            "before = ctypes.util.find_library\n"
+            "from lavendergap.startup import import_trio\n"
+            "import_trio()\n"
+            "print(ctypes.util.find_library is before)\n"
+        )
+        assert run(program) == "True\n"
