--- a/src/lavendergap/coordination/ranking.py
+++ b/src/lavendergap/coordination/ranking.py
@@ -62,8 +62,9 @@
         """Return up to `RANKING_DEPTH` hosts for `key`, the owner first."""
         ranked = self._ranked.get(key)
         if ranked is None:
-            scored = ((score_host(key, host), host) for host in self.hosts)
-            ranked = self._keep(key, tuple(nlargest(RANKING_DEPTH, scored)))
+            scored = [(score_host(key, host), host) for host in self.hosts]
+            scored = nlargest(RANKING_DEPTH, scored)
+            ranked = self._keep(key, tuple(scored[:RANKING_DEPTH]))
         return ranked
 
     def replace_hosts(self, hosts: frozenset[str]) -> "Ranking":
@@ -72,22 +73,38 @@
             return self
         ranking = Ranking(hosts=hosts)
         joined = hosts - self.hosts
-        n_wanted = min(_MIN_KEPT, len(hosts))
-        for key, scored in self._scored.items():
-            kept = [entry for entry in scored if entry[1] in hosts]
-            if len(kept) < n_wanted:
-                continue
-            # What is kept are the first of the hosts that stayed, so a newcomer's
-            # place is known only when it comes before the last of these.
-            lowest = kept[-1]
-            complete = len(scored) == len(self.hosts)
-            for host in joined:
-                entry = (score_host(key, host), host)
-                if complete or entry > lowest:
-                    kept.append(entry)
-            ranking._keep(key, tuple(nlargest(RANKING_DEPTH, kept)))
+        if 2 * len(joined) >= len(hosts):
+            # Nothing is worth carrying over, as when a fleet is met at joining.
+            return ranking
+        ranking._scored = self._scored.copy()
+        ranking._ranked = self._ranked.copy()
+        ranking._strike_out(self.hosts - hosts)
+        for host in joined:
+            ranking._insert(host)
         return ranking
 
+    def _strike_out(self, gone: frozenset[str]) -> None:
+        n_wanted = min(_MIN_KEPT, len(self.hosts))
+        for key, ranked in list(self._ranked.items()) if gone else ():
+            if gone.isdisjoint(ranked):
+                continue
+            kept = tuple(e for e in self._scored[key] if e[1] not in gone)
+            if len(kept) >= n_wanted:
+                self._keep(key, kept)
+            else:
+                del self._scored[key], self._ranked[key]
+
+    def _insert(self, host: str) -> None:
+        """Give a host that joined its place in each key where it has one.
+
+        What is kept are the first hosts of the key, without a gap: a newcomer that
+        comes before the last of these has a known place, another has none.
+        """
+        for key, scored in self._scored.items():
+            entry = (score_host(key, host), host)
+            if entry > scored[-1]:
+                self._keep(key, tuple(nlargest(RANKING_DEPTH, (*scored, entry))))
+
     def _keep(self, key: str, scored: tuple[tuple[int, str], ...]) -> tuple[str, ...]:
         self._scored[key] = scored
         ranked = tuple(host for _, host in scored)
--- /dev/null
+++ b/tests/test_ranking.py
@@ -0,0 +1,157 @@
+"""Ownership by rendezvous hashing, and which hosts watch the platform."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavendergap.coordination.ranking import (
+    RANKING_DEPTH,
+    Ranking,
+    rank_hosts,
+    rank_owner,
+)
+from lavendergap.coordination.watchers import (
+    MAX_READS_PER_S,
+    bound_platform_load,
+    choose_watch_holders,
+    compute_read_interval,
+    draw_read_delay,
+)
+from lavendergap.state.member import Member, MemberState
+from lavendergap.state.settings import Address
+
+HOSTS = [f"ptl-a-{number}" for number in range(1, 8)]
+KEYS = [f"scheduler-{number:02}" for number in range(200)]
+PINNED = ["ptl-a-2", "ptl-a-3", "ptl-a-1"]
+STEADY = settings(derandomize=True, deadline=None, max_examples=100)
+
+
+class TestRankHosts:
+    def test_the_order_of_the_hosts_does_not_matter(self):
+        for key in KEYS:
+            assert rank_hosts(key, HOSTS) == rank_hosts(key, reversed(HOSTS))
+
+    def test_stands_for_good(self):
+        # Hosts of two releases must agree on owners during a rolling replacement,
+        # so the hash may not change by accident.
+        assert rank_hosts("scheduler-00", HOSTS[:3]) == PINNED
+
+    def test_only_the_keys_of_a_lost_host_move_and_to_the_next(self):
+        for key in KEYS:
+            ranked = rank_hosts(key, HOSTS)
+            left = [host for host in HOSTS if host != ranked[0]]
+            assert rank_owner(key, left) == ranked[1]
+
+    def test_spreads_evenly(self):
+        owners = [rank_owner(f"key-{n}", HOSTS) for n in range(7_000)]
+        counts = [owners.count(host) for host in HOSTS]
+        assert min(counts) > 850
+        assert max(counts) < 1_150
+
+    def test_no_host(self):
+        assert rank_owner("scheduler-00", []) is None
+        assert Ranking(hosts=frozenset()).rank("scheduler-00") == ()
+
+
+class TestRanking:
+    @STEADY
+    @given(
+        sets=st.lists(
+            st.frozensets(st.sampled_from(HOSTS), min_size=0), min_size=1, max_size=8
+        )
+    )
+    def test_changes_carried_over_give_what_a_fresh_ranking_gives(self, sets):
+        ranking = Ranking(hosts=frozenset(HOSTS))
+        for hosts in sets:
+            for key in KEYS[:20]:
+                ranking.rank(key)
+            ranking = ranking.replace_hosts(hosts)
+            for key in KEYS[:20]:
+                expected = tuple(rank_hosts(key, hosts)[:RANKING_DEPTH])
+                kept = ranking.rank(key)
+                assert kept == expected[: len(kept)]
+                assert len(kept) >= min(2, len(hosts))
+
+    def test_an_earlier_ranking_stays_as_it_was(self):
+        # A query that pinned the ranking when it started must not see its owners
+        # change between its first and its last shard.
+        ranking = Ranking(hosts=frozenset(HOSTS))
+        before = ranking.rank(KEYS[0])
+        ranking.replace_hosts(frozenset(HOSTS) - {before[0]})
+        assert ranking.rank(KEYS[0]) == before
+
+    def test_the_same_hosts_keep_the_ranking(self):
+        ranking = Ranking(hosts=frozenset(HOSTS))
+        assert ranking.replace_hosts(frozenset(HOSTS)) is ranking
+
+
+def build_members(n_hosts: int, n_data_centres: int) -> list[Member]:
+    return [
+        Member(
+            name=f"host-{number}",
+            data_centre=f"dc-{number % n_data_centres}",
+            peers=Address(ip="10.0.0.1", port=number + 1),
+            incarnation=1,
+        )
+        for number in range(n_hosts)
+    ]
+
+
+class TestWatchHolders:
+    @pytest.mark.parametrize(("n_hosts", "n_held"), [(1, 1), (2, 2), (7, 2), (550, 2)])
+    def test_a_constant_number_in_different_data_centres(self, n_hosts, n_held):
+        members = build_members(n_hosts, 10)
+        holders = choose_watch_holders(members, 2)
+        assert len(holders) == n_held
+        centres = {m.data_centre for m in members if m.name in holders}
+        assert len(centres) == n_held
+
+    def test_one_data_centre_still_gives_two(self):
+        assert len(choose_watch_holders(build_members(7, 1), 2)) == 2
+
+    def test_the_next_takes_over_and_the_other_holder_stays(self):
+        # A holder dies. Were both to change, the platform would get twice the new
+        # watches at each death, and news between them could be missed.
+        members = build_members(70, 7)
+        first, second = choose_watch_holders(members, 2)
+        left = [m for m in members if m.name != second]
+        assert choose_watch_holders(left, 2)[0] == first
+
+    @pytest.mark.parametrize("state", [MemberState.LEAVING, MemberState.DEAD])
+    def test_those_that_go_hold_nothing(self, state):
+        members = build_members(7, 7)
+        first = choose_watch_holders(members, 2)[0]
+        gone = [
+            Member(
+                name=m.name,
+                data_centre=m.data_centre,
+                peers=m.peers,
+                incarnation=1,
+                state=state,
+            )
+            if m.name == first
+            else m
+            for m in members
+        ]
+        assert first not in choose_watch_holders(gone, 2)
+
+
+class TestPlatformLoad:
+    @pytest.mark.parametrize("n_hosts", [7, 25, 50, 100, 200, 550, 5_000])
+    def test_own_reads_are_bounded_whatever_the_fleet(self, n_hosts):
+        random = Random(1)
+        delays = [draw_read_delay(n_hosts, random) for _ in range(20_000)]
+        mean = sum(delays) / len(delays)
+        assert n_hosts / mean <= MAX_READS_PER_S * 1.02
+        assert min(delays) >= compute_read_interval(n_hosts) / 2
+
+    def test_at_550_hosts_and_3300_changes_a_day(self):
+        # The platform takes two thousand reads a second for all its users; a
+        # fleet in which each host watched would hold 1,100 of them for nothing.
+        load = bound_platform_load(
+            n_hosts=550, n_holders=2, changes_per_s=3_300 / 86_400
+        )
+        assert load.waiting == 4
+        assert load.calls_per_s < 1.3
