Add the platform's client and its typed objects

Each call ends within its limit with a tagged outcome; a write whose reply was lost says that it may have taken effect, and is never tried again by the client.

Kept connections can go silent while new ones work.

Hosts hand settings to each other checked and resolved.

--- a/src/lavendergap/errors.py
+++ b/src/lavendergap/errors.py
@@ -42,6 +42,18 @@
         super().__init__("\n".join(str(problem) for problem in problems))
 
 
+class ObjectError(LavendergapError):
+    """An object of the platform, or its copy from a peer, is not what it should be.
+
+    Whoever reads it keeps what was in force before.
+    """
+
+    def __init__(self, *, key: str, problem: str) -> None:
+        self.key = key
+        self.problem = problem
+        super().__init__(f"{key}: {problem}")
+
+
 class UnreachableError(LavendergapError):
     """No entry host, or no platform, answered in time."""
 
--- /dev/null
+++ b/src/lavendergap/protocol/objects.py
@@ -0,0 +1,164 @@
+"""The objects that the platform keeps for us, as data classes and as JSON.
+
+settings/DEPLOYMENT   a `SettingsObject`: the operators' text and its last edits
+index/SERVICE         the published snapshots of a service, by the indexer
+"""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from ..errors import ObjectError
+from ..state.options import is_name
+from ..state.settings import Service
+from ..state.snapshot import Published, Shard, Snapshot
+
+MAX_EDITS = 50
+"""Edits that an object remembers; enough for an operator to find his own again."""
+
+MAX_OBJECT_BYTES = 1_000_000
+"""The platform refuses larger values."""
+
+_SHARE_ERROR = 1e-6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Edit:
+    """One accepted edit of the settings.
+
+    `id` tells an operator whose reply was lost whether the edit took effect. `base`
+    is the version that the edit was made from, so that `base` and the versions after
+    it part the edits that an operator has seen from those that came since. `at` is
+    the command's clock in RFC 3339, for people only.
+    """
+
+    id: str
+    author: str
+    at: str
+    message: str
+    changed: tuple[str, ...]
+    base: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsObject:
+    """The value of `settings/DEPLOYMENT`; `edits` is newest last."""
+
+    text: str
+    edits: tuple[Edit, ...] = ()
+
+    def add_edit(self, edit: Edit, *, text: str) -> "SettingsObject":
+        """Return the object with `text` in place and `edit` remembered."""
+        return SettingsObject(text=text, edits=(*self.edits, edit)[-MAX_EDITS:])
+
+    def find_edit(self, id: str) -> Edit | None:
+        """Return the remembered edit with that id, or None."""
+        return next((edit for edit in self.edits if edit.id == id), None)
+
+
+class _Index(msgspec.Struct, frozen=True):
+    snapshots: tuple["_Snapshot", ...]
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    version: int
+    shards: tuple[Shard, ...]
+
+
+_ENCODER = msgspec.json.Encoder()
+_SETTINGS_DECODER = msgspec.json.Decoder(SettingsObject)
+_INDEX_DECODER = msgspec.json.Decoder(_Index)
+
+
+def make_settings_key(deployment: str) -> str:
+    """Return the key of a deployment's settings."""
+    return f"settings/{deployment}"
+
+
+def make_index_key(service: str) -> str:
+    """Return the key of a service's published snapshots."""
+    return f"index/{service}"
+
+
+def encode_settings_object(value: SettingsObject) -> bytes:
+    """Return the JSON of `value`; raises ObjectError where the platform's is full."""
+    data = _ENCODER.encode(value)
+    if len(data) > MAX_OBJECT_BYTES:
+        problem = f"{len(data)} bytes with its edits; at most {MAX_OBJECT_BYTES} fit"
+        raise ObjectError(key="settings", problem=problem)
+    return data
+
+
+def decode_settings_object(data: bytes, *, key: str) -> SettingsObject:
+    """Return the object in `data`; raises ObjectError naming `key`.
+
+    The text inside is not checked here; see `state.tree.parse_settings`.
+    """
+    try:
+        return _SETTINGS_DECODER.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ObjectError(key=key, problem=str(error)) from None
+
+
+def decode_index_object(data: bytes, *, service: str, version: int) -> Published:
+    """Return the snapshots in `data`, the object's value at `version`.
+
+    Raises ObjectError where it is garbled or where a snapshot's partition map cannot
+    be one: an answer computed from it would state a false coverage.
+    """
+    key = make_index_key(service)
+    try:
+        index = _INDEX_DECODER.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ObjectError(key=key, problem=str(error)) from None
+    for problem in _check_index(index):
+        raise ObjectError(key=key, problem=problem)
+    snapshots = tuple(
+        Snapshot(service=service, version=snapshot.version, shards=snapshot.shards)
+        for snapshot in index.snapshots
+    )
+    return Published(service=service, object_version=version, snapshots=snapshots)
+
+
+def encode_index_object(published: Published) -> bytes:
+    """Return the JSON of the snapshots, as the indexer writes it."""
+    snapshots = tuple(
+        _Snapshot(version=snapshot.version, shards=snapshot.shards)
+        for snapshot in published.snapshots
+    )
+    return _ENCODER.encode(_Index(snapshots=snapshots))
+
+
+def make_first_index(service: Service) -> Published:
+    """Return what holds until an indexer has published: a shard for each group.
+
+    It is version 1 of the index, with equal shares, at version 0 of the object.
+    """
+    share = 1.0 / len(service.groups)
+    shards = tuple(
+        Shard(name=f"s{number:02}", group=group.name, share=share)
+        for number, group in enumerate(service.groups)
+    )
+    first = Snapshot(service=service.name, version=1, shards=shards)
+    return Published(service=service.name, object_version=0, snapshots=(first,))
+
+
+def _check_index(index: _Index) -> Iterator[str]:
+    if not index.snapshots:
+        yield "expected at least one snapshot"
+    versions = [snapshot.version for snapshot in index.snapshots]
+    if versions != sorted(set(versions)) or min(versions, default=1) < 1:
+        yield f"expected versions from 1 that grow, found {versions}"
+    for snapshot in index.snapshots:
+        names = {shard.name for shard in snapshot.shards}
+        if len(names) != len(snapshot.shards):
+            yield f"version {snapshot.version}: expected each shard once"
+        if not all(is_name(shard.name) for shard in snapshot.shards):
+            yield f"version {snapshot.version}: expected names of letters and digits"
+        if not all(0.0 < shard.share <= 1.0 for shard in snapshot.shards):
+            yield f"version {snapshot.version}: expected shares above 0 and up to 1"
+        share = math.fsum(shard.share for shard in snapshot.shards)
+        if abs(share - 1.0) > _SHARE_ERROR:
+            yield f"version {snapshot.version}: expected shares that add up to 1"
--- /dev/null
+++ b/src/lavendergap/transport/exchange.py
@@ -0,0 +1,162 @@
+"""Single HTTP calls to one address, each ended within a time limit.
+
+For the few calls to the platform and from the command line. Calls to backend servers
+have an accounting of connections of their own, in `transport.backend`.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpcore
+import trio
+
+from ..state.outcome import Reason, Step
+from ..state.settings import Address
+
+MAX_ANSWER_BYTES = 8_000_000
+"""A list of all objects, or the answer to a query, is longer than one object."""
+
+MAX_CONNECTIONS = 32
+"""Each waiting watch holds one."""
+
+IDLE_LIMIT_S = 5.0
+"""A connection unused for longer may have gone silent; a new one is cheap here."""
+
+_STEPS = {
+    "connection.connect_tcp.started": Step.CONNECT,
+    "http11.send_request_headers.started": Step.SEND,
+    "http11.receive_response_headers.started": Step.RECEIVE,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """A whole answer; the names of its headers are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Lost:
+    """No answer: at which step and why.
+
+    `sent` tells whether a byte of the request may have left, so that the call may
+    have taken effect, now or later.
+    """
+
+    step: Step
+    reason: Reason
+    sent: bool
+
+
+@dataclass(kw_only=True, slots=True)
+class _Progress:
+    """How far one call has come, as httpcore's trace tells it."""
+
+    step: Step = Step.CONNECT
+
+    async def trace(self, event: str, _info: Mapping[str, Any]) -> None:
+        self.step = _STEPS.get(event, self.step)
+
+    def fail(self, reason: Reason) -> Lost:
+        return Lost(step=self.step, reason=reason, sent=self.step is not Step.CONNECT)
+
+
+def _make_pool() -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS, keepalive_expiry=IDLE_LIMIT_S
+    )
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class _Generation:
+    """A pool and the number of calls under way in it."""
+
+    pool: httpcore.AsyncConnectionPool = field(default_factory=_make_pool)
+    n_calls: int = 0
+
+
+class Exchange:
+    """Calls one address, over kept connections as long as they prove alive.
+
+    A kept connection can go silent for good while new ones work: each call on it
+    would time out. So once a call has timed out or was cut, no connection of before
+    is used again; the calls under way on them may still end.
+    """
+
+    def __init__(self, *, address: Address) -> None:
+        self.address = address
+        self._generation = _Generation()
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._generation.pool.aclose()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        limit_s: float,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Reply | Lost:
+        """Make one call and return its answer, of any status, within `limit_s`."""
+        progress = _Progress()
+        generation = self._generation
+        generation.n_calls += 1
+        try:
+            with trio.fail_after(limit_s):
+                return await self._send(
+                    generation.pool, method, path, headers or {}, body, progress
+                )
+        except trio.TooSlowError:
+            self._retire(generation)
+            return progress.fail(Reason.SILENT_CONNECTION)
+        except httpcore.ConnectError:
+            return progress.fail(Reason.REFUSED_CONNECTION)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            self._retire(generation)
+            return progress.fail(Reason.LOST_CONNECTION)
+        finally:
+            generation.n_calls -= 1
+            await self._close_if_retired(generation)
+
+    async def _send(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes | None,
+        progress: _Progress,
+    ) -> Reply | Lost:
+        async with pool.stream(
+            method,
+            f"http://{self.address}{path}",
+            headers=list(headers.items()),
+            content=body,
+            extensions={"trace": progress.trace},
+        ) as response:
+            received = bytearray()
+            async for part in response.aiter_stream():
+                received += part
+                if len(received) > MAX_ANSWER_BYTES:
+                    return progress.fail(Reason.WRONG_ANSWER)
+            names = {
+                name.decode("latin-1").lower(): value.decode("latin-1")
+                for name, value in response.headers
+            }
+        return Reply(status=response.status, headers=names, body=bytes(received))
+
+    def _retire(self, generation: _Generation) -> None:
+        if generation is self._generation:
+            self._generation = _Generation()
+
+    async def _close_if_retired(self, generation: _Generation) -> None:
+        if generation is not self._generation and generation.n_calls == 0:
+            with trio.CancelScope(shield=True):
+                await generation.pool.aclose()
--- /dev/null
+++ b/tests/test_objects.py
@@ -0,0 +1,90 @@
+"""Objects of the platform, as data classes and as JSON."""
+
+import msgspec
+import pytest
+
+from lavendergap.errors import ObjectError
+from lavendergap.protocol.objects import (
+    MAX_EDITS,
+    Edit,
+    SettingsObject,
+    decode_index_object,
+    decode_settings_object,
+    encode_index_object,
+    encode_settings_object,
+    make_first_index,
+)
+from lavendergap.state.tree import parse_settings
+from tests.test_tree import TREE
+
+
+def make_edit(number):
+    return Edit(
+        id=f"id-{number}",
+        author="kim",
+        at="2026-12-02T18:00:00Z",
+        message="More slots.",
+        changed=("services.search.slots",),
+        base=number,
+    )
+
+
+def make_index(*shards, version=1):
+    listed = [{"name": n, "group": f"g-{n}", "share": share} for n, share in shards]
+    return {"version": version, "shards": listed}
+
+
+class TestSettingsObject:
+    def test_what_is_encoded_is_decoded(self):
+        value = SettingsObject(text="{}", edits=(make_edit(1),))
+        data = encode_settings_object(value)
+        assert decode_settings_object(data, key="settings/x") == value
+
+    def test_the_last_edits_are_remembered(self):
+        value = SettingsObject(text="{}")
+        for number in range(MAX_EDITS + 5):
+            value = value.add_edit(make_edit(number), text=f"{{}} // {number}")
+        assert [edit.base for edit in value.edits] == list(range(5, MAX_EDITS + 5))
+        assert value.text == "{} // 54"
+        assert value.find_edit("id-4") is None
+        assert value.find_edit("id-5") == make_edit(5)
+
+    def test_a_value_over_the_limit_is_not_sent(self):
+        with pytest.raises(ObjectError, match="at most 1000000 fit"):
+            encode_settings_object(SettingsObject(text='"' * 500_000))
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"[]", b'{"text": 1}', b'{"text": "\xff"}', b'{"text": "a"']
+    )
+    def test_garbage_is_refused_with_its_key(self, data):
+        with pytest.raises(ObjectError, match="settings/x: "):
+            decode_settings_object(data, key="settings/x")
+
+
+class TestIndex:
+    def test_without_an_object_each_group_is_a_shard(self):
+        service = parse_settings(msgspec.json.encode(TREE), file="f").services[0]
+        first = make_first_index(service)
+        data = encode_index_object(first)
+        assert decode_index_object(data, service="search", version=0) == first
+        (shard,) = first.newest.shards
+        assert (shard.name, shard.group, shard.share) == ("s00", "search-0", 1.0)
+
+    @pytest.mark.parametrize(
+        ("snapshots", "words"),
+        [
+            ([], "at least one snapshot"),
+            ([make_index(("a", 1.0), version=0)], "versions from 1 that grow"),
+            ([make_index(("a", 1.0))] * 2, "versions from 1 that grow"),
+            ([make_index(("a", 0.5), ("a", 0.5))], "each shard once"),
+            ([make_index(("a b", 1.0))], "letters and digits"),
+            ([make_index(("a", 0.5), ("b", 0.4))], "add up to 1"),
+            ([make_index(("a", 1.0), ("b", 0.0))], "shares above 0"),
+            ([make_index()], "add up to 1"),
+            ([{"version": 1}], "missing required field `shards`"),
+        ],
+    )
+    def test_an_impossible_partition_map_is_refused(self, snapshots, words):
+        data = msgspec.json.encode({"snapshots": snapshots})
+        with pytest.raises(ObjectError, match=f"index/search: .*{words}"):
+            decode_index_object(data, service="search", version=4)
--- /dev/null
+++ b/tests/test_resolved.py
@@ -0,0 +1,53 @@
+"""The form in which hosts hand settings to each other."""
+
+import json
+import zlib
+
+import msgspec
+import pytest
+
+from lavendergap.errors import ObjectError
+from lavendergap.protocol import resolved
+from lavendergap.protocol.resolved import decode_settings, encode_settings
+from lavendergap.state.tree import parse_settings
+from tests.test_tree import TREE
+
+
+@pytest.fixture
+def settings():
+    tree = TREE | {"stragglers": {"kind": "give up"}}
+    text = json.dumps(tree).replace(
+        '"ledger": {', '"ledger": {"stragglers": {"kind": "wait"},'
+    )
+    return parse_settings(text, file="f", version=7)
+
+
+def change(data, **fields):
+    """Return encoded settings with some fields of the message replaced."""
+    message = msgspec.msgpack.decode(zlib.decompress(data))
+    return zlib.compress(msgspec.msgpack.encode(message | fields))
+
+
+class TestResolved:
+    def test_what_is_encoded_is_decoded(self, settings):
+        assert decode_settings(encode_settings(settings)) == settings
+
+    def test_anything_cut_short_or_garbled_is_refused(self, settings):
+        """A host takes no half of a version: it keeps what it had before."""
+        data = encode_settings(settings)
+        garbled = [data[:n] for n in range(0, len(data), 7)]
+        garbled += [data + b"x", change(data, version="7"), change(data, hosts=[1])]
+        garbled.append(change(data, services=[{"name": "\x00"}]))
+        for bad in garbled:
+            with pytest.raises(ObjectError):
+                decode_settings(bad)
+
+    def test_another_format_asks_for_an_upgrade(self, settings):
+        data = change(encode_settings(settings), format=2)
+        with pytest.raises(ObjectError, match="format 2, expected 1; upgrade"):
+            decode_settings(data)
+
+    def test_a_small_frame_cannot_unpack_to_a_huge_one(self, monkeypatch):
+        monkeypatch.setattr(resolved, "MAX_PLAIN_BYTES", 10_000)
+        with pytest.raises(ObjectError, match="too large"):
+            decode_settings(zlib.compress(bytes(1_000_000)))
