Test the owner's decisions; keep slots across a server taken out and put back

Cause: two edits in a row, which drop a server and bring it back while its slots are busy, made a second record of it that started from zero: four calls on two slots. A server that leaves now keeps its record until its last attempt ends.

--- a/src/lavendergap/coordination/__init__.py
+++ b/src/lavendergap/coordination/__init__.py
@@ -21,3 +21,15 @@
 from .ranking import rank_owner as rank_owner
 from .watchers import choose_watch_holders as choose_watch_holders
 from .watchers import draw_read_delay as draw_read_delay
+from .budget import Budget as Budget
+from .calls import AttemptEnded as AttemptEnded
+from .calls import Call as Call
+from .calls import CancelAttempt as CancelAttempt
+from .calls import FinishCall as FinishCall
+from .calls import ServerReport as ServerReport
+from .calls import StartAttempt as StartAttempt
+from .joining import Join as Join
+from .joining import ShardBody as ShardBody
+from .pinning import Pinning as Pinning
+from .scheduler import GroupScheduler as GroupScheduler
+from .scheduler import GroupSummary as GroupSummary
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -241,6 +241,15 @@
         memory = DRAIN_MEMORY if self.state == "draining" else ANSWER_LIFETIME
         return now - self.state_at >= memory
 
+    def rejoin(self, now: float) -> None:
+        """Start over with a server that the settings left out for a while."""
+        self._set_state("serving", from_answer=False, now=now)
+        self.ramp_from = now
+        self.backoff_until = -NEVER
+        self.ejected_until = -NEVER
+        self.n_ejections = 0
+        self.blame = 0.0
+
     def get_opening(self, now: float) -> float:
         """Return the next time at which the server may take more than now."""
         closed_until = max(self.backoff_until, self.ejected_until)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -102,6 +102,7 @@
         self.control = control
         self.random = random
         self._replicas = [Replica(server=server) for server in group.servers]
+        self._leaving: list[Replica] = []
         self._calls: dict[int, Progress] = {}
         self._attempts: dict[int, Attempt] = {}
         self._waiting = WaitingCalls()
@@ -210,14 +211,20 @@
         A server that is gone, or has another address, gets nothing new. A new one
         starts slowly, as its caches are cold.
         """
-        known = {replica.server.name: replica for replica in self._replicas}
+        known = {r.server.address: r for r in self._replicas + self._leaving}
+        staying = {r.server.address for r in self._replicas}
         self._replicas = []
         for server in group.servers:
-            replica = known.get(server.name)
-            if replica is None or replica.server.address != server.address:
+            replica = known.pop(server.address, None)
+            if replica is None:
                 replica = Replica(server=server, ramp_from=now)
+            elif server.address not in staying:
+                replica.rejoin(now)
             replica.server = server
             self._replicas.append(replica)
+        # Its attempts still hold slots: a server that an edit takes away and the
+        # next one brings back would else be given twice its slots.
+        self._leaving = [r for r in known.values() if r.in_flight > 0]
         self.group = group
         self.service = service
         self.control = control
@@ -393,6 +400,10 @@
             now=now,
             dice=self.random,
         )
+        # A hedge runs only when the first attempt is slow. Counted, its fast answers
+        # would pull the quantile down, and each hedge would bring on more of them.
+        if attempt.cause == "hedge":
+            return
         match ended.outcome:
             case Answered():
                 self._recent.add(ended.elapsed)
@@ -504,12 +515,11 @@
 
     def _hedge(self, progress: Progress, now: float) -> list[Effect]:
         """Start a second attempt on a replica with a free slot, within the budget."""
-        call = progress.call
         # While calls wait, a free slot is theirs: a hedge would delay one call to
         # speed up another, and slow the group when it is slowest.
-        if not call.idempotent or progress.is_hedged or self._waiting:
+        if self._waiting or self._is_stopping:
             return []
-        if self._is_stopping or self._get_hedge_time(progress) > now:
+        if self._get_hedge_time(progress) > now:
             return []
         match self._choose(progress, now):
             case Chosen(replica=replica) as chosen if replica.ejected_until <= now:
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,113 @@
+"""Hedging: the delay, the budget, and when it must not happen."""
+
+from lavendergap.coordination.calls import CancelAttempt
+from lavendergap.coordination.hedging import MIN_SAMPLES, WINDOW, RecentLatencies
+from lavendergap.state.outcome import Answered, Reason
+
+from .groups import lose, make_owner, refuse
+
+
+class TestRecentLatencies:
+    def test_no_quantile_from_a_handful_of_calls(self):
+        recent = RecentLatencies(quantile=0.95)
+        for _ in range(MIN_SAMPLES - 1):
+            recent.add(0.010)
+        assert recent.delay is None
+
+    def test_a_slow_spell_is_forgotten(self):
+        recent = RecentLatencies(quantile=0.95)
+        for latency in [1.0] * WINDOW + [0.010] * WINDOW:
+            recent.add(latency)
+        assert recent.delay == 0.010
+        assert len(recent) == WINDOW
+
+
+class TestHedge:
+    def test_a_straggler_is_overtaken_and_cancelled(self):
+        # One replica pauses for a collection of garbage. The caller would wait for
+        # it, although the other replica has a free slot and answers in 10 ms.
+        owner = make_owner("ab")
+        owner.warm_up()
+        owner.submit()
+        slow = owner.started[-1]
+        owner.move(0.012)
+        hedge = owner.started[-1]
+        assert (hedge.cause, hedge.call) == ("hedge", slow.call)
+        assert hedge.server != slow.server
+        effects = owner.end_last()
+        assert CancelAttempt(attempt_id=slow.attempt_id) in effects
+        assert isinstance(owner.finished[slow.call.call_id].outcome, Answered)
+        owner.end(slow.attempt_id, lose(Reason.CANCELLED))
+        assert owner.scheduler.describe(now=owner.now).n_in_flight == 0
+
+    def test_a_refused_hedge_leaves_the_first_attempt_running(self):
+        owner = make_owner("ab")
+        owner.warm_up()
+        call = owner.submit()
+        owner.move(0.012)
+        owner.end_last(refuse(Reason.SHED, retry_after_ms=50))
+        assert call.call_id not in owner.finished
+        owner.end(owner.started[-2].attempt_id)
+        assert isinstance(owner.finished[call.call_id].outcome, Answered)
+
+    def test_a_booking_is_never_hedged(self):
+        owner = make_owner("ab")
+        owner.warm_up()
+        owner.submit(idempotent=False)
+        owner.move(0.2)
+        assert owner.started[-1].cause == "first"
+
+    def test_no_hedge_while_calls_wait(self):
+        # Under overload every call is slow. Hedges would take the slots that the
+        # waiting calls need, and make the overload worse.
+        owner = make_owner("ab", slots=1)
+        owner.warm_up()
+        first = owner.submit()
+        second = owner.submit()
+        owner.end_last(refuse(Reason.SHED, retry_after_ms=50))
+        owner.now += 0.060
+        owner.take(owner.scheduler.advance(now=owner.now))
+        assert owner.started[-1].call is second
+        assert first.call_id not in owner.finished
+        assert "hedge" not in [s.cause for s in owner.started]
+
+    def test_no_hedge_on_a_replica_without_a_free_slot(self):
+        owner = make_owner("ab", slots=1)
+        owner.warm_up()
+        owner.submit()
+        owner.submit()
+        owner.move(0.050)
+        assert "hedge" not in [s.cause for s in owner.started]
+        owner.end_last()
+        owner.move(0.050)
+        assert owner.started[-1].cause == "hedge"
+
+    def test_when_all_calls_are_slow_the_budget_holds(self):
+        # The whole group turns ten times slower. Each call is now beyond the old
+        # quantile, and without a budget the load would double at the worst time.
+        owner = make_owner("ab", slots=2, hedge_budget=0.01)
+        owner.warm_up(n_calls=256)
+        for _ in range(200):
+            owner.submit()
+            owner.move(0.030)
+            for attempt_id in sorted(owner.open):
+                if attempt_id in owner.open:
+                    owner.end(attempt_id, elapsed=0.100)
+        n_hedges = sum(s.cause == "hedge" for s in owner.started)
+        assert 0 < n_hedges <= 3 + 0.01 * 456
+
+    def test_cut_stragglers_stay_in_the_quantile(self):
+        # Each hedge cancels the slow attempt. Left out, only fast answers would be
+        # seen, the delay would sink, and ever more calls would be hedged.
+        owner = make_owner("ab", hedge_budget=1.0, hedge_after_quantile=0.5)
+        owner.warm_up(n_calls=64, elapsed=0.010)
+        for _ in range(256):
+            owner.submit()
+            first = owner.started[-1]
+            owner.move(0.030)
+            if owner.started[-1].cause == "hedge":
+                owner.end(owner.started[-1].attempt_id, elapsed=0.001)
+                owner.end(first.attempt_id, lose(Reason.CANCELLED), elapsed=0.030)
+            else:
+                owner.end(first.attempt_id, elapsed=0.030)
+        assert (owner.scheduler._recent.delay or 0.0) >= 0.010
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,213 @@
+"""What is known of replicas, and which one is chosen."""
+
+from random import Random
+
+from lavendergap.coordination.replicas import (
+    ANSWER_LIFETIME,
+    DRAIN_MEMORY,
+    LONGEST_EJECTION,
+    SLOW_START,
+    Chosen,
+    NoneLeft,
+    Replica,
+    choose,
+)
+from lavendergap.state.outcome import Reason
+
+from .groups import ANSWER, lose, make_group, make_owner, make_report, refuse
+
+NOBODY: frozenset[str] = frozenset()
+
+
+def make_replicas(names: str = "ab", *, slots: int = 2) -> list[Replica]:
+    return [Replica(server=s) for s in make_group(names, slots=slots).servers]
+
+
+def pick(replicas, *, now=100.0, version=7, typical=0.010):
+    return choose(
+        replicas,
+        version=version,
+        excluded=NOBODY,
+        tried=NOBODY,
+        typical=typical,
+        now=now,
+        dice=Random(1),
+    )
+
+
+def pick_name(replicas, **known):
+    choice = pick(replicas, **known)
+    return choice.replica.server.name if isinstance(choice, Chosen) else None
+
+
+def answer(replica, state="serving", *, started=100.0, now=100.0, **report):
+    replica.note_answer(make_report(state, **report), started=started, own=0, now=now)
+
+
+def fail(replica, reason=Reason.REFUSED_CONNECTION, *, now=100.0, fresh=False):
+    outcome = refuse(reason) if reason is Reason.REFUSED_CONNECTION else lose(reason)
+    replica.note_end(outcome, elapsed=0.01, fresh=fresh, now=now, dice=Random(1))
+
+
+class TestChoice:
+    def test_the_least_loaded_is_chosen_by_own_calls_and_by_reports(self):
+        a, b = replicas = make_replicas()
+        a.in_flight = 1
+        assert pick_name(replicas) == "b"
+        answer(b, in_use=2, queued=1)
+        assert pick_name(replicas) == "a"
+        assert pick_name(replicas, now=102.0) == "b"
+
+    def test_a_slower_replica_is_avoided_until_its_past_fades(self):
+        a, b = replicas = make_replicas()
+        a.note_end(ANSWER, elapsed=0.050, fresh=False, now=100.0, dice=Random(1))
+        b.note_end(ANSWER, elapsed=0.010, fresh=False, now=100.0, dice=Random(1))
+        assert pick_name(replicas) == "b"
+        b.in_flight = 1
+        assert pick_name(replicas, now=101.0) == "b"
+        assert pick_name(replicas, now=110.0) == "a"
+
+    def test_all_replicas_ejected_means_all_are_candidates(self):
+        # The switch above this host fails for a moment, and every attempt is
+        # refused. Were all servers ejected, every call would be refused unsent for
+        # as long as the ejections last, although the servers are well.
+        a, b = replicas = make_replicas()
+        fail(a)
+        assert pick_name(replicas) == "b"
+        fail(b)
+        choice = pick(replicas)
+        assert isinstance(choice, Chosen)
+        assert "failing open" in choice.why
+
+    def test_a_version_is_looked_for_where_it_may_be(self):
+        a, b = replicas = make_replicas()
+        answer(a, versions=(7, 8))
+        answer(b, versions=(6, 7))
+        assert pick_name(replicas, version=6) == "b"
+        assert pick_name(replicas, version=8) in ("a", "b")
+        assert pick(replicas, version=5) == NoneLeft(reason=Reason.VERSION_GONE)
+
+
+class TestEjection:
+    def test_it_grows_with_each_failure_and_is_bounded(self):
+        (a,) = make_replicas("a")
+        now = 100.0
+        spans = []
+        for _ in range(12):
+            fail(a, now=now)
+            spans.append(a.ejected_until - now)
+            now = a.ejected_until
+        assert spans[3] > 4 * spans[0]
+        assert max(spans) <= LONGEST_EJECTION * 1.2
+
+    def test_one_lost_connection_is_no_proof_against_the_server(self):
+        (a,) = make_replicas("a")
+        fail(a, Reason.SILENT_CONNECTION)
+        assert a.ejected_until <= 100.0
+        fail(a, Reason.SILENT_CONNECTION)
+        assert a.ejected_until > 100.0
+
+    def test_a_fresh_connection_that_is_silent_is_proof(self):
+        (a,) = make_replicas("a")
+        fail(a, Reason.SILENT_CONNECTION, fresh=True)
+        assert a.ejected_until > 100.0
+
+    def test_a_server_comes_back_gradually(self):
+        # A restarted server has cold caches. All slots at once would make its first
+        # answers late together, and eject it again.
+        a, b = replicas = make_replicas("ab", slots=6)
+        fail(a)
+        back = a.ejected_until
+        assert pick_name(replicas, now=back) == "b"
+        limits = [a.limit(back + SLOW_START * share) for share in (0, 0.5, 1)]
+        assert limits == [1, 3, 6]
+
+    def test_a_hanging_server_is_ejected_by_its_deadlines(self):
+        # The server accepts and never answers. The calls are cancelled at their
+        # deadline by us, so the transport reports nothing but its own cancellation.
+        owner = make_owner("ab", slots=1)
+        owner.observe("b", make_report("draining"))
+        for _ in range(3):
+            owner.submit()
+            owner.move(0.3)
+            owner.end_last(lose(Reason.CANCELLED))
+        servers = owner.scheduler.describe(now=owner.now).servers
+        assert servers[0].ejected_ms > 0
+
+
+class TestShedding:
+    def test_a_server_that_sheds_is_left_alone_as_long_as_it_asks(self):
+        a, b = replicas = make_replicas()
+        shed = refuse(Reason.SHED, retry_after_ms=200)
+        a.note_end(shed, elapsed=0.001, fresh=False, now=100.0, dice=Random(1))
+        b.in_flight = 1
+        assert pick_name(replicas, now=100.19) == "b"
+        assert pick_name(replicas, now=100.21) == "a"
+
+
+class TestDrain:
+    def test_a_draining_server_gets_nothing_new(self):
+        a, b = replicas = make_replicas()
+        a.note_health(make_report("draining"), now=100.0)
+        b.in_flight = 1
+        assert pick_name(replicas) == "b"
+
+    def test_a_health_endpoint_that_lies_brings_no_work_to_a_leaving_server(self):
+        # The server drains and says so in its answers; its health endpoint goes on
+        # saying "serving". Believed, it would get new calls until it is killed.
+        a, _ = make_replicas()
+        answer(a, "draining")
+        for second in range(1, int(DRAIN_MEMORY)):
+            a.note_health(make_report("serving"), now=100.0 + second)
+            assert a.state == "draining"
+        a.note_health(make_report("serving"), now=100.0 + DRAIN_MEMORY)
+        assert a.state == "serving"
+
+    def test_a_restarted_server_is_taken_back(self):
+        a, _ = make_replicas()
+        answer(a, "draining")
+        a.note_no_health(now=101.0, dice=Random(1))
+        a.note_health(make_report("starting"), now=102.0)
+        assert (a.state, a.limit(102.0)) == ("starting", 1)
+        a.note_health(make_report("serving"), now=103.0)
+        assert a.state == "serving"
+
+    def test_an_answer_from_before_the_drain_does_not_undo_it(self):
+        # Two answers cross: the later one left the server before the drain began.
+        a, _ = make_replicas()
+        answer(a, "draining", started=99.9, now=100.0)
+        answer(a, "serving", started=99.8, now=100.1)
+        assert a.state == "draining"
+
+    def test_all_said_to_drain_by_health_alone_is_put_to_the_test(self):
+        # The health endpoints of all replicas mislead. Believed, the shard would be
+        # missing from every answer; one attempt gets the truth from the server.
+        a, b = replicas = make_replicas()
+        a.note_health(make_report("draining"), now=100.0)
+        b.note_health(make_report("draining"), now=100.0)
+        assert "all said to drain" in pick(replicas).why
+        answer(a, "draining", started=100.1, now=100.2)
+        answer(b, "draining", started=100.1, now=100.2)
+        assert pick(replicas) == NoneLeft(reason=Reason.NO_REPLICA)
+
+
+class TestHealth:
+    def test_versions_from_answers_outweigh_the_endpoint(self):
+        (a,) = make_replicas("a")
+        answer(a, versions=(6, 7))
+        a.note_health(make_report(versions=(8,)), now=100.1)
+        assert a.may_serve(7)
+        late = 100.1 + ANSWER_LIFETIME
+        a.note_health(make_report(versions=(8,)), now=late)
+        assert not a.may_serve(7)
+
+    def test_missed_probes_count_unless_answers_come(self):
+        (a,) = make_replicas("a")
+        for second in range(10):
+            now = 100.0 + second
+            a.note_no_health(now=now, dice=Random(1))
+            a.note_end(ANSWER, elapsed=0.01, fresh=False, now=now, dice=Random(1))
+        assert a.ejected_until <= 100.0
+        a.note_no_health(now=120.0, dice=Random(1))
+        a.note_no_health(now=121.0, dice=Random(1))
+        assert a.ejected_until > 121.0
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,273 @@
+"""The owner's scheduler: dispatch, queue, retries, deadlines, changes, stopping."""
+
+import pytest
+
+from lavendergap.coordination.calls import CancelAttempt, FinishCall, StartAttempt
+from lavendergap.coordination.scheduler import MAX_STALE_TIMERS, RETRY_BURST
+from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
+from lavendergap.state.settings import Control
+
+from .groups import (
+    ANSWER,
+    lose,
+    make_group,
+    make_owner,
+    make_report,
+    make_service,
+    refuse,
+)
+
+
+class TestDispatch:
+    def test_a_free_slot_starts_the_call_at_once(self):
+        owner = make_owner()
+        call = owner.submit()
+        (start,) = owner.started
+        assert (start.call, start.cause) == (call, "first")
+        assert start.why.endswith(f"-> {start.server}")
+        assert owner.end_last() == [
+            FinishCall(call=call, outcome=ANSWER, server=start.server, n_attempts=1)
+        ]
+
+    def test_calls_spread_over_the_slots_and_then_wait(self):
+        owner = make_owner("ab", slots=2)
+        for _ in range(5):
+            owner.submit()
+        assert sorted(s.server for s in owner.started) == ["a", "a", "b", "b"]
+        owner.end_last()
+        assert owner.started[-1].call.call_id == 5
+
+    def test_a_call_submitted_twice_is_an_error_of_the_program(self):
+        owner = make_owner()
+        call = owner.submit()
+        with pytest.raises(ValueError, match="already submitted"):
+            owner.scheduler.submit(call, now=owner.now)
+
+    def test_a_cancelled_attempt_keeps_its_slot_until_the_transport_ends_it(self):
+        # A caller leaves and its call is cancelled. Until the transport has closed
+        # the connection the server still works on it; a new call sent at once would
+        # be the third on two slots, and be shed.
+        owner = make_owner("a", slots=1)
+        call = owner.submit()
+        owner.submit()
+        effects = owner.take(owner.scheduler.cancel(call.call_id, now=owner.now))
+        assert CancelAttempt(attempt_id=1) in effects
+        owner.submit()
+        assert len(owner.started) == 1
+        owner.end(1, lose(Reason.CANCELLED))
+        assert owner.started[-1].call.call_id == 2
+        assert owner.finished[1].outcome == Unknown(
+            step=Step.RECEIVE, peer="a", reason=Reason.CANCELLED
+        )
+
+    def test_an_unknown_attempt_or_call_changes_nothing(self):
+        owner = make_owner()
+        owner.submit()
+        owner.end(1)
+        owner.open[1] = owner.started[0]
+        assert owner.end(1) == []
+        assert owner.scheduler.cancel(1, now=owner.now) == []
+
+
+class TestRetry:
+    def test_a_refusal_goes_to_another_replica_also_for_a_booking(self):
+        # A server that is being replaced refuses the connection. Nothing of the
+        # booking has left this host, so the other replica may run it.
+        owner = make_owner("ab", retry_budget=0.0)
+        owner.submit(idempotent=False)
+        first = owner.started[0].server
+        owner.end_last(refuse(Reason.REFUSED_CONNECTION))
+        assert owner.started[-1].cause == "retry"
+        assert owner.started[-1].server != first
+        owner.end_last()
+        assert isinstance(owner.finished[1].outcome, Answered)
+
+    def test_a_booking_that_may_have_run_is_never_sent_again(self):
+        # The connection breaks after the booking was sent; the server may have run
+        # it. A second attempt would send two trucks to one job.
+        owner = make_owner("ab")
+        owner.submit(idempotent=False)
+        owner.end_last(lose(Reason.LOST_CONNECTION))
+        assert len(owner.started) == 1
+        assert owner.finished[1].outcome == lose(Reason.LOST_CONNECTION)
+
+    @pytest.mark.parametrize(
+        "reason", [Reason.SILENT_CONNECTION, Reason.LOST_CONNECTION]
+    )
+    def test_a_silent_connection_is_retried_on_a_fresh_one(self, reason):
+        # Something between the ends lost track of an old connection, and requests on
+        # it vanish. The other old connections may have gone the same way, so the
+        # retry must not take one of them.
+        owner = make_owner("a")
+        owner.submit()
+        assert not owner.started[-1].fresh_connection
+        owner.end_last(lose(reason))
+        assert owner.started[-1].fresh_connection
+        assert owner.started[-1].server == "a"
+
+    def test_a_query_that_failed_prefers_another_replica(self):
+        owner = make_owner("ab")
+        owner.submit()
+        owner.end_last(lose(Reason.SERVER_ERROR))
+        assert {s.server for s in owner.started} == {"a", "b"}
+
+    def test_an_outage_is_not_amplified(self):
+        # Every server answers 500. Without a budget each query would be tried four
+        # times, and the servers would meet four times the load while they recover.
+        owner = make_owner("ab", retry_budget=0.1)
+        for _ in range(400):
+            owner.submit()
+            while owner.open:
+                owner.end_last(lose(Reason.SERVER_ERROR))
+        n_extra = len(owner.started) - 400
+        assert n_extra <= RETRY_BURST + 0.1 * 400
+        assert owner.scheduler.describe(now=owner.now).n_budget_denials > 0
+
+    def test_unknown_outlasts_a_later_refusal(self):
+        # The first replica loses the connection, the second refuses. The first may
+        # have run the call, so "not run" would be a lie.
+        owner = make_owner("ab")
+        owner.submit()
+        owner.end_last(lose(Reason.LOST_CONNECTION))
+        owner.end_last(refuse(Reason.VERSION_GONE))
+        while owner.open:
+            owner.end_last(refuse(Reason.VERSION_GONE))
+        assert owner.finished[1].outcome == lose(Reason.LOST_CONNECTION)
+
+    def test_a_version_gone_everywhere_ends_as_version_gone(self):
+        # The indexer moves on while a query runs: one replica has dropped version 7,
+        # the other is being restarted. The coordinator must learn of the version.
+        owner = make_owner("ab")
+        owner.submit(version=7)
+        owner.end_last(refuse(Reason.VERSION_GONE))
+        owner.end_last(refuse(Reason.REFUSED_CONNECTION))
+        assert owner.get_refusal(1).reason is Reason.VERSION_GONE
+        assert owner.finished[1].n_attempts == 2
+
+    def test_a_call_waits_out_the_backoff_of_the_only_replica(self):
+        owner = make_owner("a")
+        owner.submit(in_ms=280)
+        owner.end_last(refuse(Reason.SHED, retry_after_ms=100))
+        assert len(owner.started) == 1
+        owner.move(0.099)
+        assert len(owner.started) == 1
+        owner.move(0.002)
+        assert owner.started[-1].cause == "retry"
+
+    def test_a_backoff_beyond_the_deadline_ends_the_call_at_once(self):
+        owner = make_owner("a")
+        owner.submit(in_ms=280)
+        owner.end_last(refuse(Reason.SHED, retry_after_ms=1_000))
+        assert owner.get_refusal(1).retry_after_ms == 1_000
+        owner.submit(in_ms=280)
+        refusal = owner.get_refusal(2)
+        assert refusal.reason is Reason.OVERLOADED
+        assert refusal.retry_after_ms >= 1_000
+
+
+class TestDeadline:
+    def test_a_late_call_is_refused_before_it_costs_anything(self):
+        owner = make_owner()
+        owner.submit(in_ms=0)
+        assert owner.get_refusal(1).reason is Reason.DEADLINE
+        assert owner.started == []
+
+    def test_a_running_call_ends_at_its_deadline_and_frees_the_slot(self):
+        owner = make_owner("a")
+        owner.submit(in_ms=280)
+        owner.move(0.281)
+        assert owner.finished[1].outcome == Unknown(
+            step=Step.RECEIVE, peer="a", reason=Reason.DEADLINE
+        )
+
+    def test_a_queued_call_that_can_not_finish_is_not_started(self):
+        # Calls take 100 ms. One that has waited until 50 ms are left would hold a
+        # slot and be thrown away, and the call behind it would be late in turn.
+        owner = make_owner("a", slots=1)
+        owner.warm_up(elapsed=0.100)
+        owner.submit(in_ms=1_000)
+        owner.submit(in_ms=250)
+        owner.move(0.200)
+        assert owner.finished[66].outcome == NotRun(
+            step=Step.QUEUE,
+            peer="scheduler-00",
+            reason=Reason.DEADLINE,
+            retry_after_ms=owner.get_refusal(66).retry_after_ms,
+        )
+        assert owner.finished[66].n_attempts == 0
+
+    def test_long_deadlines_do_not_fill_the_memory(self):
+        owner = make_owner("a", idempotent=False)
+        for _ in range(2_000):
+            owner.submit(in_ms=3_600_000, idempotent=False)
+            owner.end_last()
+        assert len(owner.scheduler._timers) <= MAX_STALE_TIMERS + 2
+
+
+class TestChange:
+    def test_a_removed_server_gets_nothing_new_and_its_call_goes_on(self):
+        owner = make_owner("ab")
+        owner.submit()
+        owner.submit()
+        on_a = next(s for s in owner.started if s.server == "a")
+        self.replace(owner, "b")
+        for _ in range(3):
+            owner.submit()
+        assert [s.server for s in owner.started[2:]] == ["b"]
+        owner.end(on_a.attempt_id)
+        assert isinstance(owner.finished[on_a.call.call_id].outcome, Answered)
+
+    def test_a_server_taken_out_and_put_back_has_its_slots_once(self):
+        # Two edits in a row drop a server and bring it back while its two slots are
+        # busy. Counted from zero it would get two more calls, and shed them.
+        owner = make_owner("a", slots=2)
+        owner.submit()
+        owner.submit()
+        self.replace(owner, "b")
+        self.replace(owner, "a")
+        owner.submit()
+        assert len(owner.started) == 2
+
+    def test_an_added_server_takes_calls_that_wait(self):
+        owner = make_owner("a", slots=1)
+        owner.submit()
+        owner.submit()
+        self.replace(owner, "ab", slots=1)
+        assert [s.server for s in owner.started] == ["a", "b"]
+
+    def replace(self, owner, names, slots=2):
+        group = make_group(names, slots=slots)
+        owner.take(
+            owner.scheduler.replace(
+                group=group,
+                service=make_service(group),
+                control=Control(),
+                now=owner.now,
+            )
+        )
+
+
+class TestStop:
+    def test_waiting_calls_end_as_not_run_and_running_ones_go_on(self):
+        owner = make_owner("a", slots=1)
+        owner.submit()
+        owner.submit()
+        owner.take(owner.scheduler.stop(now=owner.now))
+        owner.submit()
+        reasons = [owner.get_refusal(call_id).reason for call_id in (2, 3)]
+        assert reasons == [Reason.STOPPING, Reason.STOPPING]
+        owner.end_last()
+        assert isinstance(owner.finished[1].outcome, Answered)
+
+    def test_a_summary_tells_what_is_under_way(self):
+        owner = make_owner("ab", slots=1)
+        for _ in range(3):
+            owner.submit()
+        owner.observe("b", make_report("draining"))
+        summary = owner.scheduler.describe(now=owner.now)
+        assert (summary.n_running, summary.n_waiting) == (2, 1)
+        assert {s.name: s.state for s in summary.servers} == {
+            "a": "serving",
+            "b": "draining",
+        }
+        assert isinstance(owner.started[0], StartAttempt)
