Keep bookings within their deadlines and out of silent channels

Cause: a review of entry/bookings.py against the promises.

- a connection that broke between two hosts made a living issuer look lost;
- callers that met a silent issuer waited for a dial each, one after the other, and a dial that was cut short left its connection behind: one dial is now shared and always comes to its end;
- questions to a witness ended before its channel could judge itself silent, so that a silent channel was used for ever;
- a queued request refused by a stopping owner was "not run" although the next owner could have it;
- an issuer that woke after the deadline still sent the request;
- a booking that began in the last moment of a planned stop was cut off, and one lost witness used up the whole drain;
- outcomes for a witness that had been replaced were sent for ever;
- a host that is stopping was chosen as a witness;
- a secret that cannot be a key was accepted, and raised in the middle of the witness at its issuer's first ticket, which would have ended the process.

Ruled out, by tests that passed before and after: a second run by a paused issuer, by a paused or restarted witness, after the owner's death, or for a removed service; a caller that leaves midway.

Conclusion: sending and asking stand in modules of their own (runs, ticketclient). Requests to backend servers carry the issuer's incarnation in their Request-Id, so that the id of a ticket is unique over restarts.

--- a/src/lavendergap/entry/bookings.py
+++ b/src/lavendergap/entry/bookings.py
@@ -6,12 +6,12 @@
 """
 
 import logging
+from collections import defaultdict
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import trio
 
-from ..coordination.calls import Call, FinishCall
 from ..coordination.issuer import Issuer
 from ..coordination.resolution import (
     Pending,
@@ -23,25 +23,25 @@
 from ..coordination.witness import Witness
 from ..logs import log_decision
 from ..protocol.answers import Refusal, name_outcome
-from ..protocol.peer import BadFrameError, Ran, TicketAsk, TicketReply
-from ..protocol.peer import Run as RunMessage
+from ..protocol.peer import BadFrameError, TicketAsk, TicketReply
 from ..protocol.tickets import (
     ASK,
+    PING,
     RUN,
     WITNESS_VERBS,
     Reply,
-    decode_reply,
     decode_request,
     encode_reply,
     encode_request,
     read_ticket,
 )
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
-from ..state.settings import Group, Service, Settings
+from ..state.settings import Settings
 from ..state.ticket import (
     Ack,
     AlreadyRunning,
     BadTicket,
+    CloseIssuer,
     Forgotten,
     IssuerLost,
     IssuerReply,
@@ -67,18 +67,25 @@
 )
 from ..transport.callers import CallerRequest, RunAnswer, RunResult, TicketText
 from ..transport.callers import Pending as PendingAnswer
-from ..transport.channel import Dialer, Loss
+from ..transport.channel import Dialer
 from ..transport.web import BadRequestError
 from .fleet import Fleet
-from .owner import Owner, Wanted
+from .owner import Owner
+from .runs import WORDS_LIMIT, RunSender
+from .ticketclient import TicketClient, Unreached
 
 logger = logging.getLogger("lavendergap.once")
 
-WITNESS_LIMIT = 0.5
-WITNESS_TRIES = 2
+# Long enough for a channel to judge itself silent and for a second one.
+WITNESS_LIMIT = 1.5
+OPEN_LIMIT = 0.25
 ASK_LIMIT = 1.0
+# A caller whose deadline has passed waits this much longer for the witness's proof.
+PROOF_LIMIT = 0.25
 CONFIRM_INTERVAL = 2.0
-CONFIRM_BATCH = 50
+# Above what one lost witness may leave within a ticket's lifetime, so that its
+# outcomes do not keep those of the others from being sent.
+CONFIRM_BATCH = 10_000
 RECORD_SHARE = 0.5
 N_WITNESSES_TRIED = 3
 
@@ -110,15 +117,23 @@
         self._witness = witness
         self._settings = settings
         self._fleet = fleet
-        self._owner = owner
-        self._dialer = dialer
         self._nursery = nursery
+        self._client = TicketClient(
+            own=peer, fleet=fleet, dialer=dialer, nursery=nursery
+        )
+        self._sender = RunSender(
+            own_host=peer.host,
+            settings=settings,
+            fleet=fleet,
+            owner=owner,
+            client=self._client,
+        )
         self._executions: dict[int, Execution] = {}
-        self._opened: set[Peer] = set()
 
     def replace(self, settings: Settings) -> None:
         """Put new settings in force."""
         self._settings = settings
+        self._sender.replace(settings)
 
     @property
     def is_busy(self) -> bool:
@@ -151,7 +166,9 @@
         if isinstance(ticket, BadTicket):
             return _reject(ticket.reason)
         reply = await self._run_at_issuer(ticket, request.body, request.deadline)
-        return await self._conclude(request.request_id, ticket, reply)
+        left = request.deadline - trio.current_time()
+        limit = min(ASK_LIMIT, max(PROOF_LIMIT, left))
+        return await self._conclude(request.request_id, ticket, reply, limit=limit)
 
     async def look_up(self, request_id: str, text: str) -> RunAnswer:
         """Tell what has become of a ticket; never runs anything."""
@@ -159,14 +176,14 @@
         if isinstance(ticket, BadTicket):
             return _reject(ticket.reason)
         reply = await self._ask_issuer(ticket)
-        return await self._conclude(request_id, ticket, reply)
+        return await self._conclude(request_id, ticket, reply, limit=ASK_LIMIT)
 
     async def _conclude(
-        self, request_id: str, ticket: Ticket, reply: IssuerReply
+        self, request_id: str, ticket: Ticket, reply: IssuerReply, *, limit: float
     ) -> RunAnswer:
         verdict = resolve_by_issuer(ticket, reply)
         if isinstance(verdict, VoidTicket):
-            said = await self._ask_witness_to_void(ticket)
+            said = await self._ask_witness_to_void(ticket, limit=limit)
             verdict = resolve_by_witness(ticket, said)
         log_decision(
             logger,
@@ -194,11 +211,13 @@
     ) -> IssuerReply:
         if ticket.issuer == self._peer:
             return await self._run_here(ticket, body, deadline)
-        left_ms = int((deadline - trio.current_time()) * 1_000)
-        ask = TicketAsk(verb=RUN, ticket=str(ticket), body=body, left_ms=left_ms)
+        left = max(0.0, deadline - trio.current_time())
+        ask = TicketAsk(
+            verb=RUN, ticket=str(ticket), body=body, left_ms=int(left * 1_000)
+        )
         # The issuer answers by the deadline; the time after it is for its words.
-        limit = left_ms / 1_000 + 0.25
-        return _take_issuer(await self._ask_peer(ticket.issuer, ask, limit=limit))
+        limit = left + WORDS_LIMIT
+        return _take_issuer(await self._client.ask(ticket.issuer, ask, limit=limit))
 
     async def _run_here(
         self, ticket: Ticket, body: bytes, deadline: float
@@ -243,10 +262,10 @@
             if isinstance(begun, RecordStarted):
                 limit = (deadline - trio.current_time()) * RECORD_SHARE
                 said = await self._record_started(begun, limit=limit)
-                decided = self._issuer.record(ticket, said, now=trio.current_time())
+                decided = self._issuer.record(ticket, said)
             if isinstance(decided, Run):
-                outcome = await self._send_once(ticket, body, deadline)
-                ended = self._issuer.end(ticket, outcome, now=trio.current_time())
+                outcome = await self._sender.send(ticket, body, deadline)
+                ended = self._issuer.end(ticket, outcome)
                 self._nursery.start_soon(self._record_ended, ended)
         finally:
             del self._executions[ticket.serial]
@@ -264,114 +283,56 @@
             case _:
                 return WitnessLost()
 
-    async def _record_ended(self, ended: RecordEnded) -> None:
+    async def _record_ended(self, ended: RecordEnded) -> bool:
+        """Give the witness an outcome; return whether it could be reached."""
         witness = ended.ticket.witness
         if witness is None:
-            return
+            return True
         reply = await self._ask_witness(witness, ended, limit=WITNESS_LIMIT)
         if isinstance(reply, Kept | Forgotten):
             self._issuer.confirm(ended.ticket)
+        return not isinstance(reply, WitnessLost)
 
     async def keep_confirming(self) -> None:
         """Send outcomes again, now and then, until their witness has them."""
         while True:
             await trio.sleep(CONFIRM_INTERVAL)
-            for ended in self._issuer.get_unconfirmed(limit=CONFIRM_BATCH):
-                await self._record_ended(ended)
+            await self._tell_witnesses(
+                self._issuer.get_unconfirmed(limit=CONFIRM_BATCH)
+            )
 
     async def hand_over(self) -> None:
-        """Give the witnesses all that others may ask about; nothing starts after."""
-        messages = self._issuer.hand_over(now=trio.current_time())
-        for message in messages:
-            match message:
-                case RecordEnded():
-                    await self._record_ended(message)
-                case closing:
-                    await self._ask_witness(
-                        closing.witness, closing, limit=WITNESS_LIMIT
-                    )
-
-    async def _send_once(self, ticket: Ticket, body: bytes, deadline: float) -> Outcome:
-        """Send the request to the group's owner, which sends it on at most once.
+        """Give the witnesses all that others may ask about; nothing starts after.
 
-        Only an owner that was certainly not reached, or that says "stopping", is
-        followed by the next: after anything else the request may have run.
+        What has begun is waited for: its outcome would else end with this process,
+        and a request that ran would be told as unknown because of a planned stop.
         """
-        service = self._settings.get_service(ticket.service)
-        if service is None:
-            return NotRun(
-                step=Step.ROUTE, peer=ticket.service, reason=Reason.UNKNOWN_SERVICE
-            )
-        group = service.groups[ticket.serial % len(service.groups)]
-        outcome: Outcome = NotRun(
-            step=Step.ROUTE, peer=group.name, reason=Reason.NO_REPLICA
-        )
-        for host in self._fleet.rank(group.name):
-            outcome = await self._send_to(host, ticket, service, group, body, deadline)
-            match outcome:
-                case NotRun(step=Step.ROUTE):
-                    continue
-                case _:
-                    break
-        return outcome
-
-    async def _send_to(
-        self,
-        host: str,
-        ticket: Ticket,
-        service: Service,
-        group: Group,
-        body: bytes,
-        deadline: float,
-    ) -> Outcome:
-        if host == self._peer.host:
-            return await self._submit(ticket, service, group, body, deadline)
-        address = self._fleet.get_address(host)
-        channel = await self._dialer.dial(host, address) if address else Loss.REFUSED
-        if isinstance(channel, Loss):
-            return NotRun(step=Step.ROUTE, peer=host, reason=Reason.REFUSED_CONNECTION)
-        left = deadline - trio.current_time()
-        message = RunMessage(
-            request_id=f"{ticket.issuer.host}-{ticket.serial}",
-            service=service.name,
-            group=group.name,
-            left_ms=max(0, int(left * 1_000)),
-            body=body,
-        )
-        reply = await channel.ask(message, limit=left + 0.25)
-        if isinstance(reply, Ran):
-            return reply.outcome
-        return Unknown(step=Step.RECEIVE, peer=host, reason=Reason.LOST_CONNECTION)
+        self._issuer.hand_over()
+        while self._executions:
+            await next(iter(self._executions.values())).done.wait()
+        await self._tell_witnesses(self._issuer.hand_over())
 
-    async def _submit(
-        self,
-        ticket: Ticket,
-        service: Service,
-        group: Group,
-        body: bytes,
-        deadline: float,
-    ) -> Outcome:
-        ended: list[FinishCall] = []
-        done = trio.Event()
-
-        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
-            ended.append(end)
-            done.set()
-
-        call = Call(
-            call_id=self._owner.make_call_id(),
-            request_id=f"{ticket.issuer.host}-{ticket.serial}",
-            service=service.name,
-            group=group.name,
-            shard="",
-            version=0,
-            deadline=deadline,
-            body=body,
-            idempotent=False,
-        )
-        self._owner.submit([Wanted(call=call, finish=finish)])
-        await done.wait()
-        return ended[0].outcome
+    async def _tell_witnesses(
+        self, messages: tuple[RecordEnded | CloseIssuer, ...]
+    ) -> None:
+        # Side by side, so that one that does not answer costs the others no time.
+        by_witness: dict[Peer, list[RecordEnded | CloseIssuer]] = defaultdict(list)
+        for message in messages:
+            witness = _get_witness(message)
+            if witness is not None:
+                by_witness[witness].append(message)
+        async with trio.open_nursery() as nursery:
+            for each in by_witness.values():
+                nursery.start_soon(self._tell_witness, each)
+
+    async def _tell_witness(self, messages: list[RecordEnded | CloseIssuer]) -> None:
+        for message in messages:
+            match message:
+                case RecordEnded():
+                    if not await self._record_ended(message):
+                        return
+                case CloseIssuer(witness=witness):
+                    await self._ask_witness(witness, message, limit=WITNESS_LIMIT)
 
     # As the witness, and as whoever asks one.
 
@@ -392,27 +353,25 @@
         return None
 
     async def _open_at(self, host: str) -> Peer | None:
-        address = self._fleet.get_address(host)
-        channel = await self._dialer.dial(host, address) if address else Loss.REFUSED
-        if isinstance(channel, Loss) or channel.peer is None:
+        channel = await self._client.reach_proved(host, limit=OPEN_LIMIT)
+        # One that is stopping would take its records along.
+        if channel is None or channel.peer is None or channel.is_leaving:
             return None
         witness = Peer(host=host, incarnation=channel.peer.incarnation)
-        if witness in self._opened:
+        if self._issuer.is_open(witness):
             return witness
-        reply = await self._ask_witness(
-            witness, self._issuer.open(witness), limit=WITNESS_LIMIT
-        )
+        opening = self._issuer.open(witness)
+        reply = await self._ask_witness(witness, opening, limit=OPEN_LIMIT)
         if not isinstance(reply, Kept):
             return None
-        self._opened.add(witness)
+        self._issuer.confirm_open(witness)
         return witness
 
-    async def _ask_witness_to_void(self, ticket: Ticket) -> VoidReply:
+    async def _ask_witness_to_void(self, ticket: Ticket, *, limit: float) -> VoidReply:
         if ticket.witness is None:
             return WitnessLost()
-        reply = await self._ask_witness(
-            ticket.witness, VoidTicket(ticket=ticket), limit=ASK_LIMIT
-        )
+        order = VoidTicket(ticket=ticket)
+        reply = await self._ask_witness(ticket.witness, order, limit=limit)
         match reply:
             case Voided() | Started() | Forgotten() | Refused():
                 return reply
@@ -424,40 +383,21 @@
     ) -> Reply | WitnessLost:
         if witness == self._peer:
             return self._witness.answer(request, now=trio.current_time())
-        ask = encode_request(request)
-        reply: Reply | IssuerLost = IssuerLost()
-        with trio.move_on_after(limit):
-            # All requests to a witness may be repeated, so a channel that turns
-            # out to be lost is replaced and the request sent again.
-            for _ in range(WITNESS_TRIES):
-                reply = await self._ask_peer(witness, ask, limit=limit)
-                if not isinstance(reply, IssuerLost):
-                    return reply
-        return WitnessLost()
+        reply = await self._client.ask(witness, encode_request(request), limit=limit)
+        match reply:
+            case Unreached.LOST:
+                return WitnessLost()
+            case Unreached.REPLACED:
+                # Its records are gone for good, so asking again is of no use.
+                return Forgotten()
+            case _:
+                return reply
 
     async def _ask_issuer(self, ticket: Ticket) -> IssuerReply:
         if ticket.issuer == self._peer:
             return self._issuer.ask(ticket, now=trio.current_time())
         ask = TicketAsk(verb=ASK, ticket=str(ticket))
-        return _take_issuer(await self._ask_peer(ticket.issuer, ask, limit=ASK_LIMIT))
-
-    async def _ask_peer(self, peer: Peer, ask: TicketAsk, *, limit: float) -> Reply:
-        """Ask one life of a host; a later life of it cannot answer for it."""
-        address = self._fleet.get_address(peer.host)
-        if address is None or peer.host == self._peer.host:
-            return IssuerLost()
-        channel = await self._dialer.dial(peer.host, address)
-        if isinstance(channel, Loss) or channel.peer is None:
-            return IssuerLost()
-        if channel.peer.incarnation != peer.incarnation:
-            return IssuerLost()
-        reply = await channel.ask(ask, limit=limit)
-        if not isinstance(reply, TicketReply):
-            return IssuerLost()
-        try:
-            return decode_reply(reply)
-        except BadFrameError:
-            return IssuerLost()
+        return _take_issuer(await self._client.ask(ticket.issuer, ask, limit=ASK_LIMIT))
 
     # For peers.
 
@@ -470,6 +410,8 @@
         try:
             if ask.verb in WITNESS_VERBS:
                 return self._witness.answer(decode_request(ask), now=now)
+            if ask.verb == PING:
+                return Kept()
             ticket = read_ticket(ask)
         except BadFrameError:
             return Refused(reason=TicketProblem.MALFORMED)
@@ -501,7 +443,15 @@
             return Refusal(request_id=request_id, outcome=outcome)
 
 
-def _take_issuer(reply: Reply) -> IssuerReply:
+def _get_witness(message: RecordEnded | CloseIssuer) -> Peer | None:
+    match message:
+        case RecordEnded(ticket=ticket):
+            return ticket.witness
+        case CloseIssuer(witness=witness):
+            return witness
+
+
+def _take_issuer(reply: Reply | Unreached) -> IssuerReply:
     match reply:
         case Known() | AlreadyRunning() | NotBegun() | Refused():
             return reply
--- /dev/null
+++ b/src/lavendergap/entry/runs.py
@@ -0,0 +1,136 @@
+"""Sends the request of a ticket to the owner of its group, which runs it once."""
+
+import trio
+
+from ..coordination.calls import Call, FinishCall
+from ..protocol.peer import Ran
+from ..protocol.peer import Run as RunMessage
+from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
+from ..state.settings import Group, Service, Settings
+from ..state.ticket import Ticket
+from .fleet import Fleet
+from .owner import Owner, Wanted
+from .ticketclient import TicketClient
+
+# Of the time left to the deadline, what reaching one owner may take; the rest is for
+# the run, or for the owners that come next.
+REACH_SHARE = 0.25
+REACH_LIMIT = 0.25
+# The owner answers by the deadline; the time after it is for its words.
+WORDS_LIMIT = 0.25
+
+
+class RunSender:
+    """Sends requests that must run at most once. Each ticket is given to it once."""
+
+    def __init__(
+        self,
+        *,
+        own_host: str,
+        settings: Settings,
+        fleet: Fleet,
+        owner: Owner,
+        client: TicketClient,
+    ) -> None:
+        self._own_host = own_host
+        self._settings = settings
+        self._fleet = fleet
+        self._owner = owner
+        self._client = client
+
+    def replace(self, settings: Settings) -> None:
+        """Put new settings in force."""
+        self._settings = settings
+
+    async def send(self, ticket: Ticket, body: bytes, deadline: float) -> Outcome:
+        """Send the request to an owner of its group, once; `deadline` in seconds.
+
+        The next owner gets it only after proof that the one before it has done
+        nothing: no byte of the request had left, or it says itself that it is
+        stopping. After anything else the request may have run.
+        """
+        service = self._settings.get_service(ticket.service)
+        if service is None:
+            return NotRun(
+                step=Step.ROUTE, peer=ticket.service, reason=Reason.UNKNOWN_SERVICE
+            )
+        group = service.groups[ticket.serial % len(service.groups)]
+        call = self._build_call(ticket, service, group, body, deadline)
+        outcome: Outcome = NotRun(
+            step=Step.ROUTE, peer=group.name, reason=Reason.NO_REPLICA
+        )
+        # This host comes last, in case that it is the one that is cut off.
+        for host in dict.fromkeys((*self._fleet.rank(group.name), self._own_host)):
+            if trio.current_time() >= deadline:
+                # A pause of this process ends here too: nothing is sent late.
+                return NotRun(step=Step.ROUTE, peer=host, reason=Reason.DEADLINE)
+            outcome = await self._send_to(host, call)
+            if not _is_untouched(outcome):
+                break
+        return outcome
+
+    def _build_call(
+        self,
+        ticket: Ticket,
+        service: Service,
+        group: Group,
+        body: bytes,
+        deadline: float,
+    ) -> Call:
+        issuer = ticket.issuer
+        return Call(
+            call_id=self._owner.make_call_id(),
+            request_id=f"{issuer.host}-{issuer.incarnation}-{ticket.serial}",
+            service=service.name,
+            group=group.name,
+            shard="",
+            version=0,
+            deadline=deadline,
+            body=body,
+            idempotent=False,
+        )
+
+    async def _send_to(self, host: str, call: Call) -> Outcome:
+        if host == self._own_host:
+            return await self._submit(call)
+        left = call.deadline - trio.current_time()
+        limit = min(REACH_LIMIT, left * REACH_SHARE)
+        channel = await self._client.reach_proved(host, limit=limit)
+        if channel is None:
+            self._fleet.shun(host, now=trio.current_time())
+            return NotRun(step=Step.ROUTE, peer=host, reason=Reason.REFUSED_CONNECTION)
+        left = call.deadline - trio.current_time()
+        if left <= 0:
+            return NotRun(step=Step.ROUTE, peer=host, reason=Reason.DEADLINE)
+        message = RunMessage(
+            request_id=call.request_id,
+            service=call.service,
+            group=call.group,
+            left_ms=int(left * 1_000),
+            body=call.body,
+        )
+        reply = await channel.ask(message, limit=left + WORDS_LIMIT)
+        if isinstance(reply, Ran):
+            return reply.outcome
+        return Unknown(step=Step.RECEIVE, peer=host, reason=Reason.LOST_CONNECTION)
+
+    async def _submit(self, call: Call) -> Outcome:
+        ended: list[FinishCall] = []
+        done = trio.Event()
+
+        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+            ended.append(end)
+            done.set()
+
+        self._owner.submit([Wanted(call=call, finish=finish)])
+        await done.wait()
+        return ended[0].outcome
+
+
+def _is_untouched(outcome: Outcome) -> bool:
+    """Tell whether an owner did nothing with a request, so that the next may."""
+    match outcome:
+        case NotRun(step=Step.ROUTE) | NotRun(reason=Reason.STOPPING):
+            return True
+        case _:
+            return False
--- a/src/lavendergap/protocol/tickets.py
+++ b/src/lavendergap/protocol/tickets.py
@@ -4,6 +4,8 @@
 into the message's other fields.
 """
 
+import re
+
 from ..state.outcome import Outcome
 from ..state.ticket import (
     Ack,
@@ -30,12 +32,15 @@
     VoidReply,
     VoidTicket,
     WitnessRequest,
+    is_ticket_name,
     parse_ticket,
 )
 from .peer import BadFrameError, TicketAsk, TicketReply
 
 RUN = "run"
 ASK = "ask"
+# Asks for any reply: it proves that the channel still carries bytes both ways.
+PING = "ping"
 OPEN = "open issuer"
 STARTED = "record started"
 ENDED = "record ended"
@@ -43,6 +48,9 @@
 VOID = "void"
 WITNESS_VERBS = frozenset({OPEN, STARTED, ENDED, CLOSE, VOID})
 PEER_SEPARATOR = "~"
+MAX_SECRET_BYTES = 64
+MIN_SECRET_BYTES = 16
+_INCARNATION = re.compile(r"0|[1-9][0-9]{0,19}")
 
 Reply = StartedReply | VoidReply | KeptReply | IssuerReply
 
@@ -67,7 +75,9 @@
     match ask:
         case TicketAsk(verb="open issuer"):
             issuer, witness = _split(ask.ticket)
-            return OpenIssuer(issuer=issuer, witness=witness, secret=ask.body)
+            return OpenIssuer(
+                issuer=issuer, witness=witness, secret=_read_secret(ask.body)
+            )
         case TicketAsk(verb="close issuer"):
             issuer, witness = _split(ask.ticket)
             return CloseIssuer(issuer=issuer, witness=witness)
@@ -95,14 +105,25 @@
 
 
 def _split(text: str) -> tuple[Peer, Peer]:
-    try:
-        host, incarnation, other, at = text.split(PEER_SEPARATOR)
-        return (
-            Peer(host=host, incarnation=int(incarnation)),
-            Peer(host=other, incarnation=int(at)),
-        )
-    except ValueError as error:
-        raise BadFrameError(problem="malformed issuer or witness") from error
+    match text.split(PEER_SEPARATOR):
+        case [issuer, at, witness, witness_at]:
+            return _read_peer(issuer, at), _read_peer(witness, witness_at)
+        case _:
+            raise BadFrameError(problem="malformed issuer or witness")
+
+
+def _read_peer(host: str, incarnation: str) -> Peer:
+    if not is_ticket_name(host) or not _INCARNATION.fullmatch(incarnation):
+        raise BadFrameError(problem="malformed issuer or witness")
+    return Peer(host=host, incarnation=int(incarnation))
+
+
+def _read_secret(secret: bytes) -> bytes:
+    # A key that the hash refuses would raise at the issuer's first ticket, in the
+    # middle of the witness, and end its process with the records of all others.
+    if not MIN_SECRET_BYTES <= len(secret) <= MAX_SECRET_BYTES:
+        raise BadFrameError(problem=f"a secret of {len(secret)} bytes")
+    return secret
 
 
 _PLAIN: dict[str, Reply] = {
--- /dev/null
+++ b/tests/test_bookings.py
@@ -0,0 +1,582 @@
+"""Bookings on a few hosts in one process, over channels that the tests hold up."""
+
+from contextlib import suppress
+from types import SimpleNamespace
+
+import pytest
+import trio
+from trio.testing import memory_stream_pair, memory_stream_pump
+
+from lavendergap.coordination.calls import FinishCall
+from lavendergap.coordination.documents import Documents
+from lavendergap.coordination.issuer import Issuer
+from lavendergap.coordination.witness import Witness
+from lavendergap.entry.bookings import Bookings
+from lavendergap.entry.fleet import Fleet
+from lavendergap.entry.owner import Owner
+from lavendergap.entry.peers import PeerService
+from lavendergap.protocol.answers import Refusal
+from lavendergap.protocol.peer import Frame, Hello
+from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
+from lavendergap.state.settings import (
+    Address,
+    Group,
+    Host,
+    Service,
+    Settings,
+    WaitForCoverage,
+)
+from lavendergap.state.ticket import Peer, Ticket, parse_ticket
+from lavendergap.transport.callers import (
+    CallerRequest,
+    Pending,
+    RunResult,
+    TicketText,
+)
+from lavendergap.transport.channel import Channel, Dialer, Loss
+from lavendergap.transport.web import BadRequestError
+
+DONE = Answered(body=b'"booked"')
+STOPPING = NotRun(step=Step.QUEUE, peer="ledger", reason=Reason.STOPPING)
+HOSTS = ("a-1", "b-1", "b-2")
+ADDRESS = Address(ip="127.0.0.1", port=1)
+
+
+def make_settings(*services):
+    return Settings(
+        deployment="lab",
+        version=1,
+        platform=ADDRESS,
+        hosts=tuple(
+            Host(
+                name=n, data_centre=n[0], callers=ADDRESS, peers=ADDRESS, admin=ADDRESS
+            )
+            for n in HOSTS
+        ),
+        services=services,
+    )
+
+
+LEDGER = Service(
+    name="ledger",
+    idempotent=False,
+    groups=(Group(name="ledger-00", servers=()),),
+    deadline_ms=280,
+    stragglers=WaitForCoverage(),
+    hedge_budget=0.0,
+    hedge_after_quantile=0.95,
+    retry_budget=0.0,
+    queue_limit=64,
+    max_body_bytes=65_536,
+    weight=1.0,
+)
+
+
+class FixedFleet(Fleet):
+    """Gives every group the same owners."""
+
+    ranked = ("b-1", "b-2", "a-1")
+
+    def rank(self, group):
+        return self.ranked
+
+
+class FakeOwner(Owner):
+    """Ends each call with `outcome` after `seconds`; counts the calls."""
+
+    def __init__(self, nursery):
+        self.outcome = DONE
+        self.seconds = 0.0
+        self.n_runs = 0
+        self._nursery = nursery
+
+    def make_call_id(self):
+        return 1
+
+    def cancel(self, calls):
+        raise AssertionError("a booking is never cancelled")
+
+    def submit(self, wanted):
+        self.n_runs += 1
+        for each in wanted:
+            self._nursery.start_soon(self._end, each, self.outcome)
+
+    async def _end(self, wanted, outcome):
+        await trio.sleep(self.seconds)
+        end = FinishCall(call=wanted.call, outcome=outcome, server="s", n_attempts=1)
+        wanted.finish(end, ())
+
+
+class Network(Dialer):
+    """Dials hosts of this process over memory streams, real channels on both ends.
+
+    The streams to and from a host in `held` carry nothing: it is paused or cut off.
+    """
+
+    def __init__(self, *, own, nursery, nodes, pairs, held):
+        super().__init__(own=own, nursery=nursery)
+        self.nodes, self.pairs, self.held = nodes, pairs, held
+
+    async def _open(self, host, address):
+        node = self.nodes.get(host)
+        if node is None:
+            return Loss.REFUSED
+        ours, theirs = memory_stream_pair()
+        self.pairs.append(({self._own.host, host}, ours, theirs))
+        hold(self.pairs, self.held)
+        for stream, own, handle in (
+            (theirs, node.hello, node.peers.handle),
+            (ours, self._own, None),
+        ):
+            lose = (lambda c, loss: None) if handle else self._drop
+            channel = Channel(stream=stream, own=own, handle=handle, lose=lose)
+            node.channels.append(channel)
+            channel.send(Frame(id=0, message=own))
+            self._nursery.start_soon(channel.run)
+        with trio.move_on_after(0.5):
+            await channel.greeted.wait()
+        return self._admit(host, channel)
+
+
+def hold(pairs, held):
+    for ends, *streams in pairs:
+        for one, other in (streams, streams[::-1]):
+            sender, receiver = one.send_stream, other.receive_stream
+
+            async def pump(sender=sender, receiver=receiver):
+                memory_stream_pump(sender, receiver)
+
+            sender.send_all_hook = None if ends & held else pump
+            if not ends & held:
+                with suppress(trio.BrokenResourceError):
+                    memory_stream_pump(sender, receiver)
+
+
+class Hosts:
+    """Three hosts of two data centres: issuer a-1, owner b-1 and witness b-2."""
+
+    def __init__(self, nursery, clock):
+        self.nursery = nursery
+        self.clock = clock
+        self.nodes, self.pairs, self.held = {}, [], set()
+        self.start(*HOSTS)
+
+    def start(self, *names, incarnation=1):
+        for name in names:
+            self.nodes[name] = self.build(name, incarnation)
+
+    def build(self, name, incarnation):
+        peer = Peer(host=name, incarnation=incarnation)
+        hello = Hello(deployment="lab", host=name, incarnation=incarnation)
+        settings = make_settings(LEDGER)
+        fleet = FixedFleet(own_name=name, settings=settings)
+        fleet.replace_live(dict.fromkeys(HOSTS, ADDRESS))
+        owner = FakeOwner(self.nursery)
+        issuer = Issuer(
+            peer=peer, secret=b"k" * 32, max_tickets=99, ticket_lifetime_ms=60_000
+        )
+        bookings = Bookings(
+            peer=peer,
+            issuer=issuer,
+            witness=Witness(peer=peer, max_tickets=99, ticket_lifetime_ms=60_000),
+            settings=settings,
+            fleet=fleet,
+            owner=owner,
+            dialer=Network(
+                own=hello,
+                nursery=self.nursery,
+                nodes=self.nodes,
+                pairs=self.pairs,
+                held=self.held,
+            ),
+            nursery=self.nursery,
+        )
+        peers = PeerService(
+            owner=owner,
+            documents=Documents(check=lambda name, body: None),
+            nursery=self.nursery,
+            answer_ticket=bookings.answer,
+        )
+        return SimpleNamespace(
+            hello=hello,
+            peers=peers,
+            bookings=bookings,
+            issuer=issuer,
+            owner=owner,
+            fleet=fleet,
+            channels=[],
+        )
+
+    def kill(self, name):
+        for channel in self.nodes.pop(name).channels:
+            channel.close(Loss.RESET)
+
+    def pause(self, *names):
+        self.held.update(names)
+        hold(self.pairs, self.held)
+
+    def resume(self):
+        self.held.clear()
+        hold(self.pairs, self.held)
+
+    def request(self, seconds):
+        now = trio.current_time()
+        return CallerRequest(
+            request_id="r",
+            service=LEDGER,
+            body=b"{}",
+            started=now,
+            deadline=now + seconds,
+        )
+
+    async def issue(self, name="a-1"):
+        issued = await self.nodes[name].bookings.issue(self.request(1.0))
+        assert isinstance(issued, TicketText)
+        return issued.text
+
+    async def run(self, ticket, name="a-1", seconds=2.0):
+        return await self.nodes[name].bookings.run(self.request(seconds), ticket)
+
+    async def look_up(self, ticket, name):
+        return await self.nodes[name].bookings.look_up("r", ticket)
+
+    @property
+    def n_runs(self):
+        return sum(node.owner.n_runs for node in self.nodes.values())
+
+
+@pytest.fixture
+async def hosts(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        yield Hosts(nursery, autojump_clock)
+        nursery.cancel_scope.cancel()
+
+
+def get_witness(text):
+    ticket = parse_ticket(text)
+    assert isinstance(ticket, Ticket) and ticket.witness is not None
+    return ticket.witness
+
+
+def is_not_run(answer, reason=None):
+    match answer:
+        case Refusal(outcome=NotRun() as outcome):
+            return reason in (None, outcome.reason)
+    return False
+
+
+def is_unknown(answer):
+    return isinstance(answer, Refusal) and isinstance(answer.outcome, Unknown)
+
+
+class TestRepeats:
+    async def test_any_host_passes_a_repeat_to_the_issuer(self, hosts, autojump_clock):
+        ticket = await hosts.issue()
+        answers = [await hosts.run(ticket, name) for name in HOSTS]
+        assert answers == [RunResult(request_id="r", result=b'"booked"')] * 3
+        assert hosts.n_runs == 1
+
+    async def test_repeats_during_the_run_share_its_answer(self, hosts, autojump_clock):
+        hosts.nodes["b-1"].owner.seconds = 1.0
+        ticket = await hosts.issue()
+        answers = []
+
+        async def run(name):
+            answers.append(await hosts.run(ticket, name))
+
+        async with trio.open_nursery() as nursery:
+            for name in HOSTS:
+                nursery.start_soon(run, name)
+        assert [type(answer) for answer in answers] == [RunResult] * 3
+        assert hosts.n_runs == 1
+
+    async def test_a_lookup_runs_nothing(self, hosts, autojump_clock):
+        ticket = await hosts.issue()
+        answer = await hosts.look_up(ticket, "b-1")
+        assert answer == Pending(request_id="r", state="not begun")
+        assert hosts.n_runs == 0
+
+    async def test_a_forged_ticket_is_refused(self, hosts, autojump_clock):
+        ticket = await hosts.issue()
+        forged = ticket[:-1] + ("0" if ticket[-1] != "0" else "1")
+        assert isinstance(await hosts.run(forged, "b-1"), BadRequestError)
+        assert hosts.n_runs == 0
+
+
+class TestLeavingCaller:
+    async def test_what_has_begun_ends_and_is_recorded(self, hosts, autojump_clock):
+        """The caller leaves midway and asks another host later.
+
+        Its connection breaks while the backend server works. The run goes on in a
+        task of its own, so its answer is there for whoever asks.
+        """
+        hosts.nodes["b-1"].owner.seconds = 1.0
+        ticket = await hosts.issue()
+        with trio.move_on_after(0.5):
+            await hosts.run(ticket)
+        await trio.sleep(1.0)
+        assert isinstance(await hosts.look_up(ticket, "b-2"), RunResult)
+        hosts.kill("a-1")
+        assert isinstance(await hosts.look_up(ticket, "b-2"), RunResult)
+
+    async def test_a_caller_is_answered_by_its_deadline(self, hosts, autojump_clock):
+        hosts.nodes["b-1"].owner.seconds = 9.0
+        ticket = await hosts.issue()
+        started = trio.current_time()
+        assert is_unknown(await hosts.run(ticket, "b-1", seconds=0.5))
+        assert trio.current_time() - started <= 0.75
+
+
+class TestIssuer:
+    async def test_a_paused_issuer_never_runs_what_was_told_not_run(
+        self, hosts, autojump_clock
+    ):
+        """The caller's host stops for a while; another one says "not run" for it.
+
+        The retry finds no issuer and has the witness void the ticket. The issuer
+        wakes with the first request in its hands: the witness refuses its start.
+        """
+        ticket = await hosts.issue()
+        hosts.pause("a-1")
+        first = []
+
+        async def run_first():
+            first.append(await hosts.run(ticket, "a-1", seconds=30.0))
+
+        hosts.nursery.start_soon(run_first)
+        assert is_not_run(await hosts.run(ticket, "b-1"), Reason.ISSUER_LOST)
+        hosts.resume()
+        while not first:
+            await trio.sleep(0.1)
+        assert is_not_run(first[0])
+        assert hosts.n_runs == 0
+
+    async def test_death_during_the_run_is_unknown(self, hosts, autojump_clock):
+        hosts.nodes["b-1"].owner.seconds = 1.0
+        ticket = await hosts.issue()
+        hosts.nursery.start_soon(hosts.run, ticket)
+        await trio.sleep(0.5)
+        hosts.kill("a-1")
+        assert is_unknown(await hosts.run(ticket, "b-1"))
+        hosts.start("a-1", incarnation=2)
+        assert is_unknown(await hosts.run(ticket, "a-1"))
+        assert hosts.n_runs == 1
+
+    async def test_a_lost_connection_is_not_a_lost_issuer(self, hosts, autojump_clock):
+        """A caller gets its answer although the way to the issuer broke midway.
+
+        The connection between the two hosts is reset during the run. The issuer
+        lives, so it is asked again over a new one, and the outcome is known.
+        """
+        hosts.nodes["b-1"].owner.seconds = 1.0
+        ticket = await hosts.issue()
+        await hosts.look_up(ticket, "b-1")
+
+        async def reset():
+            await trio.sleep(0.5)
+            for channel in hosts.nodes["a-1"].channels:
+                if channel.peer.host == "b-1":
+                    channel.close(Loss.RESET)
+
+        hosts.nursery.start_soon(reset)
+        assert isinstance(await hosts.run(ticket, "b-1"), RunResult)
+
+    async def test_a_silent_issuer_costs_no_more_than_the_deadline(
+        self, hosts, autojump_clock
+    ):
+        """Ten callers retry at one host while their issuer is cut off.
+
+        Each would wait for a dial of its own, one after the other, and the last be
+        answered long after its deadline. They share one dial.
+        """
+        ticket = await hosts.issue()
+        hosts.pause("a-1")
+        took = []
+
+        async def run():
+            started = trio.current_time()
+            await hosts.run(ticket, "b-1", seconds=0.3)
+            took.append(trio.current_time() - started)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(10):
+                nursery.start_soon(run)
+        assert max(took) <= 0.3 + 0.25 + 0.25
+
+
+class TestWitness:
+    async def test_a_paused_witness_stops_the_start(self, hosts, autojump_clock):
+        """The request is "not run" when its witness does not answer in time.
+
+        The record of the start reaches the witness when it wakes; the issuer has
+        given up by then, and stays with what it said.
+        """
+        ticket = await hosts.issue()
+        hosts.pause(get_witness(ticket).host)
+        assert is_not_run(await hosts.run(ticket), Reason.WITNESS_LOST)
+        hosts.resume()
+        await trio.sleep(5.0)
+        answers = [await hosts.run(ticket, name) for name in HOSTS]
+        assert all(is_not_run(answer, Reason.WITNESS_LOST) for answer in answers)
+        assert hosts.n_runs == 0
+
+    async def test_a_restarted_witness_is_opened_anew(self, hosts, autojump_clock):
+        """Tickets go on after the witness's host was replaced.
+
+        Its new process knows no issuer. A ticket with the former one is "not run",
+        since its start cannot be recorded; the next one names the new process.
+        """
+        old = await hosts.issue()
+        host = get_witness(old).host
+        hosts.kill(host)
+        hosts.start(host, incarnation=2)
+        assert is_not_run(await hosts.run(old))
+        new = await hosts.issue()
+        assert get_witness(new) == Peer(host=host, incarnation=2)
+        assert isinstance(await hosts.run(new), RunResult)
+
+    async def test_outcomes_for_a_former_witness_are_let_go(
+        self, hosts, autojump_clock
+    ):
+        """Its records are gone for good; sending to it for ever helps nobody."""
+        hosts.nursery.start_soon(hosts.nodes["a-1"].bookings.keep_confirming)
+        ticket = await hosts.issue()
+        host = get_witness(ticket).host
+        hosts.nodes["b-1"].owner.seconds = 1.0
+        hosts.nursery.start_soon(hosts.run, ticket)
+        await trio.sleep(0.5)
+        hosts.kill(host)
+        hosts.start(host, incarnation=2)
+        await trio.sleep(5.0)
+        assert hosts.nodes["a-1"].issuer.get_unconfirmed(limit=9) == ()
+
+    async def test_a_silent_channel_is_replaced(self, hosts, autojump_clock):
+        """Bookings go on after the connection to the witness went silent for good.
+
+        Both ends believe in it and nothing arrives. Questions to a witness end
+        before the channel judges itself, so that without a longer one every ticket
+        would find the same silent channel.
+        """
+        ticket = await hosts.issue()
+        hosts.pause(get_witness(ticket).host)
+        hosts.pairs.clear()
+        hosts.held.clear()
+        assert is_not_run(await hosts.run(ticket, seconds=0.3), Reason.WITNESS_LOST)
+        await trio.sleep(2.0)
+        again = await hosts.run(await hosts.issue(), seconds=0.3)
+        assert isinstance(again, RunResult)
+
+    async def test_one_that_is_stopping_is_not_chosen(self, hosts, autojump_clock):
+        host = get_witness(await hosts.issue()).host
+        for channel in hosts.nodes[host].channels:
+            channel.is_leaving = True
+        assert get_witness(await hosts.issue()).host != host
+
+
+class TestOwner:
+    async def test_death_during_the_run_is_unknown_and_final(
+        self, hosts, autojump_clock
+    ):
+        hosts.nodes["b-1"].owner.seconds = 1.0
+        ticket = await hosts.issue()
+        hosts.nursery.start_soon(hosts.run, ticket)
+        await trio.sleep(0.5)
+        n_runs = hosts.n_runs
+        hosts.kill("b-1")
+        await trio.sleep(0.1)
+        assert is_unknown(await hosts.run(ticket))
+        assert (n_runs, hosts.n_runs) == (1, 0)
+
+    async def test_one_that_refuses_is_followed_by_the_next(
+        self, hosts, autojump_clock
+    ):
+        ticket = await hosts.issue()
+        hosts.kill("b-1")
+        assert isinstance(await hosts.run(ticket), RunResult)
+        assert hosts.nodes["b-2"].owner.n_runs == 1
+
+    async def test_one_that_is_stopping_is_followed_by_the_next(
+        self, hosts, autojump_clock
+    ):
+        """A planned stop of the owner cuts no booking that waited there for a slot.
+
+        It says that the request never left its queue, so the next owner may have it.
+        """
+        hosts.nodes["b-1"].owner.outcome = STOPPING
+        ticket = await hosts.issue()
+        assert isinstance(await hosts.run(ticket), RunResult)
+
+    async def test_a_silent_one_is_found_before_the_request_leaves(
+        self, hosts, autojump_clock
+    ):
+        """The answer is whole although the channel to the owner had gone silent.
+
+        It was idle. Sent at once, the request would be lost on it and "unknown";
+        the question before it finds out, and the next owner runs it.
+        """
+        await hosts.run(await hosts.issue())
+        await trio.sleep(5.0)
+        ticket = await hosts.issue()
+        hosts.pause("b-1")
+        assert isinstance(await hosts.run(ticket), RunResult)
+        hosts.resume()
+        await trio.sleep(5.0)
+        assert hosts.n_runs == 2
+
+    async def test_nothing_is_sent_after_the_deadline(self, hosts, autojump_clock):
+        """A booking is "not run" when its issuer slept past the deadline.
+
+        It is paused after the record of the start and before the first byte. The
+        caller has long been told that nothing is known, and may have asked by phone.
+        """
+        ticket = await hosts.issue()
+        fleet = hosts.nodes["a-1"].fleet
+        fleet.rank = lambda group: hosts.clock.jump(10.0) or fleet.ranked
+        assert is_not_run(await hosts.run(ticket), Reason.DEADLINE)
+        assert hosts.n_runs == 0
+
+
+class TestStop:
+    async def test_unstarted_tickets_are_void_at_once(self, hosts, autojump_clock):
+        ticket = await hosts.issue()
+        await hosts.nodes["a-1"].bookings.hand_over()
+        assert is_not_run(await hosts.run(ticket, "b-1"), Reason.STOPPING)
+        hosts.kill("a-1")
+        assert is_not_run(await hosts.run(ticket, "b-1"), Reason.ISSUER_LOST)
+        assert hosts.n_runs == 0
+
+    async def test_a_run_that_begins_last_is_waited_for(self, hosts, autojump_clock):
+        """A booking that came in the last moment is answered all the same.
+
+        It began after the daemon saw nothing run and before the issuer closed. Its
+        outcome goes to the witness before the process ends.
+        """
+        hosts.nodes["b-1"].owner.seconds = 1.0
+        ticket = await hosts.issue()
+        hosts.nursery.start_soon(hosts.run, ticket, "b-1")
+        await trio.sleep(0.5)
+        await hosts.nodes["a-1"].bookings.hand_over()
+        hosts.kill("a-1")
+        assert isinstance(await hosts.look_up(ticket, "b-1"), RunResult)
+
+    async def test_a_lost_witness_costs_little_of_the_drain(
+        self, hosts, autojump_clock
+    ):
+        """Thirty outcomes wait for a witness that is cut off while the host stops."""
+        hosts.pause()
+        tickets = [await hosts.issue() for _ in range(30)]
+        hosts.pause(get_witness(tickets[0]).host)
+        async with trio.open_nursery() as nursery:
+            for ticket in tickets:
+                nursery.start_soon(hosts.run, ticket)
+        with trio.fail_after(4.0):
+            await hosts.nodes["a-1"].bookings.hand_over()
+
+
+class TestSettings:
+    async def test_a_removed_service_is_truly_not_run(self, hosts, autojump_clock):
+        ticket = await hosts.issue()
+        hosts.nodes["a-1"].bookings.replace(make_settings())
+        answer = await hosts.run(ticket, "b-1")
+        assert is_not_run(answer, Reason.UNKNOWN_SERVICE)
+        assert hosts.n_runs == 0
