--- a/src/lavendergap/coordination/__init__.py
+++ b/src/lavendergap/coordination/__init__.py
@@ -6,21 +6,6 @@
 daemon takes.
 """
 
-from .issuer import Issuer as Issuer
-from .resolution import Pending as Pending
-from .resolution import Rejected as Rejected
-from .resolution import Settled as Settled
-from .resolution import resolve_by_issuer as resolve_by_issuer
-from .resolution import resolve_by_witness as resolve_by_witness
-from .witness import Witness as Witness
-from .documents import Documents as Documents
-from .documents import FetchDocument as FetchDocument
-from .membership import Membership as Membership
-from .ranking import Ranking as Ranking
-from .ranking import rank_hosts as rank_hosts
-from .ranking import rank_owner as rank_owner
-from .watchers import choose_watch_holders as choose_watch_holders
-from .watchers import draw_read_delay as draw_read_delay
 from .budget import Budget as Budget
 from .calls import AttemptEnded as AttemptEnded
 from .calls import Call as Call
@@ -28,8 +13,23 @@
 from .calls import FinishCall as FinishCall
 from .calls import ServerReport as ServerReport
 from .calls import StartAttempt as StartAttempt
+from .documents import Documents as Documents
+from .documents import FetchDocument as FetchDocument
+from .issuer import Issuer as Issuer
 from .joining import Join as Join
 from .joining import ShardBody as ShardBody
+from .membership import Membership as Membership
 from .pinning import Pinning as Pinning
+from .ranking import Ranking as Ranking
+from .ranking import rank_hosts as rank_hosts
+from .ranking import rank_owner as rank_owner
+from .resolution import Pending as Pending
+from .resolution import Rejected as Rejected
+from .resolution import Settled as Settled
+from .resolution import resolve_by_issuer as resolve_by_issuer
+from .resolution import resolve_by_witness as resolve_by_witness
 from .scheduler import GroupScheduler as GroupScheduler
 from .scheduler import GroupSummary as GroupSummary
+from .watchers import choose_watch_holders as choose_watch_holders
+from .watchers import draw_read_delay as draw_read_delay
+from .witness import Witness as Witness
