--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -18,6 +18,7 @@
     read_usage,
     write_deployment,
 )
+from lavendergap.state.tree import load_settings
 
 # Programs are modules of the temporary directory, found through PYTHONPATH.
 SLEEPER = "import time\nprint('ready')\ntime.sleep(600)\n"
@@ -140,6 +141,7 @@
         assert len(tree["services"]["scheduler"]["groups"]) == 3
         ledger = tree["services"]["sponsor-ledger"]
         assert len(ledger["groups"]["sponsor-ledger-00"]["servers"]) == 4
+        assert len(load_settings(deployment.settings).hosts) == 3
         addresses = deployment.settings.read_text().count("127.0.0.1:")
         assert addresses == 1 + 3 * 3 + 3 * 2 + 4
 
