--- /dev/null
+++ b/src/lavendergap/commands/hosts.py
@@ -0,0 +1,54 @@
+"""Asks entry hosts over their admin ports."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from ..entry.status import HostStatus
+from ..state.settings import Host
+from ..transport.exchange import Exchange, Lost
+
+STATUS_LIMIT_S = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unreachable:
+    """A host that gave no status, and why."""
+
+    reason: str
+
+
+HostAnswer = HostStatus | Unreachable
+
+
+async def fetch_status(host: Host) -> HostAnswer:
+    """Return what `host` says of itself, within a second."""
+    exchange = Exchange(address=host.admin)
+    try:
+        reply = await exchange.call("GET", "/status", limit_s=STATUS_LIMIT_S)
+    finally:
+        await exchange.aclose()
+    if isinstance(reply, Lost):
+        return Unreachable(reason=f"{reply.step}: {reply.reason}")
+    try:
+        status = msgspec.json.decode(reply.body, type=HostStatus)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Unreachable(reason=f"no status but {reply.status}: {error}")
+    if status.host != host.name:
+        return Unreachable(reason=f"another host, {status.host}, answers there")
+    return status
+
+
+async def fetch_all(hosts: Iterable[Host]) -> dict[str, HostAnswer]:
+    """Return the status of each host by name, asked side by side."""
+    found: dict[str, HostAnswer] = {}
+
+    async def fetch(host: Host) -> None:
+        found[host.name] = await fetch_status(host)
+
+    async with trio.open_nursery() as nursery:
+        for host in hosts:
+            nursery.start_soon(fetch, host)
+    return found
--- /dev/null
+++ b/src/lavendergap/commands/settings.py
@@ -0,0 +1,195 @@
+"""`lavendergap settings`: check, show, get and apply settings, and their history."""
+
+import difflib
+from dataclasses import asdict
+from pathlib import Path
+
+import click
+import trio
+
+from ..errors import LavendergapError, UnreachableError
+from ..protocol.objects import (
+    SettingsObject,
+    decode_settings_object,
+    make_settings_key,
+)
+from ..state.branch import DEFAULT, Branch, Resolved
+from ..state.options import OPTIONS, Value
+from ..state.settings import Address, GiveUpStragglers, Settings, WaitForCoverage
+from ..state.tree import load_settings, parse_settings, parse_tree, read_file
+from ..transport.platform import Found, Missing, PlatformClient, Refused, Unavailable
+from .apply import apply
+from .console import print_json, print_note, print_table
+from .options import take_json, take_settings
+
+TOP = "(top)"
+
+
+@click.group()
+def settings() -> None:
+    """Check, show, get and apply settings, and see who edited them."""
+
+
+settings.add_command(apply)
+
+
+@settings.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def check(file: Path) -> None:
+    """Check FILE in full; tell every problem in it and exit with 2 if there is one."""
+    found = load_settings(file)
+    n_servers = sum(len(g.servers) for s in found.services for g in s.groups)
+    click.echo(
+        f"{file}: deployment {found.deployment}, {len(found.hosts)} entry hosts, "
+        f"{len(found.services)} services, {n_servers} backend servers: no problem"
+    )
+
+
+@settings.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.argument("branch", default="")
+@click.option("--live", is_flag=True, help="Show what the platform holds instead.")
+@take_json
+def show(file: Path, branch: str, live: bool, as_json: bool) -> None:
+    """Show the options in force at BRANCH of FILE and where each comes from.
+
+    BRANCH is a path such as services.scheduler; without it, the top is shown. With
+    --live, FILE only says where the platform is.
+    """
+    text: str | bytes = read_file(file)
+    name = str(file)
+    if live:
+        version, value = trio.run(_read_live, parse_settings(text, file=name))
+        text = value.text
+        name = f"version {version}"
+    tree = parse_tree(text, file=name)
+    _show_branch(_find_branch(tree, branch), as_json=as_json)
+
+
+@settings.command()
+@take_settings
+@click.option(
+    "--output", type=click.Path(path_type=Path), help="Write the text to this file."
+)
+@take_json
+def get(settings_path: Path, output: Path | None, as_json: bool) -> None:
+    """Write the settings text that the platform holds, and its version on stderr."""
+    version, value = trio.run(_read_live, load_settings(settings_path))
+    if as_json:
+        print_json({"version": version, "text": value.text})
+    elif output is None:
+        click.echo(value.text, nl=False)
+    else:
+        output.write_text(value.text, encoding="utf-8")
+    print_note(f"version {version}; apply an edit of it with --base {version}")
+
+
+@settings.command()
+@take_settings
+@take_json
+def history(settings_path: Path, as_json: bool) -> None:
+    """Show the last edits, newest first: who changed what, when and why."""
+    version, value = trio.run(_read_live, load_settings(settings_path))
+    if as_json:
+        edits = [asdict(edit) for edit in reversed(value.edits)]
+        print_json({"version": version, "edits": edits})
+        return
+    rows = [
+        (
+            edit.at,
+            edit.author,
+            edit.base,
+            edit.message,
+            "\n".join(edit.changed),
+            edit.id,
+        )
+        for edit in reversed(value.edits)
+    ]
+    print_table(("AT", "AUTHOR", "BASE", "MESSAGE", "CHANGED", "EDIT"), rows)
+    print_note(f"version {version} is in place")
+
+
+async def _read_live(location: Settings) -> tuple[int, SettingsObject]:
+    key = make_settings_key(location.deployment)
+    async with PlatformClient(address=location.platform) as client:
+        found = await client.get(key)
+    match found:
+        case Found(version=version, value=value):
+            return version, decode_settings_object(value, key=key)
+        case Missing():
+            raise LavendergapError(
+                f"the platform at {location.platform} has no {key}; write the first "
+                "settings with `lavendergap settings apply FILE --base 0`"
+            )
+        case Refused(status=status, message=message):
+            raise LavendergapError(f"the platform refuses {key}: {status} {message}")
+        case Unavailable(step=step, reason=reason):
+            raise UnreachableError(
+                f"the platform at {location.platform} gave no {key} (step {step}: "
+                f"{reason}); check the address, then try again"
+            )
+
+
+def _find_branch(tree: Branch, path: str) -> Branch:
+    known = {branch.path: branch for branch in tree.walk()}
+    if path in known:
+        return known[path]
+    near = difflib.get_close_matches(path, list(known), n=1)
+    hint = f"; did you mean {near[0] or TOP}?" if near else ""
+    raise click.UsageError(f"there is no branch {path!r}{hint}")
+
+
+def _show_branch(branch: Branch, *, as_json: bool) -> None:
+    units = {option.name: option.unit for option in OPTIONS}
+    below = [child.path for child in branch.children]
+    if as_json:
+        options = [
+            {
+                "name": name,
+                "value": _make_plain(found.value),
+                "unit": units[name],
+                "from": _name_source(found),
+            }
+            for name, found in branch.options.items()
+        ]
+        level = str(branch.level)
+        path = branch.path
+        shown = {"branch": path, "level": level, "options": options, "below": below}
+        print_json(shown)
+        return
+    click.echo(f"{branch.path or TOP} ({branch.level})")
+    rows = [
+        (name, _show_value(found.value), units[name], _name_source(found))
+        for name, found in branch.options.items()
+    ]
+    if rows:
+        print_table(("OPTION", "VALUE", "UNIT", "FROM"), rows)
+    if below:
+        click.echo("below: " + ", ".join(below))
+
+
+def _name_source(found: Resolved) -> str:
+    if found.source == DEFAULT:
+        return "default"
+    return found.source or TOP
+
+
+def _make_plain(value: Value) -> object:
+    match value:
+        case Address():
+            return str(value)
+        case GiveUpStragglers(min_share=min_share, patience=patience):
+            return {"kind": "give up", "min_share": min_share, "patience": patience}
+        case WaitForCoverage():
+            return {"kind": "wait"}
+    return value
+
+
+def _show_value(value: Value) -> str:
+    match _make_plain(value):
+        case bool(flag):
+            return "true" if flag else "false"
+        case dict(policy):
+            return ", ".join(f"{name} {part}" for name, part in policy.items())
+        case plain:
+            return str(plain)
