--- a/standins/answers.py
+++ b/standins/answers.py
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Result:
-    """A backend stand-in's result; see standins.backend.Result."""
+    """A backend stand-in's result; see standins.result.Result."""
 
     shard: str
     version: int
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,6 +1,5 @@
 """A stand-in for backend servers: slots, a short queue, and faults on demand."""
 
-import random
 from collections import Counter, deque
 from dataclasses import asdict, dataclass, replace
 from fnmatch import fnmatchcase
@@ -13,6 +12,7 @@
 
 from lavendergap.state.settings import Server
 
+from .draws import Draws
 from .faults import BackendFaults, FaultHistory, Load, change_faults
 from .fleet import list_servers, parse_address, read_settings
 from .http import (
@@ -27,6 +27,8 @@
     serve_connection,
 )
 from .process import run_process
+from .result import Result, read_query
+from .spoiling import Spoiler
 
 QUEUE_PER_SLOT = 2
 MAX_RUNS_REMEMBERED = 200_000
@@ -37,29 +39,6 @@
 NO_DEADLINE_MS = 600_000.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Result:
-    """The result of a call, checkable by the caller that sent it.
-
-    `query` and `length` are those of the request's body, so that a caller can
-    verify that the answer belongs to its own request.
-    """
-
-    shard: str
-    version: int
-    server: str
-    query: str | None
-    length: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Query:
-    query: str | None = None
-
-
-_QUERY_DECODER = msgspec.json.Decoder(_Query)
-
-
 @dataclass(kw_only=True, slots=True)
 class Counts:
     """What one backend server saw since it started."""
@@ -122,7 +101,7 @@
         self.history = FaultHistory(faults=faults, now=now)
         self.queue_limit = queue_limit
         self.port = server.address.port
-        self._random = self._make_random(faults)
+        self._draws = Draws(seed=faults.seed, name=server.name)
         self._in_use = 0
         self._queue: deque[Call] = deque()
         self._calls: dict[str, Call] = {}
@@ -130,7 +109,7 @@
         self._life = trio.CancelScope()
         self._revival = trio.Event()
         self._alive_since = now
-        self._last_answer: Reply | None = None
+        self._spoiler = Spoiler()
         self._reported_load = self._measure_load()
         self._load_reported_at = now
 
@@ -139,9 +118,6 @@
         """The faults in force."""
         return self.history.faults
 
-    def _make_random(self, faults: BackendFaults) -> random.Random:
-        return random.Random(f"{faults.seed} {self.server.name}")
-
     def get_counts(self) -> dict[str, int]:
         """Return the counts, with those of the distinct runs of /run."""
         return {
@@ -219,7 +195,7 @@
         before = self.faults
         self.history.set_faults(faults, trio.current_time())
         if faults.seed != before.seed:
-            self._random = self._make_random(faults)
+            self._draws = Draws(seed=faults.seed, name=self.server.name)
         if faults.cold_s and not before.cold_s:
             self._alive_since = trio.current_time()
         if faults.silence:
@@ -312,7 +288,7 @@
         return replace(reply, headers=(*reply.headers, ("Load", load)))
 
     def _remember_query(self, request: Request) -> None:
-        query = _read_query(request.body) or ""
+        query = read_query(request.body) or ""
         if query not in self.queries and len(self.queries) >= MAX_QUERIES_REMEMBERED:
             self.counts.queries_forgotten += 1
             return
@@ -404,7 +380,7 @@
     async def _run_call(self, call: Call, connection: Connection) -> Reply:
         if self.faults.crash == "before run":
             await self._crash()
-        fails = self._happens(self.faults.http_500)
+        fails = self._draws.happens(self.faults.http_500)
         if fails and not self.faults.http_500_runs:
             return self._fail(call, "failed before it was run")
         self._count_run(call)
@@ -438,29 +414,8 @@
         self.runs[key] += 1
 
     def _draw_service_s(self) -> float:
-        faults = self.faults
-        service_s = faults.service_ms / 1_000
-        match faults.service_law:
-            case "exponential":
-                service_s *= self._random.expovariate(1.0)
-            case "lognormal":
-                service_s *= self._random.lognormvariate(0.0, faults.service_sigma)
-            case "fixed":
-                pass
-        if self._happens(faults.straggle_share):
-            service_s *= faults.straggle_factor
-        return service_s * self._get_cold_factor()
-
-    def _get_cold_factor(self) -> float:
-        faults = self.faults
-        if not faults.cold_s:
-            return 1.0
         age_s = trio.current_time() - self._alive_since
-        coldness = max(0.0, 1.0 - age_s / faults.cold_s)
-        return 1.0 + (faults.cold_factor - 1.0) * coldness
-
-    def _happens(self, share: float) -> bool:
-        return share > 0.0 and self._random.random() < share
+        return self._draws.draw_service_s(self.faults, age_s)
 
     # Replies.
 
@@ -493,37 +448,17 @@
             shard=call.shard,
             version=call.version,
             server=self.server.name,
-            query=_read_query(request.body),
+            query=read_query(request.body),
             length=len(request.body),
         )
-        if self._happens(faults.wrong_shard):
+        if self._draws.happens(faults.wrong_shard):
             call.shard = f"not-{call.shard}"
-        if self._happens(faults.wrong_version):
+        if self._draws.happens(faults.wrong_version):
             call.version += 1
-        if self._happens(faults.wrong_attempt):
+        if self._draws.happens(faults.wrong_attempt):
             call.attempt = f"not-{call.attempt}"
         reply = make_json_reply(result, headers=self._make_headers(call))
-        return self._spoil_answer(reply)
-
-    def _spoil_answer(self, reply: Reply) -> Reply:
-        faults = self.faults
-        own, last = reply, self._last_answer
-        if faults.crossed and last is not None and self._happens(faults.crossed):
-            reply = last
-        if faults.crossed:
-            self._last_answer = own
-        if self._happens(faults.truncated):
-            reply = replace(reply, n_sent=len(reply.body) // 2)
-        if self._happens(faults.duplicated):
-            reply = replace(reply, n_copies=2)
-        return reply
-
-
-def _read_query(body: bytes) -> str | None:
-    try:
-        return _QUERY_DECODER.decode(body).query
-    except msgspec.DecodeError:
-        return None
+        return self._spoiler.spoil(reply, faults, self._draws)
 
 
 class Fleet:
