--- a/src/lavendergap/commands/hosts.py
+++ b/src/lavendergap/commands/hosts.py
@@ -18,6 +18,7 @@
     """A host that gave no status, and why."""
 
     reason: str
+    state: str = "unreachable"
 
 
 HostAnswer = HostStatus | Unreachable
--- a/src/lavendergap/commands/publishing.py
+++ b/src/lavendergap/commands/publishing.py
@@ -225,5 +225,6 @@
             level=logging.DEBUG,
             key=self.proposal.key,
             base=self.proposal.base,
-            outcome=str(outcome),
+            outcome=type(outcome).__name__,
+            detail=outcome,
         )
--- a/src/lavendergap/commands/status.py
+++ b/src/lavendergap/commands/status.py
@@ -45,4 +45,4 @@
             source = settings.source
             return (name, data_centre, state, version, source, n_live, problem)
         case _:
-            return (name, data_centre, "unreachable", "", "", "", answer.reason)
+            return (name, data_centre, answer.state, "", "", "", answer.reason)
--- /dev/null
+++ b/tests/test_publishing.py
@@ -0,0 +1,235 @@
+"""Edits of the settings: who wins a race, and what became of a lost reply."""
+
+import json
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import msgspec
+import pytest
+import trio
+from trio.testing import MockClock
+
+from lavendergap.commands.publishing import (
+    Accepted,
+    NotWritten,
+    Overtaken,
+    Proposal,
+    Unchanged,
+    Unresolved,
+    publish,
+)
+from lavendergap.protocol.objects import MAX_EDITS, SettingsObject
+from lavendergap.state.settings import Address
+from lavendergap.transport.platform import PlatformClient
+from standins.faults import PlatformFaults
+from standins.http import HttpServer
+from standins.platform import Platform
+from tests.test_objects import make_edit
+
+KEY = "settings/small"
+LIMIT_S = 15.0
+
+
+@pytest.fixture
+def clock():
+    """Jump only after a real pause, since the bytes go through the kernel."""
+    return MockClock(autojump_threshold=0.02)
+
+
+def propose(base, *, id="ours", **tree):
+    return Proposal(
+        key=KEY,
+        id=id,
+        base=base,
+        text=json.dumps(tree),
+        tree=tree,
+        author="kim",
+        at="2026-12-02T18:00:00Z",
+        message="More slots.",
+    )
+
+
+class Place:
+    """A platform whose replies to writes pass through `on_write`, if one is set."""
+
+    def __init__(self):
+        self.platform = Platform(faults=PlatformFaults())
+        self.on_write = None
+
+    async def handle(self, request, connection):
+        reply = await self.platform.handle(request, connection)
+        if request.method == "PUT" and self.on_write is not None:
+            on_write, self.on_write = self.on_write, None
+            return on_write(reply)
+        return reply
+
+    def store(self, text, *edits):
+        """Write the settings as somebody else; return the new version."""
+        value = msgspec.json.encode(SettingsObject(text=text, edits=edits))
+        now = trio.current_time()
+        return self.platform.store.put(KEY, value, now).version
+
+    def read(self):
+        entry = self.platform.store.get(KEY, trio.current_time())
+        assert entry is not None
+        return msgspec.json.decode(entry.value, type=SettingsObject)
+
+    def set_faults(self, **faults):
+        self.platform.set_faults(PlatformFaults(**faults))
+
+
+@asynccontextmanager
+async def open_place():
+    place = Place()
+    async with trio.open_nursery() as nursery:
+        server = HttpServer(ip="127.0.0.1", port=0, handle=place.handle)
+        port = await nursery.start(server.run)
+        async with PlatformClient(address=Address(ip="127.0.0.1", port=port)) as client:
+            yield place, client
+        nursery.cancel_scope.cancel()
+
+
+class TestEdits:
+    async def test_an_edit_is_remembered_with_what_it_changed(self):
+        async with open_place() as (place, client):
+            first = await publish(client, propose(0, slots=2), limit_s=LIMIT_S)
+            second = propose(1, id="next", slots=3, weight=1)
+            assert await publish(client, second, limit_s=LIMIT_S) == Accepted(version=2)
+            value = place.read()
+        assert first == Accepted(version=1)
+        assert [(edit.id, edit.base, edit.changed) for edit in value.edits] == [
+            ("ours", 0, ("slots",)),
+            ("next", 1, ("slots", "weight")),
+        ]
+
+    async def test_the_same_text_is_not_written_again(self):
+        async with open_place() as (place, client):
+            version = place.store('{"slots": 2}')
+            outcome = await publish(client, propose(version, slots=2), limit_s=LIMIT_S)
+            assert outcome == Unchanged(version=version)
+            assert place.platform.counts["put"] == 0
+
+    async def test_of_two_operators_who_race_one_is_refused(self):
+        """Both edit version 1 at once; the second write must not undo the first.
+
+        Both read version 1, then both write. Without the condition the later write
+        would silently take back what the earlier one changed.
+        """
+        outcomes = []
+
+        async def edit(client, proposal):
+            outcomes.append(await publish(client, proposal, limit_s=LIMIT_S))
+
+        async with open_place() as (place, client):
+            place.store("{}")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(edit, client, propose(1, id="a", slots=2))
+                nursery.start_soon(edit, client, propose(1, id="b", weight=2))
+            (edit_in_place,) = place.read().edits
+        outcomes.sort(key=lambda outcome: type(outcome).__name__)
+        accepted, overtaken = outcomes
+        assert accepted == Accepted(version=2)
+        assert isinstance(overtaken, Overtaken)
+        assert overtaken.head.edits == (edit_in_place,)
+
+    async def test_a_base_that_cannot_be(self, clock):
+        async with open_place() as (place, client):
+            none = await publish(client, propose(7, slots=2), limit_s=LIMIT_S)
+            place.store("{}")
+            ahead = await publish(client, propose(7, slots=2), limit_s=LIMIT_S)
+        assert isinstance(none, NotWritten)
+        assert "--base 0" in none.reason
+        assert isinstance(ahead, NotWritten)
+        assert "shows version 1, before the base" in ahead.reason
+
+
+class TestLostReplies:
+    async def test_an_edit_whose_reply_was_lost_is_found_again(self, clock):
+        """The operator is told "accepted", once, although no reply came.
+
+        The platform stores the edit, then the connection breaks. The same write
+        again runs into the edit itself; its id in the object tells whose it is.
+        """
+        async with open_place() as (place, client):
+            place.store("{}")
+            place.set_faults(lose_replies=1)
+            outcome = await publish(client, propose(1, slots=2), limit_s=LIMIT_S)
+            edits = place.read().edits
+        assert outcome == Accepted(version=2)
+        assert [edit.id for edit in edits] == ["ours"]
+
+    async def test_an_edit_that_another_has_built_on_is_accepted_too(self, clock):
+        """The reply is lost and another operator edits before we read back.
+
+        The head is not ours any more, yet our edit was accepted and lives on in it.
+        "Refused" would make the operator apply it twice.
+        """
+        async with open_place() as (place, client):
+            place.store("{}")
+
+            def overwrite(_reply):
+                value = place.read()
+                place.store("{}", *value.edits, replace(make_edit(2), id="theirs"))
+
+            place.on_write = overwrite
+            outcome = await publish(client, propose(1, slots=2), limit_s=LIMIT_S)
+        assert outcome == Accepted(version=2)
+
+    async def test_a_lost_write_that_another_overtook_is_refused(self, clock):
+        """The write itself is lost, and another operator's edit takes its place.
+
+        The write again is refused by its condition; the object lacks our id, so the
+        edit did not take effect and never will.
+        """
+        async with open_place() as (place, client):
+            place.store("{}")
+            place.set_faults(lose_requests=1)
+
+            def overtake(reply):
+                place.store("{}", replace(make_edit(1), id="theirs"))
+                return reply
+
+            place.on_write = overtake
+            outcome = await publish(client, propose(1, slots=2), limit_s=LIMIT_S)
+        assert isinstance(outcome, Overtaken)
+        assert outcome.version == 2
+
+    async def test_reads_that_lag_do_not_hide_an_accepted_edit(self, clock):
+        """Reads show the old object for three seconds after the lost write.
+
+        The old object lacks our id. Taken for the present one it would turn an
+        accepted edit into "refused".
+        """
+        async with open_place() as (place, client):
+            place.store("{}")
+            await trio.sleep(10.0)
+            place.set_faults(lose_replies=1, stale_reads_ms=3_000.0)
+            outcome = await publish(client, propose(1, slots=2), limit_s=LIMIT_S)
+        assert outcome == Accepted(version=2)
+
+    async def test_a_platform_that_is_gone_leaves_it_open(self, clock):
+        async with open_place() as (place, client):
+            place.store("{}")
+
+            def go_down(_reply):
+                place.set_faults(down=True)
+
+            place.on_write = go_down
+            outcome = await publish(client, propose(1, slots=2), limit_s=LIMIT_S)
+            assert isinstance(outcome, Unresolved)
+            never_sent = await publish(client, propose(1, slots=2), limit_s=LIMIT_S)
+        assert isinstance(never_sent, NotWritten)
+        assert "server error" in never_sent.reason
+
+    async def test_a_history_that_ends_too_early_leaves_it_open(self, clock):
+        async with open_place() as (place, client):
+            place.store("{}")
+
+            def bury(_reply):
+                edits = [make_edit(number + 2) for number in range(MAX_EDITS)]
+                place.store("{}", *edits)
+
+            place.on_write = bury
+            outcome = await publish(client, propose(1, slots=2), limit_s=LIMIT_S)
+        assert isinstance(outcome, Unresolved)
+        assert "the history ends before it" in outcome.reason
