--- a/src/lavendergap/commands/settings.py
+++ b/src/lavendergap/commands/settings.py
@@ -14,9 +14,10 @@
     make_settings_key,
 )
 from ..state.branch import DEFAULT, Branch, Resolved
-from ..state.options import OPTIONS, Value
+from ..state.options import OPTIONS
 from ..state.settings import Address, GiveUpStragglers, Settings, WaitForCoverage
 from ..state.tree import load_settings, parse_settings, parse_tree, read_file
+from ..state.values import Value
 from ..transport.platform import Found, Missing, PlatformClient, Refused, Unavailable
 from .apply import apply
 from .console import print_json, print_note, print_table
--- a/src/lavendergap/protocol/objects.py
+++ b/src/lavendergap/protocol/objects.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from ..errors import ObjectError
-from ..state.options import is_name
 from ..state.settings import Service
 from ..state.snapshot import Published, Shard, Snapshot
+from ..state.values import is_name
 
 MAX_EDITS = 50
 """Edits that an object remembers; enough for an operator to find his own again."""
--- a/src/lavendergap/state/branch.py
+++ b/src/lavendergap/state/branch.py
@@ -13,16 +13,18 @@
     BranchKind,
     Level,
     Option,
+    list_branches,
+    list_options,
+)
+from .settings import GiveUpStragglers, StragglerPolicy, WaitForCoverage
+from .syntax import join_path, parse_text
+from .values import (
     StragglersValue,
     Value,
     check_value,
     describe_kind,
     is_name,
-    list_branches,
-    list_options,
 )
-from .settings import GiveUpStragglers, StragglerPolicy, WaitForCoverage
-from .syntax import join_path, parse_text
 
 DEFAULT = "(default)"
 """The source of a value that no branch states."""
--- a/src/lavendergap/state/check.py
+++ b/src/lavendergap/state/check.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 
 from .branch import DEFAULT, Branch, Resolved
-from .options import HEDGE_MINIMUM_MS, OPTIONS, AddressValue, Level, Value
+from .options import HEDGE_MINIMUM_MS, OPTIONS, Level
 from .settings import Address
+from .values import AddressValue, Value
 
 _ADDRESSES = tuple(
     option.name for option in OPTIONS if isinstance(option.kind, AddressValue)
--- a/src/lavendergap/state/syntax.py
+++ b/src/lavendergap/state/syntax.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..errors import Problem, SettingsError
-from .options import is_name
+from .values import is_name
 
 MAX_BYTES = 1_000_000
 """The platform holds values up to a megabyte."""
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -11,12 +11,10 @@
     OPTIONS,
     STRAGGLERS_OPTIONS,
     Level,
-    check_value,
-    describe_kind,
     list_options,
-    parse_address,
 )
 from lavendergap.state.settings import Control, Host, Server, Service
+from lavendergap.state.values import check_value, describe_kind, parse_address
 
 
 class TestTable:
