--- a/standins/backend.py
+++ b/standins/backend.py
@@ -36,7 +36,7 @@
 RETRY_AFTER_S = 1
 NOT_RUN = ("Outcome", "not-run")
 RETRY_AFTER = ("Retry-After", str(RETRY_AFTER_S))
-NO_DEADLINE_MS = 600_000.0
+MAX_DEADLINE_MS = 600_000.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -99,6 +99,7 @@
         self.runs: Counter[str] = Counter()
         self.queries: Counter[str] = Counter()
         self.history = FaultHistory(faults=faults, now=now)
+        self.first_faults = faults
         self.queue_limit = queue_limit
         self.port = server.address.port
         self._draws = Draws(seed=faults.seed, name=server.name)
@@ -134,33 +135,32 @@
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled, dying and coming back as the faults say."""
-        is_started = False
+        if self.faults.dead:
+            task_status.started(self.port)
+            task_status = trio.TASK_STATUS_IGNORED
         while True:
-            if self.faults.dead:
-                if not is_started:
-                    is_started = True
-                    task_status.started(self.port)
-                await self._wait_for_revival()
-            listener = await open_listener(str(self.server.address.ip), self.port)
-            if self.faults.dead:
-                await listener.aclose()
-                continue
+            while self.faults.dead:
+                await self._wait_while_dead()
+            listener = await open_listener(self.server.address.ip, self.port)
             self.port = listener.socket.getsockname()[1]
+            task_status.started(self.port)
+            task_status = trio.TASK_STATUS_IGNORED
             self._alive_since = trio.current_time()
-            if not is_started:
-                is_started = True
-                task_status.started(self.port)
             with trio.CancelScope() as self._life:
+                if self.faults.dead:
+                    self._life.cancel()
                 await self._serve(listener)
 
-    async def _wait_for_revival(self) -> None:
+    async def _wait_while_dead(self) -> None:
+        """Wait for a change of the faults or for the time of the restart."""
         self._revival = trio.Event()
         if self.faults.restart_ms is None:
             await self._revival.wait()
             return
-        with trio.move_on_after(self.faults.restart_ms / 1_000):
+        with trio.move_on_after(self.faults.restart_ms / 1_000) as scope:
             await self._revival.wait()
-        self.set_faults(replace(self.faults, dead=False, restart_ms=None))
+        if scope.cancelled_caught:
+            self.set_faults(replace(self.faults, dead=False, restart_ms=None))
 
     async def _serve(self, listener: trio.SocketListener) -> None:
         async with listener, trio.open_nursery() as nursery:
@@ -193,17 +193,19 @@
     def set_faults(self, faults: BackendFaults) -> None:
         """Put `faults` in force at once; `silence` and `dead` act now."""
         before = self.faults
-        self.history.set_faults(faults, trio.current_time())
-        if faults.seed != before.seed:
-            self._draws = Draws(seed=faults.seed, name=self.server.name)
-        if faults.cold_s and not before.cold_s:
-            self._alive_since = trio.current_time()
+        now = trio.current_time()
         if faults.silence:
             self._silence()
+        # Were it kept, the next change of any fault would silence again.
+        self.history.set_faults(replace(faults, silence=False), now)
+        if faults.seed != before.seed:
+            self._draws = Draws(seed=faults.seed, name=self.server.name)
+        if faults.cold_s != before.cold_s:
+            self._alive_since = now
+        if (faults.dead, faults.restart_ms) != (before.dead, before.restart_ms):
+            self._revival.set()
         if faults.dead and not before.dead:
             self._die()
-        if before.dead and not faults.dead:
-            self._revival.set()
 
     def _silence(self) -> None:
         for connection in self._connections:
@@ -272,10 +274,13 @@
         if not attempt:
             return make_error(400, "A call needs the header Attempt.")
         try:
-            left_ms = float(request.headers.get("deadline-ms", NO_DEADLINE_MS))
+            left_ms = float(request.headers.get("deadline-ms", MAX_DEADLINE_MS))
             version = int(request.headers.get("index-version", "0"))
         except ValueError:
             return make_error(400, "Deadline-Ms or Index-Version is not a number.")
+        # Written so that it refuses "nan" too.
+        if not left_ms <= MAX_DEADLINE_MS:
+            return make_error(400, f"Deadline-Ms is over {MAX_DEADLINE_MS:.0f}.")
         deadline = trio.current_time() + left_ms / 1_000
         call = Call(
             request=request, attempt=attempt, version=version, deadline=deadline
@@ -478,7 +483,7 @@
                 return self._set_faults(request.body)
             case "POST", "/faults/clear":
                 for server in self.servers:
-                    server.set_faults(BackendFaults())
+                    server.set_faults(server.first_faults)
                 return make_json_reply({})
             case "GET", "/counts":
                 return make_json_reply(
