--- a/src/lavendergap/protocol/resolved.py
+++ b/src/lavendergap/protocol/resolved.py
@@ -2,8 +2,7 @@
 
 An operator's text is checked once, by the command that applies it and by the hosts
 that watch the platform. The others take this form, whose reading costs a small part
-of a check and never meets the slow reader of loose JSON; see docs/design/settings.md
-for the figures.
+of a check; docs/design/settings.md has the figures.
 """
 
 import zlib
--- a/src/lavendergap/state/options.py
+++ b/src/lavendergap/state/options.py
@@ -208,7 +208,7 @@
     ),
     Option(
         name="deadline_ms",
-        kind=IntegerValue(low=1, high=600_000),
+        kind=IntegerValue(low=1, high=60_000),
         unit="ms",
         default=280,
         levels=_TO_SERVICE,
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lab.reference import PAGE, replace_reference, write_reference
 from lavendergap.state.options import (
     BRANCHES,
     OPTIONS,
@@ -67,3 +68,15 @@
     def test_any_text_is_read_or_refused(self, text):
         address = parse_address(text)
         assert address is None or parse_address(str(address)) == address
+
+
+class TestReference:
+    def test_the_page_agrees_with_the_table(self):
+        page = PAGE.read_text(encoding="utf-8")
+        assert page == replace_reference(page), "run python -m lab.reference"
+
+    def test_the_page_names_every_option_once(self):
+        reference = write_reference()
+        inner = [o for options in STRAGGLERS_OPTIONS.values() for o in options]
+        for option in [*OPTIONS, *inner]:
+            assert reference.count(f"\n| `{option.name}` |") == 1
