--- a/tests/test_standins_load.py
+++ b/tests/test_standins_load.py
@@ -21,11 +21,10 @@
     OpenLoop,
     Plan,
     Queries,
-    Record,
-    Summary,
     read_shares,
     run_load,
 )
+from standins.tally import Record, Summary
 
 SENT = Sent(request_id="q1-0", service="scheduler", query="q1-0", length=16)
 
--- a/tests/test_standins_process.py
+++ b/tests/test_standins_process.py
@@ -109,3 +109,21 @@
             ended = await trio.run_process(command, cwd=ROOT, capture_stdout=True)
         summary = json.loads(ended.stdout)
         assert (summary["sent"], summary["refused"]) == (5, 5)
+
+    async def test_load_tool_ends_on_sigterm(self, tmp_path):
+        settings = write_settings(tmp_path, find_free_ports(5))
+        records = tmp_path / "records"
+        command = [
+            *(sys.executable, "-m", "standins.load", "--settings", settings),
+            *("--service", "scheduler", "--rate", "10", "--duration", "600"),
+            *("--count", "9999", "--records", str(records)),
+        ]
+        with trio.fail_after(LIMIT_S):
+            process = await trio.lowlevel.open_process(command, cwd=ROOT)
+            try:
+                while not records.exists():
+                    await trio.sleep(0.02)
+                process.send_signal(signal.SIGTERM)
+                assert await process.wait() == 0
+            finally:
+                process.kill()
