--- a/src/lavendergap/startup.py
+++ b/src/lavendergap/startup.py
@@ -24,3 +24,11 @@
 
 def _find_nothing(name: str) -> None:
     """Stand for a system without libraries to be found."""
+
+
+def main() -> None:
+    """Run the command line as a program that starts no other process."""
+    import_trio()
+    from .__main__ import main as run_commands
+
+    run_commands()
