Write settings for a single host; check the daemon from the built file

Cause: a shape of one host placed servers in a second data centre that no host stands in, and the product refused the file. Seen failing in lab.binary check; the new test fails without the change.

--- a/lab/binary.py
+++ b/lab/binary.py
@@ -48,7 +48,7 @@
 SYSTEM_CALLS = "execve,clone,clone3,fork,vfork"
 
 
-class CheckError(Exception):
+class CheckError(click.ClickException):
     """The built file does not do what it has to; the message says what it did."""
 
 
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -174,7 +174,10 @@
         **shape.options,
         "data_centres": _build_data_centres(hosts),
         "services": {
-            each.name: _build_service(each, shape.n_data_centres, ports)
+            # A server may only stand in a data centre that some host stands in.
+            each.name: _build_service(
+                each, min(shape.n_data_centres, shape.n_hosts), ports
+            )
             for each in shape.services
         },
     }
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -145,5 +145,10 @@
         addresses = deployment.settings.read_text().count("127.0.0.1:")
         assert addresses == 1 + 3 * 3 + 3 * 2 + 4
 
+    def test_a_single_host_leaves_one_data_centre(self, tmp_path):
+        shape = DeploymentShape(n_hosts=1, services=(ServiceShape(name="scheduler"),))
+        deployment = write_deployment(shape=shape, directory=tmp_path)
+        assert len(load_settings(deployment.settings).hosts) == 1
+
     def test_free_ports_are_distinct(self):
         assert len(set(find_free_ports(50))) == 50
