--- /dev/null
+++ b/src/lavendergap/coordination/bodies.py
@@ -0,0 +1,43 @@
+"""A bound on the bytes of the answers that are kept for repeats."""
+
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+from ..state.outcome import Answered, Outcome
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+K = TypeVar("K", bound=Hashable)
+
+
+class KeptBodies(Generic[K]):
+    """Counts the bytes of kept answers and names the oldest ones to let go of.
+
+    >>> bodies = KeptBodies[int](max_bytes=10)
+    >>> bodies.add(1, Answered(body=b"12345678"))
+    ()
+    >>> bodies.add(2, Answered(body=b"12345678"))
+    (1,)
+    """
+
+    def __init__(self, *, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self._sizes: dict[K, int] = {}
+        self._n_bytes = 0
+
+    def add(self, key: K, outcome: Outcome) -> tuple[K, ...]:
+        """Count an outcome; return the keys whose answers must be dropped for it."""
+        self.discard(key)
+        if isinstance(outcome, Answered):
+            self._sizes[key] = len(outcome.body)
+            self._n_bytes += len(outcome.body)
+        dropped = []
+        while self._n_bytes > self.max_bytes:
+            oldest = next(iter(self._sizes))
+            self.discard(oldest)
+            dropped.append(oldest)
+        return tuple(dropped)
+
+    def discard(self, key: K) -> None:
+        """Stop counting what is kept under `key`, if anything."""
+        self._n_bytes -= self._sizes.pop(key, 0)
--- a/src/lavendergap/coordination/issuer.py
+++ b/src/lavendergap/coordination/issuer.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from hashlib import blake2b
+from itertools import islice
 
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.ticket import (
@@ -26,6 +27,7 @@
     is_ticket_name,
     verify_mac,
 )
+from .bodies import MAX_BODY_BYTES, KeptBodies
 
 DIGEST_BYTES = 16
 
@@ -52,16 +54,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Ended:
-    """`digest` is None for a ticket that was given up before any request came."""
-
     ticket: Ticket
     since: float
-    digest: bytes | None
+    digest: bytes
     outcome: Outcome
-    confirmed: bool
 
 
-_Record = _Unused | _Recording | _Running | _Ended
+_Begun = _Recording | _Running | _Ended
+_Record = _Unused | _Begun
 
 
 class Issuer:
@@ -71,7 +71,8 @@
     messages to the witness and runs the request when told `Run`. `now` is in
     seconds on a clock that never goes back. `secret` is 16 to 64 random bytes made
     for this process alone. At most `max_tickets` tickets of the last
-    `ticket_lifetime_ms` are held; beyond that no ticket is issued.
+    `ticket_lifetime_ms` are held; beyond that no ticket is issued. Beyond
+    `max_body_bytes` of kept answers the oldest is dropped and becomes unknown.
 
     >>> from lavendergap.state.outcome import Answered
     >>> from lavendergap.state.ticket import Peer
@@ -79,19 +80,26 @@
     ...     peer=Peer(host="ptl-a-1", incarnation=7), secret=b"k" * 32,
     ...     max_tickets=100, ticket_lifetime_ms=600_000)
     >>> witness = Peer(host="sea-a-1", incarnation=9)
-    >>> opening = issuer.open(witness)
+    >>> opening = issuer.open(witness)  # Send it; the witness says `Kept`.
+    >>> issuer.confirm_open(witness)
     >>> ticket = issuer.issue(service="sponsor-ledger", witness=witness, now=0.0)
     >>> issuer.begin(ticket, body=b"{}", now=1.0) == RecordStarted(ticket=ticket)
     True
-    >>> issuer.record(ticket, Ack(), now=1.1) == Run(ticket=ticket)
+    >>> issuer.record(ticket, Ack()) == Run(ticket=ticket)
     True
-    >>> message = issuer.end(ticket, Answered(body=b"booked"), now=1.2)
+    >>> message = issuer.end(ticket, Answered(body=b"booked"))
     >>> issuer.begin(ticket, body=b"{}", now=2.0)
     Known(outcome=Answered(body=b'booked'))
     """
 
     def __init__(
-        self, *, peer: Peer, secret: bytes, max_tickets: int, ticket_lifetime_ms: int
+        self,
+        *,
+        peer: Peer,
+        secret: bytes,
+        max_tickets: int,
+        ticket_lifetime_ms: int,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self.peer = peer
         self.max_tickets = max_tickets
@@ -101,7 +109,8 @@
         # In the order of `since`, so that what has expired stands in front.
         self._records: dict[int, _Record] = {}
         self._unconfirmed: dict[int, None] = {}
-        self._witnesses: dict[Peer, None] = {}
+        self._witnesses: dict[str, Peer] = {}
+        self._bodies = KeptBodies[int](max_bytes=max_body_bytes)
         self._closed = False
 
     def __len__(self) -> int:
@@ -111,16 +120,19 @@
     def open(self, witness: Peer) -> OpenIssuer:
         """Return what makes this issuer known to a witness.
 
-        Send it, and wait for `Kept`, before the first ticket that names this
-        witness. Until then the witness would refuse to record a start, and the
+        Send it before the first ticket that names this witness; upon `Kept`, call
+        `confirm_open`. Until then the witness refuses to record a start, and the
         request would be "not run".
         """
-        self._witnesses[witness] = None
-        return OpenIssuer(
-            issuer=self.peer,
-            witness=witness,
-            secret=self._secret,
-        )
+        return OpenIssuer(issuer=self.peer, witness=witness, secret=self._secret)
+
+    def confirm_open(self, witness: Peer) -> None:
+        """Note that a witness knows this issuer. A later life replaces a former."""
+        self._witnesses[witness.host] = witness
+
+    def is_open(self, witness: Peer) -> bool:
+        """Tell whether tickets may name this witness."""
+        return self._witnesses.get(witness.host) == witness
 
     def issue(
         self, *, service: str, witness: Peer | None, now: float
@@ -149,15 +161,16 @@
         problem = self._find_problem(ticket)
         if problem is not None:
             return Refused(reason=problem)
+        self._drop_expired(now)
         digest = blake2b(body, digest_size=DIGEST_BYTES).digest()
         match self._records.get(ticket.serial):
             case None:
                 return Known(outcome=self._compute_expired())
             case _Unused():
                 return self._begin_first(ticket, digest, now)
-            case _Ended(digest=None) as record:
-                return Known(outcome=record.outcome)
-            case record if record.digest != digest:
+            case _Recording() | _Running() | _Ended() as record if (
+                record.digest != digest
+            ):
                 return Refused(reason=TicketProblem.OTHER_BODY)
             case _Ended(outcome=outcome):
                 return Known(outcome=outcome)
@@ -167,10 +180,11 @@
     def ask(
         self, ticket: Ticket, *, now: float
     ) -> NotBegun | AlreadyRunning | Known | Refused:
-        """Tell what has become of a ticket so far; changes nothing."""
+        """Tell what has become of a ticket so far; begins nothing."""
         problem = self._find_problem(ticket)
         if problem is not None:
             return Refused(reason=problem)
+        self._drop_expired(now)
         match self._records.get(ticket.serial):
             case None:
                 return Known(outcome=self._compute_expired())
@@ -182,7 +196,7 @@
                 return AlreadyRunning()
 
     def record(
-        self, ticket: Ticket, reply: StartedReply, *, now: float
+        self, ticket: Ticket, reply: StartedReply
     ) -> Run | AlreadyRunning | Known:
         """Take the witness's answer: `Run` upon the first `Ack`, else not run.
 
@@ -203,21 +217,24 @@
             case _Unused():
                 raise ValueError(f"ticket {ticket.serial}: no request has begun")
 
-    def end(self, ticket: Ticket, outcome: Outcome, *, now: float) -> RecordEnded:
+    def end(self, ticket: Ticket, outcome: Outcome) -> RecordEnded:
         """Keep the outcome of a run for repeats; return what to tell the witness.
 
-        A later outcome replaces an unknown one and no other. Raises ValueError for
-        a ticket that is not running.
+        A later outcome replaces an unknown one and no other. An outcome that comes
+        after its record has expired goes to the witness alone. Raises ValueError
+        for a ticket that has not run.
         """
         record = self._records.get(ticket.serial)
         match record:
             case _Running() | _Ended(outcome=Unknown()):
                 self._keep(record, outcome)
-            case _Ended():
-                pass
+                return RecordEnded(ticket=ticket, outcome=outcome)
+            case _Ended(outcome=kept):
+                return RecordEnded(ticket=ticket, outcome=kept)
+            case None:
+                return RecordEnded(ticket=ticket, outcome=outcome)
             case _:
-                raise ValueError(f"ticket {ticket.serial} is not running")
-        return RecordEnded(ticket=ticket, outcome=outcome)
+                raise ValueError(f"ticket {ticket.serial} has not run")
 
     def confirm(self, ticket: Ticket) -> None:
         """Note that the witness has the outcome (or has forgotten the ticket)."""
@@ -229,18 +246,14 @@
         Send them from time to time: a request that is given up because its witness
         did not answer comes to the witness's record this way too.
         """
-        messages: list[RecordEnded] = []
-        for serial in self._unconfirmed:
-            if len(messages) == limit:
-                break
-            record = self._records[serial]
-            if isinstance(record, _Ended):
-                messages.append(
-                    RecordEnded(ticket=record.ticket, outcome=record.outcome)
-                )
-        return tuple(messages)
-
-    def hand_over(self, *, now: float) -> tuple[RecordEnded | CloseIssuer, ...]:
+        ended = (self._records[serial] for serial in islice(self._unconfirmed, limit))
+        return tuple(
+            RecordEnded(ticket=record.ticket, outcome=record.outcome)
+            for record in ended
+            if isinstance(record, _Ended)
+        )
+
+    def hand_over(self) -> tuple[RecordEnded | CloseIssuer, ...]:
         """Close for a planned stop; return what the witnesses must be told.
 
         Call it when all that ran has ended. From then on nothing starts: unused
@@ -249,14 +262,11 @@
         """
         self._closed = True
         for record in list(self._records.values()):
-            match record:
-                case _Recording():
-                    self._keep(record, self._decline(Reason.STOPPING))
-                case _:
-                    pass
+            if isinstance(record, _Recording):
+                self._keep(record, self._decline(Reason.STOPPING))
         closings = tuple(
             CloseIssuer(issuer=self.peer, witness=witness)
-            for witness in self._witnesses
+            for witness in self._witnesses.values()
         )
         return self.get_unconfirmed(limit=len(self._unconfirmed)) + closings
 
@@ -265,29 +275,26 @@
     ) -> RecordStarted | Run | Known:
         # Set anew, not in place: the record moves behind all older ones.
         del self._records[ticket.serial]
+        recording = _Recording(ticket=ticket, since=now, digest=digest)
+        self._records[ticket.serial] = recording
         if self._closed:
             outcome = self._decline(Reason.STOPPING)
-            self._records[ticket.serial] = _Ended(
-                ticket=ticket, since=now, digest=digest, outcome=outcome, confirmed=True
-            )
+            self._keep(recording, outcome)
             return Known(outcome=outcome)
         if ticket.witness is None:
-            self._records[ticket.serial] = _Running(
-                ticket=ticket, since=now, digest=digest
-            )
-            return Run(ticket=ticket)
-        self._records[ticket.serial] = _Recording(
-            ticket=ticket, since=now, digest=digest
-        )
+            return self._run(recording)
         return RecordStarted(ticket=ticket)
 
+    def _run(self, record: _Recording) -> Run:
+        self._records[record.ticket.serial] = _Running(
+            ticket=record.ticket, since=record.since, digest=record.digest
+        )
+        return Run(ticket=record.ticket)
+
     def _settle_recording(self, record: _Recording, reply: StartedReply) -> Run | Known:
         match reply:
             case Ack():
-                self._records[record.ticket.serial] = _Running(
-                    ticket=record.ticket, since=record.since, digest=record.digest
-                )
-                return Run(ticket=record.ticket)
+                return self._run(record)
             case Void():
                 reason = Reason.VOID
             case Forgotten() | Refused():
@@ -300,17 +307,24 @@
         self._keep(record, outcome)
         return Known(outcome=outcome)
 
-    def _keep(self, record: _Recording | _Running | _Ended, outcome: Outcome) -> None:
+    def _keep(self, record: _Begun, outcome: Outcome) -> None:
         serial = record.ticket.serial
-        self._records[serial] = _Ended(
+        self._set_outcome(record, outcome)
+        if record.ticket.witness is not None:
+            self._unconfirmed[serial] = None
+        for dropped in self._bodies.add(serial, outcome):
+            ended = self._records[dropped]
+            if isinstance(ended, _Ended):
+                self._set_outcome(ended, self._compute_expired())
+                self._unconfirmed.pop(dropped, None)
+
+    def _set_outcome(self, record: _Begun, outcome: Outcome) -> None:
+        self._records[record.ticket.serial] = _Ended(
             ticket=record.ticket,
             since=record.since,
             digest=record.digest,
             outcome=outcome,
-            confirmed=False,
         )
-        if record.ticket.witness is not None:
-            self._unconfirmed[serial] = None
 
     def _find_problem(self, ticket: Ticket) -> TicketProblem | None:
         if ticket.issuer != self.peer:
@@ -349,6 +363,7 @@
                     self._records[serial] = replace(record, since=now)
                 case _:
                     self._unconfirmed.pop(serial, None)
+                    self._bodies.discard(serial)
 
     def _compute_wait_ms(self, now: float) -> int:
         oldest = next(iter(self._records.values()), None)
--- a/src/lavendergap/coordination/witness.py
+++ b/src/lavendergap/coordination/witness.py
@@ -25,6 +25,7 @@
     WitnessRequest,
     verify_mac,
 )
+from .bodies import MAX_BODY_BYTES, KeptBodies
 
 MAX_ISSUERS = 4096
 
@@ -59,7 +60,8 @@
     One for each process. "Started" and "void" exclude each other because both are
     decided here, by one process that handles one message at a time. At most
     `max_tickets` records, of the last `ticket_lifetime_ms`, are held, of at most
-    `max_issuers` issuers. `now` is in seconds on a clock that never goes back.
+    `max_issuers` issuers, with `max_body_bytes` of answers. `now` is in seconds on
+    a clock that never goes back.
 
     >>> from lavendergap.coordination.issuer import Issuer
     >>> from lavendergap.state.ticket import Peer
@@ -84,6 +86,7 @@
         max_tickets: int,
         ticket_lifetime_ms: int,
         max_issuers: int = MAX_ISSUERS,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self.peer = peer
         self.max_tickets = max_tickets
@@ -94,6 +97,7 @@
         # The one not heard of for longest stands in front.
         self._issuers: dict[Peer, _IssuerState] = {}
         self._dropped_incarnation = -1
+        self._bodies = KeptBodies[Ticket](max_bytes=max_body_bytes)
 
     def __len__(self) -> int:
         """Return the number of records held."""
@@ -169,6 +173,7 @@
         match self._records.get(ticket):
             case _StartedRecord(since=since, outcome=None | Unknown()):
                 self._records[ticket] = _StartedRecord(since=since, outcome=outcome)
+                self._count_body(ticket, outcome)
             case _StartedRecord() | _VoidRecord():
                 pass
             case None if ticket.serial <= state.floor:
@@ -177,22 +182,23 @@
                 # Given up by its issuer before the record of its start came here.
                 record = _StartedRecord(since=now, outcome=outcome)
                 self._add(ticket, record, state)
+                self._count_body(ticket, outcome)
         return Kept()
 
     def open(self, opening: OpenIssuer, *, now: float) -> KeptReply:
         """Hold a new issuer, or refuse one as old as any that was dropped."""
         if opening.witness != self.peer:
             return Forgotten()
-        issuer = opening.issuer
-        if issuer in self._issuers:
+        if opening.issuer in self._issuers:
             return Kept()
-        while len(self._issuers) >= self.max_issuers:
-            self._drop_issuer()
         # An `OpenIssuer` that comes late, or twice, must not bring back an issuer
-        # whose records were dropped: a voided ticket of it could then start.
-        if issuer.incarnation <= self._dropped_incarnation:
+        # whose records were dropped: a voided ticket of it could then start. Its
+        # incarnation is at or below the greatest dropped one, so it is refused.
+        if opening.issuer.incarnation <= self._dropped_incarnation:
             return Forgotten()
-        self._issuers[issuer] = _IssuerState(secret=opening.secret)
+        if len(self._issuers) >= self.max_issuers:
+            self._drop_issuer()
+        self._issuers[opening.issuer] = _IssuerState(secret=opening.secret)
         return Kept()
 
     def close(self, closing: CloseIssuer, *, now: float) -> KeptReply:
@@ -223,14 +229,20 @@
         return state
 
     def _drop_issuer(self) -> None:
-        # The one not heard of for longest goes. A late `OpenIssuer` of it is
-        # refused by the bound on incarnations, which grow with the time of start.
+        # The one not heard of for longest goes. New processes are still taken in,
+        # because incarnations grow with the time of start.
         issuer = next(iter(self._issuers))
         state = self._issuers.pop(issuer)
         for ticket in state.tickets:
             del self._records[ticket]
+            self._bodies.discard(ticket)
         self._dropped_incarnation = max(self._dropped_incarnation, issuer.incarnation)
 
+    def _count_body(self, ticket: Ticket, outcome: Outcome) -> None:
+        for dropped in self._bodies.add(ticket, outcome):
+            since = self._records[dropped].since
+            self._records[dropped] = _StartedRecord(since=since)
+
     def _add(self, ticket: Ticket, record: _Record, state: _IssuerState) -> None:
         while len(self._records) >= self.max_tickets:
             self._drop_oldest()
@@ -251,6 +263,7 @@
         # only grow, so the tickets in use lie above the floor.
         ticket = next(iter(self._records))
         del self._records[ticket]
+        self._bodies.discard(ticket)
         state = self._issuers[ticket.issuer]
         del state.tickets[ticket]
         state.floor = max(state.floor, ticket.serial)
--- /dev/null
+++ b/tests/test_resolution.py
@@ -0,0 +1,90 @@
+from dataclasses import replace
+
+import pytest
+
+from lavendergap.coordination import (
+    Pending,
+    Rejected,
+    Settled,
+    resolve_by_issuer,
+    resolve_by_witness,
+)
+from lavendergap.coordination.resolution import ASK_AGAIN_MS
+from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
+from lavendergap.state.ticket import (
+    AlreadyRunning,
+    Forgotten,
+    IssuerLost,
+    Known,
+    NotBegun,
+    Peer,
+    Refused,
+    Started,
+    Ticket,
+    TicketProblem,
+    Voided,
+    VoidTicket,
+    WitnessLost,
+)
+
+TICKET = Ticket(
+    service="ledger",
+    issuer=Peer(host="ptl-a-1", incarnation=7),
+    serial=1,
+    witness=Peer(host="sea-a-1", incarnation=9),
+    mac="0" * 16,
+)
+BOOKED = Answered(body=b"booked")
+FORGED = Refused(reason=TicketProblem.FORGED)
+
+
+def doubt(peer, reason):
+    return Settled(
+        outcome=Unknown(step=Step.RECORD, peer=peer, reason=reason),
+        ask_again_ms=ASK_AGAIN_MS,
+    )
+
+
+class TestIssuersWord:
+    @pytest.mark.parametrize(
+        ("reply", "answer"),
+        [
+            (Known(outcome=BOOKED), Settled(outcome=BOOKED)),
+            (AlreadyRunning(), Pending(begun=True)),
+            (NotBegun(), Pending(begun=False)),
+            (FORGED, Rejected(reason=TicketProblem.FORGED)),
+            (IssuerLost(), VoidTicket(ticket=TICKET)),
+            (
+                Refused(reason=TicketProblem.OTHER_ISSUER),
+                VoidTicket(ticket=TICKET),
+            ),
+        ],
+    )
+    def test_settles_or_asks_the_witness(self, reply, answer):
+        assert resolve_by_issuer(TICKET, reply) == answer
+
+    def test_without_a_witness_a_lost_issuer_leaves_doubt(self):
+        alone = replace(TICKET, witness=None)
+        answer = doubt("ptl-a-1", Reason.ISSUER_LOST)
+        assert resolve_by_issuer(alone, IssuerLost()) == answer
+
+
+class TestWitnesssWord:
+    @pytest.mark.parametrize(
+        ("reply", "answer"),
+        [
+            (Started(outcome=BOOKED), Settled(outcome=BOOKED)),
+            (Started(outcome=None), doubt("ptl-a-1", Reason.ISSUER_LOST)),
+            (Forgotten(), doubt("sea-a-1", Reason.EXPIRED)),
+            (WitnessLost(), doubt("sea-a-1", Reason.WITNESS_LOST)),
+            (FORGED, Rejected(reason=TicketProblem.FORGED)),
+        ],
+    )
+    def test_settles(self, reply, answer):
+        assert resolve_by_witness(TICKET, reply) == answer
+
+    def test_only_voided_says_not_run(self):
+        settled = resolve_by_witness(TICKET, Voided())
+        assert isinstance(settled, Settled)
+        assert isinstance(settled.outcome, NotRun)
+        assert settled.ask_again_ms == 0
