--- a/src/lavendergap/coordination/admission.py
+++ b/src/lavendergap/coordination/admission.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_left, bisect_right, insort
 from dataclasses import dataclass
+from zlib import crc32
 
 from .progress import Progress
 
@@ -9,6 +10,13 @@
 # once, which would be the same load again, and not after a long silence.
 SHORTEST_RETRY_AFTER = 0.02
 LONGEST_RETRY_AFTER = 5.0
+# Longer than a deadline, since the queue absorbs a shorter burst; short against the
+# minute in which all callers arrive.
+ARRIVAL_WINDOW = 0.5
+# Fewer calls than this in a window are a burst, however close together they come.
+MIN_ARRIVALS = 20
+TARGET_PRESSURE = 0.15
+PRESSURE_GAIN = 1.0
 
 
 def _get_deadline(entry: tuple[float, int, Progress]) -> float:
@@ -75,6 +83,74 @@
     opens_in: float
 
 
+class Arrivals:
+    """The rate of calls over the last half to one second, in calls a second.
+
+    It is 0 while there are too few calls to tell a rate from a burst.
+
+    >>> arrivals = Arrivals()
+    >>> for n in range(100):
+    ...     arrivals.add(now=n / 100)
+    >>> round(arrivals.rate, -1)
+    100.0
+    """
+
+    __slots__ = ("rate", "_began", "_n_now", "_n_before")
+
+    def __init__(self) -> None:
+        self.rate = 0.0
+        self._began = 0.0
+        self._n_now = 0
+        self._n_before = 0
+
+    def add(self, *, now: float) -> None:
+        """Count one call."""
+        elapsed = now - self._began
+        if elapsed >= ARRIVAL_WINDOW:
+            is_next = elapsed < 2 * ARRIVAL_WINDOW
+            self._n_before = self._n_now if is_next else 0
+            self._n_now = 0
+            self._began = self._began + ARRIVAL_WINDOW if is_next else now
+            elapsed = now - self._began
+        self._n_now += 1
+        n_calls = self._n_before + self._n_now
+        is_enough = n_calls >= MIN_ARRIVALS
+        self.rate = n_calls / (ARRIVAL_WINDOW + elapsed) if is_enough else 0.0
+
+
+def compute_level(*, demand: float, pressure: float) -> float:
+    """Compute the share of calls to admit, from 0 to 1.
+
+    `demand` is the load offered as a multiple of the capacity; `pressure` is the
+    wait as a share of the time that a new call has. The first alone would do if
+    both were known exactly; the second corrects it, so that the queue settles at
+    `TARGET_PRESSURE`: long enough to keep all slots busy, short enough that nobody
+    waits in vain.
+
+    >>> compute_level(demand=0.8, pressure=0.0)
+    1.0
+    >>> compute_level(demand=2.0, pressure=TARGET_PRESSURE)
+    0.5
+    """
+    correction = 1.0 + PRESSURE_GAIN * (TARGET_PRESSURE - pressure)
+    return min(1.0, max(0.0, correction / max(demand, 1e-9)))
+
+
+def compute_rank(request_id: str) -> float:
+    """Give a request its place between 0 and 1, the same in every process.
+
+    Under overload each group admits the calls below its level. Were the calls drawn
+    independently, a query over 20 groups that each admit half of their calls would
+    be whole once in a million times, and the servers would work for answers that
+    nobody can use. With one rank for all its calls, what one group admits the
+    others admit too.
+
+    >>> compute_rank("r-1") == compute_rank("r-1")
+    True
+    """
+    return crc32(request_id.encode()) / 2**32
+
+
 def estimate_wait(n_ahead: int, *, capacity: Capacity, service_time: float) -> float:
     """Estimate how long a new call waits for a slot, in seconds.
 
--- a/src/lavendergap/coordination/hedging.py
+++ b/src/lavendergap/coordination/hedging.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+from ..state.settings import Service
+
 # 256 calls see a quantile of 0.95 from 13 of them, and forget a slow spell within
 # seconds at the rates that our users run.
 WINDOW = 256
@@ -9,6 +11,18 @@
 MIN_SAMPLES = 20
 # Sorting the window for each call would cost more than the rest of the decision.
 REFRESH_EVERY = 16
+# The share of the budget that hedges use on average; see docs/design/hedging.md.
+BUDGET_USE = 0.6
+
+
+def choose_quantile(service: Service) -> float:
+    """Choose the quantile of latency after which a call is hedged.
+
+    A quantile of 0.95 and a budget of 0.05 would spend the budget to the last token
+    on calls that are merely slower than most, and a real straggler would find it
+    empty. So the delay is long enough that ordinary hedges leave some of it over.
+    """
+    return max(service.hedge_after_quantile, 1.0 - BUDGET_USE * service.hedge_budget)
 
 
 class RecentLatencies:
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -7,7 +7,15 @@
 
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Control, Group, Service
-from .admission import Capacity, WaitingCalls, estimate_wait, suggest_retry_after
+from .admission import (
+    Arrivals,
+    Capacity,
+    WaitingCalls,
+    compute_level,
+    compute_rank,
+    estimate_wait,
+    suggest_retry_after,
+)
 from .budget import Budget
 from .calls import (
     AttemptEnded,
@@ -19,7 +27,7 @@
     ServerReport,
     StartAttempt,
 )
-from .hedging import RecentLatencies
+from .hedging import RecentLatencies, choose_quantile
 from .progress import Attempt, Progress
 from .replicas import (
     BLAME,
@@ -38,8 +46,9 @@
 RETRY_BURST = 10.0
 # A group with few calls still may retry once a second: an outage is not made by that.
 RETRIES_PER_SECOND = 1.0
-# Small, so that a slow spell of the whole group is not answered by a volley.
-HEDGE_BURST = 3.0
+# Enough for stragglers that come together, and still too few for a volley when the
+# whole group turns slow.
+HEDGE_BURST = 5.0
 SHORTEST_HEDGE_DELAY = 0.001
 # How many waiting calls that no free replica can take are passed over in one go, so
 # that a long queue for one version costs a bounded time at each event.
@@ -106,9 +115,10 @@
         self._calls: dict[int, Progress] = {}
         self._attempts: dict[int, Attempt] = {}
         self._waiting = WaitingCalls()
+        self._arrivals = Arrivals()
         self._timers: list[tuple[float, int]] = []
         self._attempt_ids = count(1)
-        self._recent = RecentLatencies(quantile=service.hedge_after_quantile)
+        self._recent = RecentLatencies(quantile=choose_quantile(service))
         self._retries = Budget(
             share=service.retry_budget,
             burst=RETRY_BURST,
@@ -138,6 +148,7 @@
             raise ValueError(f"call {call.call_id} was already submitted")
         progress = Progress(call=call)
         self._n_calls += 1
+        self._arrivals.add(now=now)
         self._retries.earn()
         if call.idempotent:
             self._hedges.earn()
@@ -228,7 +239,7 @@
         self.group = group
         self.service = service
         self.control = control
-        self._recent.quantile = service.hedge_after_quantile
+        self._recent.quantile = choose_quantile(service)
         self._retries.share = service.retry_budget
         self._hedges.share = service.hedge_budget
         return self.advance(now=now)
@@ -280,16 +291,26 @@
         call = progress.call
         if len(self._waiting) >= self.service.queue_limit:
             wait = self._estimate_wait(len(self._waiting), now)
-            return [self._refuse_overload(progress, wait)]
+            return [self._refuse_overload(progress, wait, now)]
         wait = self._estimate_wait(self._waiting.count_ahead(call.deadline), now)
-        if now + wait + self._needed_time() > call.deadline:
-            return [self._refuse_overload(progress, wait)]
+        time_left = call.deadline - now - self._needed_time()
+        if wait > time_left or self._is_above_level(call, wait / time_left, now):
+            return [self._refuse_overload(progress, wait, now)]
         self._calls[call.call_id] = progress
         self._waiting.add(progress)
         effects: list[Effect] = []
         self._dispatch(now, effects)
         return effects
 
+    def _is_above_level(self, call: Call, pressure: float, now: float) -> bool:
+        """Tell whether the call is among those that an overload leaves no room for."""
+        level = compute_level(demand=self._measure_demand(now), pressure=pressure)
+        return level < 1.0 and compute_rank(call.request_id) >= level
+
+    def _measure_demand(self, now: float) -> float:
+        n_slots = max(1, self._measure_capacity(now).n_slots)
+        return self._arrivals.rate * (self._recent.mean or 0.0) / n_slots
+
     def _estimate_wait(self, n_ahead: int, now: float) -> float:
         return estimate_wait(
             n_ahead,
@@ -489,6 +510,8 @@
         delay = self._recent.delay
         if delay is None or not progress.call.idempotent or progress.is_hedged:
             return NEVER
+        if self._hedges.share <= 0.0:
+            return NEVER
         return progress.attempts[0].started + max(SHORTEST_HEDGE_DELAY, delay)
 
     def _drop_stale_timers(self) -> None:
@@ -538,8 +561,14 @@
         refusal = self._make_refusal(step, reason)
         return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
 
-    def _refuse_overload(self, progress: Progress, wait: float) -> FinishCall:
+    def _refuse_overload(
+        self, progress: Progress, wait: float, now: float
+    ) -> FinishCall:
         self._n_refused += 1
+        # The queue is kept short, so its length alone would call the refused callers
+        # back into the same overload. A second at twice the capacity takes another
+        # second to make up for.
+        wait += max(0.0, self._measure_demand(now) - 1.0)
         refusal = self._make_refusal(Step.QUEUE, Reason.OVERLOADED, wait)
         return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
 
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -107,12 +107,17 @@
         return effects
 
     def submit(
-        self, *, in_ms: float = 280, version: int = 7, idempotent: bool = True
+        self,
+        *,
+        in_ms: float = 280,
+        version: int = 7,
+        idempotent: bool = True,
+        request_id: str = "r-1",
     ) -> Call:
         self.n_calls += 1
         call = Call(
             call_id=self.n_calls,
-            request_id="r-1",
+            request_id=request_id,
             service="scheduler",
             group="scheduler-00",
             shard="s00",
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,16 @@
 """Admission: what may wait, in which order, and what is refused at once."""
 
-from lavendergap.coordination.admission import LONGEST_RETRY_AFTER, suggest_retry_after
+from random import Random
+
+import pytest
+
+from lavendergap.coordination.admission import (
+    LONGEST_RETRY_AFTER,
+    TARGET_PRESSURE,
+    Arrivals,
+    compute_level,
+    suggest_retry_after,
+)
 from lavendergap.state.outcome import NotRun, Reason
 
 from .groups import make_owner
@@ -56,3 +66,62 @@
     def test_the_time_to_come_back_is_bounded(self):
         assert suggest_retry_after(3_600.0, 0.0) == LONGEST_RETRY_AFTER * 1_000
         assert suggest_retry_after(0.0, 0.0) == 20
+
+
+class TestArrivals:
+    def test_a_rise_is_seen_within_a_second_and_a_pause_is_forgotten(self):
+        arrivals = Arrivals()
+        for n in range(200):
+            arrivals.add(now=n / 100)
+        for n in range(1_000):
+            arrivals.add(now=2.0 + n / 1_000)
+        assert arrivals.rate == pytest.approx(1_000, rel=0.05)
+        for n in range(50):
+            arrivals.add(now=60.0 + n / 100)
+        assert arrivals.rate == pytest.approx(50, rel=0.05)
+
+    def test_a_few_calls_at_once_are_no_rate(self):
+        arrivals = Arrivals()
+        for _ in range(19):
+            arrivals.add(now=1.0)
+        assert arrivals.rate == 0.0
+
+
+class TestLevel:
+    def test_a_longer_queue_admits_fewer_and_an_empty_one_more(self):
+        levels = [
+            compute_level(demand=2.0, pressure=pressure)
+            for pressure in (0.0, TARGET_PRESSURE, 0.5, 9.0)
+        ]
+        assert levels == sorted(levels, reverse=True)
+        assert (levels[1], levels[-1]) == (0.5, 0.0)
+
+    def test_groups_under_overload_admit_the_same_queries(self):
+        # Twice the load arrives, and each group refuses half of its calls. If each
+        # chose its own half, hardly a query over 20 groups would be whole: all
+        # servers are busy, and every caller gets a board with holes.
+        first, second = self.serve(seed=1), self.serve(seed=2)
+        assert len(first & second) > 0.9 * len(first)
+        assert 85 < len(first) < 115
+
+    def serve(self, seed):
+        """Serve 400 calls that come every 5 ms on one slot that takes about 10."""
+        owner = make_owner("a", slots=1, seed=seed, hedge_budget=0.0)
+        owner.warm_up()
+        dice = Random(seed)
+        ends_at = 0.0
+        answered = set()
+        for n in range(400):
+            arrives_at = owner.now + 0.005
+            while owner.open and ends_at <= arrives_at:
+                owner.move(ends_at - owner.now)
+                (start,) = owner.open.values()
+                answered.add(start.call.request_id)
+                owner.end(start.attempt_id, elapsed=dice.uniform(0.008, 0.012))
+                ends_at += dice.uniform(0.008, 0.012)
+            owner.move(arrives_at - owner.now)
+            was_idle = not owner.open
+            owner.submit(request_id=f"r-{n}")
+            if was_idle:
+                ends_at = owner.now + 0.010
+        return {name for name in answered if int(name[2:]) >= 200}
