Walk the coordinator's failures on a virtual clock

Cause: nothing proved that a silent, dead or stopping owner, a version that is gone, a straggler or a caller that leaves is handled. Found by the tests: a version gone with no newer one published ended the query with all open shards missing; it now ends only that shard.

--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -136,8 +136,6 @@
             result = await run.run()
             if not run.needs_newer_snapshot:
                 break
-            if pinning.choose(now=trio.current_time()).version == snapshot.version:
-                break
             if trio.current_time() >= query.deadline:
                 break
             log_decision(
@@ -187,7 +185,7 @@
 
     @property
     def needs_newer_snapshot(self) -> bool:
-        """Whether a shard no longer has this index version."""
+        """Whether a shard lacks this index version and another one may do."""
         return self._join.needs_newer_snapshot
 
     @property
@@ -379,9 +377,8 @@
                 self._send([shard])
                 return
             case NotRun(reason=Reason.VERSION_GONE):
-                self._pinning.mark_gone(
-                    shard=shard.name, version=self._snapshot.version, now=now
-                )
+                self._lose_version(shard, answer, now)
+                return
             case NotRun() as refusal:
                 self._refusals.append(refusal)
             case Unknown():
@@ -391,6 +388,18 @@
         self._join.add(answer.shard, answer.outcome, answer.server, now=now)
         self._progress.set()
 
+    def _lose_version(self, shard: Shard, answer: ShardAnswer, now: float) -> None:
+        """Start over at another snapshot, or do without the shard if there is none."""
+        version = self._snapshot.version
+        self._pinning.mark_gone(shard=shard.name, version=version, now=now)
+        outcome = answer.outcome
+        if self._pinning.choose(now=now).version == version:
+            outcome = Unknown(
+                step=Step.PIN, peer=answer.server, reason=Reason.VERSION_GONE
+            )
+        self._join.add(shard.name, outcome, answer.server, now=now)
+        self._progress.set()
+
     def _lose(self, part: Part, loss: Loss) -> None:
         """Send what a lost owner had not answered to the hosts ranked next."""
         if not part.open_shards:
