--- a/lab/policy.py
+++ b/lab/policy.py
@@ -2,7 +2,8 @@
 
 `python -m lab.policy` prints a table for each question and, in the last line, the
 figures as name=value. Only decisions run here, with no sockets and no real time: the
-figures argue for one policy against another, and say nothing of processor time.
+figures argue for one policy against another. The last table alone is measured on
+this machine: the processor time of the scheduler for one call.
 """
 
 import statistics
@@ -13,6 +14,7 @@
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
+from time import process_time
 
 import click
 
@@ -298,10 +300,12 @@
         """Put a call at the head."""
         call = progress.call
         insort(self._entries, (-call.deadline, call.call_id, progress))
+        progress.is_waiting = True
 
     def discard(self, progress: Progress) -> None:
-        """Remove a call if it waits here."""
+        """Remove a call that waits here."""
         self._entries = [e for e in self._entries if e[2] is not progress]
+        progress.is_waiting = False
 
     def count_ahead(self, deadline: float) -> int:
         """Count nobody: a new call is the next."""
@@ -312,6 +316,7 @@
         late = []
         while self._entries and -self._entries[-1][0] - needed <= now:
             late.append(self._entries.pop()[2])
+            late[-1].is_waiting = False
         return late
 
     @property
@@ -556,6 +561,49 @@
     }
 
 
+def try_cost(n_calls: int, n_runs: int = 9) -> dict[str, float]:
+    """Measure the processor time of one call's submit and end on an idle group."""
+    plan = Plan(name="", durations=Durations(), load=0.0, n_queries=0)
+    costs = sorted(_time_calls(plan, n_calls) for _ in range(n_runs))
+    best, median = costs[0], costs[n_runs // 2]
+    click.echo(
+        f"Cost of one call's submit and end: best {best:.1f} us of {n_runs} runs"
+    )
+    click.echo(f"of {n_calls} calls each, median {median:.1f} us")
+    return {"submit_and_end_us": best, "submit_and_end_median_us": median}
+
+
+def _time_calls(plan: Plan, n_calls: int) -> float:
+    service = make_service(plan)
+    scheduler = GroupScheduler(
+        group=service.groups[0], service=service, control=Control(), random=Random(1)
+    )
+    calls = [
+        Call(
+            call_id=n,
+            request_id="r-1",
+            service="scheduler",
+            group="scheduler-00",
+            shard="s00",
+            version=1,
+            deadline=0.002 * n + DEADLINE,
+            body=b"{}",
+            idempotent=True,
+        )
+        for n in range(n_calls)
+    ]
+    report = ServerReport(in_use=1, slots=2, queued=0, state="serving", versions=(1,))
+    ends = [
+        AttemptEnded(attempt_id=n + 1, outcome=ANSWER, report=report, elapsed=0.001)
+        for n in range(n_calls)
+    ]
+    began = process_time()
+    for n, (call, end) in enumerate(zip(calls, ends, strict=True)):
+        scheduler.submit(call, now=0.002 * n)
+        scheduler.end_attempt(end, now=0.002 * n + 0.001)
+    return (process_time() - began) / n_calls * 1e6
+
+
 @click.command()
 @click.option("--queries", default=4_000, help="Queries in each run.")
 def main(queries: int) -> None:
@@ -564,6 +612,8 @@
     click.echo("")
     figures |= try_overload(queries)
     click.echo("")
+    figures |= try_cost(10_000)
+    click.echo("")
     click.echo(" ".join(f"{name}={value:.3f}" for name, value in figures.items()))
 
 
--- a/src/lavendergap/coordination/admission.py
+++ b/src/lavendergap/coordination/admission.py
@@ -47,13 +47,13 @@
         """Add a call at the place that its deadline gives it."""
         call = progress.call
         insort(self._entries, (call.deadline, call.call_id, progress))
+        progress.is_waiting = True
 
     def discard(self, progress: Progress) -> None:
-        """Remove a call if it waits here."""
+        """Remove a call that waits here."""
         key = (progress.call.deadline, progress.call.call_id)
-        index = bisect_left(self._entries, key)
-        if index < len(self._entries) and self._entries[index][2] is progress:
-            del self._entries[index]
+        del self._entries[bisect_left(self._entries, key)]
+        progress.is_waiting = False
 
     def count_ahead(self, deadline: float) -> int:
         """Count the calls that would be served before a new one."""
@@ -63,7 +63,9 @@
         """Remove and return the calls with less than `needed` seconds left."""
         late = []
         while self._entries and self._entries[0][0] - needed <= now:
-            late.append(self._entries.pop(0)[2])
+            progress = self._entries.pop(0)[2]
+            progress.is_waiting = False
+            late.append(progress)
         return late
 
     @property
--- a/src/lavendergap/coordination/progress.py
+++ b/src/lavendergap/coordination/progress.py
@@ -52,6 +52,7 @@
         "refusal",
         "server",
         "is_hedged",
+        "is_waiting",
     )
 
     def __init__(self, *, call: Call) -> None:
@@ -66,6 +67,7 @@
         self.refusal: NotRun | None = None
         self.server = ""
         self.is_hedged = False
+        self.is_waiting = False
 
     def note_failure(self, outcome: NotRun | Unknown, server: str) -> None:
         """Remember a failed attempt, and which servers the next should not use."""
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -31,6 +31,10 @@
 # replica that was slow once is tried again.
 LATENCY_HALF_LIFE = 2.0
 LATENCY_GAIN = 0.125
+# How much a replica's latency may speak for or against it: without bounds one slow
+# answer would outweigh any load on the others.
+FASTEST_RATIO = 0.5
+SLOWEST_RATIO = 4.0
 # How much of an ejection one failure is worth; at 1 the server is ejected. A refused
 # connection is beyond doubt. A lost or silent connection says as much of the
 # connection as of the server, unless it was a fresh one.
@@ -42,6 +46,8 @@
     Reason.WRONG_ANSWER: 0.34,
     Reason.DEADLINE: 0.34,
 }
+# More than any load: a server that failed the call is taken if there is no other.
+LAST_RESORT = 1_000.0
 MISSED_PROBE_BLAME = 0.5
 NEVER = float("inf")
 
@@ -97,10 +103,10 @@
 
     def limit(self, now: float) -> int:
         """Count the slots that may be in use now: few in slow start, then all."""
-        slots = self.server.slots
         if self.state == "starting":
             return 1
         since = now - self.ramp_from
+        slots = self.server.slots
         if since >= SLOW_START:
             return slots
         return 1 + int((slots - 1) * since / SLOW_START)
@@ -130,7 +136,11 @@
         score = load / self.server.slots
         if typical > 0.0 and self.latency > 0.0:
             weight = 0.5 ** ((now - self.latency_at) / LATENCY_HALF_LIFE)
-            ratio = min(4.0, max(0.5, self.latency / typical))
+            ratio = self.latency / typical
+            if ratio > SLOWEST_RATIO:
+                ratio = SLOWEST_RATIO
+            elif ratio < FASTEST_RATIO:
+                ratio = FASTEST_RATIO
             score *= 1.0 + (ratio - 1.0) * weight
         if now - self.ramp_from < SLOW_START or self.state == "starting":
             score += 0.5
@@ -316,33 +326,36 @@
     that could serve, all of them are candidates again: the fault may be on this
     host's side, and an attempt tells more than waiting does. `why` then says so.
     """
-    possible = []
-    rumoured = []
-    reason = Reason.NO_REPLICA
-    for replica in replicas:
-        if replica.server.name in excluded:
-            continue
-        if not replica.may_serve(version):
-            reason = Reason.VERSION_GONE
-        elif replica.state != "draining":
-            possible.append(replica)
-        elif not replica.state_from_answer:
-            rumoured.append(replica)
-    # A health endpoint that wrongly says "draining" on every replica would empty the
-    # group. A server that truly drains refuses, and its answer settles the matter.
-    possible = possible or rumoured
+    serving = [
+        r
+        for r in replicas
+        if (version in r.versions or r.may_serve(version))
+        and r.server.name not in excluded
+    ]
+    possible = [r for r in serving if r.state != "draining"]
+    note = ""
     if not possible:
-        return NoneLeft(reason=reason)
+        # A health endpoint that wrongly says "draining" on every replica would empty
+        # the group. A server that truly drains refuses, and its answer settles it.
+        possible = [r for r in serving if not r.state_from_answer]
+        note = " (all said to drain: failing open)"
+    if not possible:
+        return NoneLeft(reason=_explain_none(replicas, version))
     healthy = [r for r in possible if r.ejected_until <= now]
+    if not healthy:
+        note += " (all ejected: failing open)"
     best = _pick_best(healthy or possible, tried, typical, now, dice)
     if best is None:
         return BUSY
-    note = "" if healthy else " (all ejected: failing open)"
-    if possible is rumoured:
-        note += " (all said to drain: failing open)"
     return Chosen(replica=best, why=_explain(possible, best, now) + note)
 
 
+def _explain_none(replicas: list[Replica], version: int) -> Reason:
+    if all(replica.may_serve(version) for replica in replicas):
+        return Reason.NO_REPLICA
+    return Reason.VERSION_GONE
+
+
 def _pick_best(
     candidates: list[Replica],
     tried: frozenset[str],
@@ -356,8 +369,8 @@
         if replica.backoff_until > now or replica.in_flight >= replica.limit(now):
             continue
         score = replica.score(now, typical)
-        if replica.server.name in tried:
-            score += 1_000.0
+        if tried and replica.server.name in tried:
+            score += LAST_RESORT
         if score < best_score or (score == best_score and dice.random() < 0.5):
             best = replica
             best_score = score
@@ -365,13 +378,11 @@
 
 
 def _explain(possible: list[Replica], best: Replica, now: float) -> str:
+    since = now - REPORT_LIFETIME
     loads = [
-        f"{r.server.name}={r.in_flight}/{r.server.slots}"
-        + (
-            f"+{r.foreign}"
-            if r.foreign and now - r.foreign_at < REPORT_LIFETIME
-            else ""
-        )
+        f"{r.server.name}={r.in_flight}+{r.foreign}/{r.server.slots}"
+        if r.foreign and r.foreign_at > since
+        else f"{r.server.name}={r.in_flight}/{r.server.slots}"
         for r in possible
     ]
     return f"{' '.join(loads)} -> {best.server.name}"
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -160,7 +160,7 @@
             match self._choose(progress, now):
                 case Chosen() as chosen:
                     self._calls[call.call_id] = progress
-                    return [self._start(progress, chosen, now)]
+                    return [self._start(progress, chosen, progress.cause, now)]
                 case NoneLeft(reason=reason):
                     return [self._refuse(progress, Step.ROUTE, reason)]
         return self._admit(progress, now)
@@ -345,7 +345,7 @@
             match self._choose(progress, now):
                 case Chosen() as chosen:
                     waiting.discard(progress)
-                    effects.append(self._start(progress, chosen, now))
+                    effects.append(self._start(progress, chosen, progress.cause, now))
                 case NoneLeft(reason=reason):
                     outcome = self._make_refusal(Step.ROUTE, reason)
                     self._finish(progress, progress.get_failure() or outcome, effects)
@@ -365,8 +365,9 @@
 
     def _choose(self, progress: Progress, now: float) -> Choice:
         excluded = progress.excluded
-        for attempt in progress.attempts:
-            excluded |= {attempt.replica.server.name}
+        if progress.attempts:
+            running = {attempt.replica.server.name for attempt in progress.attempts}
+            excluded = excluded | running
         return choose(
             self._replicas,
             version=progress.call.version,
@@ -377,11 +378,8 @@
             dice=self.random,
         )
 
-    def _start(self, progress: Progress, chosen: Chosen, now: float) -> StartAttempt:
-        return self._start_as(progress.cause, progress, chosen, now)
-
-    def _start_as(
-        self, cause: Cause, progress: Progress, chosen: Chosen, now: float
+    def _start(
+        self, progress: Progress, chosen: Chosen, cause: Cause, now: float
     ) -> StartAttempt:
         replica = chosen.replica
         replica.in_flight += 1
@@ -480,7 +478,7 @@
         progress.cause = "retry"
         match choice:
             case Chosen():
-                effects.append(self._start(progress, choice, now))
+                effects.append(self._start(progress, choice, "retry", now))
             case _:
                 self._waiting.add(progress)
         return True
@@ -551,7 +549,7 @@
                     return []
                 progress.is_hedged = True
                 self._n_hedges += 1
-                return [self._start_as("hedge", progress, chosen, now)]
+                return [self._start(progress, chosen, "hedge", now)]
         return []
 
     # Outcomes.
@@ -604,7 +602,7 @@
     ) -> None:
         call = progress.call
         del self._calls[call.call_id]
-        if not progress.attempts:
+        if progress.is_waiting:
             self._waiting.discard(progress)
         effects.append(
             FinishCall(
