Mend what a long run of the state machine found after pauses

It now calls back whoever probes it. - A record dropped after a pause could come back older than it was (a leaving host live again). Such records are buried for ourselves instead.

--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -217,7 +217,7 @@
             case Ping():
                 self._hear_all(message.updates, source, now)
                 self._compare_documents(source, message.documents)
-                return [self._answer(message, sender)]
+                return [self._answer(message, sender), *self._call_back(sender, now)]
             case Ack():
                 self._hear_all(message.updates, source, now)
                 self._compare_documents(source, message.documents)
@@ -300,6 +300,16 @@
         if isinstance(message, Ack) and message.sequence in self._probes:
             self._drowsy = False
 
+    def _call_back(self, sender: Address, now: float) -> list[Send]:
+        """After a pause, ping whoever pings us, to hear something fresh.
+
+        All whom this host knew may have been replaced while it slept.
+        """
+        tried = any(probe.address == sender for probe in self._probes.values())
+        if not self._drowsy or tried:
+            return []
+        return [self._ping("", sender, now)]
+
     def _join_alone(self, now: float) -> None:
         """Serve alone when no hint answers, as the first host of a fleet does."""
         waited = now - (now if self._started_at is None else self._started_at)
@@ -602,7 +612,9 @@
         others = [
             member
             for member in self._roster.members()
-            if member.name != without and member.state is not MemberState.SUSPECT
+            if member.name != without
+            and member.state is not MemberState.SUSPECT
+            and not self._roster.is_stale(member.name)
         ]
         return self._random.sample(others, min(n_wanted, len(others)))
 
@@ -625,7 +637,7 @@
 
     def _sync(self, now: float) -> list[Send]:
         """Send a summary to one other host, after a pause until one has answered."""
-        delay = 1.0 if self._roster.has_stale() else _SYNC_PROBES
+        delay = 1.0 if self._roster.list_stale() else _SYNC_PROBES
         self._sync_at = now + self._interval * delay * self._random.uniform(0.75, 1.25)
         others = self._choose_others(1, without="")
         return [Send(to=other.peers, message=self._summarise()) for other in others]
@@ -659,17 +671,24 @@
         if not truncated:
             self.joined = True
             if not differing:
-                self._drop_unconfirmed()
+                self._bury_unconfirmed(now)
         self._n_syncs_in_a_row += 1
         if not differing:
             self._n_syncs_in_a_row = 0
         elif self._n_syncs_in_a_row < _MAX_SYNCS_IN_A_ROW:
             self._sync_at = now + self._interval * _SYNC_SOON
 
-    def _drop_unconfirmed(self) -> None:
-        for member in self._roster.drop_stale():
+    def _bury_unconfirmed(self, now: float) -> None:
+        """Bury for ourselves those of whom nobody else knows any more.
+
+        They are not just forgotten: an older record of one, from a host that knows
+        less, would then take back what was known here.
+        """
+        for member in self._roster.list_stale():
+            dead = replace(member, state=MemberState.DEAD)
+            self._roster.merge(dead, now=now)
             self._suspicions.pop(member.name, None)
-            self.changes += 1
+            self._note_change(dead, member, self.own.name)
 
     def _send_tables(self, buckets: set[int], to: Address) -> tuple[list[Send], bool]:
         members = self._roster.list_buckets(buckets)
--- a/src/lavendergap/coordination/roster.py
+++ b/src/lavendergap/coordination/roster.py
@@ -107,23 +107,14 @@
                 self._toggle(entry)
                 entry.stale = True
 
-    def has_stale(self) -> bool:
-        """Whether there are records that were not heard since a pause."""
-        return any(entry.stale for entry in self._entries.values())
-
     def is_stale(self, name: str) -> bool:
         """Whether the record of `name` has not been heard since a pause."""
         entry = self._entries.get(name)
         return entry is not None and entry.stale
 
-    def drop_stale(self) -> list[Member]:
-        """Forget the records that nobody has confirmed, and return them."""
-        dropped = [entry.member for entry in self._entries.values() if entry.stale]
-        for member in dropped:
-            del self._entries[member.name]
-        if dropped:
-            self._live = None
-        return dropped
+    def list_stale(self) -> list[Member]:
+        """Return the records that were not heard since a pause."""
+        return [entry.member for entry in self._entries.values() if entry.stale]
 
     def forget_dead(self, *, now: float) -> None:
         """Drop the tombstones that are too old, or too many, the oldest first."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -199,6 +199,37 @@
             }
             assert states <= {MemberState.LIVE}
 
+    def test_wakes_in_a_fleet_of_strangers(self):
+        # A host sleeps while all whom it knew are replaced. It listens to nothing
+        # older than its pause, and nobody it knows answers; only strangers call.
+        fleet = build_fleet(HOSTS[:3], seed=19)
+        fleet.pause(THIRD)
+        for old, new in ((FIRST, "ptl-a-8"), (SECOND, "ptl-a-9")):
+            fleet.start(new, hints=[THIRD, old])
+            fleet.run(2.0)
+            fleet.stop(old)
+        fleet.run(1.0)
+        fleet.resume(THIRD)
+        assert fleet.run_until(fleet.agree, 15.0)
+
+    def test_a_pause_takes_back_nothing_that_was_known(self):
+        # FIRST alone heard that SECOND leaves, then sleeps. Nobody that it asks on
+        # waking knows SECOND; later an older record of it arrives. SECOND must not
+        # get work again.
+        fleet = build_fleet([FIRST, THIRD], seed=20)
+        first = fleet.nodes[FIRST].membership
+        third = fleet.nodes[THIRD].membership.own
+        fleet.cut_between([FIRST], [THIRD])
+        leaving = build_member(SECOND, state=MemberState.LEAVING, refutations=2)
+        hear(first, third, leaving, now=fleet.now)
+        fleet.pause(FIRST)
+        fleet.run(10.0)
+        fleet.cut.clear()
+        fleet.resume(FIRST)
+        fleet.run(20.0)
+        hear(first, third, build_member(SECOND), now=fleet.now)
+        assert first.live() == {FIRST, THIRD}
+
     def test_the_accused_is_told_before_the_others(self):
         membership = build_membership(FIRST)
         hear(membership, build_member(SECOND), now=0.0)
@@ -326,9 +357,8 @@
         assert fleet.run_until(fleet.agree, 30.0)
 
     def test_healing_takes_nobody_s_work_away(self):
-        # When the regions meet, each one's table holds the whole other one dead.
-        # Believed at once it would kill every host in its own region, until each
-        # has refuted: all shards would move twice within seconds.
+        # The regions meet again; meanwhile no host of either side may lose its
+        # work in the eyes of its own side, or shards would move for nothing.
         fleet = self.build_cut(60.0)
         fleet.cut.clear()
         for _ in range(300):
@@ -338,6 +368,30 @@
                 side = self.NAMES[:10] if is_first else self.NAMES[10:]
                 assert view >= frozenset(side)
 
+    @pytest.mark.parametrize(
+        ("state", "expected"),
+        [
+            (MemberState.LIVE, MemberState.SUSPECT),
+            (MemberState.LEAVING, MemberState.LEAVING),
+        ],
+    )
+    def test_the_dead_of_another_s_table_are_doubted(self, state, expected):
+        # When the regions meet, each one's table holds the whole other one dead.
+        # Believed at once it would kill every host in its own region, until each
+        # has refuted: all shards would move twice within seconds. One that leaves
+        # must not turn into a suspect either, since a suspect keeps getting work.
+        membership = build_membership(FIRST)
+        hear(membership, build_member(SECOND, state=state))
+        may_own = SECOND in membership.live()
+        dead = build_member(SECOND, state=MemberState.DEAD)
+        table = Table(source=build_member(THIRD), members=(dead,))
+        membership.receive(table, sender=build_member(THIRD).peers, now=1.0)
+        assert get_state(membership, SECOND) is expected
+        assert (SECOND in membership.live()) is may_own
+        membership.advance(now=3.0)
+        membership.advance(now=5.0)
+        assert get_state(membership, SECOND) is MemberState.DEAD
+
     def test_news_that_ended_during_a_short_cut_is_found_by_comparing(self):
         # A host is cut off for two seconds, too short to be missed, while five
         # others start to leave. What is told a bounded number of times is over
--- a/tests/test_ranking.py
+++ b/tests/test_ranking.py
@@ -108,6 +108,12 @@
         centres = {m.data_centre for m in members if m.name in holders}
         assert len(centres) == n_held
 
+    def test_the_loss_of_any_data_centre_leaves_a_watch(self):
+        for n_hosts in range(4, 60):
+            members = build_members(n_hosts, 2)
+            holders = choose_watch_holders(members, 2)
+            assert len({m.data_centre for m in members if m.name in holders}) == 2
+
     def test_one_data_centre_still_gives_two(self):
         assert len(choose_watch_holders(build_members(7, 1), 2)) == 2
 
