Fail open after long ejections too; split the scheduler's module

Cause: the slow start of a replica whose ejection ends more than three seconds ahead was computed as a negative number of slots, so with all replicas ejected for long no attempt was made at all, although failing open was meant.

Choice, timers and summaries are modules of their own, and the sums of admission moved out of the scheduler.

--- a/src/lavendergap/coordination/__init__.py
+++ b/src/lavendergap/coordination/__init__.py
@@ -29,7 +29,7 @@
 from .resolution import resolve_by_issuer as resolve_by_issuer
 from .resolution import resolve_by_witness as resolve_by_witness
 from .scheduler import GroupScheduler as GroupScheduler
-from .scheduler import GroupSummary as GroupSummary
+from .summary import GroupSummary as GroupSummary
 from .watchers import choose_watch_holders as choose_watch_holders
 from .watchers import draw_read_delay as draw_read_delay
 from .witness import Witness as Witness
--- a/src/lavendergap/coordination/admission.py
+++ b/src/lavendergap/coordination/admission.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from zlib import crc32
 
+from .hedging import RecentLatencies
 from .progress import Progress
 
 # A refused caller comes back when the queue that it met has been served: not at
@@ -178,3 +179,54 @@
     """
     bounded = min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, wait))
     return round(bounded * (1.0 + spread / 2) * 1000)
+
+
+class Admission:
+    """Decides which calls may wait, from what is offered and how long calls take.
+
+    `recent` is shared with hedging; until it has seen calls, all may wait.
+    """
+
+    __slots__ = ("recent", "arrivals")
+
+    def __init__(self, *, recent: RecentLatencies) -> None:
+        self.recent = recent
+        self.arrivals = Arrivals()
+
+    @property
+    def needed_time(self) -> float:
+        """The least time left, in seconds, with which a start is useful."""
+        return self.recent.median or 0.0
+
+    def may_wait(
+        self, request_id: str, *, n_ahead: int, time_left: float, capacity: Capacity
+    ) -> bool:
+        """Tell whether a call may wait behind `n_ahead` others.
+
+        It may if it can finish within `time_left` seconds, and if its request is
+        among those that the group has room for.
+        """
+        wait = self._estimate_wait(n_ahead, capacity)
+        time_to_wait = time_left - self.needed_time
+        if wait > time_to_wait:
+            return False
+        pressure = wait / time_to_wait
+        demand = self._measure_demand(capacity)
+        level = compute_level(demand=demand, pressure=pressure)
+        return level >= 1.0 or compute_rank(request_id) < level
+
+    def estimate_absence(self, n_waiting: int, capacity: Capacity) -> float:
+        """Estimate for how long a refused caller should stay away, in seconds."""
+        # The queue is kept short, so its length alone would call the refused callers
+        # back into the same overload. A second at twice the capacity takes another
+        # second to make up for.
+        excess = max(0.0, self._measure_demand(capacity) - 1.0)
+        return self._estimate_wait(n_waiting, capacity) + excess
+
+    def _measure_demand(self, capacity: Capacity) -> float:
+        return self.arrivals.rate * (self.recent.mean or 0.0) / max(1, capacity.n_slots)
+
+    def _estimate_wait(self, n_ahead: int, capacity: Capacity) -> float:
+        return estimate_wait(
+            n_ahead, capacity=capacity, service_time=self.recent.mean or 0.0
+        )
--- /dev/null
+++ b/src/lavendergap/coordination/choice.py
@@ -0,0 +1,126 @@
+"""Which replica gets the next attempt, and how many slots there are to choose from."""
+
+from dataclasses import dataclass
+from random import Random
+
+from ..state.outcome import Reason
+from .admission import Capacity
+from .replicas import NEVER, REPORT_LIFETIME, Replica
+
+# More than any load: a server that failed the call is taken if there is no other.
+LAST_RESORT = 1_000.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Chosen:
+    """The replica that gets the attempt, and why."""
+
+    replica: Replica
+    why: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Busy:
+    """No replica has a free slot for the call now, but one may yet."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NoneLeft:
+    """No replica can take the call, now or later; `reason` says why."""
+
+    reason: Reason
+
+
+Choice = Chosen | Busy | NoneLeft
+BUSY = Busy()
+
+
+def choose(
+    replicas: list[Replica],
+    *,
+    version: int,
+    excluded: frozenset[str],
+    tried: frozenset[str],
+    typical: float,
+    now: float,
+    dice: Random,
+) -> Choice:
+    """Choose the replica for one attempt.
+
+    Servers in `excluded` refused this very call; those in `tried` failed it and are
+    taken only if no other has a free slot. When failures have ejected every server
+    that could serve, all of them are candidates again: the fault may be on this
+    host's side, and an attempt tells more than waiting does. `why` then says so.
+    """
+    serving = [
+        r
+        for r in replicas
+        if (version in r.versions or r.may_serve(version))
+        and r.server.name not in excluded
+    ]
+    possible = [r for r in serving if r.state != "draining"]
+    note = ""
+    if not possible:
+        # A health endpoint that wrongly says "draining" on every replica would empty
+        # the group. A server that truly drains refuses, and its answer settles it.
+        possible = [r for r in serving if not r.state_from_answer]
+        note = " (all said to drain: failing open)"
+    if not possible:
+        return NoneLeft(reason=_explain_none(replicas, version))
+    healthy = [r for r in possible if r.ejected_until <= now]
+    if not healthy:
+        note += " (all ejected: failing open)"
+    best = _pick_best(healthy or possible, tried, typical, now, dice)
+    if best is None:
+        return BUSY
+    return Chosen(replica=best, why=_explain(possible, best, now) + note)
+
+
+def _explain_none(replicas: list[Replica], version: int) -> Reason:
+    if all(replica.may_serve(version) for replica in replicas):
+        return Reason.NO_REPLICA
+    return Reason.VERSION_GONE
+
+
+def _pick_best(
+    candidates: list[Replica],
+    tried: frozenset[str],
+    typical: float,
+    now: float,
+    dice: Random,
+) -> Replica | None:
+    best = None
+    best_score = NEVER
+    for replica in candidates:
+        if replica.backoff_until > now or replica.in_flight >= replica.limit(now):
+            continue
+        score = replica.score(now, typical)
+        if tried and replica.server.name in tried:
+            score += LAST_RESORT
+        if score < best_score or (score == best_score and dice.random() < 0.5):
+            best = replica
+            best_score = score
+    return best
+
+
+def _explain(possible: list[Replica], best: Replica, now: float) -> str:
+    since = now - REPORT_LIFETIME
+    loads = [
+        f"{r.server.name}={r.in_flight}+{r.foreign}/{r.server.slots}"
+        if r.foreign and r.foreign_at > since
+        else f"{r.server.name}={r.in_flight}/{r.server.slots}"
+        for r in possible
+    ]
+    return f"{' '.join(loads)} -> {best.server.name}"
+
+
+def measure_capacity(replicas: list[Replica], now: float) -> Capacity:
+    """Count the slots that calls can hope for, in use or not."""
+    usable = [r for r in replicas if r.state != "draining"]
+    welcome = [r for r in usable if r.backoff_until <= now]
+    if not welcome:
+        opens_at = min((r.backoff_until for r in usable), default=now)
+        return Capacity(n_slots=0, opens_in=opens_at - now)
+    healthy = [r for r in welcome if r.ejected_until <= now]
+    n_slots = sum(r.limit(now) for r in healthy or welcome)
+    return Capacity(n_slots=n_slots, opens_in=0.0)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -1,21 +1,11 @@
 """The owner's decisions for one group of replicas: dispatch, queue, retry, hedge."""
 
-from dataclasses import dataclass
-from heapq import heapify, heappop, heappush
 from itertools import count
 from random import Random
 
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Control, Group, Service
-from .admission import (
-    Arrivals,
-    Capacity,
-    WaitingCalls,
-    compute_level,
-    compute_rank,
-    estimate_wait,
-    suggest_retry_after,
-)
+from .admission import Admission, Capacity, WaitingCalls, suggest_retry_after
 from .budget import Budget
 from .calls import (
     AttemptEnded,
@@ -27,18 +17,12 @@
     ServerReport,
     StartAttempt,
 )
+from .choice import Busy, Choice, Chosen, NoneLeft, choose, measure_capacity
 from .hedging import RecentLatencies, choose_quantile
 from .progress import Attempt, Progress
-from .replicas import (
-    BLAME,
-    NEVER,
-    Busy,
-    Choice,
-    Chosen,
-    NoneLeft,
-    Replica,
-    choose,
-)
+from .replicas import BLAME, NEVER, Replica
+from .summary import GroupSummary, summarize_server, to_ms
+from .timers import CallTimers
 
 # A call is tried at most this often whatever the budgets hold, so that one call that
 # breaks each server it meets cannot go round the group.
@@ -53,44 +37,6 @@
 # How many waiting calls that no free replica can take are passed over in one go, so
 # that a long queue for one version costs a bounded time at each event.
 MAX_PASSED_OVER = 8
-# A finished call's timer stays in the heap until its time comes; beyond this many
-# stale ones the heap is rebuilt, so that a long deadline does not fill the memory.
-MAX_STALE_TIMERS = 256
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ServerSummary:
-    """A backend server as its owner sees it now."""
-
-    name: str
-    state: str
-    in_flight: int
-    slots: int
-    latency_ms: float
-    backed_off_ms: float
-    ejected_ms: float
-    versions: tuple[int, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class GroupSummary:
-    """A group as its owner sees it now; counts are since the scheduler was made."""
-
-    group: str
-    n_waiting: int
-    n_running: int
-    n_in_flight: int
-    n_calls: int
-    n_refused: int
-    n_retries: int
-    n_hedges: int
-    n_budget_denials: int
-    retry_tokens: float
-    hedge_tokens: float
-    hedge_delay_ms: float | None
-    service_time_ms: float | None
-    is_stopping: bool
-    servers: tuple[ServerSummary, ...]
 
 
 class GroupScheduler:
@@ -115,10 +61,10 @@
         self._calls: dict[int, Progress] = {}
         self._attempts: dict[int, Attempt] = {}
         self._waiting = WaitingCalls()
-        self._arrivals = Arrivals()
-        self._timers: list[tuple[float, int]] = []
+        self._timers = CallTimers()
         self._attempt_ids = count(1)
         self._recent = RecentLatencies(quantile=choose_quantile(service))
+        self._admission = Admission(recent=self._recent)
         self._retries = Budget(
             share=service.retry_budget,
             burst=RETRY_BURST,
@@ -148,7 +94,7 @@
             raise ValueError(f"call {call.call_id} was already submitted")
         progress = Progress(call=call)
         self._n_calls += 1
-        self._arrivals.add(now=now)
+        self._admission.arrivals.add(now=now)
         self._retries.earn()
         if call.idempotent:
             self._hedges.earn()
@@ -205,8 +151,7 @@
     def advance(self, *, now: float) -> list[Effect]:
         """Do what has become due: end late calls, hedge slow ones, use free slots."""
         effects: list[Effect] = []
-        while self._timers and self._timers[0][0] <= now:
-            _, call_id = heappop(self._timers)
+        while (call_id := self._timers.pop_due(now)) is not None:
             progress = self._calls.get(call_id)
             if progress is not None and progress.attempts:
                 self._look_after(progress, now, effects)
@@ -256,13 +201,12 @@
 
     def next_wake(self) -> float | None:
         """Return the time at which `advance` has something to do, or None."""
-        timers = self._timers
-        while timers and timers[0][1] not in self._calls:
-            heappop(timers)
-        wake = timers[0][0] if timers else NEVER
+        wake = self._timers.find_next(self._calls)
         first_deadline = self._waiting.first_deadline
         if first_deadline is not None:
-            wake = min(wake, self._opens_at, first_deadline - self._needed_time())
+            wake = min(
+                wake, self._opens_at, first_deadline - self._admission.needed_time
+            )
         return None if wake == NEVER else wake
 
     def describe(self, *, now: float) -> GroupSummary:
@@ -279,65 +223,35 @@
             n_budget_denials=self._n_budget_denials,
             retry_tokens=self._retries.tokens,
             hedge_tokens=self._hedges.tokens,
-            hedge_delay_ms=_to_ms(self._recent.delay),
-            service_time_ms=_to_ms(self._recent.mean),
+            hedge_delay_ms=to_ms(self._recent.delay),
+            service_time_ms=to_ms(self._recent.mean),
             is_stopping=self._is_stopping,
-            servers=tuple(_summarize(replica, now) for replica in self._replicas),
+            servers=tuple(summarize_server(replica, now) for replica in self._replicas),
         )
 
     # Admission and dispatch.
 
     def _admit(self, progress: Progress, now: float) -> list[Effect]:
         call = progress.call
-        if len(self._waiting) >= self.service.queue_limit:
-            wait = self._estimate_wait(len(self._waiting), now)
-            return [self._refuse_overload(progress, wait, now)]
-        wait = self._estimate_wait(self._waiting.count_ahead(call.deadline), now)
-        time_left = call.deadline - now - self._needed_time()
-        if wait > time_left or self._is_above_level(call, wait / time_left, now):
-            return [self._refuse_overload(progress, wait, now)]
+        capacity = measure_capacity(self._replicas, now)
+        n_ahead = self._waiting.count_ahead(call.deadline)
+        time_left = call.deadline - now
+        may_wait = len(self._waiting) < self.service.queue_limit
+        if may_wait:
+            may_wait = self._admission.may_wait(
+                call.request_id, n_ahead=n_ahead, time_left=time_left, capacity=capacity
+            )
+        if not may_wait:
+            return [self._refuse_overload(progress, capacity)]
         self._calls[call.call_id] = progress
         self._waiting.add(progress)
         effects: list[Effect] = []
         self._dispatch(now, effects)
         return effects
 
-    def _is_above_level(self, call: Call, pressure: float, now: float) -> bool:
-        """Tell whether the call is among those that an overload leaves no room for."""
-        level = compute_level(demand=self._measure_demand(now), pressure=pressure)
-        return level < 1.0 and compute_rank(call.request_id) >= level
-
-    def _measure_demand(self, now: float) -> float:
-        n_slots = max(1, self._measure_capacity(now).n_slots)
-        return self._arrivals.rate * (self._recent.mean or 0.0) / n_slots
-
-    def _estimate_wait(self, n_ahead: int, now: float) -> float:
-        return estimate_wait(
-            n_ahead,
-            capacity=self._measure_capacity(now),
-            service_time=self._recent.mean or 0.0,
-        )
-
-    def _measure_capacity(self, now: float) -> Capacity:
-        n_slots = 0
-        opens_at = NEVER
-        for replica in self._replicas:
-            if replica.state == "draining":
-                continue
-            closed_until = max(replica.backoff_until, replica.ejected_until)
-            opens_at = min(opens_at, closed_until)
-            if closed_until <= now:
-                n_slots += replica.limit(now)
-        opens_in = max(0.0, opens_at - now) if opens_at < NEVER else 0.0
-        return Capacity(n_slots=n_slots, opens_in=0.0 if n_slots else opens_in)
-
-    def _needed_time(self) -> float:
-        """Return the least time left, in seconds, with which a start is useful."""
-        return self._recent.median or 0.0
-
     def _dispatch(self, now: float, effects: list[Effect]) -> None:
         waiting = self._waiting
-        for late in waiting.pop_late(now=now, needed=self._needed_time()):
+        for late in waiting.pop_late(now=now, needed=self._admission.needed_time):
             self._end_late(late, now, effects)
         index = 0
         while index < min(len(waiting), MAX_PASSED_OVER) and self._has_room(now):
@@ -356,7 +270,8 @@
         )
 
     def _end_late(self, progress: Progress, now: float, effects: list[Effect]) -> None:
-        wait = self._estimate_wait(0, now)
+        capacity = measure_capacity(self._replicas, now)
+        wait = self._admission.estimate_absence(len(self._waiting), capacity)
         outcome = self._make_refusal(Step.QUEUE, Reason.DEADLINE, wait)
         self._finish(progress, progress.get_failure() or outcome, effects)
 
@@ -461,14 +376,14 @@
             return False
         if progress.n_attempts >= MAX_ATTEMPTS:
             return False
-        if now + self._needed_time() >= call.deadline:
+        if now + self._admission.needed_time >= call.deadline:
             return False
         choice = self._choose(progress, now)
         match choice:
             case NoneLeft():
                 return False
             case Busy():
-                opens_in = self._measure_capacity(now).opens_in
+                opens_in = measure_capacity(self._replicas, now).opens_in
                 if self._is_stopping or now + opens_in >= call.deadline:
                     return False
         if not self._may_spend_retry(progress, now):
@@ -500,9 +415,8 @@
             # It was due, but there was no free slot or no token: look again.
             due = now + max(SHORTEST_HEDGE_DELAY, (self._recent.delay or 0.0) / 2)
         due = min(due, call.deadline)
-        heappush(self._timers, (due, call.call_id))
-        if len(self._timers) > MAX_STALE_TIMERS + 2 * len(self._calls):
-            self._drop_stale_timers()
+        self._timers.add(due, call.call_id)
+        self._timers.drop_stale(self._calls, len(self._calls))
 
     def _get_hedge_time(self, progress: Progress) -> float:
         delay = self._recent.delay
@@ -512,14 +426,6 @@
             return NEVER
         return progress.attempts[0].started + max(SHORTEST_HEDGE_DELAY, delay)
 
-    def _drop_stale_timers(self) -> None:
-        first: dict[int, float] = {}
-        for due, call_id in self._timers:
-            if call_id in self._calls:
-                first[call_id] = min(due, first.get(call_id, NEVER))
-        self._timers = [(due, call_id) for call_id, due in first.items()]
-        heapify(self._timers)
-
     def _look_after(
         self, progress: Progress, now: float, effects: list[Effect]
     ) -> None:
@@ -559,14 +465,9 @@
         refusal = self._make_refusal(step, reason)
         return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
 
-    def _refuse_overload(
-        self, progress: Progress, wait: float, now: float
-    ) -> FinishCall:
+    def _refuse_overload(self, progress: Progress, capacity: Capacity) -> FinishCall:
         self._n_refused += 1
-        # The queue is kept short, so its length alone would call the refused callers
-        # back into the same overload. A second at twice the capacity takes another
-        # second to make up for.
-        wait += max(0.0, self._measure_demand(now) - 1.0)
+        wait = self._admission.estimate_absence(len(self._waiting), capacity)
         refusal = self._make_refusal(Step.QUEUE, Reason.OVERLOADED, wait)
         return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
 
@@ -616,20 +517,3 @@
             attempt.progress = None
             effects.append(CancelAttempt(attempt_id=attempt.attempt_id))
         progress.attempts.clear()
-
-
-def _summarize(replica: Replica, now: float) -> ServerSummary:
-    return ServerSummary(
-        name=replica.server.name,
-        state=replica.state,
-        in_flight=replica.in_flight,
-        slots=replica.server.slots,
-        latency_ms=replica.latency * 1000,
-        backed_off_ms=max(0.0, replica.backoff_until - now) * 1000,
-        ejected_ms=max(0.0, replica.ejected_until - now) * 1000,
-        versions=replica.versions,
-    )
-
-
-def _to_ms(seconds: float | None) -> float | None:
-    return None if seconds is None else seconds * 1000
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -2,15 +2,13 @@
 
 from random import Random
 
+from lavendergap.coordination.choice import Chosen, NoneLeft, choose
 from lavendergap.coordination.replicas import (
     ANSWER_LIFETIME,
     DRAIN_MEMORY,
     LONGEST_EJECTION,
     SLOW_START,
-    Chosen,
-    NoneLeft,
     Replica,
-    choose,
 )
 from lavendergap.state.outcome import Reason
 
@@ -74,7 +72,9 @@
         a, b = replicas = make_replicas()
         fail(a)
         assert pick_name(replicas) == "b"
-        fail(b)
+        for _ in range(8):
+            for replica in replicas:
+                fail(replica, now=max(100.0, replica.ejected_until))
         choice = pick(replicas)
         assert isinstance(choice, Chosen)
         assert "failing open" in choice.why
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -3,7 +3,8 @@
 import pytest
 
 from lavendergap.coordination.calls import CancelAttempt, FinishCall, StartAttempt
-from lavendergap.coordination.scheduler import MAX_STALE_TIMERS, RETRY_BURST
+from lavendergap.coordination.scheduler import RETRY_BURST
+from lavendergap.coordination.timers import MAX_STALE
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
 from lavendergap.state.settings import Control
 
@@ -201,7 +202,7 @@
         for _ in range(2_000):
             owner.submit(in_ms=3_600_000, idempotent=False)
             owner.end_last()
-        assert len(owner.scheduler._timers) <= MAX_STALE_TIMERS + 2
+        assert len(owner.scheduler._timers) <= MAX_STALE + 2
 
 
 class TestChange:
--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -16,10 +16,10 @@
 from lavendergap.coordination.scheduler import (
     HEDGE_BURST,
     MAX_ATTEMPTS,
-    MAX_STALE_TIMERS,
     RETRIES_PER_SECOND,
     RETRY_BURST,
 )
+from lavendergap.coordination.timers import MAX_STALE
 from lavendergap.state.outcome import Answered, NotRun, Reason, Unknown
 from lavendergap.state.settings import Address, Control
 
@@ -217,7 +217,7 @@
         assert len(scheduler._calls) == n_live
         assert set(scheduler._attempts) == set(self.owner.open)
         assert len(scheduler._waiting) <= 5 + 6
-        assert len(scheduler._timers) <= MAX_STALE_TIMERS + 2 * n_live + 1
+        assert len(scheduler._timers) <= MAX_STALE + 2 * n_live + 1
 
     @invariant()
     def nothing_waits_while_time_stands_still(self) -> None:
