--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -6,7 +6,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -41,11 +41,6 @@
     events: list[tuple[float, Event]] = field(default_factory=list)
 
 
-def build_fleet_control(**changes: int) -> Control:
-    """Return the default timing of hosts with some values changed."""
-    return replace(Control(), **changes)
-
-
 class Fleet:
     """Runs memberships against each other.
 
@@ -68,9 +63,9 @@
         self.cut: set[tuple[str, str]] = set()
         self.n_sent: Counter[str] = Counter()
         self.random = Random(seed)
-        self._control = control or Control()
+        self.control = control or Control()
         self._build = build
-        self._watch = watch
+        self.watch = watch
         self._at: dict[Address, str] = {}
         self._order = count()
         self._heap: list[tuple[float, int, Datagram | Node]] = []
@@ -96,7 +91,7 @@
             else incarnation,
         )
         membership = self._build(
-            own=own, control=self._control, random=Random(self.random.random())
+            own=own, control=self.control, random=Random(self.random.random())
         )
         self.nodes[name] = Node(name=name, address=address, membership=membership)
         self._at[address] = name
@@ -134,8 +129,8 @@
             self.n_sent[type(send.message).__name__] += 1
             receiver = self._at.get(send.to, "")
             datagram = Datagram(sender=name, receiver=receiver, message=send.message)
-            if self._watch:
-                self._watch(datagram)
+            if self.watch:
+                self.watch(datagram)
             lost = self.loss and self.random.random() < self.loss
             if receiver and not lost and (name, receiver) not in self.cut:
                 self._push(self.now + self.random.uniform(0.0005, 0.0015), datagram)
