--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -2,11 +2,13 @@
 
 import json
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import msgspec
 import pytest
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from trio.testing import MockClock
 
 from lavendergap.commands.publishing import (
@@ -237,3 +239,88 @@
             outcome = await publish(client, propose(1, slots=2), limit_s=LIMIT_S)
         assert isinstance(outcome, Unresolved)
         assert "the history ends before it" in outcome.reason
+
+
+@dataclass(frozen=True, kw_only=True)
+class Round:
+    """Some operators edit at once, some from an old version, under some faults."""
+
+    lags: list[int]
+    faults: dict[str, float]
+    down_after_s: float
+
+
+ROUNDS = st.lists(
+    st.builds(
+        Round,
+        lags=st.lists(st.sampled_from([0, 0, 0, 1]), min_size=1, max_size=3),
+        faults=st.fixed_dictionaries(
+            {
+                "lose_replies": st.integers(0, 2),
+                "lose_requests": st.integers(0, 2),
+                "stale_reads_ms": st.sampled_from([0.0, 0.0, 3_000.0]),
+                "delay_ms": st.sampled_from([0.0, 400.0]),
+            }
+        ),
+        down_after_s=st.sampled_from([0.0, 1.0, 60.0, 60.0]),
+    ),
+    min_size=1,
+    max_size=5,
+)
+
+
+class TestAnyFaults:
+    @settings(derandomize=True, max_examples=40, deadline=None)
+    @given(rounds=ROUNDS)
+    def test_what_operators_are_told_is_true(self, rounds):
+        """No edit is told as accepted and lost, or as refused and yet in force.
+
+        Operators race, replies and requests get lost, reads lag and the platform
+        goes down on the way. Then each outcome is held against all that was ever
+        stored.
+        """
+        trio.run(self.walk, rounds, clock=MockClock(autojump_threshold=0.005))
+
+    async def walk(self, rounds):
+        outcomes = {}
+
+        async def edit(client, proposal):
+            outcomes[proposal.id] = await publish(client, proposal, limit_s=LIMIT_S)
+
+        async with open_place() as (place, client):
+            place.store("{}")
+            await trio.sleep(10.0)
+            for number, drawn in enumerate(rounds):
+                head = place.platform.store.get_revision(trio.current_time())
+                place.set_faults(**drawn.faults)
+                async with trio.open_nursery() as nursery:
+                    for lag in drawn.lags:
+                        id = f"edit-{number}-{len(nursery.child_tasks)}"
+                        proposal = propose(max(1, head - lag), id=id, note=id)
+                        nursery.start_soon(edit, client, proposal)
+                    with trio.move_on_after(LIMIT_S + 1.0):
+                        await trio.sleep(drawn.down_after_s)
+                        place.set_faults(down=True)
+                place.set_faults()
+                await trio.sleep(10.0)
+            made = list(self.list_made(place))
+        ids = [id for id, _ in made]
+        assert len(ids) == len(set(ids)), "an edit took effect twice"
+        for id, outcome in outcomes.items():
+            match outcome:
+                case Accepted(version=version):
+                    assert (id, version) in made
+                case Overtaken() | NotWritten() | Unchanged():
+                    assert id not in ids
+
+    def list_made(self, place):
+        """Yield each edit in what was ever stored, with the version it made."""
+        past = place.platform.store._past[KEY]
+        known: set[str] = set()
+        for entry in past:
+            value = msgspec.json.decode(entry.value, type=SettingsObject)
+            assert known <= {edit.id for edit in value.edits}, "an edit was undone"
+            for edit in value.edits:
+                if edit.id not in known:
+                    yield edit.id, entry.version
+            known |= {edit.id for edit in value.edits}
