--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -28,12 +28,14 @@
 
     def __init__(self, name):
         self.name = name
-        self.version = 1
+        self.versions = [1]
         self.problem = None
         self.answers = []
         self.requests = []
 
     async def handle_admin(self, _request, _connection):
+        """Tell the versions in turn, and the last one from then on."""
+        version = self.versions.pop(0) if len(self.versions) > 1 else self.versions[0]
         status = HostStatus(
             host=self.name,
             data_centre="dc-1",
@@ -41,7 +43,7 @@
             state="live",
             unready="",
             settings=SettingsStatus(
-                version=self.version, source="platform", problem=self.problem
+                version=version, source="platform", problem=self.problem
             ),
             members=[],
             services=[],
@@ -270,10 +272,15 @@
         assert (code, json.loads(out)["version"]) == (0, 2)
 
     def test_wait_until_all_have_it_in_force(self, call, deployment):
-        for host in deployment.hosts.values():
-            host.version = 2
-        code, out, _ = call(*APPLY, deployment.write(slots=4), "--base", 1, "--wait", 9)
+        deployment.hosts["host-1"].versions = [2]
+        deployment.hosts["host-2"].versions = [1, 1, 3]
+        file = deployment.write(slots=4)
+        code, out, err = call(*APPLY, file, "--base", 1, "--wait", 9)
         assert (code, out) == (0, "version 2 in force on 2 of 2\n")
+        assert err.splitlines()[1:] == [
+            "version 2 in force on 1 of 2; not on host-2 (version 1)",
+            "version 2 in force on 2 of 2",
+        ]
 
     def test_those_who_do_not_have_it_are_named(self, call, deployment):
         """The edit is accepted and the operator learns who acts on the old one.
@@ -281,7 +288,7 @@
         One host took it, the other says why it cannot; "done" would be a lie, and
         "failed" too, as the edit stays accepted.
         """
-        deployment.hosts["host-1"].version = 2
+        deployment.hosts["host-1"].versions = [2]
         deployment.hosts["host-2"].problem = "version 2: too new"
         file = deployment.write(slots=4)
         code, out, err = call(*APPLY, file, "--base", 1, "--wait", "0.3", "--json")
