Keep the answers held for repeats within 4 MB each at issuer and witness

Worked out from a trial on this machine: 20,000 ended tickets take about 455 bytes each at the issuer and 690 at the witness (tracemalloc), 23 MB for a host that is both at its limits; with 16 MB of answers on each side that came to 55 of the 64 MB that control may take.

--- a/src/lavendergap/coordination/bodies.py
+++ b/src/lavendergap/coordination/bodies.py
@@ -5,7 +5,8 @@
 
 from ..state.outcome import Answered, Outcome
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
+# With 20,000 tickets, room for answers of 200 bytes each, at issuer and witness.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 K = TypeVar("K", bound=Hashable)
 
