Have a host that was greeted first ask for a table at once

Cause: the demo found a host never ready within 20 s. A host that others ping before its own hints answer is neither alone nor joined, and it asked for a table only 30 probes later. Ruled out: the platform (settings were in force after 20 ms) and lost datagrams. The test was seen failing without the change; the demo passes.

--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -637,7 +637,10 @@
 
     def _sync(self, now: float) -> list[Send]:
         """Send a summary to one other host, after a pause until one has answered."""
-        delay = 1.0 if self._roster.list_stale() else _SYNC_PROBES
+        # A host that others greeted first has asked nobody for a table yet, and is
+        # not ready before it has one.
+        is_urgent = not self.joined or self._roster.list_stale()
+        delay = 1.0 if is_urgent else _SYNC_PROBES
         self._sync_at = now + self._interval * delay * self._random.uniform(0.75, 1.25)
         others = self._choose_others(1, without="")
         return [Send(to=other.peers, message=self._summarise()) for other in others]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -112,6 +112,18 @@
         assert first.joined
         assert first.live() == {FIRST}
 
+    def test_a_host_that_is_greeted_first_is_ready_soon(self):
+        # Three hosts of one settings file start within a second. One of them is
+        # greeted by the others before its own hints answer, so that it never
+        # learns a table by joining; it then stayed unready for half a minute.
+        fleet = Fleet(seed=3)
+        names = name_hosts(3)
+        for name in names:
+            fleet.start(name, hints=list(fleet.nodes))
+            fleet.run(0.4)
+        fleet.run(6.0)
+        assert all(node.membership.joined for node in fleet.nodes.values())
+
     def test_a_hint_makes_nobody_live_or_dead(self):
         # The platform's list still shows a host that is gone and does not show
         # one that serves. Neither may change who owns what.
