--- a/src/lavendergap/commands/main.py
+++ b/src/lavendergap/commands/main.py
@@ -61,4 +61,8 @@
         # The reader, such as `head`, has gone; python would complain at its end.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return _BROKEN_PIPE
+    except OSError as error:
+        # An address in use, a file that cannot be written; the text names it.
+        click.echo(f"lavendergap: {error}", err=True)
+        return LavendergapError.exit_code
     return result if isinstance(result, int) else 0
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -249,6 +249,11 @@
         options = {o["name"]: o["value"] for o in json.loads(out)["options"]}
         assert options["slots"] == 4
 
+    def test_a_file_that_cannot_be_written_is_one_line(self, call, deployment):
+        code, out, err = call("settings", "get", "--output", "/nowhere/x")
+        assert (code, out) == (1, "")
+        assert err == "lavendergap: [Errno 2] No such file or directory: '/nowhere/x'\n"
+
     def test_a_stale_edit_shows_what_the_other_operator_changed(self, call, deployment):
         file = deployment.write(slots=4, deadline_ms=100)
         assert call(*APPLY, file, "--base", 1)[0] == 0
