Split membership: what is believed, which probes wait, what is sent

Same decisions, same tests green. The own record no longer goes into tables: each datagram has it as its source.

--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -6,15 +6,13 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 from ..state.gossip import (
     Ack,
-    DocumentsHeard,
     Event,
     Gossip,
-    MemberChanged,
     Message,
     Ping,
     ProbeRequest,
@@ -24,8 +22,9 @@
 )
 from ..state.member import DocumentsDigest, Member, MemberState
 from ..state.settings import Address, Control
-from .dissemination import Dissemination, estimate_bytes
-from .roster import Roster, choose_bucket
+from .belief import Beliefs
+from .dissemination import estimate_bytes
+from .probing import Probe, Probes
 
 N_INDIRECT = 3
 """How many others are asked to try a member that did not answer."""
@@ -38,8 +37,6 @@
 """Datagrams of table in one exchange; what is left waits for the next one."""
 
 MAX_HINTS = 2_048
-MAX_EVENTS = 4_096
-MAX_RELAYS = 256
 JOIN_S = 60.0
 RETRY_DEAD_S = 21_600.0
 """How long a dead member is tried again: regions lose each other for an hour."""
@@ -53,27 +50,6 @@
 _MAX_SYNCS_IN_A_ROW = 40
 
 
-@dataclass(kw_only=True, slots=True)
-class _Probe:
-    """A ping that waits for its answer; `name` is empty when only a hint is tried."""
-
-    name: str
-    incarnation: int
-    address: Address
-    ask_others_at: float
-    fails_at: float
-    asked_others: bool = False
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Relay:
-    """A ping sent for another host."""
-
-    requester: Address
-    sequence: int
-    expires_at: float
-
-
 class Membership:
     """One host's view of the fleet. Datagrams and time go in, datagrams come out.
 
@@ -96,29 +72,21 @@
     """
 
     def __init__(self, *, own: Member, control: Control, random: Random) -> None:
-        self.own = own
         self.documents = DocumentsDigest()
-        self.superseded = False
         self.joined = False
-        self.changes = 0
         self.n_old_incarnations = 0
         self._random = random
         self._interval = control.probe_interval_ms / 1000
-        self._timeout = control.probe_timeout_ms / 1000
         self._suspect = control.suspect_ms / 1000
-        self._roster = Roster()
-        self._news = Dissemination()
+        self._beliefs = Beliefs(own=own, suspect_s=self._suspect)
+        self._roster = self._beliefs.roster
+        self._probes = Probes(
+            interval_s=self._interval, timeout_s=control.probe_timeout_ms / 1000
+        )
         self._hints: dict[Address, None] = {}
-        self._events: list[Event] = []
         self._live: tuple[frozenset[str], bool, frozenset[str]] | None = None
-        self._sequence = 0
-        self._probes: dict[int, _Probe] = {}
-        self._relays: dict[int, _Relay] = {}
-        self._suspicions: dict[str, float] = {}
-        self._turns: list[str] = []
         self._started_at: float | None = None
         self._last_seen = 0.0
-        self._drowsy = False
         self._probe_at = 0.0
         self._retry_at = 0.0
         self._sync_at = 0.0
@@ -128,6 +96,21 @@
 
     # What the rest of the process asks.
 
+    @property
+    def own(self) -> Member:
+        """This process's own record."""
+        return self._beliefs.own
+
+    @property
+    def superseded(self) -> bool:
+        """Whether another process took this one's name; then it says no more."""
+        return self._beliefs.superseded
+
+    @property
+    def changes(self) -> int:
+        """How often what is believed of a member has changed."""
+        return self._beliefs.n_changes
+
     def live(self) -> frozenset[str]:
         """Return the names of the hosts to which new work may go, this one included.
 
@@ -145,22 +128,18 @@
 
     def get(self, name: str) -> Member | None:
         """Return what is known of a member, also of a dead one, or None."""
-        return self.own if name == self.own.name else self._roster.get(name)
+        return self._beliefs.get(name)
 
     def take_events(self) -> list[Event]:
         """Return what happened since the last call, the oldest first."""
-        events = self._events
-        self._events = []
-        return events
+        return self._beliefs.take_events()
 
     def next_wake(self) -> float:
         """Return the time by which `advance` is to be called."""
         times = [self._probe_at, self._retry_at, self._sync_at]
         if self._spread_at is not None:
             times.append(self._spread_at)
-        for probe in self._probes.values():
-            times.append(probe.fails_at if probe.asked_others else probe.ask_others_at)
-        times.extend(self._suspicions.values())
+        times += [self._probes.next_due(), self._beliefs.next_due()]
         return min(times)
 
     # What the rest of the process does.
@@ -183,17 +162,17 @@
     ) -> list[Send]:
         """Tell a few members at once which documents this host holds now."""
         self.documents = documents
-        self.own = replace(self.own, settings_version=settings_version)
+        self._beliefs.own = replace(self.own, settings_version=settings_version)
         return self._spread(now)
 
     def leave(self, *, now: float) -> list[Send]:
         """Tell that this host takes no new work; go on answering probes."""
-        self._declare(MemberState.LEAVING, told_by=self.own.name)
+        self._beliefs.declare(MemberState.LEAVING, told_by=self.own.name)
         return self._spread(now)
 
     def depart(self, *, now: float) -> list[Send]:
         """Tell that this process ends now, so that nobody needs to detect it."""
-        self._declare(MemberState.DEAD, told_by=self.own.name)
+        self._beliefs.declare(MemberState.DEAD, told_by=self.own.name)
         return self._spread(now)
 
     def receive(self, message: Message, *, sender: Address, now: float) -> list[Send]:
@@ -202,41 +181,20 @@
             return []
         self._note_time(now)
         source = message.source
+        known = self._roster.get(source.name)
         if source.name == self.own.name:
-            self._hear_of_self(source, told_by=source.name)
+            self._beliefs.hear_of_self(source, told_by=source.name)
             return []
-        known = self._roster.get(source.name)
         if known is not None and source.incarnation < known.incarnation:
             # The process was replaced: what it says is out of date, and it is told
             # so that it stops.
             self.n_old_incarnations += 1
             return [self._tell(sender, known)]
         self._wake_up(message)
-        self._hear(source, told_by=source.name, now=now)
-        match message:
-            case Ping():
-                self._hear_all(message.updates, source, now)
-                self._compare_documents(source, message.documents)
-                return [self._answer(message, sender), *self._call_back(sender, now)]
-            case Ack():
-                self._hear_all(message.updates, source, now)
-                self._compare_documents(source, message.documents)
-                return [*self._accept(message, now), *self._correct(source, sender)]
-            case Gossip():
-                order = self.own.order
-                self._hear_all(message.updates, source, now)
-                self._compare_documents(source, message.documents)
-                refuted = [] if self.own.order == order else [self._tell(sender)]
-                return [*refuted, *self._correct(source, sender)]
-            case ProbeRequest():
-                return self._relay(message, sender, now)
-            case Summary() if self._drowsy and message.is_answer:
-                return []
-            case Summary():
-                return self._compare(message, sender, now)
-            case Table():
-                self._hear_table(message.members, source, now)
-                return []
+        self._beliefs.hear(source, told_by=source.name, now=now)
+        sends = self._handle(message, sender, now)
+        self._follow_news(now)
+        return sends
 
     def advance(self, *, now: float) -> list[Send]:
         """Do whatever is due and return the datagrams to send."""
@@ -244,7 +202,7 @@
             return []
         self._note_time(now)
         sends = self._check_probes(now)
-        self._confirm_suspicions(now)
+        self._beliefs.confirm_suspicions(now=now)
         self._join_alone(now)
         if now >= self._probe_at:
             self._probe_at = now + self._interval
@@ -255,10 +213,53 @@
             sends += self._try_unknown(now)
         if now >= self._sync_at:
             sends += self._sync(now)
+        self._follow_news(now)
         if self._spread_at is not None and now >= self._spread_at:
             sends += self._spread(now)
         return sends
 
+    def _handle(self, message: Message, sender: Address, now: float) -> list[Send]:
+        match message:
+            case Ping():
+                self._hear_news(message, now)
+                return [self._answer(message, sender), *self._call_back(sender, now)]
+            case Ack():
+                self._hear_news(message, now)
+                sends = self._accept(message, now)
+                return [*sends, *self._correct(message.source, sender)]
+            case Gossip():
+                order = self.own.order
+                self._hear_news(message, now)
+                refuted = [] if self.own.order == order else [self._tell(sender)]
+                return [*refuted, *self._correct(message.source, sender)]
+            case ProbeRequest():
+                return self._relay(message, sender, now)
+            case Summary() if self._beliefs.is_deaf and message.is_answer:
+                return []
+            case Summary():
+                return self._compare(message, sender, now)
+            case Table(source=source, members=members):
+                self._beliefs.hear_table(members, told_by=source.name, now=now)
+                return []
+
+    def _hear_news(self, message: Ping | Ack | Gossip, now: float) -> None:
+        source = message.source
+        self._beliefs.hear_all(message.updates, told_by=source.name, now=now)
+        if message.documents.fingerprint != self.documents.fingerprint:
+            self._beliefs.hear_documents(source, message.documents)
+
+    def _follow_news(self, now: float) -> None:
+        """Give newcomers their turn and plan to pass on what is new."""
+        for name in self._beliefs.newcomers:
+            self._probes.add_turn(name, self._random)
+        self._beliefs.newcomers.clear()
+        if self._beliefs.has_refuted:
+            self._spread_at = now
+        elif self._beliefs.has_fresh_news:
+            self._plan_spread(now)
+        self._beliefs.has_refuted = False
+        self._beliefs.has_fresh_news = False
+
     # Time.
 
     def _note_time(self, now: float) -> None:
@@ -273,18 +274,15 @@
             self._probe_at = now
             self._retry_at = now
             self._sync_at = now + self._interval * _SYNC_SOON
+        self._beliefs.may_restamp = now - self._started_at < JOIN_S
         gap = now - self._last_seen
         self._last_seen = now
         if gap <= 2 * self._interval:
             return
         self._probes.clear()
-        self._relays.clear()
-        for name in self._suspicions:
-            self._suspicions[name] = now + self._suspect
+        self._beliefs.restart_suspicions(now=now)
         if gap > self._suspect:
-            self._drowsy = True
-            self._news.clear()
-            self._roster.mark_all_stale()
+            self._beliefs.doubt_all()
             self._n_syncs_in_a_row = 0
             self._probe_at = now
             self._retry_at = now
@@ -298,15 +296,14 @@
         gives datagrams in their order, so all of these come before that answer.
         """
         if isinstance(message, Ack) and message.sequence in self._probes:
-            self._drowsy = False
+            self._beliefs.is_deaf = False
 
     def _call_back(self, sender: Address, now: float) -> list[Send]:
         """After a pause, ping whoever pings us, to hear something fresh.
 
         All whom this host knew may have been replaced while it slept.
         """
-        tried = any(probe.address == sender for probe in self._probes.values())
-        if not self._drowsy or tried:
+        if not self._beliefs.is_deaf or self._probes.is_trying(sender):
             return []
         return [self._ping("", sender, now)]
 
@@ -323,26 +320,19 @@
     # Probing.
 
     def _probe_next(self, now: float) -> list[Send]:
-        while self._turns:
-            member = self._roster.get(self._turns.pop())
+        while name := self._probes.take_turn():
+            member = self._roster.get(name)
             if member is not None and member.state is not MemberState.DEAD:
-                return [self._ping(member.name, member.peers, now, member.incarnation)]
-        self._turns = [member.name for member in self._roster.members()]
-        self._random.shuffle(self._turns)
-        return self._probe_next(now) if self._turns else []
+                return [self._ping(name, member.peers, now, member.incarnation)]
+        names = [member.name for member in self._roster.members()]
+        self._probes.fill_turns(names, self._random)
+        return self._probe_next(now) if names else []
 
     def _ping(
         self, name: str, address: Address, now: float, incarnation: int = 0
     ) -> Send:
-        self._sequence += 1
-        self._probes[self._sequence] = _Probe(
-            name=name,
-            incarnation=incarnation,
-            address=address,
-            ask_others_at=now + self._timeout,
-            fails_at=now + self._interval,
-        )
-        return self._build_ping(self._sequence, name, address)
+        sequence = self._probes.start(name, incarnation, address, now)
+        return self._build_ping(sequence, name, address)
 
     def _build_ping(self, sequence: int, name: str, address: Address) -> Send:
         ping = Ping(
@@ -355,19 +345,16 @@
 
     def _check_probes(self, now: float) -> list[Send]:
         sends: list[Send] = []
-        for sequence, probe in list(self._probes.items()):
-            if now >= probe.fails_at:
-                del self._probes[sequence]
-                sends += self._suspect_member(probe.name, probe.incarnation, now)
-            elif now >= probe.ask_others_at and not probe.asked_others:
-                probe.asked_others = True
-                sends += self._ask_others(sequence, probe)
-        for sequence, relay in list(self._relays.items()):
-            if now >= relay.expires_at:
-                del self._relays[sequence]
+        for probe in self._probes.take_failed(now):
+            suspect = self._beliefs.suspect(probe.name, probe.incarnation, now=now)
+            if suspect is not None:
+                # Told first, so that its refutation overtakes the suspicion.
+                sends.append(self._tell(suspect.peers, suspect))
+        for sequence, probe in self._probes.take_silent(now):
+            sends += self._ask_others(sequence, probe)
         return sends
 
-    def _ask_others(self, sequence: int, probe: _Probe) -> list[Send]:
+    def _ask_others(self, sequence: int, probe: Probe) -> list[Send]:
         """Have others try, since only the way between the two may be cut."""
         target = self._roster.get(probe.name)
         if target is None:
@@ -378,16 +365,11 @@
         return [again, *(Send(to=other.peers, message=request) for other in others)]
 
     def _relay(self, request: ProbeRequest, sender: Address, now: float) -> list[Send]:
-        if len(self._relays) >= MAX_RELAYS:
+        sequence = self._probes.start_relay(sender, request.sequence, now)
+        if sequence is None:
             return []
-        self._sequence += 1
-        self._relays[self._sequence] = _Relay(
-            requester=sender,
-            sequence=request.sequence,
-            expires_at=now + self._interval,
-        )
         target = request.target
-        return [self._build_ping(self._sequence, target.name, target.peers)]
+        return [self._build_ping(sequence, target.name, target.peers)]
 
     def _answer(self, ping: Ping, sender: Address) -> Send:
         ack = Ack(
@@ -400,7 +382,7 @@
         return Send(to=sender, message=ack)
 
     def _accept(self, ack: Ack, now: float) -> list[Send]:
-        relay = self._relays.pop(ack.sequence, None)
+        relay = self._probes.finish_relay(ack.sequence)
         if relay is not None:
             passed_on = Ack(
                 source=self.own,
@@ -412,168 +394,20 @@
             return [Send(to=relay.requester, message=passed_on)]
         subject = ack.subject or ack.source
         if ack.subject is not None:
-            self._hear(ack.subject, told_by=ack.source.name, now=now)
-        probe = self._probes.get(ack.sequence)
-        if probe is None or probe.name not in ("", subject.name):
+            self._beliefs.hear(ack.subject, told_by=ack.source.name, now=now)
+        probe = self._probes.finish(ack.sequence, subject.name)
+        if probe is None:
             return []
-        del self._probes[ack.sequence]
         if probe.name == "":
             return [] if self.joined else self._sync(now)
-        if subject.state in (MemberState.LIVE, MemberState.LEAVING):
-            self._withdraw(subject.name)
+        self._beliefs.withdraw(subject.name)
         return []
 
-    # Suspicion.
-
-    def _suspect_member(self, name: str, incarnation: int, now: float) -> list[Send]:
-        member = self._roster.get(name)
-        if member is None or member.incarnation != incarnation:
-            return []
-        match member.state:
-            case MemberState.LIVE if not self._roster.is_stale(name):
-                suspect = replace(member, state=MemberState.SUSPECT)
-                self._hear(suspect, told_by=self.own.name, now=now)
-                # Told first, so that its refutation overtakes the suspicion.
-                return [self._tell(member.peers, suspect)]
-            case MemberState.LIVE | MemberState.LEAVING:
-                # Kept to ourselves. Of a member that was not heard of since a
-                # pause, a suspicion told to all might bring back one long dead; of
-                # one that leaves, it would hide that, and it would be given work
-                # again until it refutes.
-                self._suspicions.setdefault(name, now + self._suspect)
-        return []
-
-    def _withdraw(self, name: str) -> None:
-        """Drop a suspicion that was kept to ourselves, after an answer."""
-        known = self._roster.get(name)
-        if known is not None and known.state is not MemberState.SUSPECT:
-            self._suspicions.pop(name, None)
-
-    def _confirm_suspicions(self, now: float) -> None:
-        due = [name for name, at in self._suspicions.items() if now >= at]
-        for name in due:
-            del self._suspicions[name]
-            member = self._roster.get(name)
-            if member is not None and member.state is not MemberState.DEAD:
-                dead = replace(member, state=MemberState.DEAD)
-                self._hear(dead, told_by=self.own.name, now=now)
-
-    # Hearing.
-
-    def _hear_all(self, members: Iterable[Member], source: Member, now: float) -> None:
-        for member in members:
-            self._hear(member, told_by=source.name, now=now)
-
-    def _hear_table(
-        self, members: Iterable[Member], source: Member, now: float
-    ) -> None:
-        """Take in a part of another host's table.
-
-        Its dead are doubted here, not buried. After a cut between regions each
-        side's table holds the whole other side dead; believed at once it would
-        take the work away from half of the fleet until each had refuted. And the
-        dead that were never heard of here stay unknown, or tombstones would go
-        from host to host and never be forgotten.
-        """
-        for member in members:
-            known = self._roster.get(member.name)
-            if member.state is not MemberState.DEAD or member.name == self.own.name:
-                self._hear(member, told_by=source.name, now=now)
-            elif known is not None and member.order > known.order:
-                self._doubt(member, known, told_by=source.name, now=now)
-
-    def _doubt(self, dead: Member, known: Member, *, told_by: str, now: float) -> None:
-        match known.state:
-            case MemberState.LEAVING if dead.incarnation == known.incarnation:
-                self._suspicions.setdefault(known.name, now + self._suspect)
-            case MemberState.DEAD:
-                self._hear(dead, told_by=told_by, now=now)
-            case _:
-                suspect = replace(dead, state=MemberState.SUSPECT)
-                self._hear(suspect, told_by=told_by, now=now)
-
-    def _hear(self, member: Member, *, told_by: str, now: float) -> None:
-        if member.name == self.own.name:
-            self._hear_of_self(member, told_by=told_by)
-            return
-        if self._drowsy:
-            return
-        previous = self._roster.get(member.name)
-        if not self._roster.merge(member, now=now):
-            return
-        self._note_change(member, previous, told_by)
-        self._news.add(member)
-        self._plan_spread(now)
-        self._suspicions.pop(member.name, None)
-        if member.state is MemberState.SUSPECT:
-            self._suspicions[member.name] = now + self._suspect
-        if previous is None and member.state is not MemberState.DEAD:
-            self._turns.insert(self._random.randint(0, len(self._turns)), member.name)
-
-    def _hear_of_self(self, member: Member, *, told_by: str) -> None:
-        """Refute what is falsely said of this process, or learn of a successor.
-
-        A process that was paused or cut off finds itself suspect or dead. Only a
-        record with a higher order undoes that, and only this process makes one.
-        """
-        if member.incarnation > self.own.incarnation:
-            self._hear_of_successor(member)
-        elif member.incarnation == self.own.incarnation:
-            false = member.state in (MemberState.SUSPECT, MemberState.DEAD)
-            if false and member.order > self.own.order:
-                refutations = max(member.refutations, self.own.refutations)
-                self.own = replace(self.own, refutations=refutations)
-                self._declare(self.own.state, told_by=told_by)
-                self._spread_at = self._last_seen
-
-    def _hear_of_successor(self, member: Member) -> None:
-        """Tell a clock that was set back from a process that took our place.
-
-        After a restart with a clock set back, the old process looks newer than
-        this one and all would ignore us: just after the start we go beyond it.
-        Later the newer record is of a process that replaced this one while it was
-        paused, and fighting it would give the fleet two owners of one name.
-        """
-        started = self._last_seen if self._started_at is None else self._started_at
-        if self._last_seen - started < JOIN_S:
-            self.own = replace(
-                self.own, incarnation=member.incarnation + 1, refutations=0
-            )
-            self._news.add(self.own)
-        else:
-            self.superseded = True
-
-    def _declare(self, state: MemberState, *, told_by: str) -> None:
-        previous = self.own
-        self.own = replace(previous, state=state, refutations=previous.refutations + 1)
-        self._news.add(self.own)
-        self._note_change(self.own, previous, told_by)
-
-    def _note_change(
-        self, member: Member, previous: Member | None, told_by: str
-    ) -> None:
-        self.changes += 1
-        if len(self._events) < MAX_EVENTS:
-            event = MemberChanged(member=member, previous=previous, told_by=told_by)
-            self._events.append(event)
-
-    def _compare_documents(self, source: Member, documents: DocumentsDigest) -> None:
-        differ = documents.fingerprint != self.documents.fingerprint
-        if differ and len(self._events) < MAX_EVENTS:
-            heard = DocumentsHeard(member=source, documents=documents)
-            self._events.append(heard)
-
     # Telling.
 
     def _take_news(self, receiver: str) -> tuple[Member, ...]:
-        known = self._roster.get(receiver)
-        first = None
-        if known is not None and known.state in (
-            MemberState.SUSPECT,
-            MemberState.DEAD,
-        ):
-            first = known
-        return self._news.take(len(self.live()), first)
+        first = self._beliefs.get_accusation(receiver)
+        return self._beliefs.news.take(len(self.live()), first)
 
     def _tell(self, to: Address, *members: Member) -> Send:
         gossip = Gossip(source=self.own, documents=self.documents, updates=members)
@@ -581,11 +415,8 @@
 
     def _correct(self, source: Member, sender: Address) -> list[Send]:
         """Tell a member that is held dead or suspect so, for it to refute."""
-        known = self._roster.get(source.name)
-        if known is None or known.state not in (
-            MemberState.SUSPECT,
-            MemberState.DEAD,
-        ):
+        known = self._beliefs.get_accusation(source.name)
+        if known is None:
             return []
         return [self._tell(sender, known)]
 
@@ -627,10 +458,13 @@
         crosses; this is what finds the way back.
         """
         known = {member.peers for member in self._roster.members()}
-        tried = {p.address for p in self._probes.values() if p.name == ""}
         dead = self._roster.dead_since(now - RETRY_DEAD_S)
         addresses = dict.fromkeys([*self._hints, *(member.peers for member in dead)])
-        unknown = [a for a in addresses if a not in known and a not in tried]
+        unknown = [
+            address
+            for address in addresses
+            if address not in known and not self._probes.is_trying(address)
+        ]
         n_tries = 1 if self.joined else N_INDIRECT
         chosen = self._random.sample(unknown, min(n_tries, len(unknown)))
         return [self._ping("", address, now) for address in chosen]
@@ -674,30 +508,16 @@
         if not truncated:
             self.joined = True
             if not differing:
-                self._bury_unconfirmed(now)
+                self._beliefs.bury_unconfirmed(now=now)
         self._n_syncs_in_a_row += 1
         if not differing:
             self._n_syncs_in_a_row = 0
         elif self._n_syncs_in_a_row < _MAX_SYNCS_IN_A_ROW:
             self._sync_at = now + self._interval * _SYNC_SOON
 
-    def _bury_unconfirmed(self, now: float) -> None:
-        """Bury for ourselves those of whom nobody else knows any more.
-
-        They are not just forgotten: an older record of one, from a host that knows
-        less, would then take back what was known here.
-        """
-        for member in self._roster.list_stale():
-            dead = replace(member, state=MemberState.DEAD)
-            self._roster.merge(dead, now=now)
-            self._suspicions.pop(member.name, None)
-            self._note_change(dead, member, self.own.name)
-
     def _send_tables(self, buckets: set[int], to: Address) -> tuple[list[Send], bool]:
         members = self._roster.list_buckets(buckets)
         self._random.shuffle(members)
-        if choose_bucket(self.own.name) in buckets:
-            members.insert(0, self.own)
         sends: list[Send] = []
         while members and len(sends) < MAX_TABLES:
             part = _take_part(members)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -505,7 +505,7 @@
                 source=source, sequence=sequence, target=build_member(THIRD)
             )
             membership.receive(request, sender=source.peers, now=0.0)
-        assert len(membership._relays) <= 256
+        assert len(membership._probes._relays) <= 256
 
 
 class Machine(RuleBasedStateMachine):
