Ask no peer with less than no time left, and trust a channel for less long

A limit that had run out below zero raised in the wait for a dial; in the task that runs a booking it would have ended the process. The new test failed with that ValueError before.

Ruled out: a lower bound without the question; a channel's own heartbeat, which runs only while a reply is due and takes 0.75 s.

--- a/src/lavendergap/entry/ticketclient.py
+++ b/src/lavendergap/entry/ticketclient.py
@@ -10,8 +10,10 @@
 from ..transport.channel import Channel, Dialer, Loss
 from .fleet import Fleet
 
-# A channel that carried a byte this recently, in seconds, is trusted as it is.
-TRUSTED_IDLE = 1.0
+# A channel that carried a byte this recently, in seconds, is trusted as it is. What
+# is sent once only and lost on a channel becomes "unknown", and a question before it
+# costs one round trip, ten times a second at most.
+TRUSTED_IDLE = 0.1
 # Longer than a channel's own limit of silence, which runs only while a reply is due.
 PROOF_LIMIT = 1.5
 # One over the channel that is open, one over its replacement.
@@ -57,7 +59,7 @@
         if dial is None:
             dial = self._dials[host] = trio.Event()
             self._nursery.start_soon(self._dial, host, dial)
-        with trio.move_on_after(limit):
+        with trio.move_on_after(max(0.0, limit)):
             await dial.wait()
         return self._dialer.get_open(host)
 
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -420,6 +420,18 @@
         assert all(is_not_run(answer, Reason.WITNESS_LOST) for answer in answers)
         assert hosts.n_runs == 0
 
+    async def test_one_that_is_asked_after_the_deadline(self, hosts, autojump_clock):
+        """A host goes on after it woke with a request whose deadline has passed.
+
+        There is no time left to reach the witness, so nothing is begun with it. A
+        limit of less than no time raised, and ended the process.
+        """
+        ticket = await hosts.issue()
+        hosts.kill(get_witness(ticket).host)
+        assert is_unknown(await hosts.run(ticket, seconds=-1.0))
+        assert is_not_run(await hosts.run(ticket), Reason.WITNESS_LOST)
+        assert hosts.n_runs == 0
+
     async def test_a_restarted_witness_is_opened_anew(self, hosts, autojump_clock):
         """Tickets go on after the witness's host was replaced.
 
