--- /dev/null
+++ b/lab/forwarder.py
@@ -0,0 +1,83 @@
+"""A naive forwarder of bookings, as a baseline: on an error it tries again.
+
+It is what a plain HTTP proxy with retries does with a request that must not run
+twice.
+"""
+
+import random
+from pathlib import Path
+
+import click
+import trio
+
+from lavendergap.state.settings import Address, Server
+from standins.client import Answer, LostConnectionError, connect
+from standins.fleet import parse_address, read_settings
+from standins.http import Connection, HttpServer, Reply, Request, make_error
+from standins.process import run_process
+
+MAX_TRIES = 3
+
+
+class Forwarder:
+    """Sends each request to a backend server, and to another one after an error."""
+
+    def __init__(
+        self, *, servers: tuple[Server, ...], name: str, try_limit: float
+    ) -> None:
+        self._servers = servers
+        self._name = name
+        self._try_limit = try_limit
+        self._random = random.Random(name)
+        self._n_attempts = 0
+
+    async def handle(self, request: Request, connection: Connection) -> Reply:
+        """Forward one request; 502 when no server has answered."""
+        first = self._random.randrange(len(self._servers))
+        for turn in range(MAX_TRIES):
+            server = self._servers[(first + turn) % len(self._servers)]
+            answer = await self._try(server.address, request.body)
+            if answer is not None and answer.status == 200:
+                return Reply(status=200, body=answer.body)
+        return make_error(502, "no server has answered")
+
+    async def _try(self, address: Address, body: bytes) -> Answer | None:
+        self._n_attempts += 1
+        headers = {"Attempt": f"{self._name}-{self._n_attempts}"}
+        with trio.move_on_after(self._try_limit):
+            try:
+                client = await connect(address.ip, address.port)
+            except OSError:
+                return None
+            try:
+                return await client.request("POST", "/run", headers=headers, body=body)
+            except LostConnectionError:
+                return None
+            finally:
+                await client.aclose()
+        return None
+
+
+@click.command()
+@click.option("--settings", type=click.Path(exists=True, path_type=Path), required=True)
+@click.option("--service", required=True)
+@click.option("--listen", required=True, help="IP:PORT for callers.")
+@click.option("--try-ms", type=float, default=500.0, show_default=True)
+def main(settings: Path, service: str, listen: str, try_ms: float) -> None:
+    """Forward callers' requests to the backend servers of one service."""
+    found = read_settings(settings).get_service(service)
+    if found is None:
+        raise click.ClickException(f"no service {service!r} in {settings}")
+    address = parse_address(listen)
+    servers = tuple(server for group in found.groups for server in group.servers)
+
+    async def start(nursery: trio.Nursery) -> None:
+        forwarder = Forwarder(servers=servers, name=listen, try_limit=try_ms / 1_000)
+        port = HttpServer(ip=address.ip, port=address.port, handle=forwarder.handle)
+        await nursery.start(port.run)
+
+    run_process(start)
+
+
+if __name__ == "__main__":
+    main()
