Prove at most once through processes that are killed and paused

Six stories with three entry processes, two backend servers and the platform, each waiting on conditions.

--- /dev/null
+++ b/tests/test_once_processes.py
@@ -0,0 +1,213 @@
+"""Bookings through real processes that are killed and paused; the servers count."""
+
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from lab.bookers import call
+from lab.oncefaults import set_faults
+from lab.processes import (
+    DeploymentShape,
+    ServiceShape,
+    find_free_address,
+    open_processes,
+    write_deployment,
+)
+
+# A hang shows as a failure; no test waits for so long otherwise.
+HANG_LIMIT = 30.0
+# Faster than the defaults: these tests are not about membership.
+CONTROL = {"probe_interval_ms": 100, "probe_timeout_ms": 50, "suspect_ms": 1_500}
+SHAPE = DeploymentShape(
+    n_hosts=3,
+    services=(ServiceShape(name="ledger", idempotent=False),),
+    control=CONTROL,
+)
+ISSUER, WITNESS, OTHER = "dc0-0", "dc1-0", "dc0-1"
+
+
+class Bench:
+    """Three entry hosts, two backend servers and the platform, all as processes."""
+
+    def __init__(self, processes, deployment):
+        self.processes = processes
+        self.deployment = deployment
+        self.hosts = {host.name: host for host in deployment.hosts}
+        self.entries = {}
+        self.platform_control = find_free_address()
+        self.backend_control = find_free_address()
+
+    async def start(self):
+        await self.processes.start_platform(
+            self.deployment, control=self.platform_control
+        )
+        await self.processes.start_backend(
+            self.deployment, only=["*"], control=self.backend_control
+        )
+        async with trio.open_nursery() as nursery:
+            for name in self.hosts:
+                nursery.start_soon(self.start_host, name)
+
+    async def start_host(self, name):
+        self.entries[name] = await self.processes.start_entry(
+            self.deployment, host=name
+        )
+
+    async def kill(self, name):
+        await self.entries[name].kill()
+
+    async def issue(self, name=ISSUER):
+        answer = await call(
+            self.hosts[name].callers, "POST", "/v1/services/ledger/tickets", limit=9.0
+        )
+        assert answer is not None and answer.status == 201
+        return answer.json["ticket"]
+
+    async def book(self, ticket, name, deadline_ms=2_000):
+        """Return the status of the answer; 0 when the connection breaks."""
+        answer = await call(
+            self.hosts[name].callers,
+            "POST",
+            "/v1/services/ledger/requests",
+            headers={
+                "Ticket": ticket,
+                "Deadline-Ms": str(deadline_ms),
+                "Content-Type": "application/json",
+            },
+            body=b'{"query": "compactor"}',
+            limit=HANG_LIMIT,
+        )
+        return answer.status if answer is not None else 0
+
+    async def look_up(self, ticket, name=OTHER):
+        path = f"/v1/tickets/{ticket}"
+        answer = await call(self.hosts[name].callers, "GET", path, limit=HANG_LIMIT)
+        assert answer is not None
+        return answer.json["outcome"]
+
+    async def set_servers(self, **faults):
+        await set_faults(self.backend_control, {"*": faults})
+
+    async def count_runs(self):
+        answer = await call(self.backend_control, "GET", "/counts", limit=HANG_LIMIT)
+        assert answer is not None
+        return sum(counts["run"] for counts in answer.json.values())
+
+    async def begin(self, ticket, nursery):
+        """Book at the issuer; return once the request runs at a backend server."""
+        answers = SimpleNamespace(status=None)
+
+        async def book():
+            answers.status = await self.book(ticket, ISSUER, deadline_ms=9_000)
+
+        nursery.start_soon(book)
+        while await self.count_runs() == 0:
+            await trio.sleep(0.02)
+        return answers
+
+
+@pytest.fixture
+async def bench():
+    with trio.fail_after(2 * HANG_LIMIT):
+        async with open_processes() as processes:
+            deployment = write_deployment(shape=SHAPE, directory=processes.directory)
+            bench = Bench(processes, deployment)
+            await bench.start()
+            yield bench
+
+
+class TestKilledIssuer:
+    async def test_before_the_start_it_is_not_run_and_after_it_unknown(self, bench):
+        """Two callers hold tickets of a host that dies; each is told the truth.
+
+        The first has not sent its request yet: the witness voids the ticket. The
+        second's runs at that moment: the witness has seen its start. What they are
+        told stays so after the host is back, and nothing runs again.
+        """
+        unused, used = await bench.issue(), await bench.issue()
+        await bench.set_servers(service_ms=1_000)
+        async with trio.open_nursery() as nursery:
+            first = await bench.begin(used, nursery)
+            await bench.kill(ISSUER)
+        assert first.status == 0
+        assert await bench.book(unused, OTHER) == 503
+        assert await bench.book(used, OTHER) == 504
+        await bench.start_host(ISSUER)
+        for name in bench.hosts:
+            assert await bench.book(unused, name) == 503
+            assert await bench.book(used, name) == 504
+        assert await bench.count_runs() == 1
+
+
+class TestPausedIssuer:
+    async def test_a_retry_elsewhere_never_runs_a_second_time(self, bench):
+        """The caller's host freezes during the run; the caller retries elsewhere.
+
+        It is told "unknown", since the witness has seen the start. The host wakes
+        and still gets the server's answer, so that the outcome is known after all.
+        """
+        await bench.set_servers(service_ms=500)
+        ticket = await bench.issue()
+        async with trio.open_nursery() as nursery:
+            first = await bench.begin(ticket, nursery)
+            bench.entries[ISSUER].pause()
+            assert await bench.book(ticket, OTHER, deadline_ms=500) == 504
+            bench.entries[ISSUER].resume()
+        assert first.status == 200
+        assert await bench.book(ticket, OTHER) == 200
+        assert await bench.count_runs() == 1
+
+    async def test_what_was_told_not_run_never_runs(self, bench):
+        """The host freezes with the request in its socket; it wakes after "not run".
+
+        The retry elsewhere has the ticket voided by the witness, which refuses the
+        start when the host at last asks for it.
+        """
+        ticket = await bench.issue()
+        bench.entries[ISSUER].pause()
+        answers = []
+
+        async def book():
+            answers.append(await bench.book(ticket, ISSUER, deadline_ms=9_000))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(book)
+            assert await bench.book(ticket, OTHER, deadline_ms=500) == 503
+            bench.entries[ISSUER].resume()
+        assert answers == [503]
+        assert await bench.look_up(ticket) == "not run"
+        assert await bench.count_runs() == 0
+
+
+class TestPausedWitness:
+    async def test_nothing_runs_without_its_record(self, bench):
+        """The witness freezes before the start; the request is "not run" for good."""
+        ticket = await bench.issue()
+        bench.entries[WITNESS].pause()
+        assert await bench.book(ticket, ISSUER) == 503
+        bench.entries[WITNESS].resume()
+        for name in bench.hosts:
+            assert await bench.book(ticket, name) == 503
+        assert await bench.count_runs() == 0
+
+
+class TestBackendServers:
+    async def test_a_death_after_the_run_is_never_run_again(self, bench):
+        """The server dies between the run and its answer: "unknown", for all time."""
+        ticket = await bench.issue()
+        await bench.set_servers(crash="after run", restart_ms=100)
+        assert await bench.book(ticket, ISSUER) == 504
+        await bench.set_servers(crash="no")
+        for name in bench.hosts:
+            assert await bench.book(ticket, name) == 504
+            assert await bench.look_up(ticket, name) == "unknown"
+        assert await bench.count_runs() == 1
+
+
+class TestPlatform:
+    async def test_bookings_go_on_during_its_outage(self, bench):
+        await set_faults(bench.platform_control, {"down": True})
+        for name in bench.hosts:
+            assert await bench.book(await bench.issue(name), OTHER) == 200
+        assert await bench.count_runs() == len(bench.hosts)
