--- a/src/lavendergap/entry/documents.py
+++ b/src/lavendergap/entry/documents.py
@@ -32,13 +32,13 @@
     decode_settings_object,
     make_first_index,
     make_settings_key,
+    read_settings,
 )
 from ..protocol.peer import Document, Fetch
 from ..protocol.resolved import decode_settings, encode_settings
 from ..state.member import Member
 from ..state.settings import Settings
 from ..state.snapshot import Published
-from ..state.tree import parse_settings
 from ..transport.channel import Dialer, Loss
 from ..transport.platform import (
     Found,
@@ -295,7 +295,7 @@
 def resolve_settings(value: bytes, key: str, version: int) -> Settings:
     """Return the settings in the platform's object, checked in full."""
     stored = decode_settings_object(value, key=key)
-    return parse_settings(stored.text, file=key, version=version)
+    return read_settings(stored, key=key, version=version)
 
 
 def check_document(name: str, body: bytes) -> str | None:
