Start the stand-ins of the fan-out measure one after another

An error also hung the run in wait() for the log reader, whose pipe stayed open; it is now closed in any case.

--- a/lab/fanout.py
+++ b/lab/fanout.py
@@ -205,11 +205,10 @@
 
 async def start_servers(processes: Processes, deployment: Deployment) -> None:
     """Start all backend servers of the deployment, which answer at once."""
-    async with trio.open_nursery() as nursery:
-        for pattern in PATTERNS:
-            arguments = ["--settings", str(deployment.settings), "--only", pattern]
-            arguments += ["--control", find_free_address(), "--service-ms", "0"]
-            nursery.start_soon(processes.start, "standins.backend", arguments)
+    for pattern in PATTERNS:
+        arguments = ["--settings", str(deployment.settings), "--only", pattern]
+        arguments += ["--control", find_free_address(), "--service-ms", "0"]
+        await processes.start("standins.backend", arguments)
 
 
 @asynccontextmanager
@@ -282,9 +281,12 @@
         assert service is not None
         with open_reader() as descriptor:
             handler = configure_logs(descriptor=descriptor, log_format=LogFormat.JSON)
-            costs = await measure(service, settings, handler)
-            os.close(handler.writer.output.fileno())
-            logging.getLogger().handlers.clear()
+            try:
+                costs = await measure(service, settings, handler)
+            finally:
+                # The reader ends, and is waited for, once nobody can write to it.
+                os.close(handler.writer.output.fileno())
+                logging.getLogger().handlers.clear()
     return costs
 
 
