Prove both ports against bad input, and channels against silence

Cause: garbage, oversize, slow senders and strangers at the callers' and peers' ports had no test. Found on the way: whoever connected to the peers' port and said nothing held a channel for ever; it is closed after 2 s now, and at most 2,000 are held.

--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -32,6 +32,9 @@
 logger = logging.getLogger("lavendergap.connections")
 
 CONNECT_LIMIT = 0.5
+HELLO_LIMIT = 2.0
+# Far more than the fleet has hosts; beyond it somebody else is at the port.
+MAX_ACCEPTED = 2_000
 HEARTBEAT_AFTER = 0.25
 SILENCE_LIMIT = 0.75
 READ_SIZE = 65_536
@@ -353,7 +356,15 @@
         await trio.serve_listeners(self.serve_stream, [listener])
 
     async def serve_stream(self, stream: trio.abc.Stream) -> None:
-        """Serve one accepted connection until it ends."""
+        """Serve one accepted connection until it ends.
+
+        Who has not said a valid Hello within `HELLO_LIMIT` seconds is no peer of
+        ours, and would hold memory for nothing.
+        """
+        if len(self._channels) >= MAX_ACCEPTED:
+            metrics.rejected_input.labels("peers", "too many channels").inc()
+            await trio.aclose_forcefully(stream)
+            return
         channel = Channel(
             stream=stream,
             own=self._own,
@@ -362,7 +373,10 @@
         )
         self._channels.add(channel)
         channel.send(Frame(id=0, message=self._own))
-        await channel.run()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_close_unless_greeted, channel)
+            await channel.run()
+            nursery.cancel_scope.cancel()
 
     def _drop(self, channel: Channel, loss: Loss) -> None:
         self._channels.discard(channel)
@@ -372,3 +386,11 @@
         """Tell every peer that this process is stopping."""
         for channel in self._channels:
             channel.send(Frame(id=0, message=GoingAway()))
+
+
+async def _close_unless_greeted(channel: Channel) -> None:
+    with trio.move_on_after(HELLO_LIMIT):
+        await channel.greeted.wait()
+        return
+    metrics.rejected_input.labels("peers", "no hello").inc()
+    channel.close(Loss.BAD_FRAME)
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,281 @@
+"""The callers' port: bad input is refused clearly, and the process goes on serving."""
+
+import json
+from typing import Any
+
+import pytest
+import trio
+from prometheus_client import REGISTRY
+
+from lab.processes import find_free_ports
+from lavendergap.entry.ports import serve_port
+from lavendergap.protocol.answers import Refusal, SearchResult, ShardResult
+from lavendergap.state.outcome import Coverage, NotRun, Reason, Step
+from lavendergap.state.settings import Address, Settings, WaitForCoverage
+from lavendergap.transport.callers import (
+    CallerRequest,
+    CallersApp,
+    Handlers,
+    RunResult,
+    TicketText,
+)
+from lavendergap.transport.web import BODY_LIMIT
+from tests.nodes import build_settings
+
+Message = dict[str, Any]
+JSON = {"content-type": "application/json"}
+QUERY = "/v1/services/scheduler/query"
+
+
+class FakeDaemon:
+    """Answers every query whole, unless it is told to refuse or to leave."""
+
+    def __init__(self) -> None:
+        self.settings: Settings = build_settings(
+            n_hosts=1, n_groups=1, stragglers=WaitForCoverage()
+        )
+        self.is_refusing = False
+        self.is_leaving = False
+        self.n_searches = 0
+        self.n_cancelled = 0
+        self.search_s = 0.0
+
+    async def search(self, request: CallerRequest) -> SearchResult | Refusal:
+        self.n_searches += 1
+        if self.is_refusing:
+            outcome = NotRun(
+                step=Step.ADMIT, peer="", reason=Reason.OVERLOADED, retry_after_ms=1500
+            )
+            return Refusal(request_id=request.request_id, outcome=outcome)
+        try:
+            await trio.sleep(self.search_s)
+        except trio.Cancelled:
+            self.n_cancelled += 1
+            raise
+        coverage = Coverage(n_asked=1, n_answered=1, share=1.0, missing=())
+        return SearchResult(
+            request_id=request.request_id,
+            service="scheduler",
+            version=1,
+            coverage=coverage,
+            results=(ShardResult(shard="s00", result=request.body),),
+        )
+
+    async def issue(self, request: CallerRequest) -> TicketText:
+        return TicketText(text="t")
+
+    async def run(self, request: CallerRequest, ticket: str) -> RunResult:
+        return RunResult(request_id=request.request_id, result=b"1")
+
+    async def look_up(self, request_id: str, ticket: str) -> RunResult:
+        return RunResult(request_id=request_id, result=b"1")
+
+    def build_app(self) -> CallersApp:
+        return CallersApp(
+            handlers=Handlers(
+                get_settings=lambda: self.settings,
+                search=self.search,
+                issue=self.issue,
+                run=self.run,
+                look_up=self.look_up,
+                is_leaving=lambda: self.is_leaving,
+            )
+        )
+
+
+class Call:
+    """One request to the application, without a server; the answer is kept."""
+
+    def __init__(self, *, method: str = "POST", path: str = QUERY, **headers: str):
+        self.scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "headers": [
+                (name.replace("_", "-").encode(), value.encode())
+                for name, value in headers.items()
+            ],
+        }
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b""
+
+    async def send_to(
+        self, app: CallersApp, *parts: bytes, then_leave_after: float | None = None
+    ) -> "Call":
+        messages = [
+            {"type": "http.request", "body": part, "more_body": place < len(parts) - 1}
+            for place, part in enumerate(parts)
+        ]
+
+        async def receive() -> Message:
+            if messages:
+                return messages.pop(0)
+            await trio.sleep(then_leave_after or float("inf"))
+            return {"type": "http.disconnect"}
+
+        async def send(message: Message) -> None:
+            self.status = message.get("status", self.status)
+            self.headers |= dict(message.get("headers", ()))
+            self.body += message.get("body", b"")
+
+        await app(self.scope, receive, send)
+        return self
+
+
+def count_rejected(problem: str) -> float:
+    labels = {"port": "callers", "problem": problem}
+    return REGISTRY.get_sample_value("lavendergap_rejected_input_total", labels) or 0.0
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("call", "body", "status", "problem"),
+        [
+            (Call(), b'{"query": ', 400, "malformed body"),
+            (Call(), b"\xff\xfe", 400, "malformed body"),
+            (Call(content_length="9999999"), b"{}", 413, "body too large"),
+            (Call(), b'"' + b"x" * 70_000 + b'"', 413, "body too large"),
+            (Call(content_type="text/html"), b"{}", 415, "wrong media type"),
+            (Call(method="PUT"), b"{}", 405, "wrong method"),
+            (Call(path="/nowhere"), b"{}", 404, "unknown path"),
+            (
+                Call(path="/v1/services/none/query"),
+                b"{}",
+                404,
+                "unknown service",
+            ),
+            (Call(deadline_ms="0"), b"{}", 422, "impossible deadline"),
+            (Call(deadline_ms="nan"), b"{}", 422, "impossible deadline"),
+            (Call(deadline_ms="soon"), b"{}", 422, "impossible deadline"),
+            (Call(deadline_ms="99999999"), b"{}", 422, "impossible deadline"),
+            (
+                Call(path="/v1/services/scheduler/requests", ticket="t"),
+                b"{}",
+                422,
+                "not a booking",
+            ),
+            (
+                Call(path="/v1/services/scheduler/requests"),
+                b"{}",
+                428,
+                "no ticket",
+            ),
+            (
+                Call(path="/v1/services/scheduler/requests", idempotency_key="k"),
+                b"{}",
+                422,
+                "idempotency key",
+            ),
+        ],
+    )
+    async def test_is_refused_counted_and_never_searched(
+        self, call, body, status, problem, autojump_clock
+    ):
+        daemon = FakeDaemon()
+        before = count_rejected(problem)
+        await call.send_to(daemon.build_app(), body)
+        assert call.status == status
+        assert json.loads(call.body)["error"]
+        assert count_rejected(problem) == before + 1
+        assert daemon.n_searches == 0
+
+    async def test_slow_body_ends_in_time(self, autojump_clock):
+        # A caller sends half of its body and then nothing. Its connection is not
+        # held for longer than the limit, and it is told what was wrong.
+        app = FakeDaemon().build_app()
+        call = Call(**JSON)
+        call.scope["headers"] = [(b"content-type", b"application/json")]
+        started = trio.current_time()
+
+        async def receive() -> Message:
+            await trio.sleep(BODY_LIMIT * 0.6)
+            return {"type": "http.request", "body": b"{", "more_body": True}
+
+        async def send(message: Message) -> None:
+            call.status = message.get("status", call.status)
+
+        await app(call.scope, receive, send)
+        assert call.status == 408
+        assert trio.current_time() - started == BODY_LIMIT
+
+
+class TestAnswers:
+    async def test_refusal_says_when_to_come_back(self, autojump_clock):
+        daemon = FakeDaemon()
+        daemon.is_refusing = True
+        call = await Call(request_id="r-1").send_to(daemon.build_app(), b"{}")
+        assert call.status == 503
+        assert call.headers[b"retry-after"] == b"2"
+        body = json.loads(call.body)
+        assert body["outcome"] == "not run"
+        assert (body["request_id"], body["retry_after_ms"]) == ("r-1", 1500)
+
+    async def test_caller_that_leaves_cancels_its_search(self, autojump_clock):
+        # The caller closes its connection while its query runs. The search ends
+        # then, and with it the calls that hold slots of the backend servers.
+        daemon = FakeDaemon()
+        daemon.search_s = 10.0
+        await Call().send_to(daemon.build_app(), b"{}", then_leave_after=0.05)
+        assert daemon.n_cancelled == 1
+
+    async def test_leaving_host_has_connections_closed(self, autojump_clock):
+        # A planned stop: the balancer keeps connections open for reuse. Told to
+        # close them with an answer, it does so between two requests, so that none
+        # is on its way when the port closes.
+        daemon = FakeDaemon()
+        daemon.is_leaving = True
+        call = await Call().send_to(daemon.build_app(), b"{}")
+        assert call.status == 200
+        assert call.headers[b"connection"] == b"close"
+
+
+class TestPort:
+    @pytest.mark.parametrize(
+        "garbage",
+        [
+            b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" * 20,
+            b"POST " + b"/" * 40_000 + b" HTTP/1.1\r\n\r\n",
+            b"GET / HTTP/1.1\r\nX: " + b"y" * 40_000 + b"\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
+        ],
+    )
+    async def test_garbage_leaves_it_serving(self, garbage):
+        # Something that speaks no HTTP, or too much of it, reaches the port. It
+        # gets an error or a closed connection; the next caller is served.
+        daemon = FakeDaemon()
+        [port] = find_free_ports(1)
+        stop = trio.Event()
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve, daemon.build_app(), port, stop)
+                stream = await trio.open_tcp_stream("127.0.0.1", port)
+                await stream.send_all(garbage)
+                await stream.send_eof()
+                await read_to_end(stream)
+                assert b" 200 " in await post_query(port)
+                stop.set()
+
+
+async def serve(app, port, stop, task_status=trio.TASK_STATUS_IGNORED):
+    address = Address(ip="127.0.0.1", port=port)
+    await serve_port(app, address, stop=stop, drain_limit=1.0, task_status=task_status)
+
+
+async def read_to_end(stream: trio.SocketStream) -> bytes:
+    data = b""
+    try:
+        while part := await stream.receive_some(65_536):
+            data += part
+    except trio.BrokenResourceError:
+        pass
+    return data
+
+
+async def post_query(port: int) -> bytes:
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    await stream.send_all(
+        b"POST " + QUERY.encode() + b" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+    )
+    return await read_to_end(stream)
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,185 @@
+"""Channels between entry processes: alive or replaced, and closed to garbage."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+import trio.testing
+
+from lavendergap.protocol.peer import (
+    LENGTH,
+    MAX_FRAME_BYTES,
+    BadFrameError,
+    Cancel,
+    Fetch,
+    Frame,
+    Hello,
+    decode_frame,
+    encode_frame,
+)
+from lavendergap.protocol.peer import Document as DocumentMessage
+from lavendergap.state.settings import Address
+from lavendergap.transport.channel import (
+    HELLO_LIMIT,
+    SILENCE_LIMIT,
+    Acceptor,
+    Channel,
+    Dialer,
+    Loss,
+)
+
+ADDRESS = Address(ip="127.0.0.1", port=8101)
+FETCH = Fetch(name="settings/demo", at_least=1)
+
+
+def greet(host: str, **changes) -> Hello:
+    values = {"deployment": "demo", "host": host, "incarnation": 1, **changes}
+    return Hello(**values)
+
+
+class Pair:
+    """A dialler of one host and an acceptor of another, over a stream in memory."""
+
+    def __init__(self, *, nursery: trio.Nursery, accepts_as: Hello) -> None:
+        self.handled: list[Frame] = []
+        self.lost: list[Channel] = []
+        self.answers = True
+        self.acceptor = Acceptor(
+            own=accepts_as, handle=self._handle, lose=self.lost.append
+        )
+        self.dialer = Dialer(
+            own=greet("ptl-a-1"), nursery=nursery, connect=self._connect
+        )
+        self.n_connects = 0
+        self.is_silent = False
+        self._nursery = nursery
+
+    async def _connect(self, address: Address) -> trio.abc.Stream:
+        self.n_connects += 1
+        ours, theirs = trio.testing.memory_stream_pair()
+        sending = theirs.send_stream
+        sending.send_all_hook = self._hold_while_silent(sending.send_all_hook)
+        self._nursery.start_soon(self.acceptor.serve_stream, theirs)
+        return ours
+
+    def _hold_while_silent(
+        self, deliver: Callable[[], Awaitable[object]] | None
+    ) -> Callable[[], Awaitable[object]]:
+        async def hold() -> None:
+            if self.is_silent:
+                await trio.sleep_forever()
+            assert deliver is not None
+            await deliver()
+
+        return hold
+
+    def _handle(self, channel: Channel, frame: Frame) -> None:
+        self.handled.append(frame)
+        if self.answers:
+            reply = DocumentMessage(name=FETCH.name, version=7, body=b"{}")
+            channel.send(Frame(id=frame.id, message=reply))
+
+
+class TestDialer:
+    async def test_asks_over_one_channel(self, autojump_clock):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            for _ in range(3):
+                channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+                assert isinstance(channel, Channel)
+                reply = await channel.ask(FETCH, limit=1.0)
+                assert isinstance(reply, DocumentMessage)
+            assert pair.n_connects == 1
+            nursery.cancel_scope.cancel()
+
+    async def test_silent_channel_is_lost_and_a_fresh_one_works(self, autojump_clock):
+        # Something between two hosts lost track of their connection: bytes go in
+        # and nothing comes out. Whoever waits on it is told within the silence
+        # limit, and the next request goes over a new connection.
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert isinstance(channel, Channel)
+            pair.is_silent = True
+            started = trio.current_time()
+            assert await channel.ask(FETCH, limit=60.0) is Loss.SILENT
+            assert trio.current_time() - started < 2 * SILENCE_LIMIT
+            pair.is_silent = False
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert isinstance(channel, Channel)
+            assert isinstance(await channel.ask(FETCH, limit=1.0), DocumentMessage)
+            assert pair.n_connects == 2
+            nursery.cancel_scope.cancel()
+
+    async def test_slow_answer_is_not_taken_for_silence(self, autojump_clock):
+        # The peer takes long over a request but answers pings: the channel stays,
+        # and with it all that others wait for on it.
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            pair.answers = False
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert isinstance(channel, Channel)
+            assert await channel.ask(FETCH, limit=10 * SILENCE_LIMIT) is Loss.SILENT
+            assert channel.is_open
+            nursery.cancel_scope.cancel()
+
+    async def test_address_that_passed_to_another_host_is_refused(self, autojump_clock):
+        # A replaced host's address now belongs to another. What is asked of one
+        # must not be done by the other: a ticket's issuer is one process.
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-9"))
+            assert await pair.dialer.dial("ptl-b-1", ADDRESS) is Loss.REFUSED
+            nursery.cancel_scope.cancel()
+
+
+class TestAcceptor:
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+            LENGTH.pack(MAX_FRAME_BYTES + 1),
+            LENGTH.pack(16) + b"\xff" * 16,
+            encode_frame(Frame(id=1, message=FETCH)),
+            encode_frame(Frame(id=0, message=greet("x", format=99))),
+            encode_frame(Frame(id=0, message=greet("x", deployment="other"))),
+            b"",
+        ],
+        ids=["http", "huge", "garbage", "no hello", "format", "deployment", "nothing"],
+    )
+    async def test_what_is_no_peer_is_closed_and_does_nothing(
+        self, sent, autojump_clock
+    ):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            ours, theirs = trio.testing.memory_stream_pair()
+            nursery.start_soon(pair.acceptor.serve_stream, theirs)
+            if sent:
+                await ours.send_all(sent)
+            with trio.fail_after(HELLO_LIMIT + 1):
+                while await ours.receive_some(1_000):
+                    pass
+            assert pair.handled == []
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert isinstance(channel, Channel)
+            nursery.cancel_scope.cancel()
+
+
+class TestFrames:
+    def test_truncated_and_flipped_frames_raise_nothing_else(self):
+        # Whatever bytes come, a reader meets a frame or `BadFrameError`.
+        message = DocumentMessage(name="settings/demo", version=7, body=b"x" * 40)
+        whole = encode_frame(Frame(id=3, message=message))[LENGTH.size :]
+        for place in range(len(whole)):
+            for data in (
+                whole[:place],
+                whole[:place] + b"\xff" + whole[place + 1 :],
+                whole[:place] + bytes([whole[place] ^ 1]) + whole[place + 1 :],
+            ):
+                try:
+                    decode_frame(data)
+                except BadFrameError as error:
+                    assert error.problem
+
+    def test_round_trip_of_a_list(self):
+        frame = Frame(id=9, message=Cancel(shards=("s00", "s01")))
+        assert decode_frame(encode_frame(frame)[LENGTH.size :]) == frame
