--- a/model/once.pml
+++ b/model/once.pml
@@ -62,6 +62,10 @@
 #ifdef RUN_AFTER_GIVING_UP
   :: atomic { state == ended && outcome == NOT_RUN && !is_sent && ack_sent ->
        state = running }
+#endif
+#ifdef RUN_ON_EACH_ACK
+  :: atomic { state == running && is_sent && ack_sent && n_sent < 2 ->
+       is_sent = false }
 #endif
   :: atomic { state == running && !is_sent -> is_sent = true; n_sent++ }
   :: atomic { state == running && !is_sent -> keep(NOT_RUN) } /* no byte has left */
--- a/tests/test_once_machine.py
+++ b/tests/test_once_machine.py
@@ -30,6 +30,7 @@
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
 from lavendergap.state.ticket import (
     Ack,
+    AlreadyRunning,
     IssuerLost,
     Kept,
     Known,
@@ -231,7 +232,7 @@
     def has_begun(self, ticket):
         """Tell whether this life of the issuer waits for the witness's word."""
         record = self.issuer._records.get(ticket.serial)
-        return isinstance(record, _Recording | _Ended) and record.ticket == ticket
+        return not isinstance(record, _Unused | None) and record.ticket == ticket
 
     def answer_caller(self, ticket, reply):
         match resolve_by_issuer(ticket, reply):
@@ -316,6 +317,12 @@
         return super().record(ticket, reply)
 
 
+class RunsOnEachAck(Issuer):
+    def record(self, ticket, reply):
+        reply = super().record(ticket, reply)
+        return Run(ticket=ticket) if reply == AlreadyRunning() else reply
+
+
 class RunsOthersTickets(Issuer):
     def _find_problem(self, ticket):
         if ticket.issuer != self.peer:
@@ -353,6 +360,7 @@
         ("fault", "attributes"),
         [
             ("none", {"make_issuer": RunsWithoutAck}),
+            ("none", {"make_issuer": RunsOnEachAck}),
             ("witness silent", {"make_issuer": RunsAfterGivingUp}),
             ("none", {"make_witness": VoidsAfterStarted}),
             ("none", {"make_witness": DropsWithoutFloor}),
@@ -362,6 +370,7 @@
         ],
         ids=[
             "runs without ack",
+            "runs on each ack",
             "runs after giving up",
             "voids after started",
             "drops without floor",
