--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -1,11 +1,14 @@
 """Bookings through real processes that are killed and paused; the servers count."""
 
+from collections import Counter
+from functools import partial
 from types import SimpleNamespace
 
 import pytest
 import trio
 
-from lab.bookers import call
+from lab.bookers import Booking, Ending, call
+from lab.once import judge
 from lab.oncefaults import set_faults
 from lab.processes import (
     DeploymentShape,
@@ -14,6 +17,8 @@
     open_processes,
     write_deployment,
 )
+from standins.fleet import parse_address
+from standins.relay import Relay
 
 # A hang shows as a failure; no test waits for so long otherwise.
 HANG_LIMIT = 30.0
@@ -211,3 +216,54 @@
         for name in bench.hosts:
             assert await bench.book(await bench.issue(name), OTHER) == 200
         assert await bench.count_runs() == len(bench.hosts)
+
+
+class TestJudge:
+    """What `make measure-once` prints rests on this comparison."""
+
+    def test_tells_broken_promises_from_kept_ones(self):
+        def book(name, *request_ids, **fields):
+            return Booking(name=name, started=0.0, request_ids=[*request_ids], **fields)
+
+        bookings = [
+            book("a", "a/0", ending=Ending.ANSWERED, told_answered=["a/0"]),
+            book("b", "b/0", "b/1", told_not_run=["b/0"], ending=Ending.UNKNOWN),
+            book("c", "c/0", ending=Ending.ANSWERED, told_answered=["c/0"]),
+            book("d", "d/0", ending=Ending.NOT_RUN, told_not_run=["d/0"]),
+        ]
+        verdict = judge(bookings, Counter({"a/0": 1, "b/0": 1, "b/1": 1}))
+        assert str(verdict) == (
+            "run_twice=1 false_not_run=1 lost=1 unknown_share=0.2500"
+        )
+
+
+class TestRelay:
+    """The middlebox of the measurement: connections go silent and nobody is told."""
+
+    async def echo(self, stream):
+        while data := await stream.receive_some(99):
+            await stream.send_all(data)
+
+    @pytest.mark.parametrize("way", ["towards", "back", "both"])
+    async def test_a_cut_connection_stays_silent_and_new_ones_work(self, nursery, way):
+        serve = partial(trio.serve_tcp, self.echo, 0, host="127.0.0.1")
+        [listener] = await nursery.start(serve)
+        to = parse_address(f"127.0.0.1:{listener.socket.getsockname()[1]}")
+        relay = Relay(listen=parse_address(find_free_address()), to=to)
+        await nursery.start(relay.run)
+
+        async def exchange(stream):
+            await stream.send_all(b"?")
+            # A slow machine may hide an answer here, and never makes one up.
+            with trio.move_on_after(0.2):
+                return await stream.receive_some(1)
+            return b""
+
+        old = await trio.open_tcp_stream(relay.listen.ip, relay.listen.port)
+        assert await exchange(old) == b"?"
+        relay.cut(way)
+        during = await trio.open_tcp_stream(relay.listen.ip, relay.listen.port)
+        assert [await exchange(old), await exchange(during)] == [b"", b""]
+        relay.restore()
+        new = await trio.open_tcp_stream(relay.listen.ip, relay.listen.port)
+        assert [await exchange(each) for each in (old, during, new)] == [b"", b"", b"?"]
