--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -37,6 +37,9 @@
     return Hello(**values)
 
 
+HELLO = encode_frame(Frame(id=0, message=greet("ptl-a-1")))
+
+
 class Pair:
     """A dialler of one host and an acceptor of another, over a stream in memory."""
 
@@ -139,12 +142,24 @@
             b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
             LENGTH.pack(MAX_FRAME_BYTES + 1),
             LENGTH.pack(16) + b"\xff" * 16,
+            HELLO + LENGTH.pack(MAX_FRAME_BYTES + 1),
+            HELLO + LENGTH.pack(16) + b"\xff" * 16,
             encode_frame(Frame(id=1, message=FETCH)),
             encode_frame(Frame(id=0, message=greet("x", format=99))),
             encode_frame(Frame(id=0, message=greet("x", deployment="other"))),
             b"",
         ],
-        ids=["http", "huge", "garbage", "no hello", "format", "deployment", "nothing"],
+        ids=[
+            "http",
+            "huge",
+            "garbage",
+            "huge later",
+            "garbage later",
+            "no hello",
+            "format",
+            "deployment",
+            "nothing",
+        ],
     )
     async def test_what_is_no_peer_is_closed_and_does_nothing(
         self, sent, autojump_clock
