Let the gossip timer rest: its own sends woke it

A host at rest spent a whole core in the timer loop: each send woke the loop, also an empty one of its own. Wakes are now counted from before the decision, and only a receipt wakes the timer.

--- a/lab/convergence.py
+++ b/lab/convergence.py
@@ -14,13 +14,22 @@
 from random import Random
 from time import process_time
 
+import trio
+from prometheus_client import CollectorRegistry
 from rich.console import Console
 from rich.table import Table as RichTable
 
 from lavendergap.coordination.membership import Membership
 from lavendergap.protocol.gossip import GossipCodec, Refused
-from lavendergap.state.gossip import DocumentsHeard, MemberChanged
-from lavendergap.state.member import DocumentsDigest, DocumentVersion, MemberState
+from lavendergap.state.gossip import DocumentsHeard, Event, MemberChanged
+from lavendergap.state.member import (
+    DocumentsDigest,
+    DocumentVersion,
+    Member,
+    MemberState,
+)
+from lavendergap.state.settings import Address, Control
+from lavendergap.transport.gossip import GossipMetrics, open_gossip, run_gossip
 
 from .fleet import Datagram, Fleet, Node, build_fleet, name_hosts
 
@@ -297,6 +306,58 @@
     return (middle - begin) / n_rounds * 1e6, (end - middle) / n_rounds * 1e6
 
 
+async def run_service(seconds: float) -> float:
+    """Return how many datagrams two real hosts send over the loopback address."""
+    endpoints = []
+    memberships = []
+    for number in (1, 2):
+        metrics = GossipMetrics(registry=CollectorRegistry())
+        endpoint = await open_gossip(
+            Address(ip="127.0.0.1", port=0), deployment="cedarlight", metrics=metrics
+        )
+        own = Member(
+            name=f"ptl-a-{number}",
+            data_centre="ptl-a",
+            peers=endpoint.address,
+            incarnation=1,
+        )
+        control = Control(probe_interval_ms=5, probe_timeout_ms=4)
+        memberships.append(Membership(own=own, control=control, random=Random(number)))
+        endpoints.append(endpoint)
+    memberships[1].join([endpoints[0].address])
+    with trio.move_on_after(seconds):
+        async with trio.open_nursery() as nursery:
+            for membership, endpoint in zip(memberships, endpoints, strict=True):
+                nursery.start_soon(
+                    partial(run_gossip, membership, endpoint, on_change=ignore)
+                )
+    n_sent = 0.0
+    for endpoint in endpoints:
+        for metric in endpoint.metrics.datagrams.collect():
+            n_sent += sum(
+                sample.value
+                for sample in metric.samples
+                if sample.name.endswith("_total")
+                and sample.labels["direction"] == "sent"
+            )
+        endpoint.close()
+    return n_sent
+
+
+def ignore(event: Event) -> None:
+    """Take an event and do nothing."""
+
+
+def measure_service() -> float:
+    """Return the processor microseconds of one datagram, sent and received.
+
+    All is counted: decisions, codec, metrics, the event loop and the kernel.
+    """
+    begin = process_time()
+    n_sent = trio.run(run_service, 5.0)
+    return (process_time() - begin) / n_sent * 1e6
+
+
 def main() -> None:
     """Measure each size and print a table, then one line of name=value."""
     sizes = tuple(int(size) for size in sys.argv[1:]) or SIZES
@@ -315,6 +376,7 @@
     pairs += [
         f"encode_us={encode_us:.1f}",
         f"decode_us={decode_us:.1f}",
+        f"service_us={measure_service():.0f}",
         f"memory_kb={memory:.0f}",
     ]
     print(" ".join(pairs))
--- a/src/lavendergap/transport/gossip.py
+++ b/src/lavendergap/transport/gossip.py
@@ -92,7 +92,6 @@
                 self.metrics.refused.labels("sent", reason).inc()
                 continue
             self._count("sent", send.message, encoded)
-        self.wake()
 
     async def receive(self) -> tuple[Message, Address]:
         """Wait for the next datagram that is a message."""
@@ -116,11 +115,18 @@
         """Have the timer loop look again at when it is due."""
         self._woken.set()
 
+    def rearm(self) -> None:
+        """Count only wakes from now on.
+
+        The timer loop calls this before it decides what is due. Were it woken by
+        its own sends, it would never rest and keep a core busy.
+        """
+        self._woken = trio.Event()
+
     async def wait_until(self, deadline: float, clock: Clock) -> None:
         """Wait for a time of `clock`, or less when something woke the loop."""
         with trio.move_on_after(max(0.0, deadline - clock())):
             await self._woken.wait()
-        self._woken = trio.Event()
 
     def _count(self, direction: str, message: Message, data: bytes) -> None:
         self.metrics.datagrams.labels(direction, type(message).__name__).inc()
@@ -171,6 +177,7 @@
         sends = membership.receive(message, sender=sender, now=clock())
         _report(membership, endpoint.metrics, on_change)
         await endpoint.send(sends)
+        endpoint.wake()
 
 
 async def _run_timer(
@@ -180,6 +187,7 @@
     clock: Clock,
 ) -> None:
     while True:
+        endpoint.rearm()
         sends = membership.advance(now=clock())
         _report(membership, endpoint.metrics, on_change)
         await endpoint.send(sends)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,6 +1,7 @@
 """The datagrams of the membership: the codec and the UDP service."""
 
 import logging
+from functools import partial
 from random import Random
 from socket import AF_INET, AF_INET6, inet_ntop, inet_pton
 
@@ -289,6 +290,32 @@
         first_line = caplog.records[0]
         assert "is live (was unknown), told by ptl-a-" in first_line.getMessage()
 
+    async def test_the_timer_rests_until_something_is_due(self, monkeypatch):
+        # Sending woke the timer loop, which sent nothing and woke itself again: a
+        # host at rest kept a whole core busy, and its queries were late.
+        n_advances = 0
+        advance = Membership.advance
+
+        def count_advance(self, *, now):
+            nonlocal n_advances
+            n_advances += 1
+            return advance(self, now=now)
+
+        monkeypatch.setattr(Membership, "advance", count_advance)
+        first, first_endpoint = await open_host(1)
+        second, second_endpoint = await open_host(2)
+        second.join([first.own.peers])
+        pings = second_endpoint.metrics.datagrams.labels("sent", "Ping")
+        async with trio.open_nursery() as nursery:
+            for host, endpoint in ((first, first_endpoint), (second, second_endpoint)):
+                run = partial(run_gossip, host, endpoint, on_change=lambda event: None)
+                nursery.start_soon(run)
+            await wait_for(lambda: pings._value.get() >= 10)
+            nursery.cancel_scope.cancel()
+        assert n_advances < 200
+        first_endpoint.close()
+        second_endpoint.close()
+
     async def test_garbage_is_counted_and_the_service_goes_on(self):
         # A port scanner and a host of an older format send to the peers' port.
         # An exception would end the loop, and the host would be held dead while
