Hedge a second time; count a cut attempt that took just the median

Cause: over 20 shards a query's tail is made by calls whose hedge straggles as well. A second hedge, after the delay once more and within the same budget, may go to any replica.

A cancelled attempt that had taken exactly the median was not counted, and with many of one length the delay stayed where it was. The test of the quantile failed with the old comparison.

--- a/src/lavendergap/coordination/progress.py
+++ b/src/lavendergap/coordination/progress.py
@@ -51,7 +51,7 @@
         "unknown",
         "refusal",
         "server",
-        "is_hedged",
+        "n_hedges",
         "is_waiting",
     )
 
@@ -66,7 +66,7 @@
         self.unknown: Unknown | None = None
         self.refusal: NotRun | None = None
         self.server = ""
-        self.is_hedged = False
+        self.n_hedges = 0
         self.is_waiting = False
 
     def note_failure(self, outcome: NotRun | Unknown, server: str) -> None:
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -34,6 +34,7 @@
 # whole group turns slow.
 HEDGE_BURST = 5.0
 SHORTEST_HEDGE_DELAY = 0.001
+MAX_HEDGES = 2
 # How many waiting calls that no free replica can take are passed over in one go, so
 # that a long queue for one version costs a bounded time at each event.
 MAX_PASSED_OVER = 8
@@ -280,14 +281,20 @@
 
     def _choose(self, progress: Progress, now: float) -> Choice:
         excluded = progress.excluded
+        tried = progress.tried
         if progress.attempts:
             running = {attempt.replica.server.name for attempt in progress.attempts}
-            excluded = excluded | running
+            # A first hedge on the same server would meet what holds up the call. When
+            # two servers are slow with it, the cause is with the attempts.
+            if len(progress.attempts) == 1:
+                excluded = excluded | running
+            else:
+                tried = tried | running
         return choose(
             self._replicas,
             version=progress.call.version,
             excluded=excluded,
-            tried=progress.tried,
+            tried=tried,
             typical=self._recent.mean or 0.0,
             now=now,
             dice=self.random,
@@ -342,7 +349,7 @@
             case Answered():
                 self._recent.add(ended.elapsed)
             case Unknown(reason=Reason.CANCELLED | Reason.DEADLINE):
-                if ended.elapsed > (self._recent.median or 0.0):
+                if ended.elapsed >= (self._recent.median or 0.0):
                     self._recent.add(ended.elapsed)
 
     def _settle(
@@ -420,11 +427,11 @@
 
     def _get_hedge_time(self, progress: Progress) -> float:
         delay = self._recent.delay
-        if delay is None or not progress.call.idempotent or progress.is_hedged:
+        if delay is None or not progress.call.idempotent:
             return NEVER
-        if self._hedges.share <= 0.0:
+        if progress.n_hedges >= MAX_HEDGES or self._hedges.share <= 0.0:
             return NEVER
-        return progress.attempts[0].started + max(SHORTEST_HEDGE_DELAY, delay)
+        return progress.attempts[-1].started + max(SHORTEST_HEDGE_DELAY, delay)
 
     def _look_after(
         self, progress: Progress, now: float, effects: list[Effect]
@@ -453,7 +460,7 @@
                 if not self._hedges.spend(now=now):
                     self._n_budget_denials += 1
                     return []
-                progress.is_hedged = True
+                progress.n_hedges += 1
                 self._n_hedges += 1
                 return [self._start(progress, chosen, "hedge", now)]
         return []
