--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -348,6 +348,34 @@
         assert fleet.run_until(lambda: believed(fleet, THIRD, MemberState.DEAD), 2.0)
 
 
+class TestReplacement:
+    def test_all_hosts_are_replaced_one_by_one(self):
+        # A release replaces each host by one of another name and address. Each
+        # newcomer is told of one host only, and in the end none of the first
+        # hosts is left whom anybody was configured to ask.
+        fleet = build_fleet(HOSTS, seed=21, loss=0.05)
+        for number, old in enumerate(HOSTS, 11):
+            membership = fleet.nodes[old].membership
+            fleet.send(old, membership.leave(now=fleet.now))
+            fleet.run(10.0)
+            fleet.send(old, membership.depart(now=fleet.now))
+            fleet.stop(old)
+            fleet.start(f"ptl-a-{number}", hints=[max(fleet.nodes)])
+            assert fleet.run_until(fleet.agree, 10.0)
+        assert not set(HOSTS) & set(fleet.nodes)
+
+    def test_a_host_that_can_only_hear_is_taken_back_when_it_can_speak(self):
+        # A filter drops all that one host sends. It hears that it is dead and
+        # refutes, unheard; once the filter is gone it must be taken back without
+        # a restart.
+        fleet = build_fleet(HOSTS, seed=22)
+        fleet.cut.update((THIRD, other) for other in HOSTS)
+        fleet.run(120.0)
+        assert believed(fleet, THIRD, MemberState.DEAD)
+        fleet.cut.clear()
+        assert fleet.run_until(fleet.agree, 15.0)
+
+
 class TestCutRegions:
     NAMES = name_hosts(30)
 
