Leave an edit open when a refusal follows a write that may have taken effect

Cause: a 4xx or 507 after a lost reply was told as "not written" although the first write may be in force. The test was seen failing before the change; 13 tests of the file pass.

--- a/src/lavendergap/commands/publishing.py
+++ b/src/lavendergap/commands/publishing.py
@@ -107,9 +107,7 @@
     publisher = _Publisher(client=client, proposal=proposal)
     with trio.move_on_after(limit_s):
         return await publisher.run()
-    if publisher.may_be_stored:
-        return Unresolved(reason=publisher.trouble)
-    return NotWritten(reason=publisher.trouble)
+    return publisher.give_up(publisher.trouble)
 
 
 class _Publisher:
@@ -139,13 +137,20 @@
                     return await self._resolve(version)
                 case Refused(status=status, message=message):
                     reason = f"the platform refuses it with {status}: {message}"
-                    return NotWritten(reason=reason)
+                    return self.give_up(reason)
                 case Unavailable():
                     # The same bytes under the same condition take effect at most
                     # once, so that trying again is safe and settles the matter.
                     self.may_be_stored = self.may_be_stored or outcome.sent
                     await self._pause(outcome)
 
+    def give_up(self, reason: str) -> NotWritten | Unresolved:
+        """Return what is known of the edit when nothing more can be done."""
+        # A refusal speaks of this write alone; one before it may be in force.
+        if self.may_be_stored:
+            return Unresolved(reason=reason)
+        return NotWritten(reason=reason)
+
     async def _read_base(self) -> SettingsObject | Publication:
         base = self.proposal.base
         while True:
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -227,6 +227,21 @@
         assert isinstance(never_sent, NotWritten)
         assert "server error" in never_sent.reason
 
+    async def test_a_refusal_after_a_lost_reply_leaves_it_open(self, clock):
+        # The first write takes effect, its reply is an error from in between. The
+        # second is refused outright, as by a platform that became full. To call the
+        # edit "not written" would be wrong: it is in force.
+        async with open_place() as (place, client):
+
+            def fail_then_refuse(reply):
+                place.on_write = lambda _: replace(reply, status=507, headers=())
+                return replace(reply, status=502, headers=())
+
+            place.on_write = fail_then_refuse
+            outcome = await publish(client, propose(0, slots=2), limit_s=LIMIT_S)
+            assert [edit.id for edit in place.read().edits] == ["ours"]
+        assert isinstance(outcome, Unresolved)
+
     async def test_a_history_that_ends_too_early_leaves_it_open(self, clock):
         async with open_place() as (place, client):
             place.store("{}")
