--- a/lab/policy.py
+++ b/lab/policy.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -35,9 +36,11 @@
 from lavendergap.state.settings import (
     Address,
     Control,
+    GiveUpStragglers,
     Group,
     Server,
     Service,
+    StragglerPolicy,
     WaitForCoverage,
 )
 from lavendergap.state.snapshot import Shard, Snapshot
@@ -198,6 +201,9 @@
         """Make a call; a refusal is tried once more on the next replica."""
         self._attempt(finish, n_left=2)
 
+    def cancel(self, call: Call) -> None:
+        """Do nothing: the naive caller just stops listening."""
+
     def _attempt(self, finish: Finish, n_left: int) -> None:
         server = self.servers[self.n_attempts % N_REPLICAS]
         self.n_attempts += 1
@@ -245,6 +251,10 @@
         self._finishes[call.call_id] = finish
         self._apply(self.scheduler.submit(call, now=self.clock.now))
 
+    def cancel(self, call: Call) -> None:
+        """Give up a call that nobody waits for any more."""
+        self._apply(self.scheduler.cancel(call.call_id, now=self.clock.now))
+
     def _apply(self, effects: list[Effect]) -> None:
         for effect in effects:
             match effect:
@@ -252,7 +262,7 @@
                     self._start(effect)
                 case CancelAttempt(attempt_id=attempt_id):
                     server, job = self._jobs[attempt_id]
-                    self._send(lambda s=server, j=job: s.cancel(j))  # type: ignore[misc]
+                    self._send(partial(server.cancel, job))
                 case FinishCall(call=call, outcome=outcome):
                     self._finishes.pop(call.call_id)(outcome)
         self._set_alarm()
@@ -338,6 +348,7 @@
     naive_queue: int = SERVER_QUEUE
     hedge_budget: float = 0.05
     newest_first: bool = False
+    policy: StragglerPolicy = field(default_factory=WaitForCoverage)
     seed: int = 1
 
 
@@ -348,6 +359,7 @@
     plan: Plan
     call_times: list[float] = field(default_factory=list)
     query_times: list[float] = field(default_factory=list)
+    shares: list[float] = field(default_factory=list)
     n_good_calls: int = 0
     n_whole: int = 0
     n_mostly: int = 0
@@ -410,6 +422,51 @@
     )
 
 
+class QueryRun:
+    """One query: its calls, the join of their answers, and when it was over."""
+
+    def __init__(
+        self, *, serial: int, clock: Clock, join: Join, result: "Result"
+    ) -> None:
+        self.serial = serial
+        self.clock = clock
+        self.join = join
+        self.result = result
+        self.calls: dict[str, tuple[NaiveGroup | OwnedGroup, Call]] = {}
+        self._is_over = False
+
+    def take(self, shard: str, outcome: Outcome) -> None:
+        """Take the outcome of one call; it counts for the calls in any case."""
+        elapsed = self.clock.now - self.join.started
+        if isinstance(outcome, Answered):
+            self.result.n_good_calls += elapsed <= DEADLINE
+            if self.serial >= N_WARM_UP:
+                self.result.call_times.append(elapsed)
+        self.join.add(shard, outcome, "", now=self.clock.now)
+        self.check()
+
+    def check(self) -> None:
+        """Conclude if the join is done, else look again when it asks for it."""
+        self.join.advance(now=self.clock.now)
+        wake = self.join.next_wake()
+        if wake is not None:
+            self.clock.at(wake, self.check)
+        elif not self._is_over:
+            self._is_over = True
+            self._conclude()
+
+    def _conclude(self) -> None:
+        share = self.join.coverage().share
+        self.result.n_whole += share >= 1.0 - 1e-9
+        self.result.n_mostly += share >= 0.95 - 1e-9
+        if self.serial >= N_WARM_UP:
+            self.result.query_times.append(self.clock.now - self.join.started)
+            self.result.shares.append(share)
+        for shard in self.join.give_up():
+            group, call = self.calls[shard]
+            group.cancel(call)
+
+
 def run_plan(plan: Plan) -> Result:
     """Run one plan: queries come at random times, each asks every group."""
     clock = Clock()
@@ -428,33 +485,14 @@
     call_ids = count(1)
 
     def start_query(serial: int) -> None:
-        started = clock.now
+        deadline = clock.now + DEADLINE
         join = Join(
             snapshot=snapshot,
-            policy=WaitForCoverage(),
-            started=started,
-            deadline=started + DEADLINE,
+            policy=plan.policy,
+            started=clock.now,
+            deadline=deadline,
         )
-
-        def take(name: str, outcome: Outcome) -> None:
-            elapsed = clock.now - started
-            if isinstance(outcome, Answered):
-                if serial >= N_WARM_UP:
-                    result.call_times.append(elapsed)
-                result.n_good_calls += elapsed <= DEADLINE
-            if elapsed > DEADLINE:
-                join.advance(now=clock.now)
-            was_done = join.is_done
-            join.add(name, outcome, "", now=clock.now)
-            if join.is_done and not was_done and serial >= N_WARM_UP:
-                result.query_times.append(elapsed)
-
-        def conclude() -> None:
-            share = join.coverage().share
-            result.n_whole += share >= 1.0 - 1e-9
-            result.n_mostly += share >= 0.95 - 1e-9
-
-        clock.at(started + DEADLINE, conclude)
+        run = QueryRun(serial=serial, clock=clock, join=join, result=result)
         for name, group in zip(names, groups, strict=True):
             call = Call(
                 call_id=next(call_ids),
@@ -463,16 +501,18 @@
                 group="scheduler-00",
                 shard=name,
                 version=1,
-                deadline=started + DEADLINE,
+                deadline=deadline,
                 body=b"{}",
                 idempotent=True,
             )
-            group.submit(call, lambda outcome, n=name: take(n, outcome))  # type: ignore[misc]
+            run.calls[name] = (group, call)
+            group.submit(call, partial(run.take, name))
+        run.check()
 
     time = 0.0
     for serial in range(plan.n_queries):
         time += dice.expovariate(result.capacity * plan.load)
-        clock.at(time, lambda serial=serial: start_query(serial))  # type: ignore[misc]
+        clock.at(time, partial(start_query, serial))
     result.span = time
     clock.run()
     result.n_attempts = sum(group.n_attempts for group in groups)
@@ -523,6 +563,39 @@
     }
 
 
+def try_stragglers(n_queries: int) -> dict[str, float]:
+    """Compare the two policies towards stragglers, with and without hedges."""
+    plan = Plan(
+        name="wait, no hedges",
+        durations=Durations(straggle_every=50),
+        load=0.3,
+        n_queries=n_queries,
+        hedge_budget=0.0,
+    )
+    prompt = GiveUpStragglers(min_share=0.95, patience=2.0)
+    plans = [
+        plan,
+        replace(plan, name="give up, no hedges", policy=prompt),
+        replace(plan, name="wait, hedges", hedge_budget=0.05),
+        replace(plan, name="give up, hedges", hedge_budget=0.05, policy=prompt),
+    ]
+    click.echo("Stragglers: give up at a share of 0.95 and twice the median; load 0.3")
+    click.echo(f"{'':24}{'query p50':>11}{'p99':>8}{'whole':>8}{'mean share':>12}")
+    figures = {}
+    for r in [run_plan(p) for p in plans]:
+        n_whole = sum(share >= 1.0 - 1e-9 for share in r.shares)
+        click.echo(
+            f"{r.plan.name:24}"
+            f"{get_quantile(r.query_times, 0.5):11.1f}"
+            f"{get_quantile(r.query_times, 0.99):8.1f}"
+            f"{n_whole / len(r.shares):8.3f}"
+            f"{statistics.fmean(r.shares):12.4f}"
+        )
+        name = r.plan.name.replace(", ", "_").replace(" ", "_")
+        figures[f"{name}_whole"] = n_whole / len(r.shares)
+    return figures
+
+
 def try_overload(n_queries: int) -> dict[str, float]:
     """Compare what is answered in time at twice the capacity."""
     plan = Plan(
@@ -610,6 +683,8 @@
     """Run the trials and print their tables."""
     figures = try_tail(queries)
     click.echo("")
+    figures |= try_stragglers(queries)
+    click.echo("")
     figures |= try_overload(queries)
     click.echo("")
     figures |= try_cost(10_000)
