Tidy up also when a program of the lab is told twice to end

Cause: `timeout` sends SIGTERM to the program and again to its group. The listener went before the processes were ended, so the second signal ended the program half-way and left its processes and directory behind. Seen failing: with the listener stopped first, the test finds the stubborn process alive; now it passes.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -26,6 +26,7 @@
 from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -404,11 +405,11 @@
         arguments = ["entry", "--settings", str(deployment.settings), "--host", host]
         return await self.start("lavendergap", [*arguments, *options], name=host)
 
-    async def stop_all(self) -> None:
+    async def stop_all(self, *, limit_s: float = STOP_S) -> None:
         """End every process that is still there, paused ones too."""
         async with trio.open_nursery() as nursery:
             for running in self.running:
-                nursery.start_soon(running.stop)
+                nursery.start_soon(partial(running.stop, limit_s=limit_s))
 
 
 def find_free_address() -> str:
@@ -418,11 +419,14 @@
 
 
 @asynccontextmanager
-async def open_processes(*, directory: Path | None = None) -> AsyncIterator[Processes]:
+async def open_processes(
+    *, directory: Path | None = None, stop_s: float = STOP_S
+) -> AsyncIterator[Processes]:
     """Yield a `Processes`; whatever it started has ended when the block is left.
 
     That holds for errors, cancellation, Ctrl-C, SIGTERM and SIGHUP too. Output goes
-    to `directory`, or to a temporary one that is removed at the end.
+    to `directory`, or to a temporary one that is removed at the end. A process that
+    has not ended `stop_s` seconds after SIGTERM is killed.
     """
     with _make_directory(directory) as place:
         processes = Processes(directory=place)
@@ -434,9 +438,11 @@
             with body:
                 yield processes
         finally:
-            listener.stop()
+            # The listener stays until the processes are gone: `timeout` sends SIGTERM
+            # twice, and the second one would otherwise end this program half-way.
             with trio.CancelScope(shield=True):
-                await processes.stop_all()
+                await processes.stop_all(limit_s=stop_s)
+            listener.stop()
         if listener.received is not None:
             raise SystemExit(SIGNAL_EXIT_BASE + listener.received)
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 import trio
@@ -35,8 +36,8 @@
 import sys, trio
 from lab.processes import open_processes
 async def main():
-    async with open_processes() as processes:
-        running = await processes.start("sleeper")
+    async with open_processes(stop_s=0.5) as processes:
+        running = await processes.start("stubborn")
         print(running.pid, processes.directory, flush=True)
         await trio.sleep_forever()
 trio.run(main)
@@ -109,7 +110,8 @@
     def test_terminated_harness(self, environment):
         # Whoever runs an experiment ends it with SIGTERM (a shell's timeout, CI).
         # The default action would end the harness at once, and its processes
-        # would hold their ports on the machine for good.
+        # would hold their ports on the machine for good. `timeout` sends the signal
+        # twice; the second one comes while the harness tidies up.
         harness = subprocess.Popen(
             [sys.executable, "-c", HARNESS],
             env={**os.environ, **environment},
@@ -120,6 +122,8 @@
             assert harness.stdout is not None
             pid, directory = harness.stdout.readline().split()
             harness.terminate()
+            time.sleep(0.1)
+            harness.terminate()
             assert harness.wait() == 128 + signal.SIGTERM
         assert is_gone(int(pid))
         assert not os.path.exists(directory)
