Bring a leaving server no hedges; prove draining, silence and slots at the owner

Cause: a new test over real connections saw a draining server get work for as long as it drained. A hedge leaves out the server that is busy with the call; of two replicas only the draining one remained, which was taken for "all are said to drain" and the choice failed open. Ruled out: the health probe (it said draining each second) and lost state. Failing open now asks whether every replica drains, those left out too.

--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -52,17 +52,15 @@
     that could serve, all of them are candidates again: the fault may be on this
     host's side, and an attempt tells more than waiting does. `why` then says so.
     """
-    serving = [
-        r
-        for r in replicas
-        if (version in r.versions or r.may_serve(version))
-        and r.server.name not in excluded
-    ]
+    able = [r for r in replicas if version in r.versions or r.may_serve(version)]
+    serving = [r for r in able if r.server.name not in excluded]
     possible = [r for r in serving if r.state != "draining"]
     note = ""
-    if not possible:
+    if not possible and all(r.state == "draining" for r in able):
         # A health endpoint that wrongly says "draining" on every replica would empty
         # the group. A server that truly drains refuses, and its answer settles it.
+        # On every replica, those left out for this attempt too: a hedge would else
+        # bring work to the one server that leaves.
         possible = [r for r in serving if not r.state_from_answer]
         note = " (all said to drain: failing open)"
     if not possible:
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,158 @@
+"""The owner of a group over real connections to backend servers of the stand-in."""
+
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from random import Random
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from lab.processes import find_free_ports
+from lavendergap.coordination.calls import Call, FinishCall
+from lavendergap.entry.owner import Owner, Wanted
+from lavendergap.state.outcome import Answered, Outcome
+from lavendergap.state.settings import Group, Settings, WaitForCoverage
+from standins.backend import BackendServer
+from standins.faults import BackendFaults, change_faults
+from tests.nodes import build_settings
+
+N_SERVERS = 2
+QUEUE_LIMIT = 4
+
+
+@pytest.fixture
+def clock():
+    """Jump only after a real pause, since the bytes go through the kernel."""
+    return MockClock(autojump_threshold=0.01)
+
+
+class Bench:
+    """One group with its backend servers, and the owner that calls them."""
+
+    def __init__(
+        self, *, settings: Settings, servers: list[BackendServer], owner: Owner
+    ) -> None:
+        self.settings = settings
+        self.servers = servers
+        self.owner = owner
+
+    def set_faults(self, place: int, **change: object) -> None:
+        """Change the faults of one server."""
+        server = self.servers[place]
+        server.set_faults(change_faults(server.faults, change))
+
+    async def call(self, *, limit: float = 0.5) -> Outcome:
+        """Make one call to the group and return its outcome."""
+        ended: list[FinishCall] = []
+        done = trio.Event()
+
+        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+            ended.append(end)
+            done.set()
+
+        service = self.settings.services[0]
+        call = Call(
+            call_id=self.owner.make_call_id(),
+            request_id="r",
+            service=service.name,
+            group=service.groups[0].name,
+            shard="s00",
+            version=1,
+            deadline=trio.current_time() + limit,
+            body=b"{}",
+            idempotent=True,
+        )
+        self.owner.submit([Wanted(call=call, finish=finish)])
+        await done.wait()
+        return ended[0].outcome
+
+    async def call_all(self, n_calls: int, *, every: float = 0.02) -> int:
+        """Make calls one after the other; return how many were answered."""
+        n_answered = 0
+        for _ in range(n_calls):
+            n_answered += isinstance(await self.call(), Answered)
+            await trio.sleep(every)
+        return n_answered
+
+
+@asynccontextmanager
+async def open_bench():
+    ports = find_free_ports(N_SERVERS)
+    settings = build_settings(n_hosts=1, n_groups=1, stragglers=WaitForCoverage())
+    [group] = settings.services[0].groups
+    servers = tuple(
+        replace(server, address=replace(server.address, port=port))
+        for server, port in zip(group.servers, ports, strict=True)
+    )
+    service = replace(
+        settings.services[0], groups=(Group(name=group.name, servers=servers),)
+    )
+    settings = replace(settings, services=(service,))
+    async with trio.open_nursery() as nursery:
+        backends = [
+            BackendServer(
+                server=server, faults=BackendFaults(), queue_limit=QUEUE_LIMIT
+            )
+            for server in servers
+        ]
+        for backend in backends:
+            await nursery.start(backend.run)
+        owner = Owner(
+            settings=settings, nursery=nursery, random=Random(5), attempt_prefix="t"
+        )
+        yield Bench(settings=settings, servers=backends, owner=owner)
+        nursery.cancel_scope.cancel()
+
+
+class TestDraining:
+    @pytest.mark.parametrize("health", ["draining", "serving"])
+    async def test_leaving_server_gets_no_new_work(self, health, clock):
+        # A backend server begins to drain. Its health endpoint says so, or lies
+        # that all is well. Its own refusals are believed either way: every call is
+        # answered by the other replica, and after a few seconds it sees none.
+        async with open_bench() as bench:
+            assert await bench.call_all(20) == 20
+            bench.set_faults(0, state="draining", health_says=health)
+            assert await bench.call_all(150) == 150
+            received = bench.servers[0].counts.received
+            assert await bench.call_all(100) == 100
+            assert bench.servers[0].counts.received - received <= 2
+
+    async def test_server_that_returns_is_used_again(self, clock):
+        # The drain was called off. Once its answers or its health say "serving"
+        # again, the server gets its part of the work.
+        async with open_bench() as bench:
+            bench.set_faults(0, state="draining")
+            await bench.call_all(50)
+            bench.set_faults(0, state="serving")
+            await trio.sleep(10.0)
+            answered = bench.servers[0].counts.answered
+            await bench.call_all(200)
+            assert bench.servers[0].counts.answered - answered > 20
+
+
+class TestSilence:
+    async def test_silent_connections_cost_no_answer(self, clock):
+        # Something between the owner and its servers lost track of all their open
+        # connections. Each read that is caught on one is answered within its
+        # deadline over a fresh connection.
+        async with open_bench() as bench:
+            assert await bench.call_all(20) == 20
+            for place in range(N_SERVERS):
+                bench.set_faults(place, silence=True)
+            assert await bench.call_all(20) == 20
+
+
+class TestSlots:
+    async def test_a_burst_never_exceeds_slots_or_connections(self, clock):
+        # Forty callers at once, two servers of two slots. The owner queues what
+        # does not fit; the servers never see more than their slots at once.
+        async with open_bench() as bench:
+            async with trio.open_nursery() as nursery:
+                for _ in range(40):
+                    nursery.start_soon(bench.call)
+            for backend in bench.servers:
+                assert backend.counts.max_in_use <= 2
+                assert backend.counts.max_queued == 0
+                assert backend.counts.max_connections <= 4
