--- /dev/null
+++ b/lab/parts.py
@@ -0,0 +1,397 @@
+"""Measures single parts of a host by size; `python -m lab.parts`.
+
+Each part is measured at three sizes or more, so that `docs/CAPACITY.md` can work out
+the size of two years from a line through the points. Processor time is the least of
+several runs in this one process; memory is what tracemalloc counts. A hop goes over a
+loopback socket whose two ends are both in this process, so that its figure is what
+the two hosts spend together.
+"""
+
+import subprocess
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
+
+import trio
+from rich.table import Table
+
+from lavendergap.coordination.issuer import Issuer
+from lavendergap.coordination.joining import Join
+from lavendergap.coordination.ranking import Ranking
+from lavendergap.coordination.witness import Witness
+from lavendergap.protocol.peer import (
+    LENGTH,
+    Answers,
+    Frame,
+    Hello,
+    Message,
+    Search,
+    ShardAnswer,
+    ShardRef,
+    decode_frame,
+    encode_frame,
+)
+from lavendergap.protocol.resolved import decode_settings, encode_settings
+from lavendergap.state.outcome import Answered
+from lavendergap.state.settings import Address, WaitForCoverage
+from lavendergap.state.snapshot import Shard, Snapshot
+from lavendergap.state.ticket import Ack, Peer, Ticket, parse_ticket
+from lavendergap.state.tree import parse_settings
+from lavendergap.transport.channel import Acceptor, Channel, Dialer, Exchange
+
+from .figures import make_figures, report
+from .reading import make_text
+
+N_HOSTS = 550
+N_GROUPS = 3_000
+ANSWER = b'{"hits": [' + b",".join([b'"item-0001"'] * 25) + b"]}"
+QUERY = b'{"query": "service alert"}'
+SHARDS_A_MESSAGE = (1, 5, 20, 85)
+SERVERS = (600, 3_000, 6_000)
+TICKETS = (5_000, 10_000, 20_000)
+KEYS = (500, 1_500, 3_000)
+HOSTS = (50, 200, 550)
+SHARDS_A_QUERY = (20, 85, 200)
+N_RUNS = 7
+N_HOPS = 320
+TOGETHER = (1, 4, 16, 64)
+MICRO = 1e6
+
+Points = dict[int, float]
+
+
+def measure_points(
+    functions: dict[int, Callable[[], object]], *, n_rounds: int = 1
+) -> Points:
+    """Return the least processor microseconds of a call to each function.
+
+    The functions take turns, so that a machine that is slow for a while is slow for
+    each point of a line and not for one of them.
+    """
+    taken: Points = {}
+    for _ in range(N_RUNS):
+        for x, function in functions.items():
+            began = time.process_time()
+            for _ in range(n_rounds):
+                function()
+            spent = (time.process_time() - began) / n_rounds * MICRO
+            taken[x] = min(spent, taken.get(x, spent))
+    return taken
+
+
+def measure_bytes(make: Callable[[], object]) -> float:
+    """Return the bytes that what `make` returns holds."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    held = make()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return after - before
+
+
+def make_search(n_shards: int) -> Search:
+    """Return the message that asks an owner for some shards of a query."""
+    return Search(
+        request_id="0123456789abcdef",
+        service="scheduler",
+        version=7,
+        left_ms=280,
+        body=QUERY,
+        shards=tuple(
+            ShardRef(shard=f"s{n:04}", group=f"scheduler-{n:04}")
+            for n in range(n_shards)
+        ),
+    )
+
+
+def make_answers(n_shards: int) -> Answers:
+    """Return the message in which an owner answers them all."""
+    return Answers(
+        answers=tuple(
+            ShardAnswer(
+                shard=f"s{n:04}",
+                server=f"scheduler-{n:04}-a",
+                outcome=Answered(body=ANSWER),
+                versions=(6, 7),
+            )
+            for n in range(n_shards)
+        )
+    )
+
+
+def pass_through_codec(message: Message) -> None:
+    """Encode and decode one message, as its sender and its receiver do."""
+    decode_frame(encode_frame(Frame(id=1, message=message))[LENGTH.size :])
+
+
+def measure_codec(make: Callable[[int], Message]) -> Points:
+    """Return the microseconds of a message's codec by its shards."""
+    return measure_points(
+        {n: partial(pass_through_codec, make(n)) for n in SHARDS_A_MESSAGE},
+        n_rounds=100,
+    )
+
+
+def measure_lengths(make: Callable[[int], Message]) -> Points:
+    """Return the bytes of a message's frame by its shards, without TCP and IP."""
+    return {
+        n: float(len(encode_frame(Frame(id=1, message=make(n)))))
+        for n in SHARDS_A_MESSAGE
+    }
+
+
+async def measure_hops() -> dict[str, Points]:
+    """Return the microseconds that one question and its answer cost both hosts.
+
+    The codec, the framing, the loop and the kernel's part are in it. By shards,
+    questions go one after the other, so that nothing is sent together with something
+    else; the other points are for questions of one shard, several at a time.
+    """
+    hello = Hello(deployment="lab", host="ptl-a-1", incarnation=1)
+    replies = {n: make_answers(n) for n in SHARDS_A_MESSAGE}
+
+    def answer(channel: Channel, frame: Frame) -> None:
+        assert isinstance(frame.message, Search)
+        reply = replies[len(frame.message.shards)]
+        channel.send(Frame(id=frame.id, message=reply))
+
+    by_shards: Points = {}
+    together: Points = {}
+    async with trio.open_nursery() as nursery:
+        acceptor = Acceptor(own=hello, handle=answer, lose=lambda channel: None)
+        listeners = await nursery.start(
+            partial(trio.serve_tcp, acceptor.serve_stream, 0, host="127.0.0.1")
+        )
+        ip, port = listeners[0].socket.getsockname()
+        dialer = Dialer(own=hello, nursery=nursery)
+        channel = await dialer.dial("ptl-a-1", Address(ip=ip, port=port))
+        assert isinstance(channel, Channel)
+        for _ in range(N_RUNS):
+            for n in SHARDS_A_MESSAGE:
+                spent = await measure_hop(channel, make_search(n), n_together=1)
+                by_shards[n] = min(spent, by_shards.get(n, spent))
+            for n in TOGETHER:
+                spent = await measure_hop(channel, make_search(1), n_together=n)
+                together[n] = min(spent, together.get(n, spent))
+        nursery.cancel_scope.cancel()
+    return {"hop_us": by_shards, "hop_together_us": together}
+
+
+async def measure_hop(channel: Channel, search: Search, *, n_together: int) -> float:
+    """Return the microseconds of one question and its answer."""
+    began = time.process_time()
+    for _ in range(N_HOPS // n_together):
+        await ask_together(channel, search, n_together)
+    return (time.process_time() - began) / N_HOPS * MICRO
+
+
+async def ask_together(channel: Channel, search: Search, n_questions: int) -> None:
+    """Ask several questions in one turn of the loop and wait for every answer."""
+    n_open = n_questions
+    is_answered = trio.Event()
+
+    def take(message: Message) -> None:
+        nonlocal n_open
+        n_open -= 1
+        if n_open == 0:
+            is_answered.set()
+
+    exchange = Exchange(reply=take, lose=lambda loss: None)
+    request_ids = [channel.request(search, exchange) for _ in range(n_questions)]
+    await is_answered.wait()
+    for request_id in request_ids:
+        channel.forget(request_id)
+
+
+def name_hosts(n_hosts: int) -> frozenset[str]:
+    """Return the names of a fleet in ten data centres."""
+    return frozenset(f"dc-{n % 10}-{n // 10}" for n in range(n_hosts))
+
+
+def make_ranking(n_hosts: int, n_keys: int) -> Ranking:
+    """Return a ranking that has been asked for each key."""
+    ranking = Ranking(hosts=name_hosts(n_hosts))
+    for n in range(n_keys):
+        ranking.rank(f"scheduler-{n:04}")
+    return ranking
+
+
+def measure_joins(sizes: Iterator[tuple[int, int, int]]) -> Points:
+    """Return the microseconds to carry a ranking over one host that joined.
+
+    Each size is the number that names the point, the hosts and the keys.
+    """
+    functions: dict[int, Callable[[], object]] = {}
+    for name, n_hosts, n_keys in sizes:
+        ranking = make_ranking(n_hosts, n_keys)
+        joined = ranking.hosts | {"dc-9-999"}
+        functions[name] = partial(ranking.replace_hosts, joined)
+    return measure_points(functions)
+
+
+def join_answers(n_shards: int) -> None:
+    """Join the answers to one query of some shards."""
+    shards = tuple(
+        Shard(name=f"s{n:04}", group=f"scheduler-{n:04}", share=1 / n_shards)
+        for n in range(n_shards)
+    )
+    join = Join(
+        snapshot=Snapshot(service="scheduler", version=7, shards=shards),
+        policy=WaitForCoverage(),
+        started=0.0,
+        deadline=0.28,
+    )
+    outcome = Answered(body=ANSWER)
+    for n, shard in enumerate(shards):
+        join.add(shard.name, outcome, f"{shard.group}-a", now=n * 1e-4)
+    assert join.coverage().share > 0.99
+
+
+class Bookings:
+    """An issuer and a witness that take tickets through their whole life."""
+
+    def __init__(self, n_tickets: int) -> None:
+        own = Peer(host="ptl-a-1", incarnation=7)
+        other = Peer(host="sea-a-1", incarnation=9)
+        self.issuer = Issuer(
+            peer=own,
+            secret=b"k" * 32,
+            max_tickets=n_tickets,
+            ticket_lifetime_ms=600_000,
+        )
+        self.witness = Witness(
+            peer=other, max_tickets=n_tickets, ticket_lifetime_ms=600_000
+        )
+        self.witness.open(self.issuer.open(other), now=0.0)
+        self.issuer.confirm_open(other)
+        self._witness_peer = other
+
+    def issue(self) -> Ticket:
+        """Issue one ticket."""
+        ticket = self.issuer.issue(
+            service="sponsor-ledger", witness=self._witness_peer, now=1.0
+        )
+        assert isinstance(ticket, Ticket)
+        return ticket
+
+    def run_at_issuer(self, n_tickets: int) -> Iterator[str]:
+        """Take tickets through the issuer; yield the text of each."""
+        for _ in range(n_tickets):
+            ticket = self.issue()
+            self.issuer.begin(ticket, body=QUERY, now=1.0)
+            self.issuer.record(ticket, Ack())
+            self.issuer.end(ticket, Answered(body=b"{}"))
+            self.issuer.confirm(ticket)
+            yield str(ticket)
+
+    def run_at_witness(self, texts: Iterable[str]) -> None:
+        """Take tickets through the witness, which reads them from their text."""
+        for text in texts:
+            self.witness.start(read_ticket(text), now=1.0)
+            self.witness.end(read_ticket(text), Answered(body=b"{}"), now=1.0)
+
+
+def read_ticket(text: str) -> Ticket:
+    """Return the ticket in its text."""
+    ticket = parse_ticket(text)
+    assert isinstance(ticket, Ticket)
+    return ticket
+
+
+def measure_tickets() -> dict[str, Points]:
+    """Return the time and the bytes of tickets, by how many are held."""
+    texts = {n: list(Bookings(n).run_at_issuer(n)) for n in TICKETS}
+    issuer_bytes: Points = {}
+    witness_bytes: Points = {}
+    for n in TICKETS:
+        bookings = Bookings(n)
+        issuer_bytes[n] = measure_bytes(partial(run_at_issuer, n, bookings))
+        witness_bytes[n] = measure_bytes(partial(bookings.run_at_witness, texts[n]))
+    return {
+        "issuer_us": measure_points({n: partial(run_at_issuer, n) for n in TICKETS}),
+        "witness_us": measure_points(
+            {n: partial(run_at_witness, texts[n]) for n in TICKETS}
+        ),
+        "issuer_bytes": issuer_bytes,
+        "witness_bytes": witness_bytes,
+    }
+
+
+def run_at_issuer(n_tickets: int, bookings: Bookings | None = None) -> None:
+    """Take tickets through an issuer, a new one if none is given; keep no text."""
+    bookings = bookings or Bookings(n_tickets)
+    for _ in bookings.run_at_issuer(n_tickets):
+        pass
+
+
+def run_at_witness(texts: list[str]) -> None:
+    """Take tickets through a new witness."""
+    Bookings(len(texts)).run_at_witness(texts)
+
+
+def measure_settings() -> dict[str, Points]:
+    """Return what settings cost a host, by their backend servers, with 550 hosts."""
+    bodies = {
+        n: encode_settings(parse_settings(make_text(n), file="large", version=1))
+        for n in SERVERS
+    }
+    decoders = {n: partial(decode_settings, body) for n, body in bodies.items()}
+    return {
+        "decode_us": measure_points(dict(decoders)),
+        "resolved_bytes": {n: len(body) for n, body in bodies.items()},
+        "tree_bytes": {n: measure_bytes(decode) for n, decode in decoders.items()},
+    }
+
+
+def measure_resident_kb(code: str) -> float:
+    """Return the kilobytes resident of a Python that ran one line."""
+    show = (
+        "print(next(l.split()[1] for l in open('/proc/self/status') if 'VmRSS' in l))"
+    )
+    shown = subprocess.run(
+        [sys.executable, "-c", f"{code}\n{show}"],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    return float(shown.stdout)
+
+
+def measure_all() -> dict[str, Points]:
+    """Return the points of every part."""
+    parts = {
+        "search_codec_us": measure_codec(make_search),
+        "answers_codec_us": measure_codec(make_answers),
+        "search_bytes": measure_lengths(make_search),
+        "answers_bytes": measure_lengths(make_answers),
+        "rank_join_by_groups_us": measure_joins((n, N_HOSTS, n) for n in KEYS),
+        "rank_join_by_hosts_us": measure_joins((n, n, N_GROUPS) for n in HOSTS),
+        "rank_bytes": {
+            n: measure_bytes(partial(make_ranking, N_HOSTS, n)) for n in KEYS
+        },
+        "join_us": measure_points(
+            {n: partial(join_answers, n) for n in SHARDS_A_QUERY}, n_rounds=50
+        ),
+    }
+    return parts | trio.run(measure_hops) | measure_tickets() | measure_settings()
+
+
+def main() -> None:
+    """Measure, print the points, and save them."""
+    parts = measure_all()
+    table = Table("part", "points", title="parts of a host by size")
+    figures: dict[str, float] = {}
+    for name, points in parts.items():
+        table.add_row(name, "  ".join(f"{x}: {y:.4g}" for x, y in points.items()))
+        figures |= {f"{name}_at_{x}": y for x, y in points.items()}
+    figures["python_kb"] = measure_resident_kb("pass")
+    figures["imports_kb"] = measure_resident_kb("import lavendergap.entry.daemon")
+    conditions = {"answer_bytes": len(ANSWER), "hosts": N_HOSTS}
+    report(make_figures("parts", figures, conditions=conditions), table)
+
+
+if __name__ == "__main__":
+    main()
