--- a/src/lavendergap/protocol/leaf.py
+++ b/src/lavendergap/protocol/leaf.py
@@ -14,6 +14,9 @@
 Headers = list[tuple[bytes, bytes]]
 
 DEFAULT_RETRY_AFTER_MS = 1_000
+LONGEST_RETRY_AFTER_MS = 3_600_000
+# What fits into the messages between peers; a server that names more is not believed.
+MAX_VERSION = 2**63 - 1
 STATES: dict[bytes, ServerState] = {
     b"serving": "serving",
     b"starting": "starting",
@@ -24,10 +27,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reply:
-    """One whole HTTP answer of a backend server, as it came."""
+    """One whole HTTP answer of a backend server; names of headers in lower case."""
 
     status: int
-    headers: Headers
+    headers: dict[bytes, bytes]
     body: bytes
 
 
@@ -57,28 +60,19 @@
 
 def judge_reply(reply: Reply, call: Call, *, attempt: bytes, server: str) -> Verdict:
     """Return what the reply proves; nothing is assumed beyond what it states."""
-    fields = {name.lower(): value for name, value in reply.headers}
-    report = read_report(fields)
     if reply.status == 200:
-        return Verdict(
-            outcome=_check_answer(reply, fields, call, attempt=attempt, server=server),
-            report=report,
-        )
-    return Verdict(outcome=_read_refusal(reply, fields, server=server), report=report)
+        outcome = _check_answer(reply, call, attempt=attempt, server=server)
+    else:
+        outcome = _read_refusal(reply, server=server)
+    return Verdict(outcome=outcome, report=read_report(reply.headers))
 
 
-def _check_answer(
-    reply: Reply,
-    fields: dict[bytes, bytes],
-    call: Call,
-    *,
-    attempt: bytes,
-    server: str,
-) -> Outcome:
+def _check_answer(reply: Reply, call: Call, *, attempt: bytes, server: str) -> Outcome:
     # Connections are reused and servers err: an answer may belong to another
     # attempt, shard or index version. Taken at its word it would be a wrong
     # result that looks right, so each must be stated and must match.
     wrong = Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
+    fields = reply.headers
     if fields.get(b"attempt") != attempt:
         return wrong
     if call.idempotent:
@@ -93,7 +87,8 @@
     return Answered(body=reply.body)
 
 
-def _read_refusal(reply: Reply, fields: dict[bytes, bytes], *, server: str) -> Outcome:
+def _read_refusal(reply: Reply, *, server: str) -> Outcome:
+    fields = reply.headers
     if fields.get(b"outcome") != b"not-run":
         return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.SERVER_ERROR)
     reason = Reason.SHED
@@ -113,9 +108,14 @@
 
 def _read_retry_after(fields: dict[bytes, bytes]) -> int:
     try:
-        return int(float(fields.get(b"retry-after", b"")) * 1_000)
+        after = float(fields.get(b"retry-after", b"")) * 1_000
     except ValueError:
         return DEFAULT_RETRY_AFTER_MS
+    # A server may send "inf" or a number that no peer's message can carry, and the
+    # error would end the whole process for one bad header.
+    if not 0 <= after <= LONGEST_RETRY_AFTER_MS:
+        return DEFAULT_RETRY_AFTER_MS
+    return int(after)
 
 
 def read_report(fields: dict[bytes, bytes]) -> ServerReport | None:
@@ -127,13 +127,21 @@
     """
     try:
         in_use, slots, queued = fields[b"load"].split(b"/")
-        versions = fields.get(b"index-versions", b"")
+        versions = _read_versions(fields.get(b"index-versions", b""))
         return ServerReport(
             in_use=int(in_use),
             slots=int(slots),
             queued=int(queued),
             state=STATES[fields.get(b"server-state", b"serving")],
-            versions=tuple(int(v) for v in versions.split(b",") if v.strip()),
+            versions=versions,
         )
     except (KeyError, ValueError):
         return None
+
+
+def _read_versions(text: bytes) -> tuple[int, ...]:
+    versions = tuple([int(v) for v in text.split(b",") if v.strip()])
+    for version in versions:
+        if not 0 <= version <= MAX_VERSION:
+            raise ValueError(version)
+    return versions
--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -7,6 +7,7 @@
 
 from collections.abc import AsyncIterable
 from dataclasses import dataclass
+from typing import Annotated
 
 import httpcore
 import msgspec
@@ -15,7 +16,14 @@
 from .. import metrics
 from ..coordination.calls import Call, ServerReport, ServerState
 from ..logs import Category, get_logger, log_decision
-from ..protocol.leaf import Headers, Reply, Verdict, build_headers, judge_reply
+from ..protocol.leaf import (
+    MAX_VERSION,
+    Headers,
+    Reply,
+    Verdict,
+    build_headers,
+    judge_reply,
+)
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
 from .stream import RequestStream, open_stream
@@ -38,11 +46,14 @@
     answered_at: float
 
 
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+
+
 class HealthBody(msgspec.Struct):
     """What GET /health answers."""
 
     state: ServerState
-    index_versions: list[int] = []
+    index_versions: list[Version] = []
 
 
 class BackendClient:
@@ -94,7 +105,13 @@
         url = self._search if call.idempotent else self._run
         limit = left / 2 if reused and call.idempotent else left
         result = await self._exchange(
-            connection, b"POST", url, headers, call.body, limit=limit
+            connection,
+            b"POST",
+            url,
+            headers,
+            call.body,
+            limit=limit,
+            attempt=attempt,
         )
         if isinstance(result, Reply):
             return judge_reply(result, call, attempt=attempt, server=self.server.name)
@@ -159,18 +176,21 @@
         body: bytes,
         *,
         limit: float,
+        attempt: bytes = b"",
     ) -> Reply | Outcome:
         """Send one request over `idle`, or over a new connection that is reserved."""
         request = httpcore.Request(method, url, headers=headers, content=body)
         connection = idle
-        is_whole = False
+        reusable = False
         try:
             with trio.move_on_after(limit):
                 if connection is None:
                     connection = await self._open()
                 connection.stream.begin()
                 reply = await _receive(connection.http, request)
-                is_whole = True
+                # An answer to another attempt shows that the answers on this
+                # connection are off by one: so would be all that follow.
+                reusable = reply.headers.get(b"attempt", attempt) == attempt
                 return reply
             return self._judge_silence(connection, reused=idle is not None)
         except (httpcore.NetworkError, httpcore.ProtocolError):
@@ -179,7 +199,7 @@
             if connection is None:
                 self._release()
             else:
-                self._put_back(connection, reusable=is_whole)
+                self._put_back(connection, reusable=reusable)
 
     def _judge_loss(self, connection: Connection | None) -> Outcome:
         peer = self.server.name
@@ -255,7 +275,11 @@
         parts = [part async for part in response.stream]
     finally:
         await response.aclose()
-    return Reply(status=response.status, headers=response.headers, body=b"".join(parts))
+    return Reply(
+        status=response.status,
+        headers={name.lower(): value for name, value in response.headers},
+        body=b"".join(parts),
+    )
 
 
 def _read_health(body: bytes) -> ServerReport | None:
