Tell what bookings under faults came to, and count them by each fault met

Cause: faults overlap, so that nearly all bookings stood in the table's row "several". A booking now counts in the row of each kind that it met.

--- a/lab/once.py
+++ b/lab/once.py
@@ -167,16 +167,19 @@
 def print_table(
     title: str, bookings: Sequence[Booking], windows: Sequence[Window]
 ) -> None:
-    """Print the endings of bookings by the kind of fault that they met."""
+    """Print the endings of bookings by the kinds of fault in force meanwhile.
+
+    Faults overlap, so that most bookings stand in more than one row.
+    """
     rows: dict[str, Counter[Ending]] = {}
     for booking in bookings:
         met = {
-            window.kind
+            window.kind.value
             for window in windows
             if window.started <= booking.ended and booking.started <= window.ended
         }
-        name = "none" if not met else "several" if len(met) > 1 else met.pop().value
-        rows.setdefault(name, Counter())[booking.ending] += 1
+        for name in met or {"none"}:
+            rows.setdefault(name, Counter())[booking.ending] += 1
     print(f"\n{title:24}" + "".join(f"{ending.value:>11}" for ending in Ending))
     for name, counts in sorted(rows.items()):
         print(f"{name:24}" + "".join(f"{counts[ending]:>11}" for ending in Ending))
