Eject a server that hangs though hedges save its calls

Cause: a server that accepts and never answers was known only by our own cancellations, which counted for nothing. It went on getting calls until the budget of hedges was spent.

A server back from an ejection is on trial: one call at a time, and one failure ejects it again. The earlier guard for ejections far ahead is covered by the trial and went.

tests/test_replicas.py: the ramp of slow start is now checked after the answer that ends the trial, and a limit of 1 before it: stricter than before.

--- a/src/lavendergap/coordination/progress.py
+++ b/src/lavendergap/coordination/progress.py
@@ -13,7 +13,15 @@
     `progress` is None once the call is finished and only the slot is outstanding.
     """
 
-    __slots__ = ("attempt_id", "progress", "replica", "cause", "fresh", "started")
+    __slots__ = (
+        "attempt_id",
+        "progress",
+        "replica",
+        "cause",
+        "fresh",
+        "started",
+        "deadline",
+    )
 
     def __init__(
         self,
@@ -24,6 +32,7 @@
         cause: Cause,
         fresh: bool,
         started: float,
+        deadline: float,
     ) -> None:
         self.attempt_id = attempt_id
         self.progress: Progress | None = progress
@@ -31,6 +40,7 @@
         self.cause = cause
         self.fresh = fresh
         self.started = started
+        self.deadline = deadline
 
 
 class Progress:
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -71,6 +71,7 @@
         "ejected_until",
         "n_ejections",
         "blame",
+        "is_on_trial",
         "ramp_from",
         "latency",
         "latency_at",
@@ -92,6 +93,7 @@
         self.ejected_until = -NEVER
         self.n_ejections = 0
         self.blame = 0.0
+        self.is_on_trial = False
         self.ramp_from = ramp_from
         self.latency = 0.0
         self.latency_at = -NEVER
@@ -100,15 +102,13 @@
 
     def limit(self, now: float) -> int:
         """Count the slots that may be in use now: few in slow start, then all."""
-        if self.state == "starting":
+        if self.is_on_trial or self.state == "starting":
             return 1
         since = now - self.ramp_from
         slots = self.server.slots
         if since >= SLOW_START:
             return slots
-        # While all replicas are ejected the slow start of this one lies ahead, and it
-        # is a candidate all the same.
-        return 1 + int((slots - 1) * max(0.0, since) / SLOW_START)
+        return 1 + int((slots - 1) * since / SLOW_START)
 
     def may_serve(self, version: int) -> bool:
         """Tell whether the server may serve an index version.
@@ -141,7 +141,7 @@
             elif ratio < FASTEST_RATIO:
                 ratio = FASTEST_RATIO
             score *= 1.0 + (ratio - 1.0) * weight
-        if now - self.ramp_from < SLOW_START or self.state == "starting":
+        if now - self.ramp_from < SLOW_START or self.is_on_trial:
             score += 0.5
         return score
 
@@ -168,6 +168,7 @@
             self.latency += (elapsed - self.latency) * LATENCY_GAIN
         self.latency_at = now
         self.blame = 0.0
+        self.is_on_trial = False
         if self.n_ejections:
             # The failures were real enough to start over gently, not to wait longer.
             if now < self.ejected_until or self.ramp_from < self.ejected_until:
@@ -185,8 +186,10 @@
 
     def add_blame(self, blame: float, *, now: float, dice: Random) -> None:
         """Count a failure, and eject the server for a growing time at a full one."""
+        if blame <= 0.0 or now < self.ejected_until:
+            return
         self.blame += blame
-        if self.blame < 1.0 or now < self.ejected_until:
+        if self.blame < 1.0 and not self.is_on_trial:
             return
         wait = min(LONGEST_EJECTION, FIRST_EJECTION * 2**self.n_ejections)
         # Owners that saw one failure together should not come back together.
@@ -194,6 +197,9 @@
         self.ramp_from = self.ejected_until
         self.n_ejections = min(self.n_ejections + 1, 10)
         self.blame = 0.0
+        # Back from here it gets one call at a time, and the first failure ejects it
+        # again: a server that hangs would else cost several late calls each time.
+        self.is_on_trial = True
 
     def note_answer(
         self, report: ServerReport, *, started: float, own: int, now: float
@@ -258,6 +264,7 @@
         self.ejected_until = -NEVER
         self.n_ejections = 0
         self.blame = 0.0
+        self.is_on_trial = False
 
     def get_opening(self, now: float) -> float:
         """Return the next time at which the server may take more than now."""
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -312,6 +312,7 @@
             cause=cause,
             fresh=progress.fresh,
             started=now,
+            deadline=progress.call.deadline,
         )
         self._attempts[attempt.attempt_id] = attempt
         progress.attempts.append(attempt)
@@ -341,6 +342,8 @@
             now=now,
             dice=self.random,
         )
+        if attempt.progress is None and self._is_overtaken(attempt, ended, now):
+            replica.add_blame(BLAME[Reason.DEADLINE], now=now, dice=self.random)
         # A hedge runs only when the first attempt is slow. Counted, its fast answers
         # would pull the quantile down, and each hedge would bring on more of them.
         if attempt.cause == "hedge":
@@ -352,6 +355,19 @@
                 if ended.elapsed >= (self._recent.median or 0.0):
                     self._recent.add(ended.elapsed)
 
+    def _is_overtaken(self, attempt: Attempt, ended: AttemptEnded, now: float) -> bool:
+        """Tell whether an attempt was cut because it was slow, not for the caller.
+
+        A server that accepts calls and never answers shows no other sign: we cancel
+        each attempt when a hedge has won or the deadline has come.
+        """
+        match ended.outcome:
+            case Unknown(reason=Reason.CANCELLED):
+                delay = self._recent.delay
+                is_slow = delay is not None and ended.elapsed >= 2 * delay
+                return is_slow or now >= attempt.deadline
+        return False
+
     def _settle(
         self,
         progress: Progress,
@@ -437,10 +453,6 @@
         self, progress: Progress, now: float, effects: list[Effect]
     ) -> None:
         if progress.call.deadline <= now:
-            for attempt in progress.attempts:
-                attempt.replica.add_blame(
-                    BLAME[Reason.DEADLINE], now=now, dice=self.random
-                )
             self._give_up(progress, Reason.DEADLINE, effects)
             return
         effects.extend(self._hedge(progress, now))
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -120,8 +120,49 @@
         back = a.ejected_until
         assert pick_name(replicas, now=back) == "b"
         limits = [a.limit(back + SLOW_START * share) for share in (0, 0.5, 1)]
+        assert limits == [1, 1, 1]
+        a.note_end(ANSWER, elapsed=0.01, fresh=False, now=back, dice=Random(1))
+        limits = [a.limit(back + SLOW_START * share) for share in (0, 0.5, 1)]
         assert limits == [1, 3, 6]
 
+    def test_a_server_back_on_trial_is_ejected_by_one_failure(self):
+        (a,) = make_replicas("a")
+        fail(a)
+        back = a.ejected_until
+        assert a.limit(back + 2 * SLOW_START) == 1
+        a.note_end(
+            refuse(Reason.VERSION_GONE),
+            elapsed=0,
+            fresh=False,
+            now=back,
+            dice=Random(1),
+        )
+        assert a.ejected_until == back
+        fail(a, Reason.DEADLINE, now=back)
+        assert a.ejected_until > back
+        end = a.ejected_until
+        a.note_end(ANSWER, elapsed=0.01, fresh=False, now=end, dice=Random(1))
+        fail(a, Reason.DEADLINE, now=end)
+        assert a.ejected_until == end
+
+    def test_a_hanging_server_is_ejected_though_hedges_save_its_calls(self):
+        # The server accepts and never answers. Hedges overtake its calls, so no call
+        # fails, but each costs a token; when those are spent, queries lose a shard.
+        owner = make_owner("ab", hedge_budget=0.3)
+        owner.warm_up()
+        was_ejected = False
+        for _ in range(20):
+            owner.now += 10.0
+            owner.submit()
+            if owner.started[-1].server == "a":
+                owner.move(0.025)
+            owner.end_last()
+            for attempt_id in list(owner.open):
+                owner.end(attempt_id, lose(Reason.CANCELLED), elapsed=0.025)
+            servers = owner.scheduler.describe(now=owner.now).servers
+            was_ejected = was_ejected or servers[0].ejected_ms > 0
+        assert was_ejected
+
     def test_a_hanging_server_is_ejected_by_its_deadlines(self):
         # The server accepts and never answers. The calls are cancelled at their
         # deadline by us, so the transport reports nothing but its own cancellation.
