--- a/src/lavendergap/entry/bookings.py
+++ b/src/lavendergap/entry/bookings.py
@@ -289,9 +289,11 @@
         if witness is None:
             return True
         reply = await self._ask_witness(witness, ended, limit=WITNESS_LIMIT)
-        if isinstance(reply, Kept | Forgotten):
-            self._issuer.confirm(ended.ticket)
-        return not isinstance(reply, WitnessLost)
+        match reply:
+            case Kept() | Forgotten() | Unreached.REPLACED:
+                # Where the records are gone for good, sending again is of no use.
+                self._issuer.confirm(ended.ticket)
+        return reply is not Unreached.LOST
 
     async def keep_confirming(self) -> None:
         """Send outcomes again, now and then, until their witness has them."""
@@ -380,18 +382,10 @@
 
     async def _ask_witness(
         self, witness: Peer, request: WitnessRequest, *, limit: float
-    ) -> Reply | WitnessLost:
+    ) -> Reply | Unreached:
         if witness == self._peer:
             return self._witness.answer(request, now=trio.current_time())
-        reply = await self._client.ask(witness, encode_request(request), limit=limit)
-        match reply:
-            case Unreached.LOST:
-                return WitnessLost()
-            case Unreached.REPLACED:
-                # Its records are gone for good, so asking again is of no use.
-                return Forgotten()
-            case _:
-                return reply
+        return await self._client.ask(witness, encode_request(request), limit=limit)
 
     async def _ask_issuer(self, ticket: Ticket) -> IssuerReply:
         if ticket.issuer == self._peer:
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -442,11 +442,22 @@
         host = get_witness(old).host
         hosts.kill(host)
         hosts.start(host, incarnation=2)
-        assert is_not_run(await hosts.run(old))
+        assert is_not_run(await hosts.run(old), Reason.WITNESS_LOST)
         new = await hosts.issue()
         assert get_witness(new) == Peer(host=host, incarnation=2)
         assert isinstance(await hosts.run(new), RunResult)
 
+    async def test_its_restart_is_told_as_its_loss(self, hosts, autojump_clock):
+        """Issuer and witness are both gone: "unknown", and the reason says why."""
+        ticket = await hosts.issue()
+        hosts.kill("a-1")
+        host = get_witness(ticket).host
+        hosts.kill(host)
+        hosts.start(host, incarnation=2)
+        answer = await hosts.run(ticket, "b-1")
+        assert is_unknown(answer)
+        assert answer.outcome.reason is Reason.WITNESS_LOST
+
     async def test_outcomes_for_a_former_witness_are_let_go(
         self, hosts, autojump_clock
     ):
