--- a/lab/parts.py
+++ b/lab/parts.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 
+import msgspec
 import trio
 from rich.table import Table
 
@@ -62,6 +63,9 @@
 N_RUNS = 7
 N_HOPS = 320
 TOGETHER = (1, 4, 16, 64)
+CHANNELS = (10, 50, 100)
+# Libraries of the daemon, each loaded alone beside Python.
+LIBRARIES = ("trio", "hypercorn", "httpcore", "capnp", "prometheus_client", "msgspec")
 MICRO = 1e6
 
 Points = dict[int, float]
@@ -140,6 +144,39 @@
     )
 
 
+class PlainAnswer(msgspec.Struct, array_like=True):
+    """One shard's answer as a struct of a compiled codec; a trial, not in use."""
+
+    shard: str
+    server: str
+    kind: int
+    body: bytes
+    versions: tuple[int, ...]
+
+
+def pass_through_msgpack(answers: list[PlainAnswer]) -> None:
+    """Encode and decode a list of answers by msgspec's MessagePack."""
+    msgspec.msgpack.decode(msgspec.msgpack.encode(answers), type=list[PlainAnswer])
+
+
+def measure_msgpack() -> Points:
+    """Return the microseconds of the same answers by a compiled codec; a trial."""
+    functions: dict[int, Callable[[], object]] = {}
+    for n in SHARDS_A_MESSAGE:
+        answers = [
+            PlainAnswer(
+                shard=answer.shard,
+                server=answer.server,
+                kind=0,
+                body=ANSWER,
+                versions=answer.versions,
+            )
+            for answer in make_answers(n).answers
+        ]
+        functions[n] = partial(pass_through_msgpack, answers)
+    return measure_points(functions, n_rounds=100)
+
+
 def measure_lengths(make: Callable[[int], Message]) -> Points:
     """Return the bytes of a message's frame by its shards, without TCP and IP."""
     return {
@@ -185,6 +222,37 @@
     return {"hop_us": by_shards, "hop_together_us": together}
 
 
+async def measure_channels() -> Points:
+    """Return the bytes that open channels hold in Python's memory, both ends.
+
+    Sockets' buffers belong to the kernel and are not in it.
+    """
+    hello = Hello(deployment="lab", host="ptl-a-1", incarnation=1)
+    points: Points = {}
+    async with trio.open_nursery() as nursery:
+        acceptor = Acceptor(
+            own=hello,
+            handle=lambda channel, frame: None,
+            lose=lambda channel: None,
+        )
+        listeners = await nursery.start(
+            partial(trio.serve_tcp, acceptor.serve_stream, 0, host="127.0.0.1")
+        )
+        ip, port = listeners[0].socket.getsockname()
+        address = Address(ip=ip, port=port)
+        tracemalloc.start()
+        before, _ = tracemalloc.get_traced_memory()
+        for n in range(1, max(CHANNELS) + 1):
+            dialer = Dialer(own=hello, nursery=nursery)
+            assert isinstance(await dialer.dial("ptl-a-1", address), Channel)
+            if n in CHANNELS:
+                now, _ = tracemalloc.get_traced_memory()
+                points[n] = now - before
+        tracemalloc.stop()
+        nursery.cancel_scope.cancel()
+    return points
+
+
 async def measure_hop(channel: Channel, search: Search, *, n_together: int) -> float:
     """Return the microseconds of one question and its answer."""
     began = time.process_time()
@@ -382,8 +450,10 @@
     parts = {
         "search_codec_us": measure_codec(make_search),
         "answers_codec_us": measure_codec(make_answers),
+        "msgpack_answers_us": measure_msgpack(),
         "search_bytes": measure_lengths(make_search),
         "answers_bytes": measure_lengths(make_answers),
+        "channel_bytes": trio.run(measure_channels),
         "rank_join_by_groups_us": measure_joins((n, N_HOSTS, n) for n in KEYS),
         "rank_join_by_hosts_us": measure_joins((n, n, N_GROUPS) for n in HOSTS),
         "rank_bytes": {
@@ -405,6 +475,8 @@
         table.add_row(name, "  ".join(f"{x}: {y:.4g}" for x, y in points.items()))
         figures |= {f"{name}_at_{x}": y for x, y in points.items()}
     figures["python_kb"] = measure_resident_kb("pass")
+    for library in LIBRARIES:
+        figures[f"{library}_kb"] = measure_resident_kb(f"import {library}")
     figures["imports_kb"] = measure_resident_kb("import lavendergap.entry.daemon")
     conditions = {"answer_bytes": len(ANSWER), "hosts": N_HOSTS}
     report(make_figures("parts", figures, conditions=conditions), table)
--- a/lab/sizes.py
+++ b/lab/sizes.py
@@ -74,6 +74,14 @@
         unit="us",
         at=SHARDS_A_MESSAGE,
     ),
+    Part(
+        name="msgpack_answers_us",
+        measure="parts",
+        told="trial: the answer by a compiled codec (msgspec)",
+        by="shards",
+        unit="us",
+        at=SHARDS_A_MESSAGE,
+    ),
     Part(
         name="search_bytes",
         measure="parts",
@@ -130,6 +138,14 @@
         unit="bytes",
         at=N_LEAFS,
     ),
+    Part(
+        name="channel_bytes",
+        measure="parts",
+        told="memory of channels between hosts, both ends",
+        by="channels",
+        unit="bytes",
+        at=N_HOSTS,
+    ),
     Part(
         name="issuer_us",
         measure="parts",
--- a/lab/tables.py
+++ b/lab/tables.py
@@ -174,6 +174,10 @@
             _to_mb(store.compute("parts", "rank_bytes", N_LEAFS)),
         ),
         ("settings in force", _to_mb(store.compute("parts", "tree_bytes", N_LEAFS))),
+        (
+            "channels to and from 549 peers, without the kernel's buffers",
+            _to_mb(store.compute("parts", "channel_bytes", N_HOSTS - 1)),
+        ),
         ("membership of 550 hosts", _find_membership_mb(store)),
         (f"{MAX_TICKETS:,} tickets as issuer and as witness", _to_mb(tickets)),
         ("answers kept for repeats, at the most", 8.0),
@@ -201,6 +205,18 @@
     return multiply(store.get("convergence", "memory_kb"), 1 / 1024)
 
 
+def make_libraries_table(store: Store) -> str:
+    """Return what each library takes beside Python, loaded alone."""
+    run = store.runs.get("parts")
+    python = store.get("parts", "python_kb")
+    rows = [
+        (f"`{name.removesuffix('_kb')}`", show((value - (python or 0.0)) / 1024, "MB"))
+        for name, value in (run.figures if run else {}).items()
+        if name.endswith("_kb") and name not in {"python_kb", "imports_kb"}
+    ]
+    return make_table("library and what it imports", "beside Python", rows=iter(rows))
+
+
 def make_settings_table(store: Store) -> str:
     """Return what 3,300 edits a day cost, by role."""
     rows = []
@@ -355,6 +371,7 @@
     "reach": make_reach_table,
     "together": make_together_table,
     "memory": make_memory_table,
+    "libraries": make_libraries_table,
     "control": make_control_table,
     "settings": make_settings_table,
     "bookings": make_bookings_table,
