--- a/lab/fanout.py
+++ b/lab/fanout.py
@@ -32,6 +32,7 @@
 from lavendergap.state.tree import load_settings
 
 from .decisions import open_reader, wait_for_reader
+from .leafways import TrialSearch, exchange_bytes, exchange_h11, measure_hop
 from .processes import (
     Deployment,
     DeploymentShape,
@@ -231,7 +232,7 @@
 
 @asynccontextmanager
 async def open_ways(settings: Settings) -> AsyncIterator[tuple[Way, ...]]:
-    """Yield the three ways; their connections are closed at the end."""
+    """Yield the ways; their connections are closed at the end."""
     async with trio.open_nursery() as nursery:
         owner = Owner(
             settings=settings,
@@ -241,13 +242,19 @@
         )
         naive = NaiveSearch()
         bare = BareSearch()
+        by_h11 = TrialSearch(exchange=exchange_h11)
+        by_bytes = TrialSearch(exchange=exchange_bytes)
         yield (
             Way(name="ours", search=OurSearch(owner=owner), n_calls=N_CALLS),
             Way(name="naive", search=naive, n_calls=N_NAIVE_CALLS),
             Way(name="bare", search=bare, n_calls=N_CALLS),
+            Way(name="h11 (trial)", search=by_h11, n_calls=N_CALLS),
+            Way(name="bytes (trial)", search=by_bytes, n_calls=N_CALLS),
         )
         await naive.close()
         await bare.close()
+        by_h11.close()
+        by_bytes.close()
         nursery.cancel_scope.cancel()
 
 
@@ -311,9 +318,11 @@
     """Measure; print a table and one line of ratios."""
     costs = trio.run(run)
     table = Table("way", *(f"{n} leafs" for n in SIZES), title="us a call")
-    for name in ("ours", "naive", "bare"):
+    for name in dict.fromkeys(name for name, _ in costs):
         table.add_row(name, *(f"{costs[name, n]:.0f}" for n in SIZES))
     Console(width=100).print(table)
+    hops = ", ".join(f"{measure_hop(n):.0f} us at {n}" for n in (1, 5, 20))
+    print(f"codec of the hop to another host (trial), for each shard: {hops} in one")
     ours = costs["ours", 85]
     print(
         f"vs_naive={ours / costs['naive', 85]:.3f}"
