--- a/lab/parts.py
+++ b/lab/parts.py
@@ -9,6 +9,7 @@
 
 import subprocess
 import sys
+import tempfile
 import time
 import tracemalloc
 from collections.abc import Callable, Iterable, Iterator
@@ -47,6 +48,7 @@
 from lavendergap.state.tree import parse_settings
 from lavendergap.transport.channel import Acceptor, Channel, Dialer, Exchange
 
+from .callersport import measure_caller
 from .figures import make_figures, report
 from .reading import make_text, read_object
 
@@ -445,6 +447,20 @@
     return float(shown.stdout)
 
 
+def measure_command_kb(n_servers: int) -> float:
+    """Return the kilobytes of a command that has read and checked a settings file."""
+    with tempfile.NamedTemporaryFile("w", suffix=".jsonc") as file:
+        file.write(make_text(n_servers))
+        file.flush()
+        code = (
+            "import lavendergap.commands.main\n"
+            "from pathlib import Path\n"
+            "from lavendergap.state.tree import load_settings\n"
+            f"held = load_settings(Path({file.name!r}))"
+        )
+        return measure_resident_kb(code)
+
+
 def measure_all() -> dict[str, Points]:
     """Return the points of every part."""
     parts = {
@@ -453,6 +469,8 @@
         "msgpack_answers_us": measure_msgpack(),
         "search_bytes": measure_lengths(make_search),
         "answers_bytes": measure_lengths(make_answers),
+        "caller_us": trio.run(measure_caller, SHARDS_A_QUERY, ANSWER, N_RUNS),
+        "command_kb": {n: measure_command_kb(n) for n in SERVERS},
         "channel_bytes": trio.run(measure_channels),
         "rank_join_by_groups_us": measure_joins((n, N_HOSTS, n) for n in KEYS),
         "rank_join_by_hosts_us": measure_joins((n, n, N_GROUPS) for n in HOSTS),
--- a/lab/sizes.py
+++ b/lab/sizes.py
@@ -106,6 +106,14 @@
         unit="us",
         at=SHARDS_A_QUERY,
     ),
+    Part(
+        name="caller_us",
+        measure="parts",
+        told="callers' port: a query in, its answer out, nothing behind",
+        by="shards",
+        unit="us",
+        at=SHARDS_A_QUERY,
+    ),
     Part(
         name="join_us",
         measure="parts",
@@ -186,6 +194,14 @@
         unit="us",
         at=N_LEAFS,
     ),
+    Part(
+        name="command_kb",
+        measure="parts",
+        told="command line: memory of the process that has read it",
+        by="backend servers",
+        unit="KB",
+        at=N_LEAFS,
+    ),
     Part(
         name="object_us",
         measure="parts",
--- a/lab/tables.py
+++ b/lab/tables.py
@@ -97,7 +97,9 @@
     hop_us = compute_hop_us(store, SHARDS_A_QUERY / n_owners)
     join_us = store.compute("parts", "join_us", SHARDS_A_QUERY)
     line_us = store.get("decisions", "line_us_1")
+    caller_us = store.compute("parts", "caller_us", SHARDS_A_QUERY)
     return [
+        ("as coordinator, the callers' port", QUERIES_A_HOST, caller_us),
         ("as coordinator, half of each hop", n_messages, multiply(0.5, hop_us)),
         ("as coordinator, joining a query's answers", QUERIES_A_HOST, join_us),
         ("as owner, half of each hop", n_messages, multiply(0.5, hop_us)),
