Find silent channels under short deadlines; share dials; close idle channels

(1) Silence counted anew from each first request, so that a silent channel stayed in use when all who asked gave up before 750 ms. (2) Those who needed the same silent host queued for one dial each, and a cancelled dial leaked its channel. (3) A vanished peer's channel was held for ever. (4) A second reply to one request raised. (5) The HTTP server's errors went nowhere. (6) A request that arrived while a stopping host handed over could be cut by the end of the process. (7) `python -m lavendergap` and the installed command started ldconfig. (8) Dropped log lines were not counted.

--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -85,6 +85,7 @@
         self._fleet = Fleet(own_name=own.name, settings=settings)
         self._pinnings: dict[str, Pinning] = {}
         self._is_leaving = False
+        self._n_dropped = 0
         self._stop = trio.Event()
 
     async def run(self) -> None:
@@ -355,6 +356,13 @@
             await trio.sleep(SWEEP_INTERVAL)
             self._owner.close_unused()
             self._fleet.forgive(now=trio.current_time())
+            self._count_dropped_lines()
+
+    def _count_dropped_lines(self) -> None:
+        for handler in logging.getLogger().handlers:
+            if isinstance(handler, LineHandler):
+                metrics.log_lines_dropped.inc(handler.n_dropped - self._n_dropped)
+                self._n_dropped = handler.n_dropped
 
     async def _leave(self) -> None:
         """Stop without cutting a request.
@@ -376,8 +384,16 @@
             while self._owner.is_busy:
                 await trio.sleep(DRAIN_CHECK)
             await self._bookings.hand_over()
+            self._stop.set()
+            await self._finish_callers()
         self._stop.set()
         await self._endpoint.send(self._membership.depart(now=trio.current_time()))
-        await trio.sleep(DRAIN_CHECK)
         log_decision(logger, "stopped", request_id=None, host=self._own.name)
         sys.stderr.flush()
+
+    async def _finish_callers(self) -> None:
+        """Wait for requests that came in while others were handed over."""
+        while True:
+            await trio.sleep(DRAIN_CHECK)
+            if not self._callers.n_running:
+                return
--- a/src/lavendergap/entry/ports.py
+++ b/src/lavendergap/entry/ports.py
@@ -1,5 +1,6 @@
 """Serving an ASGI application on one of the host's ports."""
 
+import logging
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
@@ -30,7 +31,8 @@
     config = Config()
     config.bind = [str(address)]
     config.accesslog = None
-    config.errorlog = None
+    # What goes wrong inside the server or our application is logged like all else.
+    config.errorlog = logging.getLogger("lavendergap.ports")
     config.h11_max_incomplete_size = MAX_HEADERS_BYTES
     config.keep_alive_timeout = KEEP_ALIVE_LIMIT
     config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
--- a/src/lavendergap/startup.py
+++ b/src/lavendergap/startup.py
@@ -2,6 +2,7 @@
 
 import ctypes.util
 import importlib
+import sys
 
 
 def import_trio() -> None:
@@ -29,6 +30,6 @@
 def main() -> None:
     """Run the command line as a program that starts no other process."""
     import_trio()
-    from .__main__ import main as run_commands
+    from .commands.main import run
 
-    run_commands()
+    sys.exit(run(sys.argv[1:]))
--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -7,7 +7,8 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from contextlib import suppress
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 import trio
@@ -37,6 +38,9 @@
 MAX_ACCEPTED = 2_000
 HEARTBEAT_AFTER = 0.25
 SILENCE_LIMIT = 0.75
+# A channel that nobody has used for this long is closed on both sides, one that a
+# vanished host left behind among them.
+IDLE_LIMIT = 120.0
 READ_SIZE = 65_536
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 
@@ -47,6 +51,7 @@
     CLOSED = "closed by the peer"
     RESET = "connection reset"
     SILENT = "silent"
+    IDLE = "idle"
     BAD_FRAME = "bad frame"
     SLOW_READER = "peer does not read"
     STOPPED = "stopped here"
@@ -88,8 +93,9 @@
         self._exchanges: dict[int, Exchange] = {}
         self._last_id = 0
         self._received_at = 0.0
-        # Silence counts from here when nobody waited for anything before.
-        self._quiet_since = 0.0
+        # The first request that no byte has followed yet. It outlives its request,
+        # so that a silent channel is found although each who asks gives up early.
+        self._unanswered_since: float | None = None
         self._sent_ping = False
         self._unsent = bytearray()
         self._has_unsent = trio.Event()
@@ -157,8 +163,8 @@
     def request(self, message: Message, exchange: Exchange) -> int:
         """Send a request; its replies and its loss go to `exchange`."""
         self._last_id += 1
-        if not self._exchanges:
-            self._quiet_since = trio.current_time()
+        if self._unanswered_since is None:
+            self._unanswered_since = trio.current_time()
         self._exchanges[self._last_id] = exchange
         self.send(Frame(id=self._last_id, message=message))
         return self._last_id
@@ -181,8 +187,9 @@
         sender, receiver = trio.open_memory_channel[Message | Loss](1)
 
         def put(result: Message | Loss) -> None:
-            sender.send_nowait(result)
-            sender.close()
+            # A second reply, or the loss that follows a reply, changes nothing.
+            with suppress(trio.WouldBlock, trio.BrokenResourceError):
+                sender.send_nowait(result)
 
         request_id = self.request(message, Exchange(reply=put, lose=put))
         try:
@@ -207,13 +214,17 @@
         # are tried over a new one well within their deadlines.
         while True:
             await trio.sleep(HEARTBEAT_AFTER / 2)
-            silence = trio.current_time() - max(self._received_at, self._quiet_since)
-            if not self._exchanges:
-                self._sent_ping = False
-            elif silence > SILENCE_LIMIT:
-                self.close(Loss.SILENT)
-            elif silence > HEARTBEAT_AFTER and not self._sent_ping:
-                self.ping()
+            now = trio.current_time()
+            if now - self._received_at > IDLE_LIMIT and not self._exchanges:
+                self.close(Loss.IDLE)
+            elif self._unanswered_since is not None:
+                self._judge_silence(now - self._unanswered_since)
+
+    def _judge_silence(self, silence: float) -> None:
+        if silence > SILENCE_LIMIT:
+            self.close(Loss.SILENT)
+        elif silence > HEARTBEAT_AFTER and not self._sent_ping:
+            self.ping()
 
     async def _read(self) -> None:
         buffer = bytearray()
@@ -222,6 +233,7 @@
             self._sent_ping = False
             buffer += data
             self._take_frames(buffer)
+            self._unanswered_since = self._received_at if self._exchanges else None
 
     def _take_frames(self, buffer: bytearray) -> None:
         start = 0
@@ -275,6 +287,14 @@
     return await trio.open_tcp_stream(address.ip, address.port)
 
 
+@dataclass(kw_only=True, slots=True)
+class Dial:
+    """A dial under way, and what came of it once `done` is set."""
+
+    done: trio.Event = field(default_factory=trio.Event)
+    result: Channel | Loss = Loss.STOPPED
+
+
 class Dialer:
     """Keeps one channel to each peer that is asked, dialled when first needed."""
 
@@ -289,7 +309,7 @@
         self._nursery = nursery
         self._connect = connect
         self._channels: dict[str, Channel] = {}
-        self._locks: dict[str, trio.Lock] = {}
+        self._dials: dict[str, Dial] = {}
 
     def get_open(self, host: str) -> Channel | None:
         """Return the channel to `host` if it can take a request now."""
@@ -299,11 +319,27 @@
         return channel
 
     async def dial(self, host: str, address: Address) -> Channel | Loss:
-        """Return a channel to `host`, a new one if none is open."""
-        lock = self._locks.setdefault(host, trio.Lock())
-        async with lock:
-            channel = self.get_open(host)
-            return channel if channel is not None else await self._open(host, address)
+        """Return a channel to `host`, a new one if none is open.
+
+        All who ask at once share one dial, which goes on when one of them leaves:
+        one after the other they would wait for a silent host many times over.
+        """
+        channel = self.get_open(host)
+        if channel is not None:
+            return channel
+        dial = self._dials.get(host)
+        if dial is None:
+            dial = self._dials[host] = Dial()
+            self._nursery.start_soon(self._run_dial, host, address, dial)
+        await dial.done.wait()
+        return dial.result
+
+    async def _run_dial(self, host: str, address: Address, dial: "Dial") -> None:
+        try:
+            dial.result = await self._open(host, address)
+        finally:
+            del self._dials[host]
+            dial.done.set()
 
     async def _open(self, host: str, address: Address) -> Channel | Loss:
         try:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -20,7 +20,9 @@
 from lavendergap.protocol.peer import Document as DocumentMessage
 from lavendergap.state.settings import Address
 from lavendergap.transport.channel import (
+    CONNECT_LIMIT,
     HELLO_LIMIT,
+    IDLE_LIMIT,
     SILENCE_LIMIT,
     Acceptor,
     Channel,
@@ -126,6 +128,61 @@
             assert channel.is_open
             nursery.cancel_scope.cancel()
 
+    async def test_silence_is_found_though_each_who_asks_gives_up_early(
+        self, autojump_clock
+    ):
+        # A channel went silent, and all requests on it have short deadlines. Each
+        # gives up before the silence limit; were the silence counted anew with each
+        # request, the channel would stay in use and fail them all, for ever.
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert isinstance(channel, Channel)
+            pair.is_silent = True
+            for _ in range(10):
+                await channel.ask(FETCH, limit=SILENCE_LIMIT / 4)
+            assert not channel.is_open
+            nursery.cancel_scope.cancel()
+
+    async def test_all_share_one_dial_of_a_silent_host(self, autojump_clock):
+        # Ten queries need the same host, which takes connections and says nothing.
+        # One after the other they would wait ten times as long for the same news.
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            pair.is_silent = True
+            async with trio.open_nursery() as dials:
+                for _ in range(10):
+                    dials.start_soon(pair.dialer.dial, "ptl-b-1", ADDRESS)
+            assert trio.current_time() <= 2 * CONNECT_LIMIT
+            assert pair.n_connects == 1
+            nursery.cancel_scope.cancel()
+
+    async def test_dial_goes_on_when_one_who_waits_leaves(self, autojump_clock):
+        # A caller leaves while its query waits for a dial. The others that wait
+        # for the same host are not cut off with it.
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            pair.is_silent = True
+            with trio.move_on_after(CONNECT_LIMIT / 2):
+                await pair.dialer.dial("ptl-b-1", ADDRESS)
+            pair.is_silent = False
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert channel is Loss.SILENT  # Of the dial that was under way.
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert isinstance(channel, Channel)
+            nursery.cancel_scope.cancel()
+
+    async def test_idle_channels_are_closed_on_both_sides(self, autojump_clock):
+        # A host vanished and left its channel behind. It is not held for ever.
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert isinstance(channel, Channel)
+            await trio.sleep(IDLE_LIMIT + 1)
+            assert not channel.is_open
+            assert len(pair.lost) == 1
+            nursery.cancel_scope.cancel()
+
     async def test_address_that_passed_to_another_host_is_refused(self, autojump_clock):
         # A replaced host's address now belongs to another. What is asked of one
         # must not be done by the other: a ticket's issuer is one process.
