--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -50,19 +50,22 @@
     delays: dict[str, float] = field(default_factory=dict)
     calls: list[tuple[str, Call]] = field(default_factory=list)
     cancelled: list[tuple[str, str]] = field(default_factory=list)
+    callers: dict[str, set[str]] = field(default_factory=dict)
 
 
 class FakeClient:
     """Stands for the connections to one backend server."""
 
-    def __init__(self, *, server: Server, backends: Backends) -> None:
+    def __init__(self, *, server: Server, host: str, backends: Backends) -> None:
         self.server = server
+        self._host = host
         self._backends = backends
 
     async def call(self, call: Call, *, attempt: bytes, fresh: bool) -> Verdict:
         """Answer after the server's delay, from the version asked for."""
         name = self.server.name
         self._backends.calls.append((name, call))
+        self._backends.callers.setdefault(name, set()).add(self._host)
         versions = self._backends.versions.get(name, (1,))
         report = ServerReport(
             in_use=0, slots=2, queued=0, state="serving", versions=versions
@@ -115,7 +118,9 @@
             nursery=nursery,
             random=Random(1),
             attempt_prefix=name,
-            make_client=lambda server, _: FakeClient(server=server, backends=backends),
+            make_client=lambda server, _: FakeClient(
+                server=server, host=name, backends=backends
+            ),
         )
         self.dialer = Dialer(own=hello, nursery=nursery, connect=connect)
         self.peers = PeerService(
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -30,6 +30,42 @@
             assert len(cluster.backends.calls) == 3 * 6
             nursery.cancel_scope.cancel()
 
+    async def test_more_hosts_than_connections_share_through_owners(
+        self, autojump_clock
+    ):
+        # Thirty hosts, backend servers that take 25 connections: a connection from
+        # each host would be refused. One host alone calls each server, whichever
+        # host a caller reaches, and every answer is whole.
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery=nursery, n_hosts=30)
+            for node in cluster.nodes:
+                assert (await search_whole(cluster, node)).is_whole
+            assert all(len(hosts) == 1 for hosts in cluster.backends.callers.values())
+            nursery.cancel_scope.cancel()
+
+    async def test_when_an_owner_leaves_one_other_takes_over(self, autojump_clock):
+        # Membership moves on: the owner of some groups is gone. Exactly one other
+        # host calls their servers from then on; all other groups stay where they
+        # were, so that a restart disturbs a part of the fleet's size only.
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery=nursery, n_hosts=5)
+            leaver, *rest = sorted(cluster.nodes, key=cluster.count_owned)[::-1]
+            for node in rest:
+                assert (await search_whole(cluster, node)).is_whole
+            before = {n: set(h) for n, h in cluster.backends.callers.items()}
+            for node in rest:
+                live = {n.name: a for a, n in cluster.network.nodes.items()}
+                del live[leaver.name]
+                node.fleet.replace_live(live)
+            cluster.backends.callers.clear()
+            for node in rest:
+                assert (await search_whole(cluster, node)).is_whole
+            for server, hosts in cluster.backends.callers.items():
+                assert len(hosts) == 1
+                if server in before and before[server] != {leaver.name}:
+                    assert hosts == before[server]
+            nursery.cancel_scope.cancel()
+
     async def test_silent_owner_is_bypassed_within_the_deadline(self, autojump_clock):
         # An owner is paused: its channel takes bytes and answers nothing. The
         # caller gets the whole answer in time all the same, since the owner's
