Save the figures of leaf calls and plan lines, and work out what steps would reach

Cause: make measure-fanout and make measure-logging printed their figures only, so that the capacity page had to leave the leaf call out. Both now save them.

--- a/lab/decisions.py
+++ b/lab/decisions.py
@@ -21,7 +21,6 @@
 
 from pythonjsonlogger.json import JsonFormatter as StdlibJsonFormatter
 from pythonjsonlogger.msgspec import MsgspecFormatter
-from rich.console import Console
 from rich.table import Table
 
 from lavendergap.logs import (
@@ -34,6 +33,8 @@
     open_output,
 )
 
+from .figures import make_figures, report
+
 SIZES = (1, 20, 85, 200)
 N_ROUNDS = 7
 N_BATCHES = 20
@@ -253,17 +254,12 @@
             costs[way.name, n_placements] = measure(way, n_placements)
         cells = [costs[way.name, n] for n in SIZES]
         table.add_row(way.name, *(f"{c.line_us:.1f}, {c.n_bytes}" for c in cells))
-    Console(width=120).print(table)
     chosen = costs[CHOSEN, LEAFS]
-    print(
-        f"line_us_1={costs[CHOSEN, 1].line_us:.1f}"
-        f" line_us_20={costs[CHOSEN, 20].line_us:.1f}"
-        f" line_us_85={chosen.line_us:.1f}"
-        f" line_us_200={costs[CHOSEN, 200].line_us:.1f}"
-        f" us_per_leaf_85={chosen.line_us / LEAFS:.2f}"
-        f" core_share={chosen.line_us * QUERIES_PER_S / 1e6:.4f}"
-        f" bytes_per_s={chosen.n_bytes * QUERIES_PER_S}"
-    )
+    figures = {f"line_us_at_{n}": costs[CHOSEN, n].line_us for n in SIZES}
+    figures["us_per_leaf_85"] = chosen.line_us / LEAFS
+    figures["core_share"] = chosen.line_us * QUERIES_PER_S / 1e6
+    figures["bytes_per_s"] = chosen.n_bytes * QUERIES_PER_S
+    report(make_figures("decisions", figures), table)
 
 
 if __name__ == "__main__":
--- a/lab/fanout.py
+++ b/lab/fanout.py
@@ -21,7 +21,6 @@
 
 import httpcore
 import trio
-from rich.console import Console
 from rich.table import Table
 
 from lavendergap.coordination.calls import Call, FinishCall
@@ -32,6 +31,7 @@
 from lavendergap.state.tree import load_settings
 
 from .decisions import open_reader, wait_for_reader
+from .figures import make_figures, report
 from .leafways import TrialSearch, exchange_bytes, exchange_h11, measure_hop
 from .processes import (
     Deployment,
@@ -314,21 +314,28 @@
     return costs
 
 
+def list_figures(costs: Costs) -> dict[str, float]:
+    """Return the cost of each way and size, then what is made of them."""
+    figures = {
+        f"{name.replace(' (trial)', '_trial')}_us_at_{n}": cost
+        for (name, n), cost in costs.items()
+    }
+    ours = costs["ours", 85]
+    figures["vs_naive"] = ours / costs["naive", 85]
+    figures["vs_bare"] = ours / costs["bare", 85]
+    figures["growth"] = costs["ours", 200] / costs["ours", 20]
+    return figures
+
+
 def main() -> None:
-    """Measure; print a table and one line of ratios."""
+    """Measure; print a table, save the figures, and print them in one line."""
     costs = trio.run(run)
     table = Table("way", *(f"{n} leafs" for n in SIZES), title="us a call")
     for name in dict.fromkeys(name for name, _ in costs):
         table.add_row(name, *(f"{costs[name, n]:.0f}" for n in SIZES))
-    Console(width=100).print(table)
     hops = ", ".join(f"{measure_hop(n):.0f} us at {n}" for n in (1, 5, 20))
     print(f"codec of the hop to another host (trial), for each shard: {hops} in one")
-    ours = costs["ours", 85]
-    print(
-        f"vs_naive={ours / costs['naive', 85]:.3f}"
-        f" vs_bare={ours / costs['bare', 85]:.2f}"
-        f" growth={costs['ours', 200] / costs['ours', 20]:.2f}"
-    )
+    report(make_figures("fanout", list_figures(costs)), table)
 
 
 if __name__ == "__main__":
--- a/lab/tables.py
+++ b/lab/tables.py
@@ -96,7 +96,7 @@
     n_calls = CALLS_A_HOST
     hop_us = compute_hop_us(store, SHARDS_A_QUERY / n_owners)
     join_us = store.compute("parts", "join_us", SHARDS_A_QUERY)
-    line_us = store.get("decisions", "line_us_1")
+    line_us = store.get("decisions", "line_us_at_1")
     caller_us = store.compute("parts", "caller_us", SHARDS_A_QUERY)
     return [
         ("as coordinator, the callers' port", QUERIES_A_HOST, caller_us),
@@ -154,6 +154,58 @@
     return make_table(*heads, rows=iter(rows))
 
 
+N_BUNDLED_OWNERS = 9.0
+
+
+def make_steps_table(store: Store) -> str:
+    """Return the cores that a host would need after each step, one upon the other."""
+    today = _add_up(list_query_parts(store, OWNERS_A_QUERY))
+    bundled = _add_up(list_query_parts(store, N_BUNDLED_OWNERS))
+    saved_us = add(
+        compute_leaf_us(store), multiply(-1, store.get("fanout", "h11_trial_us_at_85"))
+    )
+    by_h11 = add(bundled, multiply(-1, saved_us, CALLS_A_HOST, MICRO))
+    n_shards = SHARDS_A_QUERY / N_BUNDLED_OWNERS
+    codec_us = add(
+        store.compute("parts", "answers_codec_us", n_shards),
+        multiply(-1, store.compute("parts", "msgpack_answers_us", n_shards)),
+    )
+    n_messages = QUERIES_A_HOST * N_BUNDLED_OWNERS
+    compiled = add(by_h11, multiply(-1, codec_us, n_messages, MICRO))
+    rows = [
+        ("today", show(today)),
+        (f"a query has {N_BUNDLED_OWNERS:.0f} owners", show(bundled)),
+        ("and h11 alone for leaf calls", show(by_h11)),
+        ("and a compiled codec for the answers between hosts", show(compiled)),
+    ]
+    return make_table("step", "cores of a host", rows=iter(rows))
+
+
+def _add_up(parts: list[tuple[str, float, float | None]]) -> float | None:
+    return add(*(multiply(rate, cost_us, MICRO) for _, rate, cost_us in parts))
+
+
+LEAF_WAYS = (
+    ("ours_us", "ours: httpcore on our own accounting of connections"),
+    ("h11_trial_us", "trial: h11 alone on a trio stream"),
+    ("bytes_trial_us", "trial: the bytes alone, no HTTP read, as the floor"),
+    ("naive_us", "all calls of a query through one httpcore pool"),
+)
+
+
+def make_ways_table(store: Store) -> str:
+    """Return the cost of a leaf call by ways, and the cores that it makes."""
+    rows = []
+    for name, told in LEAF_WAYS:
+        points = store.get_points("fanout", name)
+        text = ", ".join(f"{x:,}: {show(y)}" for x, y in points.items())
+        each = store.get("fanout", f"{name}_at_{SHARDS_A_QUERY}")
+        cores = multiply(each, CALLS_A_HOST, MICRO)
+        rows.append((told, text or UNKNOWN, show(cores)))
+    heads = ("way", "us a call by leafs of the query", "cores of a host at 85")
+    return make_table(*heads, rows=iter(rows))
+
+
 def make_together_table(store: Store) -> str:
     """Return the cost of a hop by how many questions leave in one turn."""
     points = store.get_points("parts", "hop_together_us")
@@ -371,6 +423,8 @@
     "slopes": make_slopes_table,
     "queries": make_queries_table,
     "reach": make_reach_table,
+    "ways": make_ways_table,
+    "steps": make_steps_table,
     "together": make_together_table,
     "memory": make_memory_table,
     "libraries": make_libraries_table,
