--- a/lab/parts.py
+++ b/lab/parts.py
@@ -46,7 +46,9 @@
 from lavendergap.state.snapshot import Shard, Snapshot
 from lavendergap.state.ticket import Ack, Peer, Ticket, parse_ticket
 from lavendergap.state.tree import parse_settings
-from lavendergap.transport.channel import Acceptor, Channel, Dialer, Exchange
+from lavendergap.transport.acceptor import Acceptor
+from lavendergap.transport.channel import Channel, Exchange
+from lavendergap.transport.dialer import Dialer
 
 from .callersport import measure_caller
 from .figures import make_figures, report
--- a/src/lavendergap/entry/bookings.py
+++ b/src/lavendergap/entry/bookings.py
@@ -67,7 +67,7 @@
 )
 from ..transport.callers import CallerRequest, RunAnswer, RunResult, TicketText
 from ..transport.callers import Pending as PendingAnswer
-from ..transport.channel import Dialer
+from ..transport.dialer import Dialer
 from ..transport.web import BadRequestError
 from .fleet import Fleet
 from .owner import Owner
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -25,9 +25,11 @@
 from ..state.settings import Host, Settings
 from ..state.snapshot import Published
 from ..state.ticket import Peer
+from ..transport.acceptor import Acceptor
 from ..transport.admin import AdminApp
 from ..transport.callers import CallerRequest, CallersApp, Handlers
-from ..transport.channel import Acceptor, Channel, Dialer
+from ..transport.channel import Channel
+from ..transport.dialer import Dialer
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
 from ..transport.platform import PlatformClient
 from .bookings import Bookings
--- a/src/lavendergap/entry/documents.py
+++ b/src/lavendergap/entry/documents.py
@@ -41,7 +41,8 @@
 from ..state.member import Member
 from ..state.settings import Settings
 from ..state.snapshot import Published
-from ..transport.channel import Dialer, Loss
+from ..transport.channel import Loss
+from ..transport.dialer import Dialer
 from ..transport.platform import (
     Found,
     Listing,
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -24,7 +24,8 @@
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Service
 from ..state.snapshot import Shard, Snapshot
-from ..transport.channel import Channel, Dialer, Exchange, Loss
+from ..transport.channel import Channel, Exchange, Loss
+from ..transport.dialer import Dialer
 from .admission import GateKeeper
 from .fleet import Fleet
 from .owner import Owner, Wanted
--- a/src/lavendergap/entry/ticketclient.py
+++ b/src/lavendergap/entry/ticketclient.py
@@ -7,7 +7,8 @@
 from ..protocol.peer import BadFrameError, Message, TicketAsk, TicketReply
 from ..protocol.tickets import PING, Reply, decode_reply
 from ..state.ticket import Peer
-from ..transport.channel import Channel, Dialer, Loss
+from ..transport.channel import Channel, Loss
+from ..transport.dialer import Dialer
 from .fleet import Fleet
 
 # A channel that carried a byte this recently, in seconds, is trusted as it is. What
--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -6,9 +6,9 @@
 """
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
 import trio
@@ -28,14 +28,9 @@
     decode_frame,
     encode_frame,
 )
-from ..state.settings import Address
 
 logger = logging.getLogger("lavendergap.connections")
 
-CONNECT_LIMIT = 0.5
-HELLO_LIMIT = 2.0
-# Far more than the fleet has hosts; beyond it somebody else is at the port.
-MAX_ACCEPTED = 2_000
 HEARTBEAT_AFTER = 0.25
 SILENCE_LIMIT = 0.75
 # A channel that nobody has used for this long is closed on both sides, one that a
@@ -280,153 +275,3 @@
             metrics.dropped_answers.labels("late reply of a peer").inc()
         else:
             exchange.reply(message)
-
-
-async def connect_tcp(address: Address) -> trio.abc.Stream:
-    """Open a TCP connection; raises OSError when it is refused."""
-    return await trio.open_tcp_stream(address.ip, address.port)
-
-
-@dataclass(kw_only=True, slots=True)
-class Dial:
-    """A dial under way, and what came of it once `done` is set."""
-
-    done: trio.Event = field(default_factory=trio.Event)
-    result: Channel | Loss = Loss.STOPPED
-
-
-class Dialer:
-    """Keeps one channel to each peer that is asked, dialled when first needed."""
-
-    def __init__(
-        self,
-        *,
-        own: Hello,
-        nursery: trio.Nursery,
-        connect: Callable[[Address], Awaitable[trio.abc.Stream]] = connect_tcp,
-    ) -> None:
-        self._own = own
-        self._nursery = nursery
-        self._connect = connect
-        self._channels: dict[str, Channel] = {}
-        self._dials: dict[str, Dial] = {}
-
-    def get_open(self, host: str) -> Channel | None:
-        """Return the channel to `host` if it can take a request now."""
-        channel = self._channels.get(host)
-        if channel is None or not channel.is_open:
-            return None
-        return channel
-
-    async def dial(self, host: str, address: Address) -> Channel | Loss:
-        """Return a channel to `host`, a new one if none is open.
-
-        All who ask at once share one dial, which goes on when one of them leaves:
-        one after the other they would wait for a silent host many times over.
-        """
-        channel = self.get_open(host)
-        if channel is not None:
-            return channel
-        dial = self._dials.get(host)
-        if dial is None:
-            dial = self._dials[host] = Dial()
-            self._nursery.start_soon(self._run_dial, host, address, dial)
-        await dial.done.wait()
-        return dial.result
-
-    async def _run_dial(self, host: str, address: Address, dial: "Dial") -> None:
-        try:
-            dial.result = await self._open(host, address)
-        finally:
-            del self._dials[host]
-            dial.done.set()
-
-    async def _open(self, host: str, address: Address) -> Channel | Loss:
-        try:
-            with trio.fail_after(CONNECT_LIMIT):
-                stream = await self._connect(address)
-        except trio.TooSlowError:
-            return Loss.SILENT
-        except OSError:
-            return Loss.REFUSED
-        channel = Channel(stream=stream, own=self._own, lose=self._drop)
-        channel.send(Frame(id=0, message=self._own))
-        self._nursery.start_soon(channel.run)
-        with trio.move_on_after(CONNECT_LIMIT):
-            await channel.greeted.wait()
-        return self._admit(host, channel)
-
-    def _admit(self, host: str, channel: Channel) -> Channel | Loss:
-        # An address may have passed to another host since we learnt it. What is
-        # asked of one host must not be done by another, so the name has to match.
-        if channel.peer is None or channel.peer.host != host:
-            channel.close(Loss.REFUSED)
-            return Loss.REFUSED if channel.peer else Loss.SILENT
-        self._channels[host] = channel
-        return channel
-
-    def _drop(self, channel: Channel, loss: Loss) -> None:
-        for host, held in list(self._channels.items()):
-            if held is channel:
-                del self._channels[host]
-                logger.info("channel to %s ended: %s", host, loss.value)
-
-
-class Acceptor:
-    """Accepts peers' channels and hands each request to `handle`."""
-
-    def __init__(
-        self,
-        *,
-        own: Hello,
-        handle: Callable[[Channel, Frame], None],
-        lose: Callable[[Channel], None],
-    ) -> None:
-        self._own = own
-        self._handle = handle
-        self._tell_lost = lose
-        self._channels: set[Channel] = set()
-
-    async def serve(self, listener: trio.SocketListener) -> None:
-        """Accept channels until cancelled."""
-        await trio.serve_listeners(self.serve_stream, [listener])
-
-    async def serve_stream(self, stream: trio.abc.Stream) -> None:
-        """Serve one accepted connection until it ends.
-
-        Who has not said a valid Hello within `HELLO_LIMIT` seconds is no peer of
-        ours, and would hold memory for nothing.
-        """
-        if len(self._channels) >= MAX_ACCEPTED:
-            metrics.rejected_input.labels("peers", "too many channels").inc()
-            await trio.aclose_forcefully(stream)
-            return
-        channel = Channel(
-            stream=stream,
-            own=self._own,
-            handle=self._handle,
-            lose=self._drop,
-        )
-        self._channels.add(channel)
-        channel.send(Frame(id=0, message=self._own))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_close_unless_greeted, channel)
-            await channel.run()
-            nursery.cancel_scope.cancel()
-
-    def _drop(self, channel: Channel, loss: Loss) -> None:
-        self._channels.discard(channel)
-        self._tell_lost(channel)
-
-    def announce_leaving(self) -> None:
-        """Tell every peer that this process is stopping."""
-        for channel in self._channels:
-            channel.send(Frame(id=0, message=GoingAway()))
-
-
-async def _close_unless_greeted(channel: Channel) -> None:
-    with trio.move_on_after(HELLO_LIMIT):
-        await channel.greeted.wait()
-        return
-    metrics.rejected_input.labels("peers", "no hello").inc()
-    channel.close(Loss.BAD_FRAME)
--- /dev/null
+++ b/src/lavendergap/transport/dialer.py
@@ -0,0 +1,105 @@
+"""Dials channels to peers when they are first needed, one for each peer."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from ..protocol.peer import Frame, Hello
+from ..state.settings import Address
+from .channel import Channel, Loss
+
+logger = logging.getLogger("lavendergap.connections")
+
+CONNECT_LIMIT = 0.5
+
+
+async def connect_tcp(address: Address) -> trio.abc.Stream:
+    """Open a TCP connection; raises OSError when it is refused."""
+    return await trio.open_tcp_stream(address.ip, address.port)
+
+
+@dataclass(kw_only=True, slots=True)
+class Dial:
+    """A dial under way, and what came of it once `done` is set."""
+
+    done: trio.Event = field(default_factory=trio.Event)
+    result: Channel | Loss = Loss.STOPPED
+
+
+class Dialer:
+    """Keeps one channel to each peer that is asked, dialled when first needed."""
+
+    def __init__(
+        self,
+        *,
+        own: Hello,
+        nursery: trio.Nursery,
+        connect: Callable[[Address], Awaitable[trio.abc.Stream]] = connect_tcp,
+    ) -> None:
+        self._own = own
+        self._nursery = nursery
+        self._connect = connect
+        self._channels: dict[str, Channel] = {}
+        self._dials: dict[str, Dial] = {}
+
+    def get_open(self, host: str) -> Channel | None:
+        """Return the channel to `host` if it can take a request now."""
+        channel = self._channels.get(host)
+        if channel is None or not channel.is_open:
+            return None
+        return channel
+
+    async def dial(self, host: str, address: Address) -> Channel | Loss:
+        """Return a channel to `host`, a new one if none is open.
+
+        All who ask at once share one dial, which goes on when one of them leaves:
+        one after the other they would wait for a silent host many times over.
+        """
+        channel = self.get_open(host)
+        if channel is not None:
+            return channel
+        dial = self._dials.get(host)
+        if dial is None:
+            dial = self._dials[host] = Dial()
+            self._nursery.start_soon(self._run_dial, host, address, dial)
+        await dial.done.wait()
+        return dial.result
+
+    async def _run_dial(self, host: str, address: Address, dial: "Dial") -> None:
+        try:
+            dial.result = await self._open(host, address)
+        finally:
+            del self._dials[host]
+            dial.done.set()
+
+    async def _open(self, host: str, address: Address) -> Channel | Loss:
+        try:
+            with trio.fail_after(CONNECT_LIMIT):
+                stream = await self._connect(address)
+        except trio.TooSlowError:
+            return Loss.SILENT
+        except OSError:
+            return Loss.REFUSED
+        channel = Channel(stream=stream, own=self._own, lose=self._drop)
+        channel.send(Frame(id=0, message=self._own))
+        self._nursery.start_soon(channel.run)
+        with trio.move_on_after(CONNECT_LIMIT):
+            await channel.greeted.wait()
+        return self._admit(host, channel)
+
+    def _admit(self, host: str, channel: Channel) -> Channel | Loss:
+        # An address may have passed to another host since we learnt it. What is
+        # asked of one host must not be done by another, so the name has to match.
+        if channel.peer is None or channel.peer.host != host:
+            channel.close(Loss.REFUSED)
+            return Loss.REFUSED if channel.peer else Loss.SILENT
+        self._channels[host] = channel
+        return channel
+
+    def _drop(self, channel: Channel, loss: Loss) -> None:
+        for host, held in list(self._channels.items()):
+            if held is channel:
+                del self._channels[host]
+                logger.info("channel to %s ended: %s", host, loss.value)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -33,7 +33,8 @@
     StragglerPolicy,
     WaitForCoverage,
 )
-from lavendergap.transport.channel import Acceptor, Dialer
+from lavendergap.transport.acceptor import Acceptor
+from lavendergap.transport.dialer import Dialer
 
 DEADLINE_MS = 280
 SERVICE_S = 0.01
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -33,7 +33,8 @@
     RunResult,
     TicketText,
 )
-from lavendergap.transport.channel import Channel, Dialer, Loss
+from lavendergap.transport.channel import Channel, Loss
+from lavendergap.transport.dialer import Dialer
 from lavendergap.transport.web import BadRequestError
 
 DONE = Answered(body=b'"booked"')
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -19,16 +19,9 @@
 )
 from lavendergap.protocol.peer import Document as DocumentMessage
 from lavendergap.state.settings import Address
-from lavendergap.transport.channel import (
-    CONNECT_LIMIT,
-    HELLO_LIMIT,
-    IDLE_LIMIT,
-    SILENCE_LIMIT,
-    Acceptor,
-    Channel,
-    Dialer,
-    Loss,
-)
+from lavendergap.transport.acceptor import HELLO_LIMIT, Acceptor
+from lavendergap.transport.channel import IDLE_LIMIT, SILENCE_LIMIT, Channel, Loss
+from lavendergap.transport.dialer import CONNECT_LIMIT, Dialer
 
 ADDRESS = Address(ip="127.0.0.1", port=8101)
 FETCH = Fetch(name="settings/demo", at_least=1)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -22,7 +22,8 @@
 from lavendergap.state.outcome import Reason, Step
 from lavendergap.state.settings import Address, Settings
 from lavendergap.state.snapshot import Published
-from lavendergap.transport.channel import Dialer, Loss
+from lavendergap.transport.channel import Loss
+from lavendergap.transport.dialer import Dialer
 from lavendergap.transport.platform import (
     DEFAULT_LIMIT_S,
     Found,
