--- /dev/null
+++ b/lab/control.py
@@ -0,0 +1,317 @@
+"""What control costs an idle entry host, as the fleet grows, with real processes.
+
+Processor time and memory come from /proc, bytes of gossip from each host's metrics
+(with 28 bytes of UDP and IP headers a datagram), bytes of TCP from the kernel. No
+caller sends anything. `make measure-control` runs it; see `fit` for how the figures
+are carried to 550 hosts.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import statistics
+import subprocess
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import click
+import trio
+from rich.table import Table
+
+from lavendergap.coordination.ranking import rank_owner
+from lavendergap.coordination.watchers import choose_watch_holders
+from lavendergap.state.member import Member
+from standins.fleet import parse_address
+
+from .entries import EntryFleet, has_room, open_fleet
+from .figures import Value, make_figures, report
+from .processes import EntryHost, read_usage
+
+SIZES = (7, 25, 50, 100)
+TARGET = 550
+SETTLE_S = 20.0
+WINDOW_S = 30.0
+MAX_SAMPLED = 14
+N_HOLDERS = 2
+# Enough groups for the cost of their health probes to stand out.
+N_PROBED_GROUPS = 56
+UDP_HEADERS = 28
+MB = 1_000_000
+WANTED = {"cpu_share": 0.038, "rss_mb": 64.0, "bytes_per_s": 8_000.0}
+_SENT = re.compile(r"bytes_sent:(\d+)")
+_PID = re.compile(r"pid=(\d+)")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reading:
+    """What one process had used when it was read."""
+
+    cpu_s: float
+    rss_bytes: int
+    gossip_bytes: float
+    tcp_bytes: int
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cost:
+    """What one idle host cost: a share of a core, megabytes, bytes sent a second."""
+
+    host: str
+    n_hosts: int
+    is_holder: bool
+    n_owned: int
+    cpu_share: float
+    rss_mb: float
+    bytes_per_s: float
+    tcp_bytes_per_s: float
+
+    @property
+    def is_plain(self) -> bool:
+        """Whether the host did nothing but what every host does."""
+        return not self.is_holder and self.n_owned == 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Line:
+    """A least-squares line through all hosts' points, and its value at `TARGET`.
+
+    `error` is the standard error of that value, from the points' scatter: it says
+    how far the line may be off if the cost does follow a line.
+    """
+
+    slope: float
+    at_target: float
+    error: float
+
+
+def fit(points: Sequence[tuple[float, float]], target: float) -> Line:
+    """Fit a line to `points` and carry it to `target`.
+
+    >>> line = fit([(1.0, 3.0), (2.0, 5.0), (3.0, 7.0)], 10.0)
+    >>> line.slope, line.at_target, line.error
+    (2.0, 21.0, 0.0)
+    """
+    n_points = len(points)
+    mean_x = sum(x for x, _ in points) / n_points
+    mean_y = sum(y for _, y in points) / n_points
+    square = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / square
+    residual = sum((y - mean_y - slope * (x - mean_x)) ** 2 for x, y in points)
+    variance = residual / max(1, n_points - 2)
+    spread = 1 / n_points + (target - mean_x) ** 2 / square
+    return Line(
+        slope=slope,
+        at_target=mean_y + slope * (target - mean_x),
+        error=math.sqrt(variance * spread),
+    )
+
+
+def read_tcp_bytes() -> dict[int, int]:
+    """Return the bytes that each process has sent over the TCP sockets it has now."""
+    command = ["ss", "--tcp", "--info", "--processes", "--numeric", "--no-header"]
+    lines = subprocess.run(command, capture_output=True, text=True).stdout.splitlines()
+    sent: dict[int, int] = defaultdict(int)
+    pid = 0
+    for line in lines:
+        if not line.startswith(("\t", " ")):
+            found = _PID.search(line)
+            pid = int(found.group(1)) if found else 0
+        elif found := _SENT.search(line):
+            sent[pid] += int(found.group(1))
+    return sent
+
+
+async def read_host(
+    fleet: EntryFleet, host: EntryHost, tcp_bytes: dict[int, int], *, is_end: bool
+) -> Reading:
+    """Read a process; /metrics is asked outside of the time that is measured."""
+    pid = fleet.running[host.name].pid
+    usage = read_usage(pid)
+    at = trio.current_time()
+    samples = await fleet.read_metrics(host)
+    if not is_end:
+        usage = read_usage(pid)
+        at = trio.current_time()
+    n_datagrams = samples["lavendergap_gossip_datagrams_total"]
+    return Reading(
+        cpu_s=usage.cpu_s,
+        rss_bytes=usage.rss_bytes,
+        gossip_bytes=samples["lavendergap_gossip_bytes_total"]
+        + UDP_HEADERS * n_datagrams,
+        tcp_bytes=tcp_bytes.get(pid, 0),
+        at=at,
+    )
+
+
+def choose_holders(fleet: EntryFleet) -> tuple[str, ...]:
+    """Return the hosts that hold the platform's watches."""
+    members = [
+        Member(
+            name=host.name,
+            data_centre=host.data_centre,
+            peers=parse_address(host.peers),
+            incarnation=1,
+        )
+        for host in fleet.hosts
+    ]
+    return choose_watch_holders(members, N_HOLDERS)
+
+
+def choose_sampled(fleet: EntryFleet, holders: Sequence[str]) -> list[EntryHost]:
+    """Return the watch holders and other hosts, evenly from the whole list."""
+    first = [host for host in fleet.hosts if host.name in holders]
+    others = [host for host in fleet.hosts if host.name not in holders]
+    step = max(1, len(others) // (MAX_SAMPLED - len(first)))
+    return [*first, *others[::step]][:MAX_SAMPLED]
+
+
+async def measure_fleet(fleet: EntryFleet, n_groups: int) -> tuple[list[Cost], float]:
+    """Watch an idle fleet; return hosts' costs and the platform's calls a second."""
+    await trio.sleep(SETTLE_S)
+    names = [host.name for host in fleet.hosts]
+    holders = choose_holders(fleet)
+    hosts = choose_sampled(fleet, holders)
+    owners = [rank_owner(f"scheduler-{group:02}", names) for group in range(n_groups)]
+    n_calls = await fleet.count_platform_calls()
+    begin = trio.current_time()
+    tcp_bytes = read_tcp_bytes()
+    starts = [await read_host(fleet, h, tcp_bytes, is_end=False) for h in hosts]
+    await trio.sleep(WINDOW_S)
+    tcp_bytes = read_tcp_bytes()
+    ends = [await read_host(fleet, h, tcp_bytes, is_end=True) for h in hosts]
+    n_calls = await fleet.count_platform_calls() - n_calls
+    calls_per_s = n_calls / (trio.current_time() - begin)
+    costs = []
+    for host, start, end in zip(hosts, starts, ends, strict=True):
+        seconds = end.at - start.at
+        # Both ends of one's gossip are in `sent`: each datagram has one sender. The
+        # metric adds up what was sent and what was received.
+        gossip = (end.gossip_bytes - start.gossip_bytes) / 2 / seconds
+        tcp = max(0, end.tcp_bytes - start.tcp_bytes) / seconds
+        costs.append(
+            Cost(
+                host=host.name,
+                n_hosts=len(fleet.hosts),
+                is_holder=host.name in holders,
+                n_owned=owners.count(host.name),
+                cpu_share=(end.cpu_s - start.cpu_s) / seconds,
+                rss_mb=end.rss_bytes / MB,
+                bytes_per_s=gossip + tcp,
+                tcp_bytes_per_s=tcp,
+            )
+        )
+    return costs, calls_per_s
+
+
+def make_table(costs: Sequence[Cost], calls: dict[int, float]) -> Table:
+    """Return a row for each size and kind of host."""
+    table = Table(
+        "hosts", "kind", "read", "core %", "rss MB", "bytes/s", "of it TCP",
+        "platform calls/s", title="Control, one idle host (medians)",
+    )  # fmt: skip
+    for n_hosts in calls:
+        for kind, is_plain in (("plain", True), ("holder", False)):
+            some = [
+                c
+                for c in costs
+                if c.n_hosts == n_hosts and (c.is_plain if is_plain else c.is_holder)
+            ]
+            if some:
+                table.add_row(
+                    str(n_hosts),
+                    kind,
+                    str(len(some)),
+                    f"{100 * statistics.median(c.cpu_share for c in some):.3f}",
+                    f"{statistics.median(c.rss_mb for c in some):.2f}",
+                    f"{statistics.median(c.bytes_per_s for c in some):.0f}",
+                    f"{statistics.median(c.tcp_bytes_per_s for c in some):.0f}",
+                    f"{calls[n_hosts]:.2f}",
+                )
+    return table
+
+
+def compute_figures(costs: Sequence[Cost], calls: dict[int, float]) -> dict[str, float]:
+    """Return the medians at each size, the lines, and their values at 550 hosts."""
+    figures: dict[str, float] = {}
+    plain = [cost for cost in costs if cost.is_plain]
+    for name in WANTED:
+        for n_hosts in calls:
+            for kind, some in (("", plain), ("holder_", costs)):
+                values = [
+                    getattr(c, name)
+                    for c in some
+                    if c.n_hosts == n_hosts and (not kind or c.is_holder)
+                ]
+                if values:
+                    key = f"{kind}{name}_at_{n_hosts}"
+                    figures[key] = statistics.median(values)
+        line = fit([(c.n_hosts, getattr(c, name)) for c in plain], TARGET)
+        figures[f"{name}_slope"] = line.slope
+        figures[f"{name}_{TARGET}_error"] = line.error
+        figures[f"{name}_{TARGET}"] = line.at_target
+        logarithm = fit(
+            [(math.log(c.n_hosts), getattr(c, name)) for c in plain], math.log(TARGET)
+        )
+        figures[f"{name}_{TARGET}_by_logarithm"] = logarithm.at_target
+    for n_hosts, calls_per_s in calls.items():
+        figures[f"platform_calls_per_s_at_{n_hosts}"] = calls_per_s
+    line = fit(list(calls.items()), TARGET)
+    figures[f"platform_calls_per_s_{TARGET}"] = line.at_target
+    return figures
+
+
+def compute_probe_cost(costs: Sequence[Cost]) -> dict[str, float]:
+    """Return what the health probes of one owned group's two servers cost a host."""
+    plain = [cost for cost in costs if not cost.is_holder]
+    cpu = fit([(c.n_owned, c.cpu_share) for c in plain], 0)
+    tcp = fit([(c.n_owned, c.tcp_bytes_per_s) for c in plain], 0)
+    return {
+        "probe_cpu_share_per_group": cpu.slope,
+        "probe_bytes_per_s_per_group": tcp.slope,
+    }
+
+
+async def measure(sizes: tuple[int, ...], *, is_saved: bool) -> None:
+    """Run each size that the machine has room for, and report."""
+    costs: list[Cost] = []
+    calls: dict[int, float] = {}
+    for n_hosts in sizes:
+        if not has_room(n_hosts):
+            print(f"{n_hosts} hosts left out: half of the memory would be taken")
+            continue
+        async with open_fleet(n_hosts) as fleet:
+            some, calls[n_hosts] = await measure_fleet(fleet, 1)
+        costs += some
+        for cost in some:
+            print(cost, flush=True)
+    async with open_fleet(sizes[0], n_groups=N_PROBED_GROUPS) as fleet:
+        probing, _ = await measure_fleet(fleet, N_PROBED_GROUPS)
+    for cost in probing:
+        print(cost, flush=True)
+    figures = compute_figures(costs, calls) | compute_probe_cost(probing)
+    conditions: dict[str, Value] = {
+        "sizes": " ".join(map(str, calls)),
+        "window_s": WINDOW_S,
+        "hosts_read": len(costs),
+    }
+    report(
+        make_figures("control", figures, conditions=conditions),
+        make_table(costs, calls),
+        is_saved=is_saved,
+    )
+    last = [f"{name}_{TARGET}" for name in (*WANTED, "platform_calls_per_s")]
+    print(" ".join(f"{name}={figures[name]:.4g}" for name in last))
+
+
+@click.command()
+@click.argument("sizes", type=int, nargs=-1)
+def main(sizes: tuple[int, ...]) -> None:
+    """Measure at SIZES entry processes; only the default sizes are saved."""
+    trio.run(lambda: measure(sizes or SIZES, is_saved=not sizes))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/entries.py
@@ -0,0 +1,134 @@
+"""Fleets of real entry processes, for what hosts do together.
+
+They are started in batches, and never so many that half of the machine's memory
+would be taken: `has_room` tells.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+from prometheus_client.parser import text_string_to_metric_families
+
+from .bookers import call
+from .processes import (
+    Deployment,
+    DeploymentShape,
+    EntryHost,
+    Processes,
+    Running,
+    ServiceShape,
+    find_free_address,
+    open_processes,
+    write_deployment,
+)
+
+BATCH = 8
+READY_S = 60.0
+CALL_LIMIT_S = 5.0
+JOIN_LIMIT_S = 60.0
+POLL_S = 0.5
+PROCESS_BYTES = 60_000_000
+"""Generous: what one entry process is counted with before it is started."""
+
+
+def has_room(n_processes: int) -> bool:
+    """Tell whether so many more processes leave half of the memory free."""
+    fields = dict(
+        line.split(":") for line in Path("/proc/meminfo").read_text().splitlines()
+    )
+    total, available = (
+        int(fields[name].split()[0]) * 1024 for name in ("MemTotal", "MemAvailable")
+    )
+    return total - available + n_processes * PROCESS_BYTES < total / 2
+
+
+class EntryFleet:
+    """A running platform, its backend servers and entry processes."""
+
+    def __init__(
+        self, *, processes: Processes, deployment: Deployment, platform_control: str
+    ) -> None:
+        self.deployment = deployment
+        self.platform_control = platform_control
+        self.running: dict[str, Running] = {}
+        self._processes = processes
+
+    @property
+    def hosts(self) -> tuple[EntryHost, ...]:
+        """The entry hosts of the settings file."""
+        return self.deployment.hosts
+
+    async def start(self, names: Sequence[str]) -> None:
+        """Start or restart hosts, a few at a time, until they are ready."""
+        limiter = trio.CapacityLimiter(BATCH)
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(self._start_one, name, limiter)
+
+    async def _start_one(self, name: str, limiter: trio.CapacityLimiter) -> None:
+        settings = str(self.deployment.settings)
+        async with limiter:
+            self.running[name] = await self._processes.start(
+                "lavendergap",
+                ["entry", "--settings", settings, "--host", name],
+                name=name,
+                ready_s=READY_S,
+            )
+
+    async def join(self) -> None:
+        """Wait until every host believes all running ones to be live."""
+        n_hosts = len(self.running)
+        with trio.fail_after(JOIN_LIMIT_S):
+            for host in self.hosts:
+                while await self.count_live(host) != n_hosts:
+                    await trio.sleep(POLL_S)
+
+    async def count_live(self, host: EntryHost) -> int:
+        """Return how many hosts `host` believes to be live, 0 without an answer."""
+        samples = await self.read_metrics(host)
+        return round(samples.get("lavendergap_members_live", 0.0))
+
+    async def read_metrics(self, host: EntryHost) -> dict[str, float]:
+        """Return a host's metrics, the series of one name added up."""
+        answer = await call(host.admin, "GET", "/metrics", limit=CALL_LIMIT_S)
+        sums: dict[str, float] = {}
+        for family in text_string_to_metric_families(
+            answer.body.decode() if answer else ""
+        ):
+            for sample in family.samples:
+                sums[sample.name] = sums.get(sample.name, 0.0) + sample.value
+        return sums
+
+    async def count_platform_calls(self) -> int:
+        """Return how many calls the platform has seen."""
+        answer = await call(self.platform_control, "GET", "/counts", limit=CALL_LIMIT_S)
+        assert answer is not None
+        kinds = ("get", "put", "list", "watch", "watch prefix", "hosts", "other")
+        counts = answer.json
+        counts = counts.get("calls", counts)
+        return sum(counts.get(kind, 0) for kind in kinds)
+
+
+@asynccontextmanager
+async def open_fleet(n_hosts: int, *, n_groups: int = 1) -> AsyncIterator[EntryFleet]:
+    """Yield a fleet whose hosts all know each other; it ends with the block."""
+    shape = DeploymentShape(
+        n_hosts=n_hosts,
+        n_data_centres=4,
+        services=(ServiceShape(name="scheduler", n_groups=n_groups),),
+    )
+    async with open_processes() as processes:
+        deployment = write_deployment(shape=shape, directory=processes.directory)
+        control = find_free_address()
+        await processes.start_platform(deployment, control=control)
+        await processes.start_backend(deployment, only=("*",))
+        fleet = EntryFleet(
+            processes=processes, deployment=deployment, platform_control=control
+        )
+        await fleet.start([host.name for host in fleet.hosts])
+        await fleet.join()
+        yield fleet
