Pack the two messages of every query with msgpack; end superseded processes

Cause: (1) the hop to the owner cost more than a leaf call may: encode and decode of one shard's answer 35.5 us by Cap'n Proto (lab/parts.py). Cap'n Proto stays for all other messages; the frame's length says which. Ruled out: leaner Cap'n Proto schemas (its cost is in building and reading each field from Python). (2) A process that a later one of the same host replaced fell silent in membership but went on issuing tickets; it ends now (by reading, no test yet). (3) An error in a task of the daemon showed the stacks of all tasks; it is one line (test seen failing before).

--- a/src/lavendergap/entry/bookings.py
+++ b/src/lavendergap/entry/bookings.py
@@ -23,7 +23,7 @@
 from ..coordination.witness import Witness
 from ..logs import log_decision
 from ..protocol.answers import Refusal, name_outcome
-from ..protocol.peer import BadFrameError, TicketAsk, TicketReply
+from ..protocol.messages import BadFrameError, TicketAsk, TicketReply
 from ..protocol.tickets import (
     ASK,
     PING,
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -1,6 +1,7 @@
 """The daemon on an entry host: starts its parts, and stops them without a cut."""
 
 import functools
+import gc
 import logging
 import secrets
 import signal
@@ -19,7 +20,7 @@
 from ..errors import LavendergapError, Problem, SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
 from ..protocol.answers import Refusal, SearchResult
-from ..protocol.peer import Frame, Hello
+from ..protocol.messages import Frame, Hello
 from ..state.gossip import DocumentsHeard, Event, MemberChanged
 from ..state.member import Member
 from ..state.settings import Host, Settings
@@ -49,6 +50,7 @@
 DRAIN_CHECK = 0.05
 SWEEP_INTERVAL = 1.0
 BACKLOG = 256
+COLLECTOR_THRESHOLDS = (50_000, 10, 10)
 
 
 def run_entry(settings: Settings, host: str, settings_path: str) -> None:
@@ -63,7 +65,29 @@
         )
         raise SettingsError(problems=(problem,))
     daemon = Daemon(settings=settings, own=own)
-    trio.run(daemon.run)
+    tune_collector()
+    try:
+        trio.run(daemon.run)
+    except* LavendergapError as group:
+        # A person sees one line that says what to do, not the tasks around it.
+        raise find_first(group) from None
+
+
+def tune_collector() -> None:
+    """Have Python look for reference cycles less often.
+
+    With its own thresholds the collector walks all connections and calls many times
+    a second: a leaf call costs about a tenth more (docs/design/connections.md).
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
+def find_first(group: BaseExceptionGroup[LavendergapError]) -> LavendergapError:
+    """Return the first error in a group, however deep it stands."""
+    first = group.exceptions[0]
+    return find_first(first) if isinstance(first, BaseExceptionGroup) else first
 
 
 def make_incarnation() -> int:
@@ -359,6 +383,13 @@
             self._owner.close_unused()
             self._fleet.forgive(now=trio.current_time())
             self._count_dropped_lines()
+            if self._membership.superseded:
+                # Two processes of one host would both issue tickets and own groups
+                # in its name; the later one is what the fleet goes by.
+                raise LavendergapError(
+                    f"another process of host {self._own.name} has started since: "
+                    "this one ends; stop one of the two before starting another"
+                )
 
     def _count_dropped_lines(self) -> None:
         for handler in logging.getLogger().handlers:
--- a/src/lavendergap/entry/documents.py
+++ b/src/lavendergap/entry/documents.py
@@ -29,6 +29,7 @@
 )
 from ..errors import ObjectError, SettingsError
 from ..logs import log_decision
+from ..protocol.messages import Document, Fetch
 from ..protocol.objects import (
     decode_index_object,
     decode_settings_object,
@@ -36,7 +37,6 @@
     make_settings_key,
     read_settings,
 )
-from ..protocol.peer import Document, Fetch
 from ..protocol.resolved import decode_settings, encode_settings
 from ..state.member import Member
 from ..state.settings import Settings
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -8,7 +8,7 @@
 from .. import metrics
 from ..coordination.calls import Call, FinishCall
 from ..coordination.documents import Documents
-from ..protocol.peer import (
+from ..protocol.messages import (
     Answers,
     Cancel,
     Document,
--- a/src/lavendergap/entry/runs.py
+++ b/src/lavendergap/entry/runs.py
@@ -3,8 +3,8 @@
 import trio
 
 from ..coordination.calls import Call, FinishCall
-from ..protocol.peer import Ran
-from ..protocol.peer import Run as RunMessage
+from ..protocol.messages import Ran
+from ..protocol.messages import Run as RunMessage
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Group, Service, Settings
 from ..state.ticket import Ticket
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -12,7 +12,7 @@
 from ..coordination.pinning import Pinning
 from ..logs import log_decision
 from ..protocol.answers import Refusal, SearchResult, ShardResult
-from ..protocol.peer import (
+from ..protocol.messages import (
     Answers,
     Cancel,
     Frame,
--- a/src/lavendergap/entry/ticketclient.py
+++ b/src/lavendergap/entry/ticketclient.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..protocol.peer import BadFrameError, Message, TicketAsk, TicketReply
+from ..protocol.messages import BadFrameError, Message, TicketAsk, TicketReply
 from ..protocol.tickets import PING, Reply, decode_reply
 from ..state.ticket import Peer
 from ..transport.channel import Channel, Loss
--- /dev/null
+++ b/src/lavendergap/protocol/messages.py
@@ -0,0 +1,167 @@
+"""The typed messages between entry processes on their channels."""
+
+from dataclasses import dataclass
+
+from ..state.outcome import Outcome
+
+FORMAT = 1
+
+
+class BadFrameError(Exception):
+    """Bytes that are no message of ours; `problem` says why."""
+
+    def __init__(self, *, problem: str) -> None:
+        super().__init__(problem)
+        self.problem = problem
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hello:
+    """The first message each way: who speaks, and in which format."""
+
+    format: int = FORMAT
+    deployment: str
+    host: str
+    incarnation: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ping:
+    """Asks for a Pong, to prove that the channel still carries bytes both ways."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pong:
+    """The answer to a Ping."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GoingAway:
+    """The sender is stopping: it finishes what runs and wants nothing new."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardRef:
+    """A shard to search, and the group of replicas that serves it."""
+
+    shard: str
+    group: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Search:
+    """One query, for all the shards of it that the receiver owns.
+
+    `left_ms` is the time until the deadline: clocks differ between hosts.
+    """
+
+    request_id: str
+    service: str
+    version: int
+    left_ms: int
+    body: bytes
+    shards: tuple[ShardRef, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardAnswer:
+    """The outcome for one shard, and the index versions its server now serves."""
+
+    shard: str
+    server: str
+    outcome: Outcome
+    versions: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answers:
+    """Outcomes of a Search, as they come; several in one message when they can."""
+
+    answers: tuple[ShardAnswer, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cancel:
+    """The coordinator no longer wants these shards of a Search."""
+
+    shards: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """A request that is not idempotent: the receiver sends it on at most once."""
+
+    request_id: str
+    service: str
+    group: str
+    left_ms: int
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ran:
+    """What became of a Run."""
+
+    server: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fetch:
+    """Asks for a document at a version of at least `at_least`."""
+
+    name: str
+    at_least: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Document:
+    """A document as the sender has it; version 0 when it has none new enough."""
+
+    name: str
+    version: int
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TicketAsk:
+    """An order or a question about one ticket; `verb` names which."""
+
+    verb: str
+    ticket: str
+    body: bytes = b""
+    outcome: Outcome | None = None
+    left_ms: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TicketReply:
+    """The verdict on a TicketAsk, with the outcome where one is known."""
+
+    verdict: str
+    outcome: Outcome | None = None
+
+
+Message = (
+    Hello
+    | Ping
+    | Pong
+    | GoingAway
+    | Search
+    | Answers
+    | Cancel
+    | Run
+    | Ran
+    | Fetch
+    | Document
+    | TicketAsk
+    | TicketReply
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Frame:
+    """A message with the id that ties replies to their request."""
+
+    id: int
+    message: Message
--- a/src/lavendergap/protocol/peer.py
+++ b/src/lavendergap/protocol/peer.py
@@ -1,188 +1,46 @@
-"""The typed messages between entry processes, and their Cap'n Proto codec.
+"""Frames on the channels between entry processes: bytes in, typed messages out.
 
-A frame on a channel is four bytes of length, then one encoded message. Decoding
-never raises anything but `BadFrameError`, whatever bytes come in.
+A frame is four bytes of length, then one encoded message; the length's highest bit
+says which of the two codecs. Decoding never raises anything but `BadFrameError`,
+whatever bytes come in.
 """
 
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import capnp
 
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
+from .messages import (
+    Answers,
+    BadFrameError,
+    Cancel,
+    Document,
+    Fetch,
+    Frame,
+    GoingAway,
+    Hello,
+    Message,
+    Ping,
+    Pong,
+    Ran,
+    Run,
+    Search,
+    TicketAsk,
+    TicketReply,
+)
+from .packing import pack_answers, pack_search, unpack
 
-FORMAT = 1
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 LENGTH = struct.Struct(">I")
+PACKED = 1 << 31
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _Frame = _schema.Frame
 
-
-class BadFrameError(Exception):
-    """Bytes that are no message of ours; `problem` says why."""
-
-    def __init__(self, *, problem: str) -> None:
-        super().__init__(problem)
-        self.problem = problem
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Hello:
-    """The first message each way: who speaks, and in which format."""
-
-    format: int = FORMAT
-    deployment: str
-    host: str
-    incarnation: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Ping:
-    """Asks for a Pong, to prove that the channel still carries bytes both ways."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Pong:
-    """The answer to a Ping."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class GoingAway:
-    """The sender is stopping: it finishes what runs and wants nothing new."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ShardRef:
-    """A shard to search, and the group of replicas that serves it."""
-
-    shard: str
-    group: str
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Search:
-    """One query, for all the shards of it that the receiver owns.
-
-    `left_ms` is the time until the deadline: clocks differ between hosts.
-    """
-
-    request_id: str
-    service: str
-    version: int
-    left_ms: int
-    body: bytes
-    shards: tuple[ShardRef, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ShardAnswer:
-    """The outcome for one shard, and the index versions its server now serves."""
-
-    shard: str
-    server: str
-    outcome: Outcome
-    versions: tuple[int, ...] = ()
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Answers:
-    """Outcomes of a Search, as they come; several in one message when they can."""
-
-    answers: tuple[ShardAnswer, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Cancel:
-    """The coordinator no longer wants these shards of a Search."""
-
-    shards: tuple[str, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Run:
-    """A request that is not idempotent: the receiver sends it on at most once."""
-
-    request_id: str
-    service: str
-    group: str
-    left_ms: int
-    body: bytes
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Ran:
-    """What became of a Run."""
-
-    server: str
-    outcome: Outcome
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Fetch:
-    """Asks for a document at a version of at least `at_least`."""
-
-    name: str
-    at_least: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Document:
-    """A document as the sender has it; version 0 when it has none new enough."""
-
-    name: str
-    version: int
-    body: bytes
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class TicketAsk:
-    """An order or a question about one ticket; `verb` names which."""
-
-    verb: str
-    ticket: str
-    body: bytes = b""
-    outcome: Outcome | None = None
-    left_ms: int = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class TicketReply:
-    """The verdict on a TicketAsk, with the outcome where one is known."""
-
-    verdict: str
-    outcome: Outcome | None = None
-
-
-Message = (
-    Hello
-    | Ping
-    | Pong
-    | GoingAway
-    | Search
-    | Answers
-    | Cancel
-    | Run
-    | Ran
-    | Fetch
-    | Document
-    | TicketAsk
-    | TicketReply
-)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Frame:
-    """A message with the id that ties replies to their request."""
-
-    id: int
-    message: Message
-
-
 _ANSWERED, _NOT_RUN, _UNKNOWN, _NO_OUTCOME = range(4)
 
 
@@ -247,10 +105,6 @@
             frame.pong = None
         case GoingAway():
             frame.goingAway = None
-        case Search():
-            _fill_search(frame.init("search"), message)
-        case Answers():
-            _fill_answers(frame.init("answers"), message)
         case Cancel():
             frame.init("cancel").shards = list(message.shards)
         case Run():
@@ -286,54 +140,6 @@
             _fill_outcome(reply.init("outcome"), message.outcome)
 
 
-def _fill_search(target: Any, message: Search) -> None:
-    target.requestId = message.request_id
-    target.service = message.service
-    target.version = message.version
-    target.leftMs = message.left_ms
-    target.body = message.body
-    shards = target.init("shards", len(message.shards))
-    for place, ref in enumerate(message.shards):
-        entry = shards[place]
-        entry.shard = ref.shard
-        entry.group = ref.group
-
-
-def _fill_answers(target: Any, message: Answers) -> None:
-    answers = target.init("answers", len(message.answers))
-    for place, answer in enumerate(message.answers):
-        entry = answers[place]
-        entry.shard = answer.shard
-        entry.server = answer.server
-        entry.versions = list(answer.versions)
-        _fill_outcome(entry.outcome, answer.outcome)
-
-
-def _read_search(source: Any) -> Search:
-    return Search(
-        request_id=source.requestId,
-        service=source.service,
-        version=source.version,
-        left_ms=source.leftMs,
-        body=bytes(source.body),
-        shards=tuple(ShardRef(shard=s.shard, group=s.group) for s in source.shards),
-    )
-
-
-def _read_answers(source: Any) -> Answers:
-    return Answers(
-        answers=tuple(
-            ShardAnswer(
-                shard=a.shard,
-                server=a.server,
-                outcome=_need_outcome(a.outcome),
-                versions=tuple(a.versions),
-            )
-            for a in source.answers
-        )
-    )
-
-
 _READERS: dict[str, Callable[[Any], Message]] = {
     "hello": lambda f: Hello(
         format=f.format,
@@ -344,8 +150,6 @@
     "ping": lambda f: Ping(),
     "pong": lambda f: Pong(),
     "goingAway": lambda f: GoingAway(),
-    "search": _read_search,
-    "answers": _read_answers,
     "cancel": lambda f: Cancel(shards=tuple(f.shards)),
     "run": lambda f: Run(
         request_id=f.requestId,
@@ -372,15 +176,30 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Return the bytes of a frame, its length in front."""
+    match frame.message:
+        case Search() as search:
+            body = pack_search(frame.id, search)
+            return LENGTH.pack(len(body) | PACKED) + body
+        case Answers() as answers:
+            body = pack_answers(frame.id, answers)
+            return LENGTH.pack(len(body) | PACKED) + body
     target = _Frame.new_message()
     target.id = frame.id
     _fill(target, frame.message)
-    body: bytes = target.to_bytes()
-    return LENGTH.pack(len(body)) + body
+    plain: bytes = target.to_bytes()
+    return LENGTH.pack(len(plain)) + plain
+
+
+def read_length(head: bytes | bytearray, start: int) -> tuple[int, bool]:
+    """Return a frame's length at `start`, and whether its message is packed."""
+    (word,) = LENGTH.unpack_from(head, start)
+    return word & ~PACKED, bool(word & PACKED)
 
 
-def decode_frame(body: bytes) -> Frame:
+def decode_frame(body: bytes, *, is_packed: bool = False) -> Frame:
     """Return the frame in `body` (its length left off), or raise `BadFrameError`."""
+    if is_packed:
+        return unpack(body)
     try:
         with _Frame.from_bytes(body) as source:
             which = str(source.which())
--- a/src/lavendergap/protocol/tickets.py
+++ b/src/lavendergap/protocol/tickets.py
@@ -35,7 +35,7 @@
     is_ticket_name,
     parse_ticket,
 )
-from .peer import BadFrameError, TicketAsk, TicketReply
+from .messages import BadFrameError, TicketAsk, TicketReply
 
 RUN = "run"
 ASK = "ask"
--- a/src/lavendergap/transport/acceptor.py
+++ b/src/lavendergap/transport/acceptor.py
@@ -5,7 +5,7 @@
 import trio
 
 from .. import metrics
-from ..protocol.peer import Frame, GoingAway, Hello
+from ..protocol.messages import Frame, GoingAway, Hello
 from .channel import Channel, Loss
 
 HELLO_LIMIT = 2.0
--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -14,10 +14,8 @@
 import trio
 
 from .. import metrics
-from ..protocol.peer import (
+from ..protocol.messages import (
     FORMAT,
-    LENGTH,
-    MAX_FRAME_BYTES,
     BadFrameError,
     Frame,
     GoingAway,
@@ -25,8 +23,13 @@
     Message,
     Ping,
     Pong,
+)
+from ..protocol.peer import (
+    LENGTH,
+    MAX_FRAME_BYTES,
     decode_frame,
     encode_frame,
+    read_length,
 )
 
 logger = logging.getLogger("lavendergap.connections")
@@ -233,13 +236,14 @@
     def _take_frames(self, buffer: bytearray) -> None:
         start = 0
         while len(buffer) - start >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(buffer, start)
+            length, is_packed = read_length(buffer, start)
             if length > MAX_FRAME_BYTES:
                 raise BadFrameError(problem=f"a frame of {length} bytes")
             end = start + LENGTH.size + length
             if len(buffer) < end:
                 break
-            self._take(decode_frame(bytes(buffer[start + LENGTH.size : end])))
+            body = bytes(buffer[start + LENGTH.size : end])
+            self._take(decode_frame(body, is_packed=is_packed))
             start = end
         del buffer[:start]
 
--- a/src/lavendergap/transport/dialer.py
+++ b/src/lavendergap/transport/dialer.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ..protocol.peer import Frame, Hello
+from ..protocol.messages import Frame, Hello
 from ..state.settings import Address
 from .channel import Channel, Loss
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -20,8 +20,8 @@
 from lavendergap.entry.search import Coordinator, Query
 from lavendergap.protocol.answers import Refusal, SearchResult
 from lavendergap.protocol.leaf import Verdict
+from lavendergap.protocol.messages import Hello, TicketAsk, TicketReply
 from lavendergap.protocol.objects import make_first_index
-from lavendergap.protocol.peer import Hello, TicketAsk, TicketReply
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step
 from lavendergap.state.settings import (
     Address,
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -16,7 +16,7 @@
 from lavendergap.entry.owner import Owner
 from lavendergap.entry.peers import PeerService
 from lavendergap.protocol.answers import Refusal
-from lavendergap.protocol.peer import Frame, Hello
+from lavendergap.protocol.messages import Frame, Hello
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
 from lavendergap.state.settings import (
     Address,
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -6,18 +6,26 @@
 import trio
 import trio.testing
 
-from lavendergap.protocol.peer import (
-    LENGTH,
-    MAX_FRAME_BYTES,
+from lavendergap.protocol.messages import (
+    Answers,
     BadFrameError,
     Cancel,
     Fetch,
     Frame,
     Hello,
+    Search,
+    ShardAnswer,
+    ShardRef,
+)
+from lavendergap.protocol.messages import Document as DocumentMessage
+from lavendergap.protocol.peer import (
+    LENGTH,
+    MAX_FRAME_BYTES,
     decode_frame,
     encode_frame,
+    read_length,
 )
-from lavendergap.protocol.peer import Document as DocumentMessage
+from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
 from lavendergap.state.settings import Address
 from lavendergap.transport.acceptor import HELLO_LIMIT, Acceptor
 from lavendergap.transport.channel import IDLE_LIMIT, SILENCE_LIMIT, Channel, Loss
@@ -248,3 +256,50 @@
     def test_round_trip_of_a_list(self):
         frame = Frame(id=9, message=Cancel(shards=("s00", "s01")))
         assert decode_frame(encode_frame(frame)[LENGTH.size :]) == frame
+
+
+class TestPacked:
+    SEARCH = Search(
+        request_id="r",
+        service="scheduler",
+        version=7,
+        left_ms=200,
+        body=b"{}",
+        shards=(ShardRef(shard="s00", group="g"),),
+    )
+    ANSWERS = Answers(
+        answers=(
+            ShardAnswer(shard="s00", server="a", outcome=Answered(body=b"1")),
+            ShardAnswer(
+                shard="s01",
+                server="b",
+                outcome=NotRun(
+                    step=Step.QUEUE, peer="b", reason=Reason.SHED, retry_after_ms=9
+                ),
+                versions=(6, 7),
+            ),
+            ShardAnswer(
+                shard="s02",
+                server="c",
+                outcome=Unknown(step=Step.SEND, peer="c", reason=Reason.DEADLINE),
+            ),
+        )
+    )
+
+    @pytest.mark.parametrize("message", [SEARCH, ANSWERS], ids=["search", "answers"])
+    def test_round_trip(self, message):
+        frame = Frame(id=4, message=message)
+        data = encode_frame(frame)
+        length, is_packed = read_length(data, 0)
+        assert (length, is_packed) == (len(data) - LENGTH.size, True)
+        assert decode_frame(data[LENGTH.size :], is_packed=True) == frame
+
+    @pytest.mark.parametrize("message", [SEARCH, ANSWERS], ids=["search", "answers"])
+    def test_garbled_bytes_raise_nothing_else(self, message):
+        whole = encode_frame(Frame(id=4, message=message))[LENGTH.size :]
+        for place in range(len(whole)):
+            for data in (whole[:place], whole[:place] + b"\xc1" + whole[place + 1 :]):
+                try:
+                    decode_frame(data, is_packed=True)
+                except BadFrameError as error:
+                    assert error.problem
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -4,12 +4,16 @@
 import json
 import logging
 import math
+import socket
+import subprocess
+import sys
 import threading
 
 import msgspec
 import pytest
 import trio
 
+from lab.processes import DeploymentShape, ServiceShape, write_deployment
 from lavendergap import __version__
 from lavendergap.commands.main import run
 from lavendergap.entry.status import HostStatus, SettingsStatus
@@ -424,3 +428,22 @@
         code, _, err = call("entry", "--settings", path, "--host", "host-9")
         assert code == 2
         assert "host-9" in err
+
+    def test_a_port_in_use_is_one_line_that_says_what_to_do(self, tmp_path):
+        # A second process of the same host is started by mistake. It ends with one
+        # line, not with the stacks of its tasks, and the first goes on.
+        shape = DeploymentShape(n_hosts=1, services=(ServiceShape(name="s"),))
+        deployment = write_deployment(shape=shape, directory=tmp_path)
+        [host] = deployment.hosts
+        ip, port = host.peers.split(":")
+        with socket.create_server((ip, int(port))):
+            arguments = ["entry", "--settings", str(deployment.settings)]
+            done = subprocess.run(
+                [sys.executable, "-m", "lavendergap", *arguments, "--host", host.name],
+                capture_output=True,
+                text=True,
+                timeout=60,
+            )
+        assert done.returncode == 1
+        [line] = done.stderr.strip().splitlines()
+        assert "is another process of this host running?" in line
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -15,8 +15,8 @@
     resolve_settings,
 )
 from lavendergap.entry.fleet import Fleet
+from lavendergap.protocol.messages import Document
 from lavendergap.protocol.objects import SettingsObject, encode_settings_object
-from lavendergap.protocol.peer import Document
 from lavendergap.protocol.resolved import encode_settings
 from lavendergap.state.member import Member, MemberState
 from lavendergap.state.outcome import Reason, Step
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -8,14 +8,8 @@
 
 from lavendergap.coordination.issuer import Issuer
 from lavendergap.coordination.witness import Witness
-from lavendergap.protocol.peer import (
-    BadFrameError,
-    Frame,
-    TicketAsk,
-    TicketReply,
-    decode_frame,
-    encode_frame,
-)
+from lavendergap.protocol.messages import BadFrameError, Frame, TicketAsk, TicketReply
+from lavendergap.protocol.peer import decode_frame, encode_frame
 from lavendergap.protocol.tickets import (
     ASK,
     CLOSE,
