Have two tests of the keeper fail without their safeguards

With the watches kept for good, or a garbled index holding up the start, both passed on a scratch copy: the first counted calls over a time in which no watch was renewed, the second had settings from the platform. Now both fail there.

--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -406,7 +406,6 @@
     async def test_a_garbled_index_keeps_no_host_from_starting(
         self, autojump_clock, bench
     ):
-        bench.platform.put(KEY, 1, make_value(1))
         bench.platform.put(INDEX, 6, b"{")
         bench.run()
         await trio.sleep(1.0)
@@ -472,8 +471,9 @@
         bench.change_members(*[make_member(name) for name in (SECOND, THIRD)])
         await trio.sleep(WATCH_WAIT_S + 1.0)
         n_before = bench.platform.n_calls
-        await trio.sleep(5.0)
-        assert bench.platform.n_calls == n_before
+        await trio.sleep(2 * WATCH_WAIT_S)
+        # Its own read may come in that time, of two calls; the watches' would be four.
+        assert bench.platform.n_calls <= n_before + 2
 
     async def test_holders_cut_off_from_the_platform(self, autojump_clock, nursery):
         # Both holders have lost the platform and keep their place. The others'
