--- a/lab/control.py
+++ b/lab/control.py
@@ -25,6 +25,7 @@
 from lavendergap.state.member import Member
 from standins.fleet import parse_address
 
+from .comparison import read_scheduled
 from .entries import EntryFleet, has_room, open_fleet
 from .figures import Value, make_figures, report
 from .processes import EntryHost, read_usage
@@ -109,8 +110,12 @@
     )
 
 
-def read_tcp_bytes() -> dict[int, int]:
-    """Return the bytes that each process has sent over the TCP sockets it has now."""
+def read_tcp_bytes(fleet: EntryFleet) -> dict[int, int]:
+    """Return the bytes that each process has sent over the TCP sockets it has now.
+
+    Those of the admin ports are left out: they carry what is read here.
+    """
+    admin = {host.admin for host in fleet.hosts}
     command = ["ss", "--tcp", "--info", "--processes", "--numeric", "--no-header"]
     lines = subprocess.run(command, capture_output=True, text=True).stdout.splitlines()
     sent: dict[int, int] = defaultdict(int)
@@ -118,7 +123,8 @@
     for line in lines:
         if not line.startswith(("\t", " ")):
             found = _PID.search(line)
-            pid = int(found.group(1)) if found else 0
+            is_admin = line.split()[3] in admin
+            pid = int(found.group(1)) if found and not is_admin else 0
         elif found := _SENT.search(line):
             sent[pid] += int(found.group(1))
     return sent
@@ -129,16 +135,16 @@
 ) -> Reading:
     """Read a process; /metrics is asked outside of the time that is measured."""
     pid = fleet.running[host.name].pid
-    usage = read_usage(pid)
-    at = trio.current_time()
-    samples = await fleet.read_metrics(host)
-    if not is_end:
-        usage = read_usage(pid)
-        at = trio.current_time()
+    if is_end:
+        scheduled, at = read_scheduled(pid), trio.current_time()
+        samples = await fleet.read_metrics(host)
+    else:
+        samples = await fleet.read_metrics(host)
+        scheduled, at = read_scheduled(pid), trio.current_time()
     n_datagrams = samples["lavendergap_gossip_datagrams_total"]
     return Reading(
-        cpu_s=usage.cpu_s,
-        rss_bytes=usage.rss_bytes,
+        cpu_s=scheduled.ran_s,
+        rss_bytes=read_usage(pid).rss_bytes,
         gossip_bytes=samples["lavendergap_gossip_bytes_total"]
         + UDP_HEADERS * n_datagrams,
         tcp_bytes=tcp_bytes.get(pid, 0),
@@ -177,10 +183,10 @@
     owners = [rank_owner(f"scheduler-{group:02}", names) for group in range(n_groups)]
     n_calls = await fleet.count_platform_calls()
     begin = trio.current_time()
-    tcp_bytes = read_tcp_bytes()
+    tcp_bytes = read_tcp_bytes(fleet)
     starts = [await read_host(fleet, h, tcp_bytes, is_end=False) for h in hosts]
     await trio.sleep(WINDOW_S)
-    tcp_bytes = read_tcp_bytes()
+    tcp_bytes = read_tcp_bytes(fleet)
     ends = [await read_host(fleet, h, tcp_bytes, is_end=True) for h in hosts]
     n_calls = await fleet.count_platform_calls() - n_calls
     calls_per_s = n_calls / (trio.current_time() - begin)
