--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -31,6 +31,7 @@
     encode_frame,
     read_length,
 )
+from .rounds import get_rounds
 
 logger = logging.getLogger("lavendergap.connections")
 
@@ -104,11 +105,12 @@
         metrics.peer_channels.inc()
         loss = Loss.STOPPED
         self._received_at = trio.current_time()
+        rounds = get_rounds(interval=HEARTBEAT_AFTER / 2)
+        rounds.add(self)
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._write)
-                    nursery.start_soon(self._watch)
                     await self._read()
                     nursery.cancel_scope.cancel()
                     loss = Loss.CLOSED
@@ -119,6 +121,7 @@
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             loss = Loss.RESET
         finally:
+            rounds.discard(self)
             metrics.peer_channels.dec()
             await self._end(loss)
 
@@ -204,19 +207,19 @@
             data, self._unsent = self._unsent, bytearray()
             await self._stream.send_all(data)
 
-    async def _watch(self) -> None:
-        # Something between the ends may lose track of a connection: both ends
-        # believe in it and nothing arrives. While somebody waits for a reply, any
-        # byte proves the channel; without one for a while a Ping asks, and
-        # without an answer to that the channel ends, so that the requests on it
-        # are tried over a new one well within their deadlines.
-        while True:
-            await trio.sleep(HEARTBEAT_AFTER / 2)
-            now = trio.current_time()
-            if now - self._received_at > IDLE_LIMIT and not self._exchanges:
-                self.close(Loss.IDLE)
-            elif self._unanswered_since is not None:
-                self._judge_silence(now - self._unanswered_since)
+    def check(self, now: float) -> None:
+        """End the channel when it is silent or idle; called several times a second.
+
+        Something between the ends may lose track of a connection: both ends believe
+        in it and nothing arrives. While somebody waits for a reply, any byte proves
+        the channel; without one for a while a Ping asks, and without an answer to
+        that the channel ends, so that the requests on it are tried over a new one
+        well within their deadlines.
+        """
+        if now - self._received_at > IDLE_LIMIT and not self._exchanges:
+            self.close(Loss.IDLE)
+        elif self._unanswered_since is not None:
+            self._judge_silence(now - self._unanswered_since)
 
     def _judge_silence(self, silence: float) -> None:
         if silence > SILENCE_LIMIT:
