--- a/lab/processes.py
+++ b/lab/processes.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import random
@@ -302,6 +303,10 @@
     def __init__(self, *, directory: Path) -> None:
         self.directory = directory
         self.running: list[Running] = []
+        # Counted apart from `running`, which grows only once a process has started:
+        # two that start at once would else share their files, and one would be
+        # taken for ready by the other's word.
+        self._numbers = itertools.count()
 
     async def start(
         self,
@@ -347,7 +352,7 @@
         name: str,
         environment: Mapping[str, str],
     ) -> Running:
-        title = f"{len(self.running):03}-{name}"
+        title = f"{next(self._numbers):03}-{name}"
         stdout = self.directory / f"{title}.out"
         stderr = self.directory / f"{title}.err"
         with stdout.open("wb") as out, stderr.open("wb") as err:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -156,3 +156,23 @@
 
     def test_free_ports_are_distinct(self):
         assert len(set(find_free_ports(50))) == 50
+
+
+class TestStartsAtOnce:
+    async def test_each_waits_for_its_own_ready(self, tmp_path):
+        # Two processes of one name start side by side. The first is quick to be
+        # ready, the second never is: sharing one output file it would be taken for
+        # ready by the first one's word.
+        quick = "print('ready', flush=True); import time; time.sleep(60)"
+        never = "import time; time.sleep(60)"
+        async with open_processes(directory=tmp_path) as processes:
+
+            async def start(program: str) -> None:
+                command = [sys.executable, "-c", program]
+                await processes.start_program(command, name="same", ready_s=3.0)
+
+            with pytest.raises(ExceptionGroup) as caught:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(start, quick)
+                    nursery.start_soon(start, never)
+            assert caught.group_contains(StartError, match="not ready")
