Keep hedge tokens for stragglers where calls take equally long

Seen in lab.tail (service times fixed, 1 call in 50 takes 20 times as long): the query p99 with hedges was 473 ms against 515 without, although the log showed free slots. Cause, from the decisions of the slow queries: (1) the quantile lay 1.2 medians high, ordinary calls just beyond it spent every token, and stragglers found 0.25 to 0.95 of one; (2) where chance had brought a few stragglers into the window, the quantile was a straggler's time; (3) a hedge that met busy slots looked again only after half the delay. Ruled out: ejected or backed off replicas, the limit of two hedges. Now attempts below two medians leave three tokens, the delay is at most five medians, and a blocked hedge looks eight times in a delay. Three tests, each seen failing first.

--- a/src/lavendergap/coordination/hedging.py
+++ b/src/lavendergap/coordination/hedging.py
@@ -11,6 +11,10 @@
 MIN_SAMPLES = 20
 # Sorting the window for each call would cost more than the rest of the decision.
 REFRESH_EVERY = 16
+# With a few stragglers more than usual among the last calls, the quantile is the time
+# of a straggler, and hedging would wait for what it is there to avoid. Of exponential
+# service times 3 in 100 are above five medians.
+HIGHEST_RATIO = 5.0
 # The share of the budget that hedges use on average; see docs/design/hedging.md.
 BUDGET_USE = 0.6
 
@@ -68,4 +72,5 @@
         self.mean = sum(ordered) / n
         self.median = ordered[n // 2]
         if n >= MIN_SAMPLES:
-            self.delay = ordered[min(n - 1, int(n * self.quantile))]
+            quantile = ordered[min(n - 1, int(n * self.quantile))]
+            self.delay = min(quantile, HIGHEST_RATIO * self.median)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -34,6 +34,13 @@
 # whole group turns slow.
 HEDGE_BURST = 5.0
 SHORTEST_HEDGE_DELAY = 0.001
+# Where all calls take about as long, the quantile is hardly above the median, and
+# ordinary calls just beyond it would take every token. These are for attempts that
+# are slow by any measure; the others get what is above the reserve.
+HEDGE_RESERVE = 3.0
+STRAGGLER_RATIO = 2.0
+# How often in one delay a hedge that found no free slot looks for one again.
+LOOKS_PER_DELAY = 8
 MAX_HEDGES = 2
 # How many waiting calls that no free replica can take are passed over in one go, so
 # that a long queue for one version costs a bounded time at each event.
@@ -436,7 +443,8 @@
         due = self._get_hedge_time(progress)
         if due <= now:
             # It was due, but there was no free slot or no token: look again.
-            due = now + max(SHORTEST_HEDGE_DELAY, (self._recent.delay or 0.0) / 2)
+            pause = (self._recent.delay or 0.0) / LOOKS_PER_DELAY
+            due = now + max(SHORTEST_HEDGE_DELAY, pause)
         due = min(due, call.deadline)
         self._timers.add(due, call.call_id)
         self._timers.drop_stale(self._calls, len(self._calls))
@@ -469,6 +477,8 @@
             return []
         match self._choose(progress, now):
             case Chosen(replica=replica) as chosen if replica.ejected_until <= now:
+                if self._is_reserved(progress, now):
+                    return []
                 if not self._hedges.spend(now=now):
                     self._n_budget_denials += 1
                     return []
@@ -477,6 +487,12 @@
                 return [self._start(progress, chosen, "hedge", now)]
         return []
 
+    def _is_reserved(self, progress: Progress, now: float) -> bool:
+        """Tell whether the tokens left are for slower attempts than this call's."""
+        waited = now - progress.attempts[-1].started
+        is_straggler = waited >= STRAGGLER_RATIO * (self._recent.median or 0.0)
+        return not is_straggler and self._hedges.tokens < 1.0 + HEDGE_RESERVE
+
     # Outcomes.
 
     def _refuse(self, progress: Progress, step: Step, reason: Reason) -> FinishCall:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -68,6 +68,48 @@
                 owner.end(attempt_id, lose(Reason.CANCELLED), elapsed=0.001)
         assert owner.scheduler.describe(now=owner.now).n_budget_denials <= 10
 
+    def test_calls_that_take_equally_long_leave_tokens_to_stragglers(self):
+        # All calls take 10 ms, so the quantile is 10 ms too and each of them is due
+        # for a hedge just as it is answered. They took every token, and one call in
+        # 50 that took 20 times as long was not hedged: as slow as without hedging.
+        owner = make_owner("ab", hedge_budget=0.05)
+        owner.warm_up(n_calls=64, elapsed=0.010)
+        for _ in range(90):
+            owner.submit()
+            first = owner.started[-1]
+            owner.move(0.0101)
+            owner.end(first.attempt_id, elapsed=0.010)
+            for attempt_id in list(owner.open):
+                owner.end(attempt_id, lose(Reason.CANCELLED), elapsed=0.001)
+        straggler = owner.submit()
+        owner.move(0.025)
+        hedge = owner.started[-1]
+        assert (hedge.cause, hedge.call) == ("hedge", straggler)
+
+    def test_stragglers_among_the_last_calls_do_not_put_hedges_off(self):
+        # Chance brought four stragglers among a hundred calls. The quantile is then
+        # their time, and each of the next stragglers was waited for to its end.
+        owner = make_owner("ab")
+        owner.warm_up(n_calls=96, elapsed=0.010)
+        owner.warm_up(n_calls=4, elapsed=0.200)
+        owner.warm_up(n_calls=12, elapsed=0.010)
+        owner.submit()
+        owner.move(0.060)
+        assert owner.started[-1].cause == "hedge"
+
+    def test_a_hedge_takes_a_slot_soon_after_it_frees(self):
+        # Bursts keep all slots busy when a hedge is due. It looked again after half
+        # the delay only, by when the next burst had come.
+        owner = make_owner("ab", slots=1)
+        owner.warm_up()
+        slow = owner.submit()
+        owner.submit()
+        owner.move(0.011)
+        owner.end_last()
+        owner.move(0.002)
+        hedge = owner.started[-1]
+        assert (hedge.cause, hedge.call) == ("hedge", slow)
+
     def test_a_refused_hedge_leaves_the_first_attempt_running(self):
         owner = make_owner("ab")
         owner.warm_up()
