Save the figures of membership; measure parts again with the packed messages

Cause: lab.convergence printed only.

The trial of another codec went, since the product packs these two messages now.

--- a/lab/convergence.py
+++ b/lab/convergence.py
@@ -11,6 +11,7 @@
 from copy import deepcopy
 from dataclasses import dataclass
 from functools import partial
+from math import isfinite
 from random import Random
 from time import process_time
 
@@ -31,6 +32,7 @@
 from lavendergap.state.settings import Address, Control
 from lavendergap.transport.gossip import GossipMetrics, open_gossip, run_gossip
 
+from .figures import make_figures, report
 from .fleet import Datagram, Fleet, Node, build_fleet, name_hosts
 
 SIZES = (7, 25, 50, 100, 200, 550)
@@ -358,8 +360,19 @@
     return (process_time() - begin) / n_sent * 1e6
 
 
+def list_figures(rows: list[Row]) -> dict[str, float]:
+    """Return each measure by size; what never came about is left out."""
+    return {
+        f"{name}_at_{row.n_hosts}": getattr(row, name)
+        for name in Row.__slots__
+        if name != "n_hosts"
+        for row in rows
+        if isfinite(getattr(row, name))
+    }
+
+
 def main() -> None:
-    """Measure each size and print a table, then one line of name=value."""
+    """Measure each size, print a table, save the figures, print them in one line."""
     sizes = tuple(int(size) for size in sys.argv[1:]) or SIZES
     rows = [measure_size(size) for size in sizes]
     table = RichTable(title="Membership by size of the fleet, 1% loss")
@@ -368,18 +381,19 @@
     for row in rows:
         values = (getattr(row, name) for name in Row.__slots__)
         table.add_row(*(f"{value:.4g}" for value in values))
-    Console(width=200).print(table)
     encode_us, decode_us = measure_codec()
-    memory = measure_memory(sizes[-1])
-    last = rows[-1]
-    pairs = [f"{name}={getattr(last, name):.4g}" for name in Row.__slots__]
-    pairs += [
-        f"encode_us={encode_us:.1f}",
-        f"decode_us={decode_us:.1f}",
-        f"service_us={measure_service():.0f}",
-        f"memory_kb={memory:.0f}",
-    ]
-    print(" ".join(pairs))
+    figures = list_figures(rows) | {
+        "encode_us": encode_us,
+        "decode_us": decode_us,
+        "service_us": measure_service(),
+        "memory_kb": measure_memory(sizes[-1]),
+    }
+    conditions = {"loss": LOSS, "quiet_s": QUIET_S, "churn_s": CHURN_S}
+    Console(width=200).print(table)
+    report(
+        make_figures("convergence", figures, conditions=conditions),
+        is_saved=sizes == SIZES,
+    )
 
 
 if __name__ == "__main__":
--- a/lab/parts.py
+++ b/lab/parts.py
@@ -15,7 +15,6 @@
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 
-import msgspec
 import trio
 from rich.table import Table
 
@@ -23,13 +22,7 @@
 from lavendergap.coordination.joining import Join
 from lavendergap.coordination.ranking import Ranking
 from lavendergap.coordination.witness import Witness
-from lavendergap.protocol.objects import (
-    SettingsObject,
-    encode_settings_object,
-    resolve_text,
-)
-from lavendergap.protocol.peer import (
-    LENGTH,
+from lavendergap.protocol.messages import (
     Answers,
     Frame,
     Hello,
@@ -37,9 +30,13 @@
     Search,
     ShardAnswer,
     ShardRef,
-    decode_frame,
-    encode_frame,
 )
+from lavendergap.protocol.objects import (
+    SettingsObject,
+    encode_settings_object,
+    resolve_text,
+)
+from lavendergap.protocol.peer import LENGTH, decode_frame, encode_frame, read_length
 from lavendergap.protocol.resolved import decode_settings, encode_settings
 from lavendergap.state.outcome import Answered
 from lavendergap.state.settings import Address, WaitForCoverage
@@ -137,7 +134,9 @@
 
 def pass_through_codec(message: Message) -> None:
     """Encode and decode one message, as its sender and its receiver do."""
-    decode_frame(encode_frame(Frame(id=1, message=message))[LENGTH.size :])
+    frame = encode_frame(Frame(id=1, message=message))
+    _, is_packed = read_length(frame, 0)
+    decode_frame(frame[LENGTH.size :], is_packed=is_packed)
 
 
 def measure_codec(make: Callable[[int], Message]) -> Points:
@@ -148,39 +147,6 @@
     )
 
 
-class PlainAnswer(msgspec.Struct, array_like=True):
-    """One shard's answer as a struct of a compiled codec; a trial, not in use."""
-
-    shard: str
-    server: str
-    kind: int
-    body: bytes
-    versions: tuple[int, ...]
-
-
-def pass_through_msgpack(answers: list[PlainAnswer]) -> None:
-    """Encode and decode a list of answers by msgspec's MessagePack."""
-    msgspec.msgpack.decode(msgspec.msgpack.encode(answers), type=list[PlainAnswer])
-
-
-def measure_msgpack() -> Points:
-    """Return the microseconds of the same answers by a compiled codec; a trial."""
-    functions: dict[int, Callable[[], object]] = {}
-    for n in SHARDS_A_MESSAGE:
-        answers = [
-            PlainAnswer(
-                shard=answer.shard,
-                server=answer.server,
-                kind=0,
-                body=ANSWER,
-                versions=answer.versions,
-            )
-            for answer in make_answers(n).answers
-        ]
-        functions[n] = partial(pass_through_msgpack, answers)
-    return measure_points(functions, n_rounds=100)
-
-
 def measure_lengths(make: Callable[[int], Message]) -> Points:
     """Return the bytes of a message's frame by its shards, without TCP and IP."""
     return {
@@ -468,7 +434,6 @@
     parts = {
         "search_codec_us": measure_codec(make_search),
         "answers_codec_us": measure_codec(make_answers),
-        "msgpack_answers_us": measure_msgpack(),
         "search_bytes": measure_lengths(make_search),
         "answers_bytes": measure_lengths(make_answers),
         "caller_us": trio.run(measure_caller, SHARDS_A_QUERY, ANSWER, N_RUNS),
--- a/lab/querytables.py
+++ b/lab/querytables.py
@@ -91,18 +91,10 @@
         compute_leaf_us(store), multiply(-1, store.get("fanout", "h11_trial_us_at_85"))
     )
     by_h11 = add(bundled, multiply(-1, saved_us, CALLS_A_HOST, MICRO))
-    n_shards = SHARDS_A_QUERY / N_BUNDLED_OWNERS
-    codec_us = add(
-        store.compute("parts", "answers_codec_us", n_shards),
-        multiply(-1, store.compute("parts", "msgpack_answers_us", n_shards)),
-    )
-    n_messages = QUERIES_A_HOST * N_BUNDLED_OWNERS
-    compiled = add(by_h11, multiply(-1, codec_us, n_messages, MICRO))
     rows = [
         ("today", show(today)),
         (f"a query has {N_BUNDLED_OWNERS:.0f} owners", show(bundled)),
         ("and h11 alone for leaf calls", show(by_h11)),
-        ("and a compiled codec for the answers between hosts", show(compiled)),
     ]
     return make_table("step", "cores of a host", rows=iter(rows))
 
--- a/lab/sizes.py
+++ b/lab/sizes.py
@@ -74,14 +74,6 @@
         unit="us",
         at=SHARDS_A_MESSAGE,
     ),
-    Part(
-        name="msgpack_answers_us",
-        measure="parts",
-        told="trial: the answer by a compiled codec (msgspec)",
-        by="shards",
-        unit="us",
-        at=SHARDS_A_MESSAGE,
-    ),
     Part(
         name="search_bytes",
         measure="parts",
