Share a busy host between services by their weights

Cause: the settings' option `weight` was read by nobody, and a service with more callers had no bound against another on the same host. The gates' additive increase is now times the weight. The test fails without the factor. Not measured with real processes.

--- a/src/lavendergap/coordination/gate.py
+++ b/src/lavendergap/coordination/gate.py
@@ -46,6 +46,10 @@
     settle where the slots are busy and queues are short, without talking to each
     other (additive increase, multiplicative decrease).
 
+    Services of one host share its processor. When that is what is short, all their
+    gates shrink alike and grow in the proportion of their `weight`, so that their
+    shares come to stand as their weights do, whoever has more callers.
+
     >>> gate = Gate()
     >>> gate.enter(now=0.0, left=0.28)
     Entered()
@@ -54,7 +58,8 @@
     0
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, weight: float = 1.0) -> None:
+        self.weight = weight
         self.n_running = 0
         self.limit = FIRST_LIMIT
         self._elapsed = FIRST_ELAPSED
@@ -97,7 +102,9 @@
         if was_full:
             # Until the first sign of queues the limit doubles with each round, since
             # callers come all at once; from then on it feels its way.
-            step = 1.0 if self._shrunk_at is None else INCREASE / self.limit
+            step = self.weight * INCREASE / self.limit
+            if self._shrunk_at is None:
+                step = 1.0
             self.limit = min(MAX_LIMIT, self.limit + step)
 
     def _shrink(self, now: float, started: float) -> None:
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -94,6 +94,7 @@
         A query that is refused here has reached no backend server.
         """
         gate = self._gates.setdefault(query.service.name, GateKeeper())
+        gate.gate.weight = query.service.weight
         refusal = await gate.enter(deadline=query.deadline)
         if refusal is not None:
             log_decision(
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -82,6 +82,47 @@
         assert is_slow([0.2] * 20, limit=DEADLINE)
 
 
+class TestWeights:
+    def test_services_share_a_busy_host_by_their_weights(self):
+        # Two services have far more callers than their host can serve. One weighs
+        # three times the other. Without weights each would get half, and the one
+        # that matters more would have no way to say so.
+        light, heavy = share_pool(weights=(1.0, 3.0))
+        assert 2.0 <= heavy / light <= 4.5
+        even = share_pool(weights=(1.0, 1.0))
+        assert 0.6 <= even[0] / even[1] <= 1.6
+
+
+def share_pool(*, weights: tuple[float, float]) -> list[int]:
+    """Return how many queries of each service one pool of 8 places served.
+
+    Both are always at their limit; a query is slow when it waited for a place, and
+    which service's turn it is comes from a seeded draw.
+    """
+    gates = [Gate(weight=weight) for weight in weights]
+    random = Random(3)
+    free_at = [0.0] * 8
+    running: list[tuple[float, float, bool, int]] = []
+    n_served = [0, 0]
+    now = 0.0
+
+    def draw() -> float:
+        return random.expovariate(1 / 0.05)
+
+    while now < 60.0:
+        for which in random.sample(range(2), 2):
+            while gates[which].enter(now=now, left=DEADLINE) == Entered():
+                running.append((*place(free_at, now, draw()), which))
+        running.sort()
+        end, started, late, which = running.pop(0)
+        now = end
+        n_served[which] += not late
+        gates[which].leave(now=end, started=started, is_congested=late)
+        while gates[which].pop_ready() is not None:
+            running.append((*place(free_at, now, draw()), which))
+    return n_served
+
+
 def run_overload(
     *, n_slots: int, service_s: float, rate: float, duration: float
 ) -> list[float]:
