Bound the hedge delay by quartiles, which stragglers do not move

The decisions of slow queries show delays of 0.11 to 0.17 s at a median of 0.033 with full budgets: late hedges let stragglers hold slots, more calls become slow, and the quantile stays at the bound. Ruled out: the machine (waiting for a core 1% of the time). Now the bound is five distances of the third quartile from the median, and no less than two medians.

--- a/src/lavendergap/coordination/hedging.py
+++ b/src/lavendergap/coordination/hedging.py
@@ -12,9 +12,11 @@
 # Sorting the window for each call would cost more than the rest of the decision.
 REFRESH_EVERY = 16
 # With a few stragglers more than usual among the last calls, the quantile is the time
-# of a straggler, and hedging would wait for what it is there to avoid. Of exponential
-# service times 3 in 100 are above five medians.
-HIGHEST_RATIO = 5.0
+# of a straggler, and hedging would wait for what it is there to avoid. Neither the
+# median nor the third quartile is moved by them. So far beyond these a call is hedged
+# whatever the quantile; of exponential service times 8 in 1,000 are longer.
+FENCE_DISTANCES = 5.0
+FENCE_MEDIANS = 2.0
 # The share of the budget that hedges use on average; see docs/design/hedging.md.
 BUDGET_USE = 0.6
 
@@ -73,4 +75,10 @@
         self.median = ordered[n // 2]
         if n >= MIN_SAMPLES:
             quantile = ordered[min(n - 1, int(n * self.quantile))]
-            self.delay = min(quantile, HIGHEST_RATIO * self.median)
+            self.delay = min(quantile, _compute_fence(self.median, ordered[3 * n // 4]))
+
+
+def _compute_fence(median: float, third_quartile: float) -> float:
+    """Return the time beyond which a call is a straggler, whatever the quantile."""
+    fence = third_quartile + FENCE_DISTANCES * (third_quartile - median)
+    return max(fence, FENCE_MEDIANS * median)
