--- a/lab/entries.py
+++ b/lab/entries.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -114,7 +114,12 @@
 
 
 @asynccontextmanager
-async def open_fleet(n_hosts: int, *, n_groups: int = 1) -> AsyncIterator[EntryFleet]:
+async def open_fleet(
+    n_hosts: int,
+    *,
+    n_groups: int = 1,
+    control: Mapping[str, object] | None = None,
+) -> AsyncIterator[EntryFleet]:
     """Yield a fleet whose hosts all know each other; it ends with the block.
 
     Its ports were free a moment before; when another program has taken one of them
@@ -124,6 +129,7 @@
         n_hosts=n_hosts,
         n_data_centres=4,
         services=(ServiceShape(name="scheduler", n_groups=n_groups),),
+        control=control or {},
     )
     for number in range(1, MAX_STARTS + 1):
         async with open_processes() as processes:
