--- a/lab/controltables.py
+++ b/lab/controltables.py
@@ -8,6 +8,7 @@
     CONTROL_MB,
     DEADLINE_S,
     EDITS_PER_S,
+    GROUPS_A_HOST,
     MAX_TICKETS,
     MICRO,
     N_HOSTS,
@@ -110,7 +111,6 @@
     load = bound_platform_load(
         n_hosts=N_HOSTS, n_holders=WATCH_HOLDERS, changes_per_s=EDITS_PER_S
     )
-    measured = store.get("control", "platform_calls_per_s_550")
     rows = [
         ("waiting watches", show(load.waiting)),
         ("their renewals", show(load.renewals, "a second")),
@@ -122,7 +122,6 @@
             "measured, no edits: all calls by hosts",
             list_points(store, "control", "platform_calls_per_s"),
         ),
-        ("the same at 550 by the line", show(measured, "a second")),
     ]
     return make_table("what", "figure", rows=iter(rows))
 
@@ -146,11 +145,16 @@
         rows.append(
             (f"{told}, watch holder", *_list_holder(store, name), show(allowed))
         )
-    for name, told in (
-        ("probe_cpu_share_per_group", "share of a core, health of an owned group"),
-        ("probe_bytes_per_s_per_group", "bytes a second, health of an owned group"),
-    ):
-        rows.append((told, show(store.get("control", name)), "", ""))
+    # Measured for groups of two servers; a host owns so many leafs, not pairs.
+    each = store.get("probes", "cpu_share_per_group")
+    probing = multiply(each, 0.5, GROUPS_A_HOST)
+    told = f"share of a core, health of {GROUPS_A_HOST:.2g} owned leafs"
+    rows.append((told, UNKNOWN if probing is None else "", show(probing), ""))
+    decode_us = store.compute("parts", "decode_us", N_LEAFS)
+    edits = multiply(decode_us, EDITS_PER_S, MICRO)
+    rows.append(("share of a core, reading edits", "", show(edits), ""))
+    total = add(store.get("control", "cpu_share_550"), probing, edits)
+    rows.append(("**share of a core, together**", "", show(total), show(CONTROL_CORE)))
     heads = ("one idle host", "hosts: figure", "at 550 by the line", "allowed")
     return make_table(*heads, rows=iter(rows))
 
