Send large results in several frames

Cause: found by reading: answers that come within one turn share a frame, and a frame over 4 MB is refused by closing the channel. Eight results of 900 KB closed it, and each repeat the next one; the query ended without them. The test was seen failing with one frame for all; the answers of one frame now stay at about 1 MB, and 32 MB may wait unsent.

--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -21,9 +21,13 @@
     TicketAsk,
     TicketReply,
 )
+from ..state.outcome import Answered
 from ..transport.channel import Channel
 from .owner import Owner, Wanted
 
+# One result is at most as large as this, so no frame comes near the peer's limit.
+MAX_BATCH_BYTES = 1024 * 1024
+
 
 @dataclass(kw_only=True, slots=True)
 class Served:
@@ -118,7 +122,8 @@
 
     async def _flush(self, channel: Channel, frame_id: int, served: Served) -> None:
         answers, served.answers = served.answers, []
-        channel.send(Frame(id=frame_id, message=Answers(answers=tuple(answers))))
+        for batch in part_answers(answers):
+            channel.send(Frame(id=frame_id, message=Answers(answers=batch)))
         if not served.calls:
             self._served.get(channel, {}).pop(frame_id, None)
 
@@ -160,3 +165,25 @@
     async def _ticket(self, channel: Channel, frame_id: int, ask: TicketAsk) -> None:
         reply = await self._answer_ticket(ask)
         channel.send(Frame(id=frame_id, message=reply))
+
+
+def part_answers(answers: list[ShardAnswer]) -> list[tuple[ShardAnswer, ...]]:
+    """Return the answers in batches of at most about `MAX_BATCH_BYTES` each.
+
+    Large results of many shards at once would make a frame that the peer refuses as
+    too long: it would close the channel, and each repeat would close the next.
+    """
+    batches: list[list[ShardAnswer]] = [[]]
+    n_bytes = 0
+    for answer in answers:
+        match answer.outcome:
+            case Answered(body=body):
+                size = len(body)
+            case _:
+                size = 0
+        if batches[-1] and n_bytes + size > MAX_BATCH_BYTES:
+            batches.append([])
+            n_bytes = 0
+        batches[-1].append(answer)
+        n_bytes += size
+    return [tuple(batch) for batch in batches]
--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -41,7 +41,7 @@
 # vanished host left behind among them.
 IDLE_LIMIT = 120.0
 READ_SIZE = 65_536
-MAX_UNSENT_BYTES = 16 * 1024 * 1024
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
 
 class Loss(StrEnum):
@@ -99,6 +99,7 @@
         self._unsent = bytearray()
         self._has_unsent = trio.Event()
         self._scope = trio.CancelScope()
+        self._forced_loss: Loss | None = None
 
     async def run(self) -> None:
         """Read and write until the channel ends, then tell all who wait."""
@@ -142,8 +143,6 @@
         if self._lose is not None:
             self._lose(self, loss)
 
-    _forced_loss: Loss | None = None
-
     def close(self, loss: Loss = Loss.STOPPED) -> None:
         """End the channel at once; requests that wait are told `loss`."""
         self.is_open = False
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -52,6 +52,7 @@
     calls: list[tuple[str, Call]] = field(default_factory=list)
     cancelled: list[tuple[str, str]] = field(default_factory=list)
     callers: dict[str, set[str]] = field(default_factory=dict)
+    n_padding: int = 0
 
 
 class FakeClient:
@@ -80,6 +81,7 @@
             self._backends.cancelled.append((name, call.shard))
             raise
         body = b'{"shard": "%s", "version": %d}' % (call.shard.encode(), call.version)
+        body = body.ljust(self._backends.n_padding)
         return Verdict(outcome=Answered(body=body), report=report)
 
     async def probe(self) -> ServerReport | None:
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -30,6 +30,18 @@
             assert len(cluster.backends.calls) == 3 * 6
             nursery.cancel_scope.cancel()
 
+    async def test_large_results_of_one_owner_arrive(self, autojump_clock):
+        # One owner has eight shards, whose results of 900 KB come in the same turn.
+        # Put into one message they were longer than a frame may be: the channel
+        # was closed, and so was each that replaced it, for as long as it was asked.
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery=nursery, n_hosts=2, n_groups=16)
+            cluster.backends.n_padding = 900_000
+            for node in cluster.nodes:
+                assert (await search_whole(cluster, node)).is_whole
+            assert len(cluster.backends.calls) == 2 * 16
+            nursery.cancel_scope.cancel()
+
     async def test_more_hosts_than_connections_share_through_owners(
         self, autojump_clock
     ):
