--- a/src/lavendergap/coordination/__init__.py
+++ b/src/lavendergap/coordination/__init__.py
@@ -3,7 +3,15 @@
 Each part is a plain object: events and the present time go in, typed messages and
 verdicts come out. Nothing here opens a socket, reads a clock or draws from the
 global random generator, so that a test or a model walks the very steps that the
-daemon takes.
+daemon takes. Times are seconds of one monotonic clock, passed in as `now`.
+
+`Membership` keeps who is live and `Ranking` who owns a key; `Documents` keeps the
+newest version of each document; `Issuer` and `Witness` run a request at most once;
+`GroupScheduler` runs calls on a group of replicas. The class of each has an example.
+What they take and return that is not here stands in `lavendergap.state`: `settings`
+(`Address`, `Control`, `Group`, `Service`), `member`, `gossip`, `ticket` (`Peer` and
+the messages between issuer and witness) and `outcome` (`Answered`, `NotRun`,
+`Unknown`).
 """
 
 from .budget import Budget as Budget
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -54,7 +54,33 @@
     order. Each submitted call gets exactly one `FinishCall`; each `StartAttempt` is
     owed exactly one `AttemptEnded`, also after `CancelAttempt`, and holds a slot of
     its server until then. `next_wake` tells when to call `advance` if nothing else
-    happens before. Attempt ids count from 1 within the scheduler.
+    happens before. Attempt ids count from 1 within the scheduler. Times are seconds
+    of one monotonic clock, a call's deadline among them.
+
+    >>> from lavendergap.state.settings import Address, Server, WaitForCoverage
+    >>> server = Server(
+    ...     name="scheduler-00-a", address=Address(ip="127.0.0.1", port=9001),
+    ...     data_centre="ptl-a", slots=2, connections=25)
+    >>> group = Group(name="scheduler-00", servers=(server,))
+    >>> service = Service(
+    ...     name="scheduler", idempotent=True, groups=(group,), deadline_ms=280,
+    ...     stragglers=WaitForCoverage(), hedge_budget=0.05,
+    ...     hedge_after_quantile=0.95, retry_budget=0.05, queue_limit=64,
+    ...     max_body_bytes=65_536, weight=1.0)
+    >>> scheduler = GroupScheduler(
+    ...     group=group, service=service, control=Control(), random=Random(1))
+    >>> call = Call(
+    ...     call_id=1, request_id="r1", service="scheduler", group="scheduler-00",
+    ...     shard="s00", version=7, deadline=0.28, body=b"{}", idempotent=True)
+    >>> [start] = scheduler.submit(call, now=0.0)
+    >>> start.server  # Send the call there, then report how the attempt ended.
+    'scheduler-00-a'
+    >>> ended = AttemptEnded(
+    ...     attempt_id=start.attempt_id, outcome=Answered(body=b"[]"), report=None,
+    ...     elapsed=0.005)
+    >>> [finish] = scheduler.end_attempt(ended, now=0.005)
+    >>> finish.outcome, finish.n_attempts
+    (Answered(body=b'[]'), 1)
     """
 
     def __init__(
@@ -96,7 +122,8 @@
 
         A call that cannot finish before its deadline, given the calls ahead of it
         and the time that recent ones took, is refused as not run: an answer that
-        comes too late costs a slot and helps nobody.
+        comes too late costs a slot and helps nobody. Raises ValueError for the id of
+        a call that has not finished yet.
         """
         if call.call_id in self._calls:
             raise ValueError(f"call {call.call_id} was already submitted")
