Name the wrong word of a straggler policy, and a string without an end

Cause: an operator who wrote {"kind": "waif"} was told "found an object" at stragglers, which names no wrong word; a file cut inside a string was answered with "Unterminated string starting at", a sentence that stops. After: stragglers.kind, found the word; "this string has no end"; "this line ends inside a string".

--- a/src/lavendergap/state/branch.py
+++ b/src/lavendergap/state/branch.py
@@ -162,7 +162,10 @@
         kind = raw.get("kind") if isinstance(raw, dict) else None
         if not isinstance(kind, str) or kind not in STRAGGLERS_OPTIONS:
             wanted = describe_kind(StragglersValue())
-            self._refuse(path, f"expected {wanted}, found {show_raw(raw)}")
+            # "Found an object" tells nobody which word is wrong when it has a kind.
+            place = path if kind is None else join_path(path, "kind")
+            shown = show_raw(raw if kind is None else kind)
+            self._refuse(place, f"expected {wanted}, found {shown}")
             return None
         known = {option.name: option for option in STRAGGLERS_OPTIONS[kind]}
         values = {name: option.default for name, option in known.items()}
--- a/src/lavendergap/state/syntax.py
+++ b/src/lavendergap/state/syntax.py
@@ -116,6 +116,10 @@
         what = "the file ends too early, as if cut short"
     elif rest.startswith("/*"):
         what = "this comment has no end"
+    elif what.startswith("Unterminated string"):
+        what = "this string has no end"
+    elif rest[0] in "\r\n":
+        what = "this line ends inside a string"
     elif rest[0] in "}]":
         what = "there is a comma, or nothing, before this bracket"
     place = f"{error.lineno}:{error.colno}"
