--- a/src/lavendergap/commands/apply.py
+++ b/src/lavendergap/commands/apply.py
@@ -18,7 +18,7 @@
 from ..state.settings import Settings
 from ..state.syntax import parse_text
 from ..state.tree import parse_settings, read_file
-from ..transport.platform import PlatformClient
+from ..transport.platform import Found, PlatformClient
 from .console import print_json, print_note
 from .options import take_json
 from .publishing import (
@@ -96,8 +96,19 @@
 
 
 async def _wait(settings: Settings, version: int, wait_s: float) -> Rollout:
+    key = make_settings_key(settings.deployment)
+
+    async def read_newest() -> int | None:
+        async with PlatformClient(address=settings.platform) as client:
+            found = await client.get(key)
+        return found.version if isinstance(found, Found) else None
+
     return await wait_for_rollout(
-        settings.hosts, version, limit_s=wait_s, report=lambda r: print_note(str(r))
+        settings.hosts,
+        version,
+        limit_s=wait_s,
+        read_newest=read_newest,
+        report=lambda r: print_note(str(r)),
     )
 
 
--- a/src/lavendergap/commands/rollout.py
+++ b/src/lavendergap/commands/rollout.py
@@ -1,6 +1,6 @@
 """Waits until every entry host has a version of the settings in force."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
@@ -34,13 +34,15 @@
     version: int,
     *,
     limit_s: float,
+    read_newest: Callable[[], Awaitable[int | None]],
     report: Callable[[Rollout], None],
 ) -> Rollout:
     """Ask `hosts` until all have `version`, or a newer one, in force.
 
     Each edit is made from the one before, so that a newer version holds this one
-    too. `report` is told whenever something has changed. Returns the last state
-    after `limit_s` seconds at the latest.
+    too, if the platform has it: `read_newest` returns the version that it holds,
+    or None where it cannot be asked. `report` is told whenever something has
+    changed. Returns the last state after `limit_s` seconds at the latest.
     """
     waiting = {host.name: "not asked yet" for host in hosts}
     limiter = trio.CapacityLimiter(MAX_CALLS)
@@ -51,7 +53,12 @@
 
     async def ask(host: Host) -> None:
         async with limiter:
-            why = _explain(await fetch_status(host), version)
+            answer = await fetch_status(host)
+        why = _explain(answer, version)
+        if not why and isinstance(answer, HostStatus):
+            found = answer.settings.version
+            if found > version:
+                why = _explain_newer(found, await read_newest())
         waiting[host.name] = why
         if not why:
             del waiting[host.name]
@@ -82,3 +89,19 @@
             return f"version {settings.version}"
         case _:
             return f"unreachable: {answer.reason}"
+
+
+def _explain_newer(found: int, newest: int | None) -> str:
+    """Return why a host with a newer version may lack this edit, or "".
+
+    A platform restored from a backup counts from a lower version. Hosts keep what
+    they have, so that "in force" would be said of an edit that no host will take.
+    """
+    if newest is None:
+        return f"version {found}; the platform cannot be asked whether it holds this"
+    if found > newest:
+        return (
+            f"version {found}, newer than the platform's {newest}: was the platform "
+            "set back?"
+        )
+    return ""
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -36,9 +36,11 @@
         self.problem = None
         self.answers = []
         self.requests = []
+        self.on_ask = lambda: None
 
     async def handle_admin(self, _request, _connection):
         """Tell the versions in turn, and the last one from then on."""
+        self.on_ask()
         version = self.versions.pop(0) if len(self.versions) > 1 else self.versions[0]
         status = HostStatus(
             host=self.name,
@@ -113,6 +115,13 @@
         assert value.resolved is not None
         return decode_settings(value.resolved.data)
 
+    def write_once_more(self):
+        """Write what the platform holds again, as a later edit does; only once."""
+        entry = self.platform.store.get("settings/small", math.inf)
+        assert entry is not None
+        if entry.version == 2:
+            self.platform.store.put("settings/small", entry.value, 0.0)
+
     def set_faults(self, **faults):
         self.token.run_sync_soon(
             self.platform.set_faults, PlatformFaults(**faults), idempotent=True
@@ -283,6 +292,7 @@
     def test_wait_until_all_have_it_in_force(self, call, deployment):
         deployment.hosts["host-1"].versions = [2]
         deployment.hosts["host-2"].versions = [1, 1, 3]
+        deployment.hosts["host-2"].on_ask = deployment.write_once_more
         file = deployment.write(slots=4)
         code, out, err = call(*APPLY, file, "--base", 1, "--wait", 9)
         assert (code, out) == (0, "version 2 in force on 2 of 2\n")
@@ -291,6 +301,21 @@
             "version 2 in force on 2 of 2",
         ]
 
+    def test_hosts_ahead_of_the_platform_do_not_have_it(self, call, deployment):
+        """The edit is accepted, and no host will ever take it.
+
+        The platform comes back from a backup and counts from a lower version. The
+        hosts keep the newer one that they have, so the edit is not in force; a
+        greater number alone does not say that it holds the edit.
+        """
+        for host in deployment.hosts.values():
+            host.versions = [5]
+        file = deployment.write(slots=4)
+        code, _, err = call(*APPLY, file, "--base", 1, "--wait", "0.3")
+        assert code == 5
+        assert "version 2 in force on 0 of 2" in err
+        assert "host-1 (version 5, newer than the platform's 2" in err
+
     def test_those_who_do_not_have_it_are_named(self, call, deployment):
         """The edit is accepted and the operator learns who acts on the old one.
 
