--- a/lab/querytables.py
+++ b/lab/querytables.py
@@ -103,6 +103,38 @@
     return add(*(multiply(rate, cost_us, MICRO) for _, rate, cost_us in parts))
 
 
+def make_whole_table(store: Store) -> str:
+    """Return a whole query's cost by the size of the fleet, beside the sum of parts."""
+    few = store.get_points("whole", "query_ms_few")
+    many = store.get_points("whole", "query_ms_many")
+    rows = [
+        (
+            show(n_hosts),
+            show(cost_ms, "ms"),
+            show(many.get(n_hosts), "ms"),
+            show(_sum_query_ms(store, n_hosts), "ms"),
+        )
+        for n_hosts, cost_ms in few.items()
+    ]
+    heads = ("entry hosts", "2 callers", "16 callers", "sum of the parts")
+    return make_table(*heads, rows=iter(rows or [(UNKNOWN, "", "", "")]))
+
+
+def _sum_query_ms(store: Store, n_hosts: int) -> float | None:
+    """Return the sum of parts of one query whose owners are all hosts but its own."""
+    n_remote = n_hosts - 1
+    return multiply(
+        1e-3,
+        add(
+            store.compute("parts", "caller_us", SHARDS_A_QUERY),
+            store.compute("parts", "join_us", SHARDS_A_QUERY),
+            multiply(SHARDS_A_QUERY, compute_leaf_us(store)),
+            multiply(n_remote, compute_hop_us(store, SHARDS_A_QUERY / n_hosts)),
+            multiply(n_hosts, store.get("decisions", "line_us_at_20")),
+        ),
+    )
+
+
 LEAF_WAYS = (
     ("ours_us", "ours: httpcore on our own accounting of connections"),
     ("h11_trial_us", "trial: h11 alone on a trio stream"),
--- a/lab/tables.py
+++ b/lab/tables.py
@@ -22,6 +22,7 @@
     make_steps_table,
     make_together_table,
     make_ways_table,
+    make_whole_table,
 )
 from .sizes import (
     CALLS_A_HOST,
@@ -190,6 +191,7 @@
     "slopes": make_slopes_table,
     "queries": make_queries_table,
     "reach": make_reach_table,
+    "whole": make_whole_table,
     "ways": make_ways_table,
     "steps": make_steps_table,
     "together": make_together_table,
