Do not blame others for this process's own stall

A check that comes 20 ms late is put off by as much, and a ping always has that long; likewise the rounds of channel checks are skipped once after a stall. Ruled out: longer shares for everybody, which would leave too little time after a real loss. The effect on goodput is not measured yet.

--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -42,6 +42,8 @@
 # there is time. A live owner answers a ping within a turn of its loop.
 PING_SHARE = 0.2
 LOSE_SHARE = 0.45
+# A check that comes later than it was due by this many seconds tells of this process.
+OWN_STALL = 0.02
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -232,9 +234,15 @@
                 channel is not None and channel.has_received_since(part.sent_at)
             ):
                 part.check_at = float("inf")
+            elif now - part.check_at > OWN_STALL:
+                # This process was late itself, and what the owner sent may lie
+                # unread in the socket. Blamed for that, live owners would be passed
+                # over, and a second one fill the same slots, on each busy moment.
+                part.check_at = now + OWN_STALL
             elif channel is not None and not part.is_pinged:
                 part.is_pinged = True
-                part.check_at = self._share_time(part.sent_at, LOSE_SHARE)
+                lose_at = self._share_time(part.sent_at, LOSE_SHARE)
+                part.check_at = max(lose_at, now + OWN_STALL)
                 channel.ping()
             else:
                 part.check_at = float("inf")
--- a/src/lavendergap/transport/rounds.py
+++ b/src/lavendergap/transport/rounds.py
@@ -42,8 +42,13 @@
     async def _run(self) -> None:
         try:
             while self._watched:
-                await trio.sleep(self._interval)
+                due = trio.current_time() + self._interval
+                await trio.sleep_until(due)
                 now = trio.current_time()
+                if now - due > self._interval:
+                    # This process stood still. What the others sent meanwhile lies
+                    # unread; judged now, all of them would be taken for silent.
+                    continue
                 for watched in tuple(self._watched):
                     watched.check(now)
         finally:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -1,6 +1,7 @@
 """Channels between entry processes: alive or replaced, and closed to garbage."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import pytest
 import trio
@@ -129,6 +130,22 @@
             assert channel.is_open
             nursery.cancel_scope.cancel()
 
+    async def test_own_pause_is_not_taken_for_silence(self, autojump_clock):
+        # This process is stopped for two seconds and goes on. All its timers are
+        # due at once, and what its peers sent lies unread. The channels stay, and
+        # with them whatever is asked on them.
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery=nursery, accepts_as=greet("ptl-b-1"))
+            channel = await pair.dialer.dial("ptl-b-1", ADDRESS)
+            assert isinstance(channel, Channel)
+            pair.answers = False
+            nursery.start_soon(partial(channel.ask, FETCH, limit=60.0))
+            await trio.sleep(0.01)
+            autojump_clock.jump(2.0)
+            await trio.sleep(1.0)
+            assert channel.is_open
+            nursery.cancel_scope.cancel()
+
     async def test_silence_is_found_though_each_who_asks_gives_up_early(
         self, autojump_clock
     ):
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -96,6 +96,22 @@
             assert trio.current_time() - started < 0.05
             nursery.cancel_scope.cancel()
 
+    async def test_own_stall_is_not_blamed_on_an_owner(self, autojump_clock):
+        # The coordinator's process stands still for 130 ms, as on a busy machine.
+        # When it goes on, all its timers are due at once and the owners' answers lie
+        # unread. It reads them; it neither passes owners over nor asks others.
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery=nursery)
+            node = cluster.nodes[0]
+            await search_whole(cluster, node)
+            n_calls = len(cluster.backends.calls)
+            async with trio.open_nursery() as stalled:
+                stalled.start_soon(search_whole, cluster, node)
+                await trio.sleep(0.005)
+                autojump_clock.jump(0.13)
+            assert len(cluster.backends.calls) == n_calls + 6
+            nursery.cancel_scope.cancel()
+
     async def test_owner_that_refuses_channels_is_bypassed(self, autojump_clock):
         # An owner has died and membership does not know yet. Its address refuses
         # connections; the caller notices nothing.
