--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -95,7 +95,7 @@
         # The first request that no byte has followed yet. It outlives its request,
         # so that a silent channel is found although each who asks gives up early.
         self._unanswered_since: float | None = None
-        self._sent_ping = False
+        self._pinged_at: float | None = None
         self._unsent = bytearray()
         self._has_unsent = trio.Event()
         self._scope = trio.CancelScope()
@@ -175,8 +175,9 @@
 
     def ping(self) -> None:
         """Ask for a sign of life before the channel's own heartbeat would."""
-        self._sent_ping = True
-        self.send(Frame(id=0, message=Ping()))
+        if self._pinged_at is None:
+            self._pinged_at = trio.current_time()
+            self.send(Frame(id=0, message=Ping()))
 
     def forget(self, request_id: int) -> None:
         """Drop whatever still comes for this request."""
@@ -217,20 +218,23 @@
         """
         if now - self._received_at > IDLE_LIMIT and not self._exchanges:
             self.close(Loss.IDLE)
-        elif self._unanswered_since is not None:
-            self._judge_silence(now - self._unanswered_since)
-
-    def _judge_silence(self, silence: float) -> None:
-        if silence > SILENCE_LIMIT:
-            self.close(Loss.SILENT)
-        elif silence > HEARTBEAT_AFTER and not self._sent_ping:
+        elif self._pinged_at is not None:
+            # Always the ping's own time, never the request's: after a stall of this
+            # process that is long past, and nothing was asked of the peer yet.
+            if now - self._pinged_at > SILENCE_LIMIT - HEARTBEAT_AFTER:
+                self.close(Loss.SILENT)
+        elif self._is_quiet(now):
             self.ping()
 
+    def _is_quiet(self, now: float) -> bool:
+        since = self._unanswered_since
+        return since is not None and now - since > HEARTBEAT_AFTER
+
     async def _read(self) -> None:
         buffer = bytearray()
         while data := await self._stream.receive_some(READ_SIZE):
             self._received_at = trio.current_time()
-            self._sent_ping = False
+            self._pinged_at = None
             buffer += data
             self._take_frames(buffer)
             self._unanswered_since = self._received_at if self._exchanges else None
