--- a/lab/overload.py
+++ b/lab/overload.py
@@ -164,7 +164,11 @@
         "delayed": round(ours.trial.delayed, 3),
     }
     report(
-        make_figures("overload", figures, conditions=conditions),
+        make_figures(
+            "overload" if deadline_ms == DEADLINE_MS else "overload-stretched",
+            figures,
+            conditions=conditions,
+        ),
         make_table([naive, ours], capacity),
         is_saved=load == LOAD,
     )
--- a/lab/tail.py
+++ b/lab/tail.py
@@ -136,7 +136,7 @@
             print(f"{trial.side.name}: {n_times} x {reason}")
     report(
         make_figures(
-            "tail",
+            "tail" if stretch == 1 else "tail-stretched",
             compute_figures(trials),
             conditions={
                 "hosts": hosts,
