Do not take stragglers and slow servers for silent connections

At 280 ms a straggler of 160 ms, and with 80 ms calls many ordinary ones, ended as silent; each was asked again and closed all idle connections of a healthy server. A connection that carried an answer within the last second now gets three quarters, and any gets three typical calls' time.

--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -35,6 +35,12 @@
 # A request that must not run twice is sent only on a connection that carried an
 # answer this recently, since on a stale one it would end as unknown.
 TRUSTED_IDLE = 1.0
+# Of the time left, what a read gets on a reused connection: one that carried an answer
+# within the time above, and any other. Slow servers get some typical calls' time.
+PROVED_SHARE = 0.75
+UNPROVED_SHARE = 0.5
+N_TYPICAL = 3.0
+TYPICAL_GAIN = 0.1
 
 
 @dataclass(slots=True, kw_only=True)
@@ -66,6 +72,7 @@
     def __init__(self, *, server: Server, idle_limit: float) -> None:
         self.server = server
         self.n_open = 0
+        self._typical = 0.0
         self._idle_limit = idle_limit
         self._idle: list[Connection] = []
         self._origin = httpcore.Origin(
@@ -87,8 +94,8 @@
     async def call(self, call: Call, *, attempt: bytes, fresh: bool) -> Verdict:
         """Make one attempt at `call`, within its deadline.
 
-        A reused connection gets half of the time left: something between the ends
-        may have lost track of it, and then nothing ever arrives. The other half
+        A read on a reused connection gets a part of the time left: something between
+        the ends may have lost track of it, and then nothing ever arrives. The rest
         remains for a retry over a fresh one.
         """
         now = trio.current_time()
@@ -96,14 +103,15 @@
         if left <= 0:
             return self._refuse(Step.QUEUE, Reason.DEADLINE)
         connection = None if fresh else self._take_idle(call, now=now)
-        reused = connection is not None
         if connection is None and not self._reserve():
             return self._refuse(Step.CONNECT, Reason.OVERLOADED)
         headers = build_headers(
             call, attempt=attempt, host=self._host, left_ms=max(1, int(left * 1_000))
         )
         url = self._search if call.idempotent else self._run
-        limit = left / 2 if reused and call.idempotent else left
+        limit = left
+        if connection is not None and call.idempotent:
+            limit = self._limit_reused(connection, left=left, now=now)
         result = await self._exchange(
             connection,
             b"POST",
@@ -114,9 +122,25 @@
             attempt=attempt,
         )
         if isinstance(result, Reply):
+            elapsed = trio.current_time() - now
+            self._typical += TYPICAL_GAIN * (elapsed - self._typical)
             return judge_reply(result, call, attempt=attempt, server=self.server.name)
         return Verdict(outcome=result, report=None)
 
+    def _limit_reused(
+        self, connection: Connection, *, left: float, now: float
+    ) -> float:
+        """Return how long a read may take on a connection that may be silent.
+
+        The rest of its time is for a retry over a fresh one. A connection that
+        carried an answer a moment ago is less likely to be silent than its server
+        to be slow: cut at half of the time, ordinary stragglers were taken for
+        silence, and with each all idle connections of their server were closed.
+        """
+        is_proved = now - connection.answered_at <= TRUSTED_IDLE
+        share = PROVED_SHARE if is_proved else UNPROVED_SHARE
+        return min(left, max(share * left, N_TYPICAL * self._typical))
+
     async def probe(self) -> ServerReport | None:
         """Ask the health endpoint over a fresh connection; None without an answer.
 
