--- a/lab/callersport.py
+++ b/lab/callersport.py
@@ -67,6 +67,7 @@
             run=self.refuse,
             look_up=self.refuse,
             is_leaving=lambda: False,
+            get_unsettled=str,
         )
         return CallersApp(handlers=handlers)
 
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -275,6 +275,7 @@
             run=self._bookings.run,
             look_up=self._bookings.look_up,
             is_leaving=lambda: self._is_leaving,
+            get_unsettled=self._get_unsettled,
         )
         self._callers = CallersApp(handlers=handlers)
         admin = AdminApp(get_unready=self._get_unready, get_status=self._get_status)
@@ -332,6 +333,10 @@
     def _get_unready(self) -> str:
         if self._is_leaving:
             return "stopping"
+        return self._get_unsettled()
+
+    def _get_unsettled(self) -> str:
+        """Return what this process lacks to serve anybody, or ""."""
         if not self._membership.joined:
             return "no peer has answered yet"
         if not self._keeper.is_settled:
--- a/src/lavendergap/state/outcome.py
+++ b/src/lavendergap/state/outcome.py
@@ -38,6 +38,7 @@
     STRAGGLER = "straggler"
     CANCELLED = "cancelled"
     STOPPING = "stopping"
+    NOT_READY = "not ready"
     UNKNOWN_SERVICE = "unknown service"
     WITNESS_LOST = "witness lost"
     ISSUER_LOST = "issuer lost"
--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -18,7 +18,7 @@
     get_retry_after_ms,
     name_outcome,
 )
-from ..state.outcome import NotRun
+from ..state.outcome import NotRun, Reason, Step
 from ..state.settings import Service, Settings
 from .web import (
     JSON_TYPE,
@@ -88,6 +88,7 @@
     run: Callable[[CallerRequest, str], Awaitable[RunAnswer]]
     look_up: Callable[[str, str], Awaitable[RunAnswer]]
     is_leaving: Callable[[], bool]
+    get_unsettled: Callable[[], str]
 
 
 class CallersApp:
@@ -127,13 +128,18 @@
             case ["v1", "services", name, "query"]:
                 request = await self._read(scope, receive, name)
                 _need_idempotent(request.service)
-                return await self._search_while_wanted(request, receive)
+                return self._refuse_unsettled(
+                    request
+                ) or await self._search_while_wanted(request, receive)
             case ["v1", "services", name, "tickets"]:
                 request = await self._read(scope, receive, name, needs_body=False)
-                return await self._issue(request)
+                return self._refuse_unsettled(request) or await self._issue(request)
             case ["v1", "services", name, "requests"]:
                 request = await self._read(scope, receive, name)
-                return await self._run(request, _read_ticket(scope))
+                ticket = _read_ticket(scope)
+                return self._refuse_unsettled(request) or await self._run(
+                    request, ticket
+                )
             case ["v1", "tickets", ticket]:
                 _need_method(scope, "GET")
                 answer = await self._handlers.look_up(make_request_id(scope), ticket)
@@ -145,6 +151,19 @@
                     detail="use /v1/services/SERVICE/query, /tickets or /requests",
                 )
 
+    def _refuse_unsettled(self, request: CallerRequest) -> Response | None:
+        """Refuse while this host has only its file, which may be long out of date.
+
+        The balancer sends nobody here then. Whoever comes all the same would be
+        served by settings that accepted edits have replaced.
+        """
+        detail = self._handlers.get_unsettled()
+        if not detail:
+            return None
+        outcome = NotRun(step=Step.ADMIT, peer=detail, reason=Reason.NOT_READY)
+        refusal = Refusal(request_id=request.request_id, outcome=outcome)
+        return _render_refusal(refusal)
+
     async def _read(
         self, scope: Scope, receive: Receive, name: str, *, needs_body: bool = True
     ) -> CallerRequest:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -36,6 +36,7 @@
         )
         self.is_refusing = False
         self.is_leaving = False
+        self.unsettled = ""
         self.n_searches = 0
         self.n_cancelled = 0
         self.search_s = 0.0
@@ -79,6 +80,7 @@
                 run=self.run,
                 look_up=self.look_up,
                 is_leaving=lambda: self.is_leaving,
+                get_unsettled=lambda: self.unsettled,
             )
         )
 
@@ -211,6 +213,16 @@
         assert body["outcome"] == "not run"
         assert (body["request_id"], body["retry_after_ms"]) == ("r-1", 1500)
 
+    async def test_host_without_settings_in_force_serves_nobody(self, autojump_clock):
+        # A host has just started and has only its file. A caller that reaches it
+        # past the balancer is told "not run" at once, and not served by settings
+        # that accepted edits have replaced.
+        daemon = FakeDaemon()
+        daemon.unsettled = "no settings from the platform or a peer yet"
+        call = await Call().send_to(daemon.build_app(), b"{}")
+        assert (call.status, daemon.n_searches) == (503, 0)
+        assert json.loads(call.body)["reason"] == "not ready"
+
     async def test_caller_that_leaves_cancels_its_search(self, autojump_clock):
         # The caller closes its connection while its query runs. The search ends
         # then, and with it the calls that hold slots of the backend servers.
