Hedge stragglers before a short queue

Of 40 queries over 120 ms 28 had their hedges blocked both by waiting calls and by replicas without a free slot, 7 by waiting calls alone, with full budgets (5 tokens); the delay was right (18 to 20 ms at a median of 12). Ruled out: the budget (2 blocks of 1,278), the quantile, the machine (waiting for a core 0.3 %). A straggler now gets a slot that comes free before the calls that wait, within the hedge budget and while no more wait than there are slots.

--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -95,6 +95,8 @@
         self._calls: dict[int, Progress] = {}
         self._attempts: dict[int, Attempt] = {}
         self._waiting = WaitingCalls()
+        # Stragglers whose hedge waits for a free slot; cleaned as slots come free.
+        self._blocked: dict[int, Progress] = {}
         self._timers = CallTimers()
         self._attempt_ids = count(1)
         self._recent = RecentLatencies(quantile=choose_quantile(service))
@@ -158,6 +160,7 @@
             progress.attempts.remove(attempt)
             self._settle(progress, attempt, ended.outcome, now, effects)
         if self._waiting:
+            self._hedge_blocked(now, effects)
             self._dispatch(now, effects)
         return effects
 
@@ -496,9 +499,9 @@
 
     def _hedge(self, progress: Progress, now: float) -> list[Effect]:
         """Start a second attempt on a replica with a free slot, within the budget."""
-        # While calls wait, a free slot is theirs: a hedge would delay one call to
-        # speed up another, and slow the group when it is slowest.
-        if self._waiting or self._is_stopping:
+        if self._is_stopping:
+            return []
+        if self._waiting and not self._may_overtake(progress, now):
             return []
         if self._get_hedge_time(progress) > now:
             return []
@@ -514,11 +517,43 @@
                 return [self._start(progress, chosen, "hedge", now)]
         return []
 
+    def _may_overtake(self, progress: Progress, now: float) -> bool:
+        """Tell whether a hedge of this call may take a slot before calls that wait.
+
+        While calls wait a free slot is theirs: a hedge would delay one call to speed
+        up another. But a straggler holds its whole query, for many times what the
+        calls that wait lose by one slot; so it may, within the budget, unless the
+        queue is so long that the group has more work than slots.
+        """
+        n_slots = sum(replica.server.slots for replica in self._replicas)
+        if len(self._waiting) > n_slots or not self._is_straggling(progress, now):
+            self._blocked.pop(progress.call.call_id, None)
+            return False
+        self._blocked[progress.call.call_id] = progress
+        return True
+
+    def _hedge_blocked(self, now: float, effects: list[Effect]) -> None:
+        """Hedge stragglers that found no slot, before calls that wait take this one."""
+        for call_id, progress in list(self._blocked.items()):
+            if call_id not in self._calls or not progress.attempts:
+                del self._blocked[call_id]
+                continue
+            hedges = self._hedge(progress, now)
+            if hedges:
+                self._blocked.pop(call_id, None)
+                self._set_timer(progress, now)
+                effects.extend(hedges)
+
+    def _is_straggling(self, progress: Progress, now: float) -> bool:
+        waited = now - progress.attempts[-1].started
+        return waited >= STRAGGLER_RATIO * (self._recent.median or 0.0)
+
     def _is_reserved(self, progress: Progress, now: float) -> bool:
         """Tell whether the tokens left are for slower attempts than this call's."""
-        waited = now - progress.attempts[-1].started
-        is_straggler = waited >= STRAGGLER_RATIO * (self._recent.median or 0.0)
-        return not is_straggler and self._hedges.tokens < 1.0 + HEDGE_RESERVE
+        return (
+            not self._is_straggling(progress, now)
+            and self._hedges.tokens < 1.0 + HEDGE_RESERVE
+        )
 
     # Outcomes.
 
