--- a/src/lavendergap/metrics.py
+++ b/src/lavendergap/metrics.py
@@ -48,9 +48,6 @@
 channel_losses = Counter(
     "lavendergap_channel_losses", "Channels to peers lost, by reason.", ["reason"]
 )
-control_bytes = Counter(
-    "lavendergap_control_bytes", "Bytes sent for control, by kind.", ["kind"]
-)
 settings_version = Gauge(
     "lavendergap_settings_version", "Version of the settings in force here."
 )
