Have the question whether a hedge may overtake change nothing

Cause: found by reading: _may_overtake answered a question and also kept the list of blocked stragglers.

--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -493,7 +493,10 @@
         if progress.call.deadline <= now:
             self._give_up(progress, Reason.DEADLINE, effects)
             return
-        effects.extend(self._hedge(progress, now))
+        hedges = self._hedge(progress, now)
+        effects.extend(hedges)
+        if not hedges and self._waiting and self._may_overtake(progress, now):
+            self._blocked[progress.call.call_id] = progress
         # Whether hedged or not: next time is another try, or the deadline.
         self._set_timer(progress, now)
 
@@ -526,11 +529,8 @@
         queue is so long that the group has more work than slots.
         """
         n_slots = sum(replica.server.slots for replica in self._replicas)
-        if len(self._waiting) > n_slots or not self._is_straggling(progress, now):
-            self._blocked.pop(progress.call.call_id, None)
-            return False
-        self._blocked[progress.call.call_id] = progress
-        return True
+        is_short = len(self._waiting) <= n_slots
+        return is_short and self._is_straggling(progress, now)
 
     def _hedge_blocked(self, now: float, effects: list[Effect]) -> None:
         """Hedge stragglers that found no slot, before calls that wait take this one."""
