--- a/lab/binary.py
+++ b/lab/binary.py
@@ -131,7 +131,7 @@
 @main.command()
 def check() -> None:
     """Run the built file as an operator would, on an empty memory file system."""
-    with tempfile.TemporaryDirectory(dir=_find_memory_directory()) as place:
+    with tempfile.TemporaryDirectory() as place:
         environment = _make_environment(Path(place))
         version = start_file(BINARY, ["--version"], environment)
         _require(version.n_processes == 1, f"{version.n_processes} processes started")
@@ -191,7 +191,7 @@
 
 
 def _measure_file(file: Path) -> tuple[str, ...]:
-    with tempfile.TemporaryDirectory(dir=_find_memory_directory()) as place:
+    with tempfile.TemporaryDirectory() as place:
         environment = _make_environment(Path(place))
         first = start_file(file, ["--version"], environment)
         later = [start_file(file, ["--version"], environment) for _ in range(N_STARTS)]
@@ -208,11 +208,6 @@
     )
 
 
-def _find_memory_directory() -> str | None:
-    """Return a memory file system for the trial, as a host without disks has."""
-    return "/dev/shm" if os.access("/dev/shm", os.W_OK) else None
-
-
 def _make_environment(place: Path) -> dict[str, str]:
     environment = dict.fromkeys(UNPACK_VARIABLES, str(place))
     # Without this project's own environment: the file must stand by itself.
--- a/src/lavendergap/coordination/calls.py
+++ b/src/lavendergap/coordination/calls.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Outcome
 
 ServerState = Literal["serving", "starting", "draining"]
@@ -20,6 +21,9 @@
     `deadline` is in seconds on the loop's monotonic clock. `version` is the index
     version that the query is pinned to; 0 means that the call is not tied to one.
     `call_id` is unique within the scheduler, `request_id` is for the logs.
+    `forward` is set for a request that goes on unchanged. `max_attempts` bounds the
+    servers that it is sent to; 0 leaves that to the scheduler. `is_repeat` says that
+    another host may have sent it already, so that it counts as an extra call.
     """
 
     call_id: int
@@ -31,6 +35,9 @@
     deadline: float
     body: bytes
     idempotent: bool
+    forward: ForwardedRequest | None = None
+    max_attempts: int = 0
+    is_repeat: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/src/lavendergap/coordination/catalog.py
@@ -0,0 +1,147 @@
+"""The groups of backend servers in force: from the routes and from the registry."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from ..state.registry import RegisteredServer
+from ..state.routes import GreatestOfAll, OneOf, RouteTable
+from ..state.settings import ExtraCalls, Group, Server, Service, WaitForCoverage
+
+# What a group's servers accept where no route's document says it.
+DEFAULT_CONNECTIONS = 16
+# Owners of one group at a time, beside one for each data centre of its servers: a
+# host that takes over while another still finishes what it has.
+N_SPARE_OWNERS = 1
+# A queue longer than this is all refused by its deadline whatever the servers' speed.
+QUEUE_LIMIT = 64
+# A call is hedged once it takes longer than this share of the group's calls. Extra
+# calls are allowed for a fifth of all and some more: twice as many stragglers as a
+# server's pauses make (4 in 100) find a token.
+HEDGE_QUANTILE = 0.85
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExtraCallBudget:
+    """What the platform allows beyond the first call of each request, for a group.
+
+    In each window of `window_s` seconds all hosts together may send `share` times
+    the requests plus `slack` extra calls to one group.
+    """
+
+    share: float
+    slack: float
+    window_s: float
+
+    def divide(self, n_owners: int) -> ExtraCalls:
+        """Return one owner's part of the slack; the share counts its own requests.
+
+        Half of the part may be spent at once and half comes with time, so that the
+        two together stay within it in any window. Of each half, hedges get two
+        thirds and retries one.
+        """
+        half = self.slack / n_owners / 2
+        return ExtraCalls(
+            hedge_burst=max(1.0, half * 2 / 3),
+            retry_burst=max(1.0, half / 3),
+            hedges_per_second=half * 2 / 3 / self.window_s,
+            retries_per_second=half / 3 / self.window_s,
+            counts_refusals=True,
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Catalog:
+    """All groups with their servers, and the data centres of each shard's servers."""
+
+    services: tuple[Service, ...]
+    places: Mapping[str, frozenset[str]]
+
+
+def build_catalog(
+    *,
+    table: RouteTable,
+    servers: Iterable[RegisteredServer],
+    budget: ExtraCallBudget,
+    n_hosts: int,
+) -> Catalog:
+    """Return the groups that the routes name, or that have servers.
+
+    Servers that leave are left out: they get nothing new. A group without servers
+    stays, so that calls to it are refused with that as the reason.
+    """
+    serving: dict[str, list[RegisteredServer]] = {
+        group: [] for group in _list_groups(table)
+    }
+    for server in servers:
+        if not server.is_draining:
+            serving.setdefault(server.group, []).append(server)
+    shards = _list_shards(table)
+    services = []
+    places = {}
+    for group, members in serving.items():
+        data_centres = frozenset(member.data_centre for member in members)
+        n_owners = n_hosts + N_SPARE_OWNERS
+        if group in shards:
+            n_owners = min(n_owners, len(data_centres) + N_SPARE_OWNERS)
+            places[group] = data_centres
+        connections = table.connections.get(group, DEFAULT_CONNECTIONS)
+        services.append(
+            _make_service(
+                group, members, budget, n_owners, max(1, connections // n_owners)
+            )
+        )
+    return Catalog(services=tuple(services), places=places)
+
+
+def _make_service(
+    group: str,
+    members: list[RegisteredServer],
+    budget: ExtraCallBudget,
+    n_owners: int,
+    n_connections: int,
+) -> Service:
+    members = sorted(members, key=lambda member: member.server_id)
+    servers = tuple(
+        Server(
+            name=member.server_id,
+            address=member.address,
+            data_centre=member.data_centre,
+            slots=member.slots,
+            connections=n_connections,
+        )
+        for member in members
+    )
+    return Service(
+        name=group,
+        idempotent=True,
+        groups=(Group(name=group, servers=servers),),
+        deadline_ms=0,
+        stragglers=WaitForCoverage(),
+        hedge_budget=budget.share * 2 / 3,
+        hedge_after_quantile=HEDGE_QUANTILE,
+        retry_budget=budget.share / 3,
+        queue_limit=QUEUE_LIMIT,
+        max_body_bytes=0,
+        weight=1.0,
+        extra=budget.divide(n_owners),
+    )
+
+
+def _list_groups(table: RouteTable) -> set[str]:
+    groups: set[str] = set(table.connections)
+    for route in table.routes:
+        match route.target:
+            case OneOf(groups=weighted):
+                groups.update(each.group for each in weighted)
+            case GreatestOfAll(groups=names):
+                groups.update(names)
+    return groups
+
+
+def _list_shards(table: RouteTable) -> set[str]:
+    return {
+        group
+        for route in table.routes
+        if isinstance(route.target, GreatestOfAll)
+        for group in route.target.groups
+    }
--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -9,6 +9,10 @@
 
 # More than any load: a server that failed the call is taken if there is no other.
 LAST_RESORT = 1_000.0
+# What a server in another data centre has to be better by, in slots in use as a share
+# of its slots. One call more on a near server with two slots is borne (0.5), a second
+# one is not: bytes between data centres are paid for, late answers are worse.
+REMOTE_PENALTY = 0.6
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,11 +48,13 @@
     typical: float,
     now: float,
     dice: Random,
+    data_centre: str = "",
 ) -> Choice:
     """Choose the replica for one attempt.
 
     Servers in `excluded` refused this very call; those in `tried` failed it and are
-    taken only if no other has a free slot. When failures have ejected every server
+    taken only if no other has a free slot. With `data_centre`, servers there are
+    preferred. When failures have ejected every server
     that could serve, all of them are candidates again: the fault may be on this
     host's side, and an attempt tells more than waiting does. `why` then says so.
     """
@@ -68,7 +74,7 @@
     healthy = [r for r in possible if r.ejected_until <= now]
     if not healthy:
         note += " (all ejected: failing open)"
-    best = _pick_best(healthy or possible, tried, typical, now, dice)
+    best = _pick_best(healthy or possible, tried, typical, now, dice, data_centre)
     if best is None:
         return BUSY
     return Chosen(replica=best, why=_explain(possible, best, now) + note)
@@ -86,6 +92,7 @@
     typical: float,
     now: float,
     dice: Random,
+    data_centre: str,
 ) -> Replica | None:
     best = None
     best_score = NEVER
@@ -95,6 +102,8 @@
         score = replica.score(now, typical)
         if tried and replica.server.name in tried:
             score += LAST_RESORT
+        if data_centre and replica.server.data_centre != data_centre:
+            score += REMOTE_PENALTY
         if score < best_score or (score == best_score and dice.random() < 0.5):
             best = replica
             best_score = score
--- /dev/null
+++ b/src/lavendergap/coordination/feeds.py
@@ -0,0 +1,99 @@
+"""One host's copy of a feed, and what it makes of entries that vanish."""
+
+from collections.abc import Mapping
+
+from ..state.feeds import FeedChanges, FeedListing
+
+
+class FeedCopy:
+    """The entries of a feed at a revision; it never goes back to an older one.
+
+    Servers keep their entries alive through the store. While the store is away they
+    cannot, entries lapse that are no proof of anything, and a server that lives is
+    back within `lapse_grace` seconds of the store's return. So for that long after a
+    return, an entry that vanishes is kept: dropped at once, every server would be
+    out of use after each outage, and all callers refused.
+
+    >>> from lavendergap.state.feeds import FeedChange, FeedEntry
+    >>> copy = FeedCopy(lapse_grace=2.2)
+    >>> listing = FeedListing(revision=7, entries=(FeedEntry(name="a", body=b"1"),))
+    >>> copy.take_listing(listing, now=10.0)
+    True
+    >>> copy.note_return(now=20.0)
+    >>> gone = FeedChanges(revision=8, changes=(FeedChange(name="a", body=None),))
+    >>> copy.take_changes(gone, now=20.5), copy.settle(now=21.0), dict(copy.entries)
+    (False, False, {'a': b'1'})
+    >>> copy.settle(now=22.2), dict(copy.entries)
+    (True, {})
+    """
+
+    def __init__(self, *, lapse_grace: float) -> None:
+        self.revision = 0
+        self._lapse_grace = lapse_grace
+        self._entries: dict[str, bytes] = {}
+        self._returned_at = float("-inf")
+        self._lapsed: dict[str, float] = {}
+
+    @property
+    def entries(self) -> Mapping[str, bytes]:
+        """The entries in force, by name."""
+        return self._entries
+
+    def note_return(self, *, now: float) -> None:
+        """Note that the store answers again after it did not."""
+        self._returned_at = now
+
+    def take_listing(self, listing: FeedListing, *, now: float) -> bool:
+        """Take all entries at a revision; tell whether anything changed."""
+        if listing.revision < self.revision:
+            return False
+        self.revision = listing.revision
+        listed = {entry.name: entry.body for entry in listing.entries}
+        has_changed = False
+        for name in list(self._entries):
+            if name not in listed:
+                has_changed |= self._remove(name, now)
+        for name, body in listed.items():
+            has_changed |= self._put(name, body)
+        return has_changed
+
+    def take_changes(self, changes: FeedChanges, *, now: float) -> bool:
+        """Take what a watch told; tell whether anything changed."""
+        if changes.revision < self.revision:
+            return False
+        self.revision = changes.revision
+        has_changed = False
+        for change in changes.changes:
+            if change.body is None:
+                has_changed |= self._remove(change.name, now)
+            else:
+                has_changed |= self._put(change.name, change.body)
+        return has_changed
+
+    def settle(self, *, now: float) -> bool:
+        """Drop the lapsed entries whose time is up; tell whether any was."""
+        due = [name for name, until in self._lapsed.items() if until <= now]
+        for name in due:
+            del self._lapsed[name]
+            self._entries.pop(name, None)
+        return bool(due)
+
+    @property
+    def next_due(self) -> float | None:
+        """The time at which `settle` has something to do, or None."""
+        return min(self._lapsed.values(), default=None)
+
+    def _put(self, name: str, body: bytes) -> bool:
+        self._lapsed.pop(name, None)
+        if self._entries.get(name) == body:
+            return False
+        self._entries[name] = body
+        return True
+
+    def _remove(self, name: str, now: float) -> bool:
+        until = self._returned_at + self._lapse_grace
+        if now < until:
+            self._lapsed.setdefault(name, until)
+            return False
+        self._lapsed.pop(name, None)
+        return self._entries.pop(name, None) is not None
--- a/src/lavendergap/coordination/issuer.py
+++ b/src/lavendergap/coordination/issuer.py
@@ -88,8 +88,8 @@
     >>> issuer.record(ticket, Ack()) == Run(ticket=ticket)
     True
     >>> message = issuer.end(ticket, Answered(body=b"booked"))
-    >>> issuer.begin(ticket, body=b"{}", now=2.0)
-    Known(outcome=Answered(body=b'booked'))
+    >>> issuer.begin(ticket, body=b"{}", now=2.0).outcome.body
+    b'booked'
     """
 
     def __init__(
--- a/src/lavendergap/coordination/joining.py
+++ b/src/lavendergap/coordination/joining.py
@@ -13,7 +13,12 @@
     Step,
     Unknown,
 )
-from ..state.settings import GiveUpStragglers, StragglerPolicy, WaitForCoverage
+from ..state.settings import (
+    AnswerByGoal,
+    GiveUpStragglers,
+    StragglerPolicy,
+    WaitForCoverage,
+)
 from ..state.snapshot import Shard, Snapshot
 
 # Sums of shares such as 20 times 0.05 fall short of 1 by rounding.
@@ -65,6 +70,7 @@
         "_missing",
         "_times",
         "_share",
+        "_lost_share",
         "_give_up_at",
     )
 
@@ -88,6 +94,7 @@
         self._missing: dict[str, Missing] = {}
         self._times: list[float] = []
         self._share = 0.0
+        self._lost_share = 0.0
         self._give_up_at: float | None = None
 
     def add(self, shard: str, outcome: Outcome, server: str, *, now: float) -> None:
@@ -101,10 +108,12 @@
             self.n_ignored += 1
             return
         known = self._pending.pop(shard)
+        self._lost_share += known.share
         match outcome:
             case Answered(body=body):
                 self._answers[shard] = body
                 self._share += known.share
+                self._lost_share -= known.share
                 self._times.append(now - self.started)
             case NotRun(step=step, peer=peer, reason=reason):
                 self._miss(shard, reason, step, peer or server)
@@ -183,5 +192,12 @@
                 if self._give_up_at is None and self._share + ROUNDING >= min_share:
                     wait = max(SHORTEST_PATIENCE, patience * median(self._times))
                     self._give_up_at = now + wait
+            case AnswerByGoal(min_share=min_share, goal_ms=goal_ms):
+                if self._share + ROUNDING >= min_share:
+                    self._give_up_at = max(now, self.started + goal_ms / 1_000)
+                elif self._lost_share > 1.0 - min_share + ROUNDING:
+                    # What is left cannot make up for what is lost: the caller is
+                    # told so now, and not at its deadline.
+                    self.is_done = True
             case WaitForCoverage():
                 pass
--- /dev/null
+++ b/src/lavendergap/coordination/records.py
@@ -0,0 +1,40 @@
+"""Joining parts of a library by their greatest records.
+
+A part is a run of records of a fixed size in no order; what a caller gets are the
+greatest of all parts together. So an owner of several shards needs to pass on only
+the greatest of its own: what is not among these is not among those of the whole.
+"""
+
+from collections.abc import Iterable
+from heapq import nlargest
+
+RECORD_BYTES = 16
+"""The size of a record. Shorter bytes at the end of a part are none."""
+
+
+def split_records(part: bytes) -> list[bytes]:
+    """Return the records of a part, in its order.
+
+    >>> len(split_records(bytes(40)))
+    2
+    """
+    end = len(part) - len(part) % RECORD_BYTES
+    return [part[at : at + RECORD_BYTES] for at in range(0, end, RECORD_BYTES)]
+
+
+def merge_greatest(parts: Iterable[bytes], *, n_wanted: int) -> bytes:
+    """Return the `n_wanted` greatest records of all parts, the greatest first.
+
+    Records are compared byte by byte; equal ones all count. Merging what was merged
+    before gives the same as merging all parts at once:
+
+    >>> a, b, c = (bytes([n]) * RECORD_BYTES for n in (1, 2, 3))
+    >>> whole = merge_greatest([a + c, b + b], n_wanted=2)
+    >>> whole == merge_greatest(
+    ...     [merge_greatest([a + c], n_wanted=2), b + b], n_wanted=2)
+    True
+    >>> whole == c + b
+    True
+    """
+    records = [record for part in parts for record in split_records(part)]
+    return b"".join(nlargest(n_wanted, records))
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -19,7 +19,7 @@
 )
 from .choice import Busy, Choice, Chosen, NoneLeft, choose, measure_capacity
 from .hedging import RecentLatencies, choose_quantile
-from .progress import Attempt, Progress
+from .progress import NOTHING, Attempt, Progress
 from .replicas import BLAME, NEVER, Replica
 from .summary import GroupSummary, summarize_server, to_ms
 from .timers import CallTimers
@@ -27,12 +27,6 @@
 # A call is tried at most this often whatever the budgets hold, so that one call that
 # breaks each server it meets cannot go round the group.
 MAX_ATTEMPTS = 4
-RETRY_BURST = 10.0
-# A group with few calls still may retry once a second: an outage is not made by that.
-RETRIES_PER_SECOND = 1.0
-# Enough for stragglers that come together, and still too few for a volley when the
-# whole group turns slow.
-HEDGE_BURST = 5.0
 SHORTEST_HEDGE_DELAY = 0.001
 # Where all calls take about as long, the quantile is hardly above the median, and
 # ordinary calls just beyond it would take every token. These are for attempts that
@@ -42,6 +36,11 @@
 # How often in one delay a hedge that found no free slot looks for one again.
 LOOKS_PER_DELAY = 8
 MAX_HEDGES = 2
+# A call that has taken this many times the median is no ordinary one any more: of
+# exponential times one in twenty is as long, and then only the next choice is moved.
+STALL_RATIO = 3.0
+# Below this many seconds the wait is the process's own and says nothing of a server.
+SHORTEST_STALL = 0.01
 # How many waiting calls that no free replica can take are passed over in one go, so
 # that a long queue for one version costs a bounded time at each event.
 MAX_PASSED_OVER = 8
@@ -79,17 +78,24 @@
     ...     attempt_id=start.attempt_id, outcome=Answered(body=b"[]"), report=None,
     ...     elapsed=0.005)
     >>> [finish] = scheduler.end_attempt(ended, now=0.005)
-    >>> finish.outcome, finish.n_attempts
-    (Answered(body=b'[]'), 1)
+    >>> finish.outcome.body, finish.n_attempts
+    (b'[]', 1)
     """
 
     def __init__(
-        self, *, group: Group, service: Service, control: Control, random: Random
+        self,
+        *,
+        group: Group,
+        service: Service,
+        control: Control,
+        random: Random,
+        data_centre: str = "",
     ) -> None:
         self.group = group
         self.service = service
         self.control = control
         self.random = random
+        self.data_centre = data_centre
         self._replicas = [Replica(server=server) for server in group.servers]
         self._leaving: list[Replica] = []
         self._calls: dict[int, Progress] = {}
@@ -103,11 +109,13 @@
         self._admission = Admission(recent=self._recent)
         self._retries = Budget(
             share=service.retry_budget,
-            burst=RETRY_BURST,
-            per_second=RETRIES_PER_SECOND,
+            burst=service.extra.retry_burst,
+            per_second=service.extra.retries_per_second,
         )
         self._hedges = Budget(
-            share=service.hedge_budget, burst=HEDGE_BURST, per_second=0.0
+            share=service.hedge_budget,
+            burst=service.extra.hedge_burst,
+            per_second=service.extra.hedges_per_second,
         )
         self._opens_at = NEVER
         self._is_stopping = False
@@ -139,6 +147,9 @@
             return [self._refuse(progress, Step.ADMIT, Reason.STOPPING)]
         if call.deadline <= now:
             return [self._refuse(progress, Step.ADMIT, Reason.DEADLINE)]
+        if call.is_repeat and not self._retries.spend(now=now):
+            self._n_budget_denials += 1
+            return [self._refuse(progress, Step.ADMIT, Reason.OVERLOADED)]
         if not self._waiting:
             match self._choose(progress, now):
                 case Chosen() as chosen:
@@ -318,7 +329,7 @@
 
     def _choose(self, progress: Progress, now: float) -> Choice:
         excluded = progress.excluded
-        tried = progress.tried
+        tried = progress.tried | self._find_stalled(now)
         if progress.attempts:
             running = {attempt.replica.server.name for attempt in progress.attempts}
             # A first hedge on the same server would meet what holds up the call. When
@@ -335,6 +346,25 @@
             typical=self._recent.mean or 0.0,
             now=now,
             dice=self.random,
+            data_centre=self.data_centre,
+        )
+
+    def _find_stalled(self, now: float) -> frozenset[str]:
+        """Return the servers that have held a call for much longer than is usual.
+
+        A server that pauses (a collection of garbage, say) answers nothing for a
+        while. Each call sent there meanwhile would wait for the end of the pause, or
+        cost a hedge; a group with another replica loses nothing by sparing it until
+        it answers.
+        """
+        median = self._recent.median
+        if median is None:
+            return NOTHING
+        limit = max(SHORTEST_STALL, STALL_RATIO * median)
+        return frozenset(
+            attempt.replica.server.name
+            for attempt in self._attempts.values()
+            if now - attempt.started > limit
         )
 
     def _start(
@@ -434,7 +464,7 @@
         # proof that it has not run allows another.
         if progress.unknown is not None and not call.idempotent:
             return False
-        if progress.n_attempts >= MAX_ATTEMPTS:
+        if progress.n_attempts >= _limit_attempts(call):
             return False
         if now + self._admission.needed_time >= call.deadline:
             return False
@@ -462,7 +492,7 @@
         # A refusal cost its server next to nothing, and the server that refused is
         # excluded, backed off or ejected: such a retry can not amplify an outage.
         # One that may have run did cost a slot's time, and is paid for.
-        if progress.unknown is None:
+        if progress.unknown is None and not self.service.extra.counts_refusals:
             return True
         return self._retries.spend(now=now)
 
@@ -485,6 +515,8 @@
             return NEVER
         if progress.n_hedges >= MAX_HEDGES or self._hedges.share <= 0.0:
             return NEVER
+        if progress.n_attempts >= _limit_attempts(progress.call):
+            return NEVER
         return progress.attempts[-1].started + max(SHORTEST_HEDGE_DELAY, delay)
 
     def _look_after(
@@ -614,3 +646,8 @@
             attempt.progress = None
             effects.append(CancelAttempt(attempt_id=attempt.attempt_id))
         progress.attempts.clear()
+
+
+def _limit_attempts(call: Call) -> int:
+    """Return to how many servers a call may be sent, hedges included."""
+    return min(MAX_ATTEMPTS, call.max_attempts or MAX_ATTEMPTS)
--- a/src/lavendergap/entry/fleet.py
+++ b/src/lavendergap/entry/fleet.py
@@ -1,5 +1,6 @@
 """Which entry hosts are live, where they are, and how they rank for a group."""
 
+from ..coordination.placement import Placement
 from ..coordination.ranking import Ranking
 from ..state.settings import Address, Settings
 
@@ -9,8 +10,15 @@
 class Fleet:
     """This host's view of all entry hosts; changes as settings and members do."""
 
-    def __init__(self, *, own_name: str, settings: Settings) -> None:
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        settings: Settings,
+        placement: Placement | None = None,
+    ) -> None:
         self.own_name = own_name
+        self._placement = placement
         self._addresses = {host.name: host.peers for host in settings.hosts}
         self._ranking = Ranking(hosts=frozenset({own_name}))
         self._shunned: dict[str, float] = {}
@@ -21,7 +29,10 @@
         Never empty: a host that knows of no other owns everything itself. Hosts
         that are shunned come last.
         """
-        ranked = self._ranking.rank(group) or (self.own_name,)
+        if self._placement is not None:
+            ranked = self._placement.rank(group) or (self.own_name,)
+        else:
+            ranked = self._ranking.rank(group) or (self.own_name,)
         if not self._shunned:
             return ranked
         return tuple(sorted(ranked, key=self._shunned.__contains__))
--- /dev/null
+++ b/src/lavendergap/entry/forwarding.py
@@ -0,0 +1,144 @@
+"""What this host does with a caller's request that goes on unchanged."""
+
+from random import Random
+
+import trio
+
+from ..coordination.calls import Call, FinishCall
+from ..coordination.routing import draw_group
+from ..state.outcome import NotRun, Outcome, Reason, Step
+from ..state.routes import GreatestOfAll, OneOf, Route
+from ..state.settings import AnswerByGoal, Service
+from ..state.snapshot import Shard, Snapshot
+from ..transport.dialer import Dialer
+from ..transport.gateway import GatewayRequest, GatewayResult
+from .fleet import Fleet
+from .owner import Owner, Wanted
+from .search import GreatestWanted, Query, SearchRun
+
+# Of the time to the goal, what is left for joining the parts and for the way back to
+# the caller, in milliseconds: one way is about one, and a busy loop takes a few.
+ANSWER_RESERVE_MS = 9
+# A goal so short that the reserve is most of it keeps this share for the servers.
+MIN_GOAL_SHARE = 0.5
+
+
+class Forwarder:
+    """Sends each request to the servers of its route and returns what came of it."""
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        owner: Owner,
+        dialer: Dialer,
+        nursery: trio.Nursery,
+        random: Random,
+    ) -> None:
+        self._fleet = fleet
+        self._owner = owner
+        self._dialer = dialer
+        self._nursery = nursery
+        self._random = random
+
+    async def forward(self, request: GatewayRequest) -> GatewayResult:
+        """Forward a request until its deadline; the caller may cancel it before."""
+        match request.route.target:
+            case OneOf() as target:
+                group = draw_group(target, self._random)
+                if group is None:
+                    return NotRun(
+                        step=Step.ROUTE,
+                        peer=request.route.name,
+                        reason=Reason.UNKNOWN_SERVICE,
+                    )
+                return await self._ask_one(request, group)
+            case GreatestOfAll() as target:
+                return await self._ask_all(request, target)
+
+    async def _ask_one(self, request: GatewayRequest, group: str) -> Outcome:
+        ended: list[FinishCall] = []
+        done = trio.Event()
+
+        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+            ended.append(end)
+            done.set()
+
+        call = Call(
+            call_id=self._owner.make_call_id(),
+            request_id=request.request_id,
+            service=group,
+            group=group,
+            shard="",
+            version=0,
+            deadline=request.deadline,
+            body=request.body,
+            idempotent=request.route.idempotent,
+            forward=request.forward,
+            max_attempts=request.route.max_attempts,
+        )
+        self._owner.submit([Wanted(call=call, finish=finish)])
+        try:
+            await done.wait()
+        finally:
+            if not ended:
+                self._owner.cancel([call])
+        return ended[0].outcome
+
+    async def _ask_all(
+        self, request: GatewayRequest, target: GreatestOfAll
+    ) -> GatewayResult:
+        goal_ms = compute_goal(request.route)
+        share = 1.0 / max(1, len(target.groups))
+        run = SearchRun(
+            query=Query(
+                request_id=request.request_id,
+                service=_make_service(request.route, target, goal_ms),
+                body=request.body,
+                started=request.started,
+                deadline=request.deadline,
+                greatest=GreatestWanted(
+                    request=request.forward,
+                    n_wanted=target.n_records,
+                    max_attempts=request.route.max_attempts,
+                    goal=request.started + goal_ms / 1_000,
+                ),
+            ),
+            snapshot=Snapshot(
+                service=request.route.name,
+                version=request.version,
+                shards=tuple(
+                    Shard(name=group, group=group, share=share)
+                    for group in target.groups
+                ),
+            ),
+            pinning=None,
+            fleet=self._fleet,
+            owner=self._owner,
+            dialer=self._dialer,
+            nursery=self._nursery,
+        )
+        return await run.run_greatest()
+
+
+def compute_goal(route: Route) -> int:
+    """Return the milliseconds after which an answer without stragglers goes out."""
+    goal_ms = max(route.goal_ms - ANSWER_RESERVE_MS, MIN_GOAL_SHARE * route.goal_ms)
+    return int(min(goal_ms, route.timeout_ms))
+
+
+def _make_service(route: Route, target: GreatestOfAll, goal_ms: int) -> Service:
+    """Return the route as the service that a query of it asks."""
+    return Service(
+        name=route.name,
+        idempotent=True,
+        groups=(),
+        deadline_ms=route.timeout_ms,
+        stragglers=AnswerByGoal(min_share=target.min_share, goal_ms=goal_ms),
+        hedge_budget=0.0,
+        hedge_after_quantile=0.0,
+        retry_budget=0.0,
+        queue_limit=0,
+        max_body_bytes=0,
+        weight=1.0,
+    )
--- /dev/null
+++ b/src/lavendergap/entry/gateway.py
@@ -0,0 +1,487 @@
+"""The daemon of a gateway host: starts its parts, and stops them without a cut."""
+
+import functools
+import gc
+import logging
+import secrets
+import signal
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Protocol
+
+import msgspec
+import trio
+
+from .. import metrics
+from ..coordination.catalog import ExtraCallBudget, build_catalog
+from ..coordination.documents import Documents
+from ..coordination.membership import Membership
+from ..coordination.placement import Placement
+from ..coordination.routing import RouteIndex
+from ..errors import SettingsError
+from ..logs import LineHandler, flush_logs, log_decision
+from ..protocol.forwarding import HeaderNames
+from ..protocol.messages import Frame, Hello, TicketAsk, TicketReply
+from ..state.feeds import FeedSource
+from ..state.gossip import DocumentsHeard, Event, MemberChanged
+from ..state.hostfile import GatewayHost, read_host_file
+from ..state.member import Member
+from ..state.registry import RegisteredServer
+from ..state.routes import RouteTable
+from ..state.settings import Address, Control, Server, Settings
+from ..transport.acceptor import Acceptor
+from ..transport.admin import AdminApp
+from ..transport.channel import Channel
+from ..transport.dialer import Dialer
+from ..transport.forward import ForwardClient
+from ..transport.gateway import GatewayApp, GatewayHandlers
+from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
+from .daemon import BACKLOG, COLLECTOR_THRESHOLDS
+from .feeds import FeedReader
+from .fleet import Fleet
+from .forwarding import Forwarder
+from .owner import Owner
+from .peers import PeerService
+from .ports import PortLimits, serve_port
+
+logger = logging.getLogger("lavendergap.entry")
+
+ROUTES_FEED = "routes"
+SERVERS_FEED = "servers"
+HOSTS_FEED = "hosts"
+
+# Hosts probe each other more often than the default: an owner that is gone costs the
+# queries of its groups a detour until it is known, and these fleets are small.
+CONTROL = Control(
+    probe_interval_ms=700,
+    probe_timeout_ms=250,
+    suspect_ms=2_000,
+    # Backend servers are not probed; this is how often idle connections are looked at.
+    server_probe_interval_ms=2_000,
+    idle_connection_ms=10_000,
+)
+# Until the balancer has noticed it still sends callers here: it asks each second, and
+# takes a host out after two misses.
+LEAVE_NOTICE = 2.6
+# Of the time within which the process has to be gone, what is left for closing.
+STOP_RESERVE = 0.8
+DRAIN_CHECK = 0.05
+SWEEP_INTERVAL = 1.0
+# How often the list of hosts is read while no peer has answered, in seconds.
+HOSTS_RETRY = 1.0
+# The settings file may change without a signal; it is looked at this often, seconds.
+FILE_CHECK = 2.0
+
+
+class Adapter(Protocol):
+    """What this daemon needs of the platform, in the product's own words."""
+
+    names: HeaderNames
+    source: FeedSource
+
+    def read_routes(self, entries: Mapping[str, bytes]) -> RouteTable | None:
+        """Return the routes in a feed's entries; None where there are none yet.
+
+        Raises ValueError for entries that make no sense.
+        """
+
+    def read_server(self, name: str, body: bytes) -> RegisteredServer:
+        """Return a registered server; raises ValueError where it makes no sense."""
+
+    async def register_host(self, name: str, address: Address) -> bool:
+        """Tell other hosts where this one is; False when the store did not take it."""
+
+    def read_host(self, body: bytes) -> Address:
+        """Return where a host takes peers; raises ValueError for nonsense."""
+
+
+class _Status(msgspec.Struct):
+    """What /status answers."""
+
+    host: str
+    data_centre: str
+    unready: str
+    routes_version: int
+    n_servers: int
+    members: list[str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Believed:
+    """What the feeds say now."""
+
+    index: RouteIndex | None = None
+    servers: tuple[RegisteredServer, ...] = ()
+
+
+def run_gateway(path: Path, make_adapter: Callable[[GatewayHost], Adapter]) -> None:
+    """Run the daemon until SIGTERM; raise SettingsError for a bad settings file."""
+    host = read_host_file(path)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+    trio.run(Gateway(host=host, path=path, adapter=make_adapter(host)).run)
+
+
+class Gateway:
+    """One gateway process. `run` returns once it has stopped as planned."""
+
+    def __init__(self, *, host: GatewayHost, path: Path, adapter: Adapter) -> None:
+        self._host = host
+        self._path = path
+        self._adapter = adapter
+        self._random = Random(secrets.randbits(64))
+        # Any number will do at first: a host that hears of an older process of its
+        # name under a higher one takes a number above that. The time of day would
+        # run backwards on hosts whose clock is stepped.
+        self._incarnation = secrets.randbits(31)
+        self._believed = _Believed()
+        self._placement = Placement(own_data_centre=host.data_centre)
+        self._settings = Settings(
+            deployment=str(host.store),
+            version=0,
+            platform=host.store,
+            hosts=(),
+            services=(),
+            control=CONTROL,
+        )
+        self._fleet = Fleet(
+            own_name=host.name, settings=self._settings, placement=self._placement
+        )
+        self._is_leaving = False
+        self._stop = trio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+            with trio.open_signal_receiver(*signals) as received:
+                async for number in received:
+                    if number != signal.SIGHUP:
+                        break
+                    self._reload("signal")
+            await self._leave()
+            nursery.cancel_scope.cancel()
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        host = self._host
+        self._nursery = nursery
+        [listener] = await trio.open_tcp_listeners(
+            host.peers.port, host=host.peers.ip, backlog=BACKLOG
+        )
+        self._endpoint = await open_gossip(
+            host.peers,
+            deployment=self._settings.deployment,
+            metrics=GossipMetrics(registry=metrics.REGISTRY),
+        )
+        self._build(nursery)
+        for handler in logging.getLogger().handlers:
+            if isinstance(handler, LineHandler):
+                nursery.start_soon(flush_logs, handler)
+        nursery.start_soon(self._acceptor.serve, listener)
+        nursery.start_soon(self._gossip)
+        nursery.start_soon(self._routes.run)
+        nursery.start_soon(self._servers.run)
+        nursery.start_soon(self._find_hosts)
+        nursery.start_soon(self._sweep)
+        nursery.start_soon(self._follow_file)
+        await self._open_ports(nursery)
+        log_decision(
+            logger,
+            "started",
+            request_id=None,
+            host=host.name,
+            incarnation=self._incarnation,
+        )
+
+    def _build(self, nursery: trio.Nursery) -> None:
+        host = self._host
+        hello = Hello(
+            deployment=self._settings.deployment,
+            host=host.name,
+            incarnation=self._incarnation,
+        )
+        self._owner = Owner(
+            settings=self._settings,
+            nursery=nursery,
+            random=self._random,
+            attempt_prefix=host.name,
+            make_client=self._make_client,
+            data_centre=host.data_centre,
+        )
+        self._dialer = Dialer(own=hello, nursery=nursery)
+        self._membership = Membership(
+            own=Member(
+                name=host.name,
+                data_centre=host.data_centre,
+                peers=host.peers,
+                incarnation=self._incarnation,
+            ),
+            control=CONTROL,
+            random=self._random,
+        )
+        self._peers = PeerService(
+            owner=self._owner,
+            documents=Documents(check=lambda name, body: None),
+            nursery=nursery,
+            answer_ticket=_refuse_ticket,
+        )
+        self._acceptor = Acceptor(
+            own=hello, handle=self._handle_peer, lose=self._peers.drop
+        )
+        self._forwarder = Forwarder(
+            fleet=self._fleet,
+            owner=self._owner,
+            dialer=self._dialer,
+            nursery=nursery,
+            random=self._random,
+        )
+        source = self._adapter.source
+        self._routes = FeedReader(
+            feed=ROUTES_FEED, source=source, use=self._use_routes, random=self._random
+        )
+        self._servers = FeedReader(
+            feed=SERVERS_FEED, source=source, use=self._use_servers, random=self._random
+        )
+
+    def _make_client(self, server: Server, idle_limit: float) -> ForwardClient:
+        return ForwardClient(
+            server=server, idle_limit=idle_limit, names=self._adapter.names
+        )
+
+    def _handle_peer(self, channel: Channel, frame: Frame) -> None:
+        self._peers.handle(channel, frame)
+
+    async def _open_ports(self, nursery: trio.Nursery) -> None:
+        handlers = GatewayHandlers(
+            get_routes=lambda: self._believed.index,
+            forward=self._forwarder.forward,
+            is_leaving=lambda: self._is_leaving,
+        )
+        self._callers = GatewayApp(handlers=handlers, names=self._adapter.names)
+        admin = AdminApp(get_unready=self._get_unready, get_status=self._get_status)
+        self._limits = PortLimits()
+        for app, address in (
+            (self._callers, self._host.callers),
+            (admin, self._host.admin),
+        ):
+            serve = functools.partial(
+                serve_port,
+                app,
+                address,
+                stop=self._stop,
+                drain_limit=STOP_RESERVE,
+                limits=self._limits,
+            )
+            await nursery.start(serve)
+
+    # Members.
+
+    async def _gossip(self) -> None:
+        self._membership.join(self._host.seeds)
+        await run_gossip(self._membership, self._endpoint, on_change=self._take_event)
+
+    def _take_event(self, event: Event) -> None:
+        match event:
+            case MemberChanged():
+                owners = [m for m in self._membership.members() if m.may_own]
+                self._fleet.replace_live({m.name: m.peers for m in owners})
+                self._placement.replace_hosts({m.name: m.data_centre for m in owners})
+                self._apply()
+            case DocumentsHeard():
+                pass
+
+    async def _find_hosts(self) -> None:
+        """Tell others where this host is, and learn of them, through the store.
+
+        The seeds may all be down, and a host whose seeds are gone would own
+        everything for itself.
+        """
+        is_registered = False
+        while True:
+            if not is_registered:
+                is_registered = await self._adapter.register_host(
+                    self._host.name, self._host.peers
+                )
+            listing = await self._adapter.source.list_feed(HOSTS_FEED)
+            for entry in getattr(listing, "entries", ()):
+                try:
+                    self._membership.join([self._adapter.read_host(entry.body)])
+                except ValueError as error:
+                    log_decision(
+                        logger,
+                        "host entry refused",
+                        request_id=None,
+                        entry=entry.name,
+                        error=str(error),
+                    )
+            if is_registered and len(self._membership.live()) > 1:
+                return
+            await trio.sleep(HOSTS_RETRY * self._random.uniform(1.0, 3.0))
+
+    # Routes and servers in force.
+
+    def _use_routes(self, entries: Mapping[str, bytes], revision: int) -> None:
+        try:
+            table = self._adapter.read_routes(entries)
+        except ValueError as error:
+            log_decision(
+                logger,
+                "routes refused",
+                request_id=None,
+                revision=revision,
+                error=str(error),
+            )
+            return
+        current = self._believed.index
+        if table is None or (current and table.version <= current.table.version):
+            return
+        index = RouteIndex(table=table)
+        self._believed = _Believed(index=index, servers=self._believed.servers)
+        self._limits.idle_timeout = table.limits.idle_timeout_ms / 1_000
+        self._limits.max_header_bytes = table.limits.max_header_bytes
+        metrics.settings_version.set(table.version)
+        log_decision(
+            logger,
+            "routes in force",
+            request_id=None,
+            version=table.version,
+            before=current.table.version if current else 0,
+            revision=revision,
+            n_routes=len(table.routes),
+        )
+        self._apply()
+
+    def _use_servers(self, entries: Mapping[str, bytes], revision: int) -> None:
+        servers = []
+        for name, body in entries.items():
+            try:
+                servers.append(self._adapter.read_server(name, body))
+            except ValueError as error:
+                log_decision(
+                    logger,
+                    "server entry refused",
+                    request_id=None,
+                    entry=name,
+                    revision=revision,
+                    error=str(error),
+                )
+        self._believed = _Believed(index=self._believed.index, servers=tuple(servers))
+        self._apply()
+
+    def _apply(self) -> None:
+        """Put what is believed in force for the groups that run here."""
+        index = self._believed.index
+        if index is None:
+            return
+        bounds = self._host.bounds
+        catalog = build_catalog(
+            table=index.table,
+            servers=self._believed.servers,
+            budget=ExtraCallBudget(
+                share=bounds.extra_call_share,
+                slack=bounds.extra_call_slack,
+                window_s=bounds.extra_call_window,
+            ),
+            n_hosts=max(1, len(self._membership.live())),
+        )
+        self._settings = Settings(
+            deployment=self._settings.deployment,
+            version=index.table.version,
+            platform=self._host.store,
+            hosts=(),
+            services=catalog.services,
+            control=CONTROL,
+        )
+        self._owner.replace(self._settings)
+        self._placement.replace_servers(catalog.places)
+
+    # What others are told.
+
+    def _get_unready(self) -> str:
+        if self._is_leaving:
+            return "stopping"
+        if self._believed.index is None:
+            return "no routes from the store or a peer yet"
+        if not self._servers.is_listed:
+            return "no servers from the store or a peer yet"
+        if not self._membership.joined:
+            return "no peer has answered yet"
+        return ""
+
+    def _get_status(self) -> _Status:
+        index = self._believed.index
+        return _Status(
+            host=self._host.name,
+            data_centre=self._host.data_centre,
+            unready=self._get_unready(),
+            routes_version=index.table.version if index else 0,
+            n_servers=len(self._believed.servers),
+            members=sorted(self._membership.live()),
+        )
+
+    # Housekeeping, reload and the planned stop.
+
+    async def _sweep(self) -> None:
+        while True:
+            await trio.sleep(SWEEP_INTERVAL)
+            self._owner.close_unused()
+            self._fleet.forgive(now=trio.current_time())
+
+    async def _follow_file(self) -> None:
+        while True:
+            await trio.sleep(FILE_CHECK)
+            self._reload("file")
+
+    def _reload(self, why: str) -> None:
+        """Read the settings file again; a damaged one leaves the old in force."""
+        try:
+            host = read_host_file(self._path)
+        except SettingsError as error:
+            log_decision(
+                logger, "reload refused", request_id=None, why=why, error=str(error)
+            )
+            return
+        if host == self._host and why == "file":
+            return
+        log_decision(
+            logger,
+            "reloaded",
+            request_id=None,
+            why=why,
+            has_changed=host != self._host,
+        )
+        # Addresses stay for the life of the process; what binds it may change.
+        self._host = host
+        self._membership.join(host.seeds)
+        self._apply()
+
+    async def _leave(self) -> None:
+        """Stop without cutting a request.
+
+        First the balancer and the peers are told, and callers are served as before
+        until both have noticed. Then what runs is finished and the ports close.
+        """
+        stop_at = trio.current_time() + self._host.bounds.stop_within - STOP_RESERVE
+        self._is_leaving = True
+        log_decision(logger, "leaving", request_id=None, host=self._host.name)
+        self._acceptor.announce_leaving()
+        await self._endpoint.send(self._membership.leave(now=trio.current_time()))
+        await trio.sleep(min(LEAVE_NOTICE, self._host.bounds.stop_within / 2))
+        with trio.move_on_at(stop_at):
+            while self._callers.n_running or self._owner.is_busy:
+                await trio.sleep(DRAIN_CHECK)
+        self._stop.set()
+        await self._endpoint.send(self._membership.depart(now=trio.current_time()))
+        with trio.move_on_after(STOP_RESERVE / 2):
+            while self._callers.n_running:
+                await trio.sleep(DRAIN_CHECK)
+        log_decision(logger, "stopped", request_id=None, host=self._host.name)
+
+
+async def _refuse_ticket(ask: TicketAsk) -> TicketReply:
+    """Answer an order about a ticket: gateway hosts issue none."""
+    return TicketReply(verdict="unknown")
--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -81,12 +81,17 @@
         random: Random,
         attempt_prefix: str,
         make_client: MakeClient,
+        data_centre: str,
     ) -> None:
         self.group = group
         self.service = service
         self.used_at = trio.current_time()
         self.scheduler = GroupScheduler(
-            group=group, service=service, control=settings.control, random=random
+            group=group,
+            service=service,
+            control=settings.control,
+            random=random,
+            data_centre=data_centre,
         )
         self._settings = settings
         self._nursery = nursery
@@ -111,6 +116,10 @@
             held = self._clients.get(server.name)
             if held is None or held.server != server:
                 self._clients[server.name] = self._make_client(server, idle_limit)
+        named = {server.name for server in group.servers}
+        for name in self._clients.keys() - named:
+            # Its connections would stay open to a server that takes no new work.
+            self._nursery.start_soon(self._clients.pop(name).close)
 
     def replace(self, *, group: Group, service: Service, settings: Settings) -> None:
         """Act on new settings; calls that run are finished as they started."""
@@ -162,7 +171,7 @@
                 case StartAttempt():
                     starts.append(effect)
                     self._count[effect.cause].inc()
-                    self._nursery.start_soon(self._attempt, effect)
+                    self._launch(effect)
                     if not is_logged or effect.cause != "first":
                         self._log_start(effect)
                 case CancelAttempt(attempt_id=attempt_id):
@@ -203,18 +212,30 @@
                 )
         finish(effect, self._versions.get(effect.server, ()))
 
-    async def _attempt(self, effect: StartAttempt) -> None:
-        started = trio.current_time()
+    def _launch(self, effect: StartAttempt) -> None:
+        """Start the task of an attempt.
+
+        Before the task first runs, other settings may take its server away, and its
+        call may end. So it is given the connections here, and can be cancelled from
+        here on: looked up by the task, the one would be missing and end the whole
+        process, and the other would let a server work for nobody.
+        """
+        scope = trio.CancelScope()
+        self._scopes[effect.attempt_id] = scope
         client = self._clients[effect.server]
+        self._nursery.start_soon(self._attempt, effect, client, scope)
+
+    async def _attempt(
+        self, effect: StartAttempt, client: Client, scope: trio.CancelScope
+    ) -> None:
+        started = trio.current_time()
         attempt = f"{self._prefix}-{self.group.name}-{effect.attempt_id}".encode()
-        with trio.CancelScope() as scope:
-            self._scopes[effect.attempt_id] = scope
+        verdict = Verdict(outcome=_judge_cancelled(effect.server), report=None)
+        with scope:
             verdict = await client.call(
                 effect.call, attempt=attempt, fresh=effect.fresh_connection
             )
         del self._scopes[effect.attempt_id]
-        if scope.cancelled_caught:
-            verdict = Verdict(outcome=_judge_cancelled(effect.server), report=None)
         now = trio.current_time()
         self._count_end(verdict.outcome)
         if verdict.report is not None:
@@ -260,7 +281,9 @@
         """Ask each server's health endpoint now and then, one after the other."""
         while True:
             for server in self.group.servers:
-                client = self._clients[server.name]
+                client = self._clients.get(server.name)
+                if client is None:
+                    continue  # An edit took it away while another was probed.
                 report = await client.probe()
                 now = trio.current_time()
                 self.apply(self.scheduler.observe(server.name, report, now=now))
@@ -288,13 +311,17 @@
         random: Random,
         attempt_prefix: str,
         make_client: MakeClient = make_backend_client,
+        data_centre: str = "",
     ) -> None:
         self._settings = settings
         self._nursery = nursery
         self._random = random
         self._prefix = attempt_prefix
         self._make_client = make_client
+        self._data_centre = data_centre
+        self._services = {service.name: service for service in settings.services}
         self._runners: dict[str, GroupRunner] = {}
+        self._retired: list[GroupRunner] = []
         self._call_ids = itertools.count(1)
         self._is_stopping = False
 
@@ -305,15 +332,18 @@
     def replace(self, settings: Settings) -> None:
         """Put new settings in force for every group that runs here."""
         self._settings = settings
+        self._services = {service.name: service for service in settings.services}
         for name, runner in list(self._runners.items()):
             found = self._find(runner.service.name, name)
             if found is None:
+                # Kept here it would refuse all calls, should the group come back.
                 runner.stop()
-            else:
+                self._retired.append(self._runners.pop(name))
+            elif found != (runner.service, runner.group):
                 runner.replace(group=found[1], service=found[0], settings=settings)
 
     def _find(self, service_name: str, group_name: str) -> tuple[Service, Group] | None:
-        service = self._settings.get_service(service_name)
+        service = self._services.get(service_name)
         if service is None:
             return None
         for group in service.groups:
@@ -336,6 +366,7 @@
             random=self._random,
             attempt_prefix=self._prefix,
             make_client=self._make_client,
+            data_centre=self._data_centre,
         )
         self._runners[call.group] = runner
         return runner
@@ -386,6 +417,9 @@
         """End the runners of groups that nobody has asked for in a while."""
         limit = self._settings.control.idle_connection_ms / 1_000
         now = trio.current_time()
+        for runner in [r for r in self._retired if not r.is_busy]:
+            runner.close()
+            self._retired.remove(runner)
         for name, runner in list(self._runners.items()):
             if not runner.is_busy and now - runner.used_at > limit:
                 runner.close()
@@ -400,4 +434,5 @@
     @property
     def is_busy(self) -> bool:
         """Whether any call has not ended yet."""
-        return any(runner.is_busy for runner in self._runners.values())
+        runners = [*self._runners.values(), *self._retired]
+        return any(runner.is_busy for runner in runners)
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -1,13 +1,14 @@
 """What this host does for its peers: serves the requests on their channels."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
 from .. import metrics
 from ..coordination.calls import Call, FinishCall
 from ..coordination.documents import Documents
+from ..coordination.records import merge_greatest
 from ..protocol.messages import (
     Answers,
     Cancel,
@@ -35,6 +36,9 @@
 
     calls: dict[str, Call] = field(default_factory=dict)
     answers: list[ShardAnswer] = field(default_factory=list)
+    n_wanted: int = 0
+    hold_until: float = 0.0
+    held: trio.Event = field(default_factory=trio.Event)
 
 
 class PeerService:
@@ -76,9 +80,14 @@
             self._owner.cancel(list(served.calls.values()))
 
     def _search(self, channel: Channel, frame_id: int, search: Search) -> None:
+        now = trio.current_time()
+        greatest = search.greatest
         served = Served()
+        if greatest is not None:
+            served.n_wanted = greatest.n_wanted
+            served.hold_until = now + greatest.hold_ms / 1_000
         self._served.setdefault(channel, {})[frame_id] = served
-        deadline = trio.current_time() + search.left_ms / 1_000
+        deadline = now + search.left_ms / 1_000
 
         def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
             answer = ShardAnswer(
@@ -94,13 +103,16 @@
             call = Call(
                 call_id=self._owner.make_call_id(),
                 request_id=search.request_id,
-                service=search.service,
+                service=ref.group if greatest else search.service,
                 group=ref.group,
                 shard=ref.shard,
-                version=search.version,
+                version=0 if greatest else search.version,
                 deadline=deadline,
                 body=search.body,
                 idempotent=True,
+                forward=greatest.request if greatest else None,
+                max_attempts=greatest.max_attempts if greatest else 0,
+                is_repeat=greatest.is_repeat if greatest else False,
             )
             served.calls[ref.shard] = call
             wanted.append(Wanted(call=call, finish=finish))
@@ -116,14 +128,22 @@
         """
         if served.calls.pop(answer.shard, None) is None:
             return
+        if not served.calls:
+            served.held.set()
         if not served.answers:
             self._nursery.start_soon(self._flush, channel, frame_id, served)
         served.answers.append(answer)
 
     async def _flush(self, channel: Channel, frame_id: int, served: Served) -> None:
+        with trio.move_on_at(served.hold_until):
+            await served.held.wait()
         answers, served.answers = served.answers, []
-        for batch in part_answers(answers):
-            channel.send(Frame(id=frame_id, message=Answers(answers=batch)))
+        if served.n_wanted:
+            merged = merge_answers(answers, n_wanted=served.n_wanted)
+            channel.send(Frame(id=frame_id, message=merged))
+        else:
+            for batch in part_answers(answers):
+                channel.send(Frame(id=frame_id, message=Answers(answers=batch)))
         if not served.calls:
             self._served.get(channel, {}).pop(frame_id, None)
 
@@ -134,6 +154,7 @@
         calls = [served.calls.pop(s) for s in shards if s in served.calls]
         self._owner.cancel(calls)
         if not served.calls:
+            served.held.set()
             self._served[channel].pop(frame_id, None)
 
     def _run(self, channel: Channel, frame_id: int, run: Run) -> None:
@@ -187,3 +208,21 @@
         batches[-1].append(answer)
         n_bytes += size
     return [tuple(batch) for batch in batches]
+
+
+def merge_answers(answers: list[ShardAnswer], *, n_wanted: int) -> Answers:
+    """Return the answers in one message, their records merged into the greatest.
+
+    What crosses between data centres is then a list of the size that the caller
+    asked for, and not one for each shard.
+    """
+    bodies = []
+    without_bodies = []
+    for answer in answers:
+        match answer.outcome:
+            case Answered(body=body):
+                bodies.append(body)
+                answer = replace(answer, outcome=replace(answer.outcome, body=b""))
+        without_bodies.append(answer)
+    records = merge_greatest(bodies, n_wanted=n_wanted)
+    return Answers(answers=tuple(without_bodies), records=records)
--- a/src/lavendergap/entry/ports.py
+++ b/src/lavendergap/entry/ports.py
@@ -19,26 +19,54 @@
 MAX_REQUESTS_PER_CONNECTION = 2**31
 
 
+class PortLimits:
+    """What a port accepts; changes apply to connections and requests from then on.
+
+    `idle_timeout` is in seconds: a connection is closed when no request begins on it
+    for so long.
+    """
+
+    def __init__(self) -> None:
+        self.idle_timeout: float = KEEP_ALIVE_LIMIT
+        self.max_header_bytes = MAX_HEADERS_BYTES
+
+
+class _LimitedConfig(Config):
+    """The server's configuration, with the limits that are in force at the moment."""
+
+    def __init__(self, *, limits: PortLimits) -> None:
+        super().__init__()
+        self._limits = limits
+
+    def __getattribute__(self, name: str) -> Any:
+        match name:
+            case "keep_alive_timeout":
+                return self._limits.idle_timeout
+            case "h11_max_incomplete_size":
+                return self._limits.max_header_bytes
+        return super().__getattribute__(name)
+
+
 async def serve_port(
     app: Callable[..., Awaitable[None]],
     address: Address,
     *,
     stop: trio.Event,
     drain_limit: float,
+    limits: PortLimits | None = None,
     task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until `stop`, then let what runs finish for up to `drain_limit` s."""
-    config = Config()
+    config = _LimitedConfig(limits=limits or PortLimits())
     config.bind = [str(address)]
     config.accesslog = None
     # What goes wrong inside the server or our application is logged like all else.
     config.errorlog = logging.getLogger("lavendergap.ports")
-    config.h11_max_incomplete_size = MAX_HEADERS_BYTES
-    config.keep_alive_timeout = KEEP_ALIVE_LIMIT
     config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
     config.graceful_timeout = drain_limit
     config.shutdown_timeout = drain_limit
     config.include_server_header = False
+    config.include_date_header = False
     await serve(
         cast(Any, app), config, shutdown_trigger=stop.wait, task_status=task_status
     )
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -8,21 +8,25 @@
 from .. import metrics
 from ..coordination.calls import Call, FinishCall
 from ..coordination.gate import is_slow
-from ..coordination.joining import Join
+from ..coordination.joining import ROUNDING, Join
 from ..coordination.pinning import Pinning
+from ..coordination.records import merge_greatest
 from ..logs import log_decision
 from ..protocol.answers import Refusal, SearchResult, ShardResult
+from ..protocol.forwarding import JoinedRecords
 from ..protocol.messages import (
     Answers,
     Cancel,
     Frame,
+    Greatest,
     Message,
     Search,
     ShardAnswer,
     ShardRef,
 )
-from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
-from ..state.settings import Service
+from ..state.forwarding import ForwardedRequest, Headers
+from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
+from ..state.settings import AnswerByGoal, Service
 from ..state.snapshot import Shard, Snapshot
 from ..transport.channel import Channel, Exchange, Loss
 from ..transport.dialer import Dialer
@@ -44,6 +48,24 @@
 LOSE_SHARE = 0.45
 # A check that comes later than it was due by this many seconds tells of this process.
 OWN_STALL = 0.02
+# Of the time to the goal, how long an owner holds back what it has while shards are
+# out. Later, too little would be left to join and to answer in; sooner, each shard's
+# records would cross between data centres by themselves.
+HOLD_SHARE = 0.6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GreatestWanted:
+    """A query for the `n_wanted` greatest records of all shards.
+
+    `goal` is the time on the loop's clock by which an answer is wanted; `request`
+    goes to one server of each shard, and to `max_attempts` at most.
+    """
+
+    request: ForwardedRequest
+    n_wanted: int
+    max_attempts: int
+    goal: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,6 +77,7 @@
     body: bytes
     started: float
     deadline: float
+    greatest: GreatestWanted | None = None
 
 
 @dataclass(kw_only=True, slots=True)
@@ -67,6 +90,7 @@
     sent_at: float = 0.0
     check_at: float = float("inf")
     is_pinged: bool = False
+    is_repeat: bool = False
     calls: list[Call] = field(default_factory=list)
     open_shards: dict[str, Shard] = field(default_factory=dict)
 
@@ -160,7 +184,7 @@
         *,
         query: Query,
         snapshot: Snapshot,
-        pinning: Pinning,
+        pinning: Pinning | None,
         fleet: Fleet,
         owner: Owner,
         dialer: Dialer,
@@ -177,6 +201,11 @@
         self._tried: dict[str, list[str]] = {}
         self._refusals: list[NotRun] = []
         self._may_have_run = False
+        self._records: list[bytes] = []
+        self._proofs: dict[str, Headers] = {}
+        self._horizon = query.deadline
+        if query.greatest is not None:
+            self._horizon = min(query.deadline, query.greatest.goal)
         self._began = trio.current_time()
         self._times: list[float] = []
         self._progress = trio.Event()
@@ -200,12 +229,20 @@
 
     async def run(self) -> SearchResult | Refusal:
         """Ask every owner, join the answers, give up when policy or time say so."""
+        await self._collect()
+        return self._conclude()
+
+    async def run_greatest(self) -> JoinedRecords | NotRun | Unknown:
+        """Do the same, for the greatest records of all shards together."""
+        await self._collect()
+        return self._conclude_greatest()
+
+    async def _collect(self) -> None:
         try:
             self._send(list(self._snapshot.shards))
             await self._wait()
         finally:
             self._withdraw()
-        return self._conclude()
 
     async def _wait(self) -> None:
         while not self._join.is_done and not self._join.needs_newer_snapshot:
@@ -249,9 +286,9 @@
                 self._lose(part, Loss.SILENT)
 
     def _share_time(self, since: float, share: float) -> float:
-        return since + share * (self._query.deadline - since)
+        return since + share * (max(self._horizon, since) - since)
 
-    def _send(self, shards: list[Shard]) -> None:
+    def _send(self, shards: list[Shard], *, is_repeat: bool = False) -> None:
         by_host: dict[str, list[Shard]] = {}
         for shard in shards:
             host = self._choose_owner(shard)
@@ -267,7 +304,7 @@
             owners={host: len(part) for host, part in by_host.items()},
         )
         for host, part in by_host.items():
-            self._send_part(host, part)
+            self._send_part(host, part, is_repeat=is_repeat)
 
     def _choose_owner(self, shard: Shard) -> str | None:
         tried = self._tried.setdefault(shard.name, [])
@@ -279,10 +316,13 @@
                 return host
         return None
 
-    def _send_part(self, host: str, shards: list[Shard]) -> None:
+    def _send_part(self, host: str, shards: list[Shard], *, is_repeat: bool) -> None:
         now = trio.current_time()
         part = Part(
-            host=host, sent_at=now, open_shards={shard.name: shard for shard in shards}
+            host=host,
+            sent_at=now,
+            is_repeat=is_repeat,
+            open_shards={shard.name: shard for shard in shards},
         )
         self._parts.append(part)
         if host == self._fleet.own_name:
@@ -298,18 +338,22 @@
 
     def _submit(self, part: Part, shards: list[Shard]) -> None:
         query = self._query
+        greatest = query.greatest
         wanted = []
         for shard in shards:
             call = Call(
                 call_id=self._owner.make_call_id(),
                 request_id=query.request_id,
-                service=query.service.name,
+                service=shard.group if greatest else query.service.name,
                 group=shard.group,
                 shard=shard.name,
-                version=self._snapshot.version,
+                version=0 if greatest else self._snapshot.version,
                 deadline=query.deadline,
                 body=query.body,
                 idempotent=True,
+                forward=greatest.request if greatest else None,
+                max_attempts=greatest.max_attempts if greatest else 0,
+                is_repeat=part.is_repeat,
             )
             part.calls.append(call)
             wanted.append(
@@ -358,6 +402,7 @@
                     ShardRef(shard=s.name, group=s.group)
                     for s in part.open_shards.values()
                 ),
+                greatest=self._make_greatest(part),
             ),
             Exchange(
                 reply=lambda message: self._take_message(part, message),
@@ -365,9 +410,29 @@
             ),
         )
 
+    def _make_greatest(self, part: Part) -> Greatest | None:
+        greatest = self._query.greatest
+        if greatest is None:
+            return None
+        hold = HOLD_SHARE * (greatest.goal - trio.current_time())
+        return Greatest(
+            request=greatest.request,
+            n_wanted=greatest.n_wanted,
+            hold_ms=max(0, int(hold * 1_000)),
+            max_attempts=greatest.max_attempts,
+            is_repeat=part.is_repeat,
+        )
+
     def _take_message(self, part: Part, message: Message) -> None:
         match message:
-            case Answers(answers=answers):
+            case Answers(answers=answers, records=records):
+                if any(answer.shard not in part.open_shards for answer in answers):
+                    # The records of a batch cannot be told apart by shard: with one
+                    # that was given up or passed on, the whole batch is of no use.
+                    self._lose_batch(part, answers)
+                    return
+                if records:
+                    self._records.append(records)
                 for answer in answers:
                     self._take(part, answer)
             case _:
@@ -381,29 +446,42 @@
         if not part.open_shards and part.channel is not None:
             part.channel.forget(part.request_id)
         now = trio.current_time()
-        self._pinning.observe(shard=shard.name, versions=answer.versions, now=now)
+        if self._pinning is not None:
+            self._pinning.observe(shard=shard.name, versions=answer.versions, now=now)
         match answer.outcome:
             case NotRun(reason=Reason.STOPPING):
                 self._send([shard])
                 return
-            case NotRun(reason=Reason.VERSION_GONE):
-                self._lose_version(shard, answer, now)
+            case NotRun(reason=Reason.VERSION_GONE) if self._pinning is not None:
+                self._lose_version(self._pinning, shard, answer, now)
                 return
             case NotRun() as refusal:
                 self._refusals.append(refusal)
             case Unknown():
                 self._may_have_run = True
-            case _:
+            case Answered(body=body, headers=headers):
                 self._times.append(now - self._began)
+                self._proofs[shard.name] = headers
+                if body and self._query.greatest is not None:
+                    self._records.append(body)
         self._join.add(answer.shard, answer.outcome, answer.server, now=now)
         self._progress.set()
 
-    def _lose_version(self, shard: Shard, answer: ShardAnswer, now: float) -> None:
+    def _lose_batch(self, part: Part, answers: tuple[ShardAnswer, ...]) -> None:
+        metrics.dropped_answers.labels("answer for a shard not asked for").inc()
+        for answer in answers:
+            shard = part.open_shards.pop(answer.shard, None)
+            if shard is not None:
+                self._miss(shard, Reason.STRAGGLER, part.host)
+
+    def _lose_version(
+        self, pinning: Pinning, shard: Shard, answer: ShardAnswer, now: float
+    ) -> None:
         """Start over at another snapshot, or do without the shard if there is none."""
         version = self._snapshot.version
-        self._pinning.mark_gone(shard=shard.name, version=version, now=now)
+        pinning.mark_gone(shard=shard.name, version=version, now=now)
         outcome = answer.outcome
-        if self._pinning.choose(now=now).version == version:
+        if pinning.choose(now=now).version == version:
             outcome = Unknown(
                 step=Step.PIN, peer=answer.server, reason=Reason.VERSION_GONE
             )
@@ -430,7 +508,7 @@
         if loss is not Loss.REFUSED:
             self._may_have_run = True
         if now < self._query.deadline:
-            self._send(shards)
+            self._send(shards, is_repeat=loss is not Loss.REFUSED)
 
     def _miss(self, shard: Shard, reason: Reason, peer: str) -> None:
         outcome: Outcome = Unknown(step=Step.ROUTE, peer=peer, reason=reason)
@@ -473,3 +551,24 @@
                 for result in results
             ),
         )
+
+    def _conclude_greatest(self) -> JoinedRecords | NotRun | Unknown:
+        greatest = self._query.greatest
+        assert greatest is not None
+        coverage = self._join.coverage()
+        policy = self._query.service.stragglers
+        assert isinstance(policy, AnswerByGoal)
+        # Records stand for exactly the shards whose proofs are named; were the two
+        # counts ever to differ, the answer would claim what it does not hold.
+        is_consistent = coverage.n_answered == len(self._proofs)
+        is_enough = coverage.share + ROUNDING >= policy.min_share
+        if self._proofs and is_consistent and is_enough:
+            return JoinedRecords(
+                records=merge_greatest(self._records, n_wanted=greatest.n_wanted),
+                proofs=self._proofs,
+                coverage=coverage,
+            )
+        if self._refusals and not self._may_have_run and not self._proofs:
+            return max(self._refusals, key=lambda refusal: refusal.retry_after_ms)
+        first = coverage.missing[0]
+        return Unknown(step=first.step, peer=first.peer, reason=first.reason)
--- a/src/lavendergap/metrics.py
+++ b/src/lavendergap/metrics.py
@@ -48,6 +48,11 @@
 channel_losses = Counter(
     "lavendergap_channel_losses", "Channels to peers lost, by reason.", ["reason"]
 )
+store_losses = Counter(
+    "lavendergap_store_losses",
+    "Calls to the platform's store without an answer, by feed and reason.",
+    ["feed", "reason"],
+)
 settings_version = Gauge(
     "lavendergap_settings_version", "Version of the settings in force here."
 )
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Outcome
 
 FORMAT = 1
@@ -48,6 +49,23 @@
     group: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Greatest:
+    """Asks for the greatest records of all shards together, not for each answer.
+
+    `request` goes to the backend servers unchanged. Until `hold_ms` have passed the
+    receiver holds back what it has, unless that is all, so that most of its shards
+    share one message. `max_attempts` is for each shard; `is_repeat` says that
+    another host was asked for these shards before.
+    """
+
+    request: ForwardedRequest
+    n_wanted: int
+    hold_ms: int
+    max_attempts: int
+    is_repeat: bool
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Search:
     """One query, for all the shards of it that the receiver owns.
@@ -61,6 +79,7 @@
     left_ms: int
     body: bytes
     shards: tuple[ShardRef, ...]
+    greatest: Greatest | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,9 +94,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answers:
-    """Outcomes of a Search, as they come; several in one message when they can."""
+    """Outcomes of a Search, as they come; several in one message when they can.
+
+    Where the greatest records are asked for, `records` holds those of all the
+    answers in this message, and the answers' own bodies are empty.
+    """
 
     answers: tuple[ShardAnswer, ...]
+    records: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -6,8 +6,28 @@
 
 import msgspec
 
+from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
-from .messages import Answers, BadFrameError, Frame, Search, ShardAnswer, ShardRef
+from .messages import (
+    Answers,
+    BadFrameError,
+    Frame,
+    Greatest,
+    Search,
+    ShardAnswer,
+    ShardRef,
+)
+
+
+class _PackedGreatest(msgspec.Struct, array_like=True):
+    method: bytes
+    target: bytes
+    attempt: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    n_wanted: int
+    hold_ms: int
+    max_attempts: int
+    is_repeat: bool
 
 
 class _PackedSearch(msgspec.Struct, array_like=True, tag=1):
@@ -18,10 +38,12 @@
     left_ms: int
     body: bytes
     shards: list[tuple[str, str]]
+    greatest: _PackedGreatest | None = None
 
 
 class _PackedAnswered(msgspec.Struct, array_like=True, tag=1):
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class _PackedNotRun(msgspec.Struct, array_like=True, tag=2):
@@ -50,6 +72,7 @@
 class _PackedAnswers(msgspec.Struct, array_like=True, tag=2):
     id: int
     answers: list[_PackedAnswer]
+    records: bytes = b""
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -67,6 +90,7 @@
             search.left_ms,
             search.body,
             [(ref.shard, ref.group) for ref in search.shards],
+            _pack_greatest(search.greatest),
         )
     )
 
@@ -77,7 +101,40 @@
         _PackedAnswer(a.shard, a.server, _pack_outcome(a.outcome), a.versions)
         for a in answers.answers
     ]
-    return _encode(_PackedAnswers(frame_id, packed))
+    return _encode(_PackedAnswers(frame_id, packed, answers.records))
+
+
+def _pack_greatest(greatest: Greatest | None) -> _PackedGreatest | None:
+    if greatest is None:
+        return None
+    request = greatest.request
+    return _PackedGreatest(
+        request.method,
+        request.target,
+        request.attempt,
+        request.headers,
+        greatest.n_wanted,
+        greatest.hold_ms,
+        greatest.max_attempts,
+        greatest.is_repeat,
+    )
+
+
+def _unpack_greatest(packed: _PackedGreatest | None) -> Greatest | None:
+    if packed is None:
+        return None
+    return Greatest(
+        request=ForwardedRequest(
+            method=packed.method,
+            target=packed.target,
+            attempt=packed.attempt,
+            headers=packed.headers,
+        ),
+        n_wanted=packed.n_wanted,
+        hold_ms=packed.hold_ms,
+        max_attempts=packed.max_attempts,
+        is_repeat=packed.is_repeat,
+    )
 
 
 def unpack(body: bytes) -> Frame:
@@ -97,7 +154,8 @@
         )
         for answer in packed.answers
     )
-    return Frame(id=packed.id, message=Answers(answers=answers))
+    message = Answers(answers=answers, records=packed.records)
+    return Frame(id=packed.id, message=message)
 
 
 def _unpack_search(packed: _PackedSearch) -> Search:
@@ -110,13 +168,14 @@
         shards=tuple(
             ShardRef(shard=shard, group=group) for shard, group in packed.shards
         ),
+        greatest=_unpack_greatest(packed.greatest),
     )
 
 
 def _pack_outcome(outcome: Outcome) -> _PackedOutcome:
     match outcome:
-        case Answered(body=body):
-            return _PackedAnswered(body)
+        case Answered(body=body, headers=headers):
+            return _PackedAnswered(body, headers)
         case NotRun():
             return _PackedNotRun(
                 outcome.step, outcome.peer, outcome.reason, outcome.retry_after_ms
@@ -128,7 +187,7 @@
 def _unpack_outcome(packed: _PackedOutcome) -> Outcome:
     match packed:
         case _PackedAnswered():
-            return Answered(body=packed.body)
+            return Answered(body=packed.body, headers=packed.headers)
         case _PackedNotRun():
             return NotRun(
                 step=packed.step,
--- /dev/null
+++ b/src/lavendergap/state/hostfile.py
@@ -0,0 +1,129 @@
+"""The settings file of one gateway host: where it stands and what binds it.
+
+The file is JSON with comments. Routes and servers are not in it: they come from the
+platform's store and change while the process runs.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from ..errors import Problem, SettingsError
+from .settings import Address
+from .syntax import parse_text
+
+
+class _Bounds(msgspec.Struct, forbid_unknown_fields=True):
+    """What the platform allows. Times as named; shares are of the requests."""
+
+    drain_ms: int
+    stop_within_ms: int
+    extra_call_share: float
+    extra_call_slack: float
+    extra_call_window_s: float
+
+
+class _HostFile(msgspec.Struct, forbid_unknown_fields=True):
+    """The file as it is written."""
+
+    name: str
+    data_centre: str
+    callers: str
+    admin: str
+    peer_ip: str
+    peer_port: int
+    store: str
+    bounds: _Bounds
+    seeds: list[str] = []
+    heartbeat_ms: int = 1_200
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayBounds:
+    """The platform's bounds, in seconds, and its budget of extra calls."""
+
+    drain: float
+    stop_within: float
+    extra_call_share: float
+    extra_call_slack: float
+    extra_call_window: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayHost:
+    """One gateway host: its addresses, its seeds and what binds it.
+
+    `seeds` are hosts to try first when it looks for others; they may be down. All
+    hosts take peers' channels at the same port.
+    """
+
+    name: str
+    data_centre: str
+    callers: Address
+    admin: Address
+    peers: Address
+    store: Address
+    seeds: tuple[Address, ...]
+    heartbeat: float
+    bounds: GatewayBounds
+
+
+def read_host_file(path: Path) -> GatewayHost:
+    """Read the settings file; raise SettingsError that names field and expectation."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise _refuse(path, "", f"cannot be read: {error}") from error
+    return parse_host_file(text, file=str(path))
+
+
+def parse_host_file(text: str, *, file: str) -> GatewayHost:
+    """Read the text of a settings file; `file` is for the messages.
+
+    >>> try:
+    ...     parse_host_file("{}", file="host.jsonc")
+    ... except SettingsError as error:
+    ...     print(error)
+    host.jsonc: (top): Object missing required field `name`
+    """
+    raw = parse_text(text, file=file)
+    try:
+        read = msgspec.convert(raw, _HostFile)
+    except msgspec.ValidationError as error:
+        message, _, place = str(error).partition(" - at `$.")
+        raise _refuse(Path(file), place.rstrip("`"), message) from error
+    bounds = read.bounds
+    peers = _read_address(f"{read.peer_ip}:{read.peer_port}", file, "peer_ip")
+    return GatewayHost(
+        name=read.name,
+        data_centre=read.data_centre,
+        callers=_read_address(read.callers, file, "callers"),
+        admin=_read_address(read.admin, file, "admin"),
+        peers=peers,
+        store=_read_address(read.store, file, "store"),
+        seeds=tuple(
+            Address(ip=_read_address(seed, file, "seeds").ip, port=peers.port)
+            for seed in read.seeds
+        ),
+        heartbeat=read.heartbeat_ms / 1_000,
+        bounds=GatewayBounds(
+            drain=bounds.drain_ms / 1_000,
+            stop_within=bounds.stop_within_ms / 1_000,
+            extra_call_share=bounds.extra_call_share,
+            extra_call_slack=bounds.extra_call_slack,
+            extra_call_window=bounds.extra_call_window_s,
+        ),
+    )
+
+
+def _read_address(text: str, file: str, field: str) -> Address:
+    ip, _, port = text.rpartition(":")
+    if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise _refuse(Path(file), field, f"expected IP:PORT, found {text!r}")
+    return Address(ip=ip, port=int(port))
+
+
+def _refuse(path: Path, place: str, expected: str) -> SettingsError:
+    problem = Problem(file=str(path), path=place, expected=expected)
+    return SettingsError(problems=(problem,))
--- a/src/lavendergap/state/outcome.py
+++ b/src/lavendergap/state/outcome.py
@@ -48,9 +48,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answered:
-    """The whole answer: `body` is what the backend server sent."""
+    """The whole answer: `body` is what the backend server sent.
+
+    `status` and `headers` are the server's own too, where a caller gets its answer
+    unchanged; an answer that is joined with others has no use for them.
+    """
 
     body: bytes
+    status: int = 200
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/src/lavendergap/state/registry.py
@@ -0,0 +1,22 @@
+"""Backend servers as they register themselves at the platform."""
+
+from dataclasses import dataclass
+
+from .settings import Address
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RegisteredServer:
+    """One incarnation of a backend server, by its own word.
+
+    `server_id` is new at each start. `warm_in_ms` is how much longer it is slow after
+    its start, as it was when the entry was written.
+    """
+
+    server_id: str
+    group: str
+    address: Address
+    data_centre: str
+    slots: int
+    is_draining: bool
+    warm_in_ms: int
--- a/src/lavendergap/state/settings.py
+++ b/src/lavendergap/state/settings.py
@@ -66,7 +66,36 @@
     """Wait for every shard up to the deadline. Qureshi's choice: coverage first."""
 
 
-StragglerPolicy = GiveUpStragglers | WaitForCoverage
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerByGoal:
+    """Wait for every shard until the goal, then answer with `min_share` or more.
+
+    For callers to whom an answer within `goal_ms` is worth far more than a whole one
+    after it. Where too little is covered by then, the answer goes out as soon as
+    `min_share` is reached.
+    """
+
+    min_share: float
+    goal_ms: int
+
+
+StragglerPolicy = GiveUpStragglers | WaitForCoverage | AnswerByGoal
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExtraCalls:
+    """Bounds on what one owner sends beyond the first call of each request.
+
+    The shares in `Service` grow with the load; these let a group with few calls
+    retry and hedge as well. `counts_refusals` makes a retry after a server's own
+    refusal draw on the budget too: for a platform that bounds all extra calls.
+    """
+
+    hedge_burst: float = 5.0
+    retry_burst: float = 10.0
+    retries_per_second: float = 1.0
+    hedges_per_second: float = 0.0
+    counts_refusals: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,6 +118,7 @@
     queue_limit: int
     max_body_bytes: int
     weight: float
+    extra: ExtraCalls = field(default_factory=ExtraCalls)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/src/lavendergap/transport/gateway.py
@@ -0,0 +1,323 @@
+"""The HTTP port for callers whose requests go to backend servers unchanged."""
+
+import math
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import trio
+
+from .. import metrics
+from ..coordination.routing import RouteIndex
+from ..logs import Category, get_logger, log_decision
+from ..protocol.answers import encode_error, name_outcome
+from ..protocol.forwarding import HeaderNames, JoinedRecords, keep_end_to_end
+from ..state.forwarding import ForwardedRequest, Headers
+from ..state.outcome import Answered, NotRun, Reason, Step, Unknown
+from ..state.routes import Route
+from .web import (
+    BadRequestError,
+    Receive,
+    Scope,
+    Send,
+    get_headers,
+    read_body,
+    reject,
+    serve_lifespan,
+)
+
+logger = get_logger(Category.ROUTE)
+
+PORT = "gateway"
+MAX_TIME_LEFT_MS = 600_000
+MAX_ATTEMPT_ID = 256
+# What a caller is told who met a host that knows no routes yet: a host that has just
+# started has them within a second, and retries reach another one.
+NOT_READY_RETRY_MS = 300
+# Shorter than any caller's own pause, and long enough that a refusal without a
+# forecast does not become a busy loop.
+MIN_RETRY_AFTER_MS = 20
+# Fewer digests than this fit into one header of every HTTP library.
+PROOFS_A_HEADER = 50
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayRequest:
+    """A caller's request with its route; times in seconds on the loop's clock."""
+
+    forward: ForwardedRequest
+    body: bytes
+    route: Route
+    version: int
+    started: float
+    deadline: float
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id as it stands in the logs."""
+        return self.forward.attempt.decode("latin-1")
+
+
+GatewayResult = Answered | JoinedRecords | NotRun | Unknown
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayHandlers:
+    """What the daemon does for callers; `forward` never raises for a failure."""
+
+    get_routes: Callable[[], RouteIndex | None]
+    forward: Callable[[GatewayRequest], Awaitable[GatewayResult]]
+    is_leaving: Callable[[], bool]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Reply:
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class GatewayApp:
+    """An ASGI application that finds the route of each request and forwards it."""
+
+    def __init__(self, *, handlers: GatewayHandlers, names: HeaderNames) -> None:
+        self.n_running = 0
+        self._handlers = handlers
+        self._names = names
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            self.n_running += 1
+            try:
+                await self._serve(scope, receive, send)
+            finally:
+                self.n_running -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        started = trio.current_time()
+        index = self._handlers.get_routes()
+        if index is None:
+            outcome = NotRun(
+                step=Step.ADMIT,
+                peer="",
+                reason=Reason.NOT_READY,
+                retry_after_ms=NOT_READY_RETRY_MS,
+            )
+            await self._send(send, _render_refusal(outcome))
+            return
+        try:
+            request = await self._read(scope, receive, index, started)
+        except BadRequestError as error:
+            response = reject(port=PORT, error=error)
+            await self._send(
+                send,
+                _Reply(
+                    status=response.status,
+                    headers=((b"content-type", response.content_type),),
+                    body=response.body,
+                ),
+            )
+            return
+        result = await self._forward_while_wanted(request, receive)
+        if result is None:
+            return
+        self._note(request, result)
+        await self._send(send, self._render(request, result))
+
+    async def _read(
+        self, scope: Scope, receive: Receive, index: RouteIndex, started: float
+    ) -> GatewayRequest:
+        headers = get_headers(scope)
+        path = scope["raw_path"].decode("latin-1")
+        host = headers.get(b"host", b"").decode("latin-1")
+        route = index.find(host, path)
+        limits = index.table.limits
+        body = await read_body(scope, receive, limit=limits.max_body_bytes)
+        if route is None:
+            log_decision(
+                logger,
+                "no route",
+                request_id=headers.get(self._names.attempt, b"").decode("latin-1"),
+                host=host,
+                path=path,
+                version=index.table.version,
+            )
+            raise BadRequestError(
+                status=HTTPStatus.NOT_FOUND,
+                problem="no route",
+                detail=f"no route begins this path in version {index.table.version}",
+            )
+        left = min(self._read_time_left(headers), route.timeout_ms)
+        target = scope["raw_path"]
+        if scope["query_string"]:
+            target += b"?" + scope["query_string"]
+        return GatewayRequest(
+            forward=ForwardedRequest(
+                method=scope["method"].encode("latin-1"),
+                target=target,
+                attempt=self._read_attempt(headers),
+                headers=keep_end_to_end(scope["headers"]),
+            ),
+            body=body,
+            route=route,
+            version=index.table.version,
+            started=started,
+            deadline=started + left / 1_000,
+        )
+
+    def _read_attempt(self, headers: dict[bytes, bytes]) -> bytes:
+        attempt = headers.get(self._names.attempt, b"")
+        if not attempt or len(attempt) > MAX_ATTEMPT_ID:
+            raise BadRequestError(
+                status=HTTPStatus.BAD_REQUEST,
+                problem="no request id",
+                detail=f"send {self._names.attempt.decode()}, new for each request",
+            )
+        return attempt
+
+    def _read_time_left(self, headers: dict[bytes, bytes]) -> float:
+        stated = headers.get(self._names.time_left)
+        if stated is None:
+            return math.inf
+        try:
+            left = float(stated)
+        except ValueError:
+            left = math.nan
+        if not 0 <= left <= MAX_TIME_LEFT_MS:
+            raise BadRequestError(
+                status=HTTPStatus.BAD_REQUEST,
+                problem="impossible deadline",
+                detail=f"{self._names.time_left.decode()} is a number of milliseconds",
+            )
+        return left
+
+    async def _forward_while_wanted(
+        self, request: GatewayRequest, receive: Receive
+    ) -> GatewayResult | None:
+        """Forward, but stop when the caller's connection closes; then return None.
+
+        Servers would otherwise work on for a caller that is gone, and hold slots
+        that others wait for.
+        """
+        result: GatewayResult | None = None
+        async with trio.open_nursery() as nursery:
+
+            async def cancel_on_disconnect() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                log_decision(
+                    logger,
+                    "caller left",
+                    request_id=request.request_id,
+                    after_ms=round((trio.current_time() - request.started) * 1_000, 1),
+                )
+                metrics.requests.labels(request.route.name, "caller left").inc()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(cancel_on_disconnect)
+            result = await self._handlers.forward(request)
+            nursery.cancel_scope.cancel()
+        return result
+
+    def _note(self, request: GatewayRequest, result: GatewayResult) -> None:
+        elapsed = trio.current_time() - request.started
+        outcome = "answered"
+        detail: dict[str, Any]
+        match result:
+            case Answered(status=status):
+                detail = {"status": status}
+            case JoinedRecords(coverage=coverage):
+                if coverage.missing:
+                    outcome = "partly answered"
+                detail = {
+                    "n_missing": coverage.n_asked - coverage.n_answered,
+                    "missing": [
+                        f"{m.shard}: {m.reason.value} at {m.peer}"
+                        for m in coverage.missing
+                    ],
+                }
+                metrics.coverage_share.labels(request.route.name).observe(
+                    coverage.share
+                )
+            case NotRun() | Unknown():
+                outcome = name_outcome(result)
+                detail = {
+                    "reason": result.reason.value,
+                    "step": result.step.value,
+                    "peer": result.peer,
+                }
+        metrics.requests.labels(request.route.name, outcome).inc()
+        metrics.request_seconds.labels(request.route.name).observe(elapsed)
+        log_decision(
+            logger,
+            "done",
+            request_id=request.request_id,
+            route=request.route.name,
+            version=request.version,
+            outcome=outcome,
+            ms=round(elapsed * 1_000, 1),
+            goal_ms=request.route.goal_ms,
+            left_ms=round((request.deadline - trio.current_time()) * 1_000),
+            **detail,
+        )
+
+    def _render(self, request: GatewayRequest, result: GatewayResult) -> _Reply:
+        match result:
+            case Answered(status=status, headers=headers, body=body):
+                return _Reply(status=status, headers=headers, body=body)
+            case JoinedRecords():
+                return self._render_joined(request, result)
+            case NotRun():
+                return _render_refusal(result)
+            case Unknown(reason=reason):
+                status = HTTPStatus.BAD_GATEWAY
+                if reason in (Reason.DEADLINE, Reason.STRAGGLER):
+                    status = HTTPStatus.GATEWAY_TIMEOUT
+                return _Reply(
+                    status=status,
+                    headers=(),
+                    body=encode_error(f"{result.step.value}: {reason.value}"),
+                )
+
+    def _render_joined(self, request: GatewayRequest, joined: JoinedRecords) -> _Reply:
+        names = self._names
+        proofs = [
+            value
+            for headers in joined.proofs.values()
+            for name, value in headers
+            if name == names.proof
+        ]
+        headers = [(names.attempt, request.forward.attempt)]
+        for at in range(0, len(proofs), PROOFS_A_HEADER):
+            batch = b", ".join(proofs[at : at + PROOFS_A_HEADER])
+            headers.append((names.proofs, batch))
+        n_missing = joined.coverage.n_asked - joined.coverage.n_answered
+        headers.append((names.n_missing, b"%d" % n_missing))
+        return _Reply(status=HTTPStatus.OK, headers=tuple(headers), body=joined.records)
+
+    async def _send(self, send: Send, reply: _Reply) -> None:
+        headers = [*reply.headers, (b"content-length", b"%d" % len(reply.body))]
+        if self._handlers.is_leaving():
+            # The other side would keep the connection, and a request on its way
+            # when this process ends would be cut. Told so, it opens another one.
+            headers.append((b"connection", b"close"))
+        start = {
+            "type": "http.response.start",
+            "status": int(reply.status),
+            "headers": headers,
+        }
+        await send(start)
+        await send({"type": "http.response.body", "body": reply.body})
+
+
+def _render_refusal(outcome: NotRun) -> _Reply:
+    after = max(MIN_RETRY_AFTER_MS, outcome.retry_after_ms) / 1_000
+    return _Reply(
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        headers=((b"retry-after", b"%.3f" % after),),
+        body=encode_error(f"not run: {outcome.step.value}: {outcome.reason.value}"),
+    )
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -113,6 +113,8 @@
         version: int = 7,
         idempotent: bool = True,
         request_id: str = "r-1",
+        max_attempts: int = 0,
+        is_repeat: bool = False,
     ) -> Call:
         self.n_calls += 1
         call = Call(
@@ -125,6 +127,8 @@
             deadline=self.now + in_ms / 1000,
             body=b"{}",
             idempotent=idempotent,
+            max_attempts=max_attempts,
+            is_repeat=is_repeat,
         )
         self.take(self.scheduler.submit(call, now=self.now))
         return call
@@ -174,12 +178,21 @@
             self.end(self.started[-1].attempt_id, elapsed=elapsed)
 
 
-def make_owner(names: str = "ab", *, slots: int = 2, seed: int = 1, **changes) -> Owner:
-    group = make_group(names, slots=slots)
+def make_owner(
+    names: str = "ab",
+    *,
+    slots: int = 2,
+    seed: int = 1,
+    data_centre: str = "",
+    group: Group | None = None,
+    **changes,
+) -> Owner:
+    group = group or make_group(names, slots=slots)
     scheduler = GroupScheduler(
         group=group,
         service=make_service(group, **changes),
         control=Control(),
         random=Random(seed),
+        data_centre=data_centre,
     )
     return Owner(scheduler=scheduler)
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,268 @@
+"""Connections that carry requests unchanged, to servers that answer as scripted."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
+
+import pytest
+import trio
+
+from lavendergap.coordination.calls import Call
+from lavendergap.protocol.forwarding import HeaderNames
+from lavendergap.protocol.leaf import Verdict
+from lavendergap.state.forwarding import ForwardedRequest
+from lavendergap.state.outcome import Answered, NotRun, Reason, Unknown
+from lavendergap.state.settings import Address, Server
+from lavendergap.transport.forward import ForwardClient
+
+NAMES = HeaderNames(
+    attempt=b"x-attempt",
+    time_left=b"x-time-left",
+    proof=b"x-proof",
+    proofs=b"x-proofs",
+    n_missing=b"x-missing",
+    expected_server=b"x-expected",
+    server=b"x-server",
+    not_run=b"x-not-run",
+    load=b"x-load",
+)
+LIMIT = 2.0
+
+Serve = Callable[[trio.SocketStream, bytes], Awaitable[None]]
+
+
+def answer(attempt: bytes = b"r1", body: bytes = b"whole", extra: bytes = b"") -> bytes:
+    head = b"HTTP/1.1 200 OK\r\nx-attempt: %s\r\nx-proof: p\r\n%s" % (attempt, extra)
+    return head + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+def make_call(attempt: bytes = b"r1", *, idempotent: bool = True, body=b"") -> Call:
+    return Call(
+        call_id=1,
+        request_id=attempt.decode(),
+        service="s",
+        group="s",
+        shard="s",
+        version=0,
+        deadline=trio.current_time() + LIMIT,
+        body=body,
+        idempotent=idempotent,
+        forward=ForwardedRequest(
+            method=b"POST" if body else b"GET",
+            target=b"/a/b?c=%20d",
+            attempt=attempt,
+            headers=((b"host", b"a.example"), (b"x-attempt", attempt), (b"x-o", b"1")),
+        ),
+    )
+
+
+class Bench:
+    """A server whose answer to each request is the next one of a script."""
+
+    def __init__(self, *, client: ForwardClient, requests: list[bytes]) -> None:
+        self.client = client
+        self.requests = requests
+        self.n_connections = 0
+
+    async def call(self, call: Call | None = None, *, fresh: bool = False) -> Verdict:
+        return await self.client.call(call or make_call(), attempt=b"", fresh=fresh)
+
+
+@asynccontextmanager
+async def open_bench(*script: bytes | None):
+    """Yield the bench; None in the script closes the connection without an answer."""
+    answers = list(script)
+    requests: list[bytes] = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        bench.n_connections += 1
+        while answers:
+            data = b""
+            while b"\r\n\r\n" not in data:
+                more = await stream.receive_some(65_536)
+                if not more:
+                    return
+                data += more
+            requests.append(data)
+            reply = answers.pop(0)
+            if reply is None:
+                return
+            if reply == b"silence":
+                await trio.sleep_forever()
+            await stream.send_all(reply)
+            if b"content-length" not in reply:
+                return
+
+    async with trio.open_nursery() as nursery:
+        [listener] = await nursery.start(
+            partial(trio.serve_tcp, _closing(serve), 0, host="127.0.0.1")
+        )
+        port = listener.socket.getsockname()[1]
+        server = Server(
+            name="i-1",
+            address=Address(ip="127.0.0.1", port=port),
+            data_centre="ptl-a",
+            slots=2,
+            connections=2,
+        )
+        client = ForwardClient(server=server, idle_limit=10.0, names=NAMES)
+        bench = Bench(client=client, requests=requests)
+        yield bench
+        await client.close()
+        nursery.cancel_scope.cancel()
+
+
+def _closing(serve):
+    async def handle(stream: trio.SocketStream) -> None:
+        async with stream:
+            await serve(stream)
+
+    return handle
+
+
+class TestUnchanged:
+    async def test_the_request_goes_on_as_it_came(self):
+        async with open_bench(answer()) as bench:
+            verdict = await bench.call(make_call(body=b"{}"))
+            assert isinstance(verdict.outcome, Answered)
+            assert verdict.outcome.body == b"whole"
+            [request] = bench.requests
+            assert request.startswith(b"POST /a/b?c=%20d HTTP/1.1\r\n")
+            assert request.endswith(b"\r\n\r\n{}")
+            for line in (b"host: a.example", b"x-attempt: r1", b"x-o: 1"):
+                assert line in request.lower()
+            assert b"x-expected: i-1" in request.lower()
+
+    async def test_connections_are_used_again(self):
+        async with open_bench(*[answer()] * 5) as bench:
+            for _ in range(5):
+                assert isinstance((await bench.call()).outcome, Answered)
+            assert bench.n_connections == 1
+
+
+class TestBytesThatBelongToNoRequest:
+    async def test_a_second_answer_is_never_the_next_request_s(self):
+        # A server sends its answer twice. The second copy waits where the answer to
+        # the next request is due: read as such, a caller would get another one's.
+        async with open_bench(answer() * 2, answer(b"r2", b"own")) as bench:
+            await bench.call()
+            verdict = await bench.call(make_call(b"r2"))
+            assert isinstance(verdict.outcome, Answered)
+            assert verdict.outcome.body == b"own"
+            assert bench.n_connections == 2
+
+    async def test_a_late_answer_to_another_request_is_not_believed(self):
+        async with open_bench(answer(b"r0"), answer(b"r2", b"own")) as bench:
+            verdict = await bench.call()
+            assert isinstance(verdict.outcome, Unknown)
+            assert verdict.outcome.reason is Reason.WRONG_ANSWER
+            assert isinstance((await bench.call(make_call(b"r2"))).outcome, Answered)
+            assert bench.n_connections == 2
+
+    async def test_an_answer_without_proof_is_not_whole(self):
+        plain = b"HTTP/1.1 200 OK\r\nx-attempt: r1\r\ncontent-length: 0\r\n\r\n"
+        async with open_bench(plain) as bench:
+            verdict = await bench.call()
+            assert isinstance(verdict.outcome, Unknown)
+
+
+class TestTornAnswers:
+    async def test_an_answer_that_ends_early_is_none(self):
+        torn = answer(body=b"0123456789")[:-4]
+
+        async with open_bench(torn, None) as bench:
+            with trio.move_on_after(0.2):
+                await bench.call()
+            assert bench.client.n_open == 0
+
+    async def test_an_answer_without_length_ends_with_its_connection(self):
+        body = b"HTTP/1.1 200 OK\r\nx-attempt: r1\r\nx-proof: p\r\n\r\nall of it"
+        async with open_bench(body) as bench:
+            verdict = await bench.call()
+            assert isinstance(verdict.outcome, Answered)
+            assert verdict.outcome.body == b"all of it"
+            assert bench.client.n_open == 0
+
+    async def test_bytes_that_are_no_answer(self):
+        async with open_bench(b"garbage content-length\r\n\r\n") as bench:
+            verdict = await bench.call()
+            assert isinstance(verdict.outcome, Unknown)
+            assert bench.client.n_open == 0
+
+
+class TestWhetherItRan:
+    @pytest.mark.parametrize("status", [503, 429, 400])
+    async def test_a_server_s_own_word_is_believed(self, status):
+        shed = b"HTTP/1.1 %d No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n" % status
+        async with open_bench(shed) as bench:
+            assert isinstance((await bench.call()).outcome, NotRun)
+
+    async def test_another_server_at_the_address_has_not_run_it(self):
+        other = b"HTTP/1.1 421 No\r\nx-server: i-2\r\ncontent-length: 0\r\n\r\n"
+        async with open_bench(other) as bench:
+            outcome = (await bench.call()).outcome
+            assert isinstance(outcome, NotRun)
+            assert outcome.reason is Reason.NO_REPLICA
+
+    async def test_a_failure_without_that_word_may_have_run(self):
+        failed = b"HTTP/1.1 503 No\r\nx-attempt: r1\r\ncontent-length: 0\r\n\r\n"
+        async with open_bench(failed) as bench:
+            assert isinstance((await bench.call()).outcome, Unknown)
+
+    async def test_a_connection_closed_after_the_request_may_have_run(self):
+        async with open_bench(None) as bench:
+            outcome = (await bench.call()).outcome
+            assert isinstance(outcome, Unknown)
+            assert outcome.reason is Reason.LOST_CONNECTION
+
+    async def test_a_refused_connection_has_not_run(self):
+        async with open_bench() as bench:
+            server = bench.client.server
+            closed = Server(
+                name=server.name,
+                address=Address(ip="127.0.0.1", port=1),
+                data_centre="ptl-a",
+                slots=2,
+                connections=2,
+            )
+            client = ForwardClient(server=closed, idle_limit=10.0, names=NAMES)
+            verdict = await client.call(make_call(), attempt=b"", fresh=False)
+            assert isinstance(verdict.outcome, NotRun)
+            assert client.n_open == 0
+
+
+class TestCancelling:
+    async def test_an_abandoned_request_closes_its_connection(self):
+        # A caller leaves. Its server sees the connection close, and the next request
+        # does not meet the answer that still comes.
+        async with open_bench(b"silence", answer(b"r2")) as bench:
+            with trio.move_on_after(0.1):
+                await bench.call()
+            assert bench.client.n_open == 0
+            assert isinstance((await bench.call(make_call(b"r2"))).outcome, Answered)
+
+    async def test_a_closed_client_keeps_no_connection(self):
+        async with open_bench(answer()) as bench:
+            await bench.client.close()
+            assert isinstance((await bench.call()).outcome, Answered)
+            assert bench.client.n_open == 0
+
+
+class TestIdleConnections:
+    async def test_the_server_s_own_limit_is_kept(self):
+        short = answer(extra=b"keep-alive: timeout=0\r\n")
+        async with open_bench(short, answer()) as bench:
+            await bench.call()
+            await bench.call()
+            assert bench.n_connections == 2
+
+    async def test_no_more_connections_than_allowed(self):
+        async with open_bench(b"silence", b"silence", b"silence") as bench:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(bench.call)
+                nursery.start_soon(bench.call)
+                await trio.sleep(0.1)
+                outcome = (await bench.call()).outcome
+                assert isinstance(outcome, NotRun)
+                assert outcome.reason is Reason.OVERLOADED
+                nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,297 @@
+"""Requests forwarded over owners: the greatest records of all, or one answer."""
+
+from random import Random
+
+import pytest
+import trio
+
+from lavendergap.coordination.calls import Call, ServerReport
+from lavendergap.entry.forwarding import ANSWER_RESERVE_MS, Forwarder, compute_goal
+from lavendergap.protocol.forwarding import JoinedRecords
+from lavendergap.protocol.leaf import Verdict
+from lavendergap.state.forwarding import ForwardedRequest
+from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
+from lavendergap.state.routes import GreatestOfAll, OneOf, Route, WeightedGroup
+from lavendergap.state.settings import Group, Server, Service, WaitForCoverage
+from lavendergap.transport.gateway import GatewayRequest
+from tests.nodes import Cluster, Node
+
+N_GROUPS = 6
+GOAL_MS = 90
+TIMEOUT_MS = 400
+
+
+def make_record(shard: str, place: int) -> bytes:
+    return f"{place:04}{shard[-8:]:>12}".encode()
+
+
+class RecordsClient:
+    """A backend server whose part holds a few records of its shard."""
+
+    def __init__(self, *, server: Server, log: list[tuple[str, Call]], faults) -> None:
+        self.server = server
+        self._log = log
+        self._faults = faults
+
+    async def call(self, call: Call, *, attempt: bytes, fresh: bool) -> Verdict:
+        self._log.append((self.server.name, call))
+        delay, outcome = self._faults.get(self.server.name, (0.01, None))
+        await trio.sleep(delay)
+        body = b"".join(make_record(call.group, place) for place in range(5))
+        proof = ((b"x-proof", self.server.name.encode()),)
+        return Verdict(
+            outcome=outcome or Answered(body=body, headers=proof), report=None
+        )
+
+    async def probe(self) -> ServerReport | None:
+        return ServerReport(in_use=0, slots=0, queued=0, state="serving", versions=())
+
+    async def close_idle(self, *, now: float) -> None:
+        """Hold no connections."""
+
+    async def close(self) -> None:
+        """Hold no connections."""
+
+
+class Forwarding:
+    """A cluster whose groups are services of their own, as routes name them."""
+
+    def __init__(self, nursery: trio.Nursery, *, n_hosts: int = 3) -> None:
+        self.cluster = Cluster(nursery=nursery, n_hosts=n_hosts, n_groups=N_GROUPS)
+        self.calls: list[tuple[str, Call]] = []
+        self.faults: dict[str, tuple[float, object]] = {}
+        self.nursery = nursery
+        self.groups = [group.name for group in self.cluster.service.groups]
+        for node in self.cluster.nodes:
+            self._split_service(node)
+
+    def _split_service(self, node: Node) -> None:
+        services = tuple(_make_service(group) for group in self.cluster.service.groups)
+        settings = self.cluster.settings
+        owner = node.owner
+        owner._make_client = lambda server, _: RecordsClient(
+            server=server, log=self.calls, faults=self.faults
+        )
+        owner.replace(
+            type(settings)(
+                deployment=settings.deployment,
+                version=2,
+                platform=settings.platform,
+                hosts=settings.hosts,
+                services=services,
+            )
+        )
+
+    async def ask(self, node: Node, target, *, idempotent=True, attempt=b"r1"):
+        now = trio.current_time()
+        route = Route(
+            name="r",
+            host="a.example",
+            prefix="/",
+            target=target,
+            idempotent=idempotent,
+            max_attempts=2,
+            timeout_ms=TIMEOUT_MS,
+            goal_ms=GOAL_MS,
+            priority=1,
+        )
+        request = GatewayRequest(
+            forward=ForwardedRequest(
+                method=b"GET", target=b"/", attempt=attempt, headers=()
+            ),
+            body=b"",
+            route=route,
+            version=1,
+            started=now,
+            deadline=now + TIMEOUT_MS / 1_000,
+        )
+        forwarder = Forwarder(
+            fleet=node.fleet,
+            owner=node.owner,
+            dialer=node.dialer,
+            nursery=self.nursery,
+            random=Random(1),
+        )
+        return await forwarder.forward(request)
+
+    async def ask_all(self, node: Node | None = None, *, min_share: float = 0.8):
+        target = GreatestOfAll(
+            groups=tuple(self.groups), n_records=4, min_share=min_share
+        )
+        return await self.ask(node or self.cluster.nodes[0], target)
+
+
+def _make_service(group: Group) -> Service:
+    return Service(
+        name=group.name,
+        idempotent=True,
+        groups=(group,),
+        deadline_ms=0,
+        stragglers=WaitForCoverage(),
+        hedge_budget=0.1,
+        hedge_after_quantile=0.9,
+        retry_budget=0.1,
+        queue_limit=64,
+        max_body_bytes=0,
+        weight=1.0,
+    )
+
+
+@pytest.fixture
+async def forwarding(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        yield Forwarding(nursery)
+        nursery.cancel_scope.cancel()
+
+
+class TestGreatestOfAll:
+    async def test_every_host_gives_the_same_whole_answer(self, forwarding):
+        # Each shard is asked once, whoever coordinates, and the records are those
+        # of all shards, wherever they were merged on the way.
+        expected = sorted(
+            (make_record(group, 4) for group in forwarding.groups), reverse=True
+        )[:4]
+        for node in forwarding.cluster.nodes:
+            result = await forwarding.ask_all(node)
+            assert isinstance(result, JoinedRecords)
+            assert result.records == b"".join(expected)
+            assert set(result.proofs) == set(forwarding.groups)
+            assert result.coverage.missing == ()
+        assert len(forwarding.calls) == 3 * N_GROUPS
+
+    async def test_a_straggler_is_left_out_at_the_goal_and_named(self, forwarding):
+        # Both servers of one shard hang. The caller gets all other shards shortly
+        # before its goal, and is told that one is missing: not one record of it is
+        # in the answer, and none of the others is lost with it.
+        straggler = forwarding.groups[2]
+        for letter in "ab":
+            forwarding.faults[f"{straggler}-{letter}"] = (10.0, None)
+        started = trio.current_time()
+        result = await forwarding.ask_all()
+        assert trio.current_time() - started <= GOAL_MS / 1_000
+        assert isinstance(result, JoinedRecords)
+        assert set(result.proofs) == set(forwarding.groups) - {straggler}
+        assert [m.shard for m in result.coverage.missing] == [straggler]
+        assert straggler[-8:].encode() not in result.records
+
+    async def test_too_little_is_waited_for_beyond_the_goal(self, forwarding):
+        # Two shards are slow and the least share needs one of them: the answer
+        # comes late, as soon as enough is there.
+        for group, delay in zip(forwarding.groups[:2], (0.15, 10.0), strict=True):
+            for letter in "ab":
+                forwarding.faults[f"{group}-{letter}"] = (delay, None)
+        started = trio.current_time()
+        result = await forwarding.ask_all()
+        assert 0.14 < trio.current_time() - started < 0.2
+        assert isinstance(result, JoinedRecords)
+        assert len(result.proofs) == N_GROUPS - 1
+
+    async def test_what_cannot_reach_the_least_share_ends_at_once(self, forwarding):
+        # All servers of two shards fail. Waiting for the rest would keep the caller
+        # from asking again, and could not help it.
+        failed = Unknown(step=Step.RECEIVE, peer="x", reason=Reason.SERVER_ERROR)
+        for group in forwarding.groups[:2]:
+            for letter in "ab":
+                forwarding.faults[f"{group}-{letter}"] = (0.0, failed)
+        forwarding.faults[f"{forwarding.groups[3]}-a"] = (10.0, None)
+        forwarding.faults[f"{forwarding.groups[3]}-b"] = (10.0, None)
+        started = trio.current_time()
+        result = await forwarding.ask_all()
+        assert isinstance(result, Unknown)
+        assert trio.current_time() - started < 0.05
+
+    async def test_a_silent_owner_is_passed_over_before_the_goal(self, forwarding):
+        # An owner is frozen. Its shards are asked again through other hosts early
+        # enough for a whole answer within the goal, and those calls are marked as
+        # repeats, since the frozen host may have made them already.
+        cluster = forwarding.cluster
+        node, *others = cluster.nodes
+        await forwarding.ask_all(node)
+        silent = max(others, key=cluster.count_owned)
+        cluster.network.silent.add(silent.name)
+        forwarding.calls.clear()
+        started = trio.current_time()
+        result = await forwarding.ask_all(node)
+        assert trio.current_time() - started <= GOAL_MS / 1_000
+        assert isinstance(result, JoinedRecords)
+        assert result.coverage.missing == ()
+        repeats = [call for _, call in forwarding.calls if call.is_repeat]
+        assert len(repeats) == cluster.count_owned(silent)
+
+    async def test_servers_stop_when_the_caller_leaves(self, forwarding):
+        for group in forwarding.groups:
+            for letter in "ab":
+                forwarding.faults[f"{group}-{letter}"] = (10.0, None)
+        with trio.move_on_after(0.05):
+            await forwarding.ask_all()
+        await trio.sleep(0.05)
+        for node in forwarding.cluster.nodes:
+            assert not node.owner.is_busy
+
+
+class TestOneOf:
+    def make_target(self, forwarding) -> OneOf:
+        group = forwarding.groups[0]
+        return OneOf(groups=(WeightedGroup(group=group, weight=1.0),))
+
+    async def test_a_failed_idempotent_request_goes_to_another_server(self, forwarding):
+        target = self.make_target(forwarding)
+        failed = Unknown(step=Step.RECEIVE, peer="x", reason=Reason.SERVER_ERROR)
+        forwarding.faults[f"{forwarding.groups[0]}-a"] = (0.0, failed)
+        for _ in range(4):
+            result = await forwarding.ask(forwarding.cluster.nodes[0], target)
+            assert isinstance(result, Answered)
+
+    async def test_what_may_have_run_is_not_sent_again(self, forwarding):
+        # A booking's connection is lost after it was sent. Whether it ran is not
+        # known, so no second server gets it, and the caller is not told "not run".
+        target = self.make_target(forwarding)
+        lost = Unknown(step=Step.RECEIVE, peer="x", reason=Reason.LOST_CONNECTION)
+        for letter in "ab":
+            forwarding.faults[f"{forwarding.groups[0]}-{letter}"] = (0.0, lost)
+        node = forwarding.cluster.nodes[0]
+        result = await forwarding.ask(node, target, idempotent=False)
+        assert isinstance(result, Unknown)
+        assert len(forwarding.calls) == 1
+
+    async def test_a_refused_booking_goes_to_another_server(self, forwarding):
+        target = self.make_target(forwarding)
+        shed = NotRun(step=Step.RECEIVE, peer="x", reason=Reason.SHED)
+        forwarding.faults[f"{forwarding.groups[0]}-a"] = (0.0, shed)
+        node = forwarding.cluster.nodes[0]
+        for _ in range(3):
+            result = await forwarding.ask(node, target, idempotent=False)
+            assert isinstance(result, Answered)
+
+    async def test_no_more_servers_than_the_route_allows(self, forwarding):
+        target = self.make_target(forwarding)
+        failed = Unknown(step=Step.RECEIVE, peer="x", reason=Reason.SERVER_ERROR)
+        for letter in "ab":
+            forwarding.faults[f"{forwarding.groups[0]}-{letter}"] = (0.0, failed)
+        await forwarding.ask(forwarding.cluster.nodes[0], target)
+        assert len(forwarding.calls) == 2
+
+    async def test_without_weights_it_is_refused(self, forwarding):
+        target = OneOf(groups=(WeightedGroup(group="x", weight=0.0),))
+        result = await forwarding.ask(forwarding.cluster.nodes[0], target)
+        assert isinstance(result, NotRun)
+
+
+class TestGoal:
+    @pytest.mark.parametrize(
+        ("goal_ms", "timeout_ms", "expected"),
+        [(90, 400, 90 - ANSWER_RESERVE_MS), (10, 400, 5), (90, 60, 60)],
+    )
+    def test_it_leaves_time_for_the_answer(self, goal_ms, timeout_ms, expected):
+        route = Route(
+            name="r",
+            host="h",
+            prefix="/",
+            target=OneOf(groups=()),
+            idempotent=True,
+            max_attempts=1,
+            timeout_ms=timeout_ms,
+            goal_ms=goal_ms,
+            priority=0,
+        )
+        assert compute_goal(route) == expected
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -156,3 +156,48 @@
                 assert backend.counts.max_in_use <= 2
                 assert backend.counts.max_queued == 0
                 assert backend.counts.max_connections <= 4
+
+
+class TestChangesBeforeAnAttemptRuns:
+    async def test_a_server_taken_away_in_the_same_turn_ends_nothing_else(self, clock):
+        # A call is placed on a server; before its task first runs, new settings take
+        # the server away. The call is finished as it started. The task once looked
+        # its server up by itself, found none, and the whole process ended.
+        async with open_bench() as bench:
+            service = bench.settings.services[0]
+            empty = replace(service, groups=(replace(service.groups[0], servers=()),))
+            settings = replace(bench.settings, services=(empty,))
+            outcomes: list[Outcome] = []
+            async with trio.open_nursery() as nursery:
+
+                async def call() -> None:
+                    outcomes.append(await bench.call())
+
+                nursery.start_soon(call)
+                await trio.lowlevel.checkpoint()
+                bench.owner.replace(settings)
+            [outcome] = outcomes
+            assert isinstance(outcome, Answered)
+
+    async def test_a_call_cancelled_in_the_same_turn_reaches_no_server(self, clock):
+        # A caller leaves in the very turn in which its call was placed. The task
+        # that had not run yet was not cancelled, and the server worked for nobody.
+        async with open_bench() as bench:
+            await bench.call()
+            n_before = sum(server.counts.received for server in bench.servers)
+            service = bench.settings.services[0]
+            call = Call(
+                call_id=bench.owner.make_call_id(),
+                request_id="r",
+                service=service.name,
+                group=service.groups[0].name,
+                shard="s00",
+                version=1,
+                deadline=trio.current_time() + 0.5,
+                body=b"{}",
+                idempotent=True,
+            )
+            bench.owner.submit([Wanted(call=call, finish=lambda end, versions: None)])
+            bench.owner.cancel([call])
+            await trio.sleep(0.2)
+            assert sum(s.counts.received for s in bench.servers) == n_before
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,12 +1,13 @@
 """The owner's scheduler: dispatch, queue, retries, deadlines, changes, stopping."""
 
+from dataclasses import replace
+
 import pytest
 
 from lavendergap.coordination.calls import CancelAttempt, FinishCall, StartAttempt
-from lavendergap.coordination.scheduler import RETRY_BURST
 from lavendergap.coordination.timers import MAX_STALE
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
-from lavendergap.state.settings import Control
+from lavendergap.state.settings import Control, ExtraCalls, Group
 
 from .groups import (
     ANSWER,
@@ -121,7 +122,7 @@
             while owner.open:
                 owner.end_last(lose(Reason.SERVER_ERROR))
         n_extra = len(owner.started) - 400
-        assert n_extra <= RETRY_BURST + 0.1 * 400
+        assert n_extra <= ExtraCalls().retry_burst + 0.1 * 400
         assert owner.scheduler.describe(now=owner.now).n_budget_denials > 0
 
     def test_unknown_outlasts_a_later_refusal(self):
@@ -272,3 +273,93 @@
             "b": "draining",
         }
         assert isinstance(owner.started[0], StartAttempt)
+
+
+class TestLimits:
+    def test_a_call_is_sent_to_no_more_servers_than_it_allows(self):
+        # Two servers fail an idempotent call that may be sent to two. The third is
+        # not asked, neither as a retry nor as a hedge.
+        owner = make_owner("abc")
+        owner.warm_up()
+        call = owner.submit(max_attempts=2)
+        owner.end_last(lose(Reason.SERVER_ERROR))
+        owner.move(0.2)
+        owner.end_last(lose(Reason.SERVER_ERROR))
+        assert owner.finished[call.call_id].n_attempts == 2
+
+    def test_a_repeat_is_paid_for_like_a_retry(self):
+        # Another owner was asked for these calls and is lost; it may have made them.
+        # When many come at once, those beyond the budget are refused: the servers
+        # would have each of them twice.
+        owner = make_owner(extra=ExtraCalls(retry_burst=2.0, retries_per_second=0.0))
+        for _ in range(5):
+            owner.submit(is_repeat=True)
+        assert len(owner.started) == 2
+        refused = [f for f in owner.finished.values() if isinstance(f.outcome, NotRun)]
+        assert len(refused) == 3
+
+    def test_retries_of_refusals_count_where_the_platform_counts_them(self):
+        owner = make_owner(
+            extra=ExtraCalls(
+                retry_burst=1.0, retries_per_second=0.0, counts_refusals=True
+            ),
+            retry_budget=0.01,
+        )
+        n_attempts = []
+        for _ in range(3):
+            call = owner.submit()
+            while call.call_id not in owner.finished:
+                owner.end_last(refuse(Reason.WRONG_ANSWER))
+            n_attempts.append(owner.finished[call.call_id].n_attempts)
+        assert n_attempts == [2, 1, 1]
+
+
+class TestStalls:
+    def test_a_server_that_pauses_gets_nothing_until_it_answers(self):
+        # One of two servers stops for 100 ms, as in a collection of garbage. The
+        # calls that come meanwhile all go to the other one: none waits for the end
+        # of the pause, and none needs a hedge.
+        owner = make_owner()
+        owner.warm_up()
+        owner.submit()
+        paused = owner.started[-1]
+        owner.move(0.04)
+        n_before = len(owner.started)
+        for _ in range(4):
+            owner.submit()
+            owner.end_last()
+            owner.now += 0.005
+        assert {s.server for s in owner.started[n_before:]} != {paused.server}
+        assert all(s.server != paused.server for s in owner.started[n_before:])
+
+    def test_a_group_whose_servers_all_pause_is_used_all_the_same(self):
+        owner = make_owner("a")
+        owner.warm_up()
+        owner.submit()
+        owner.move(0.04)
+        owner.submit()
+        assert len(owner.open) == 2
+
+
+class TestNearServers:
+    def make_group(self) -> Group:
+        group = make_group("ab")
+        far = replace(group.servers[1], data_centre="ptl-b")
+        return replace(group, servers=(group.servers[0], far))
+
+    def test_the_near_server_is_taken_while_it_has_a_slot_to_spare(self):
+        # One call at a time, and two at a time: all go to the server in the same
+        # data centre. Bytes between data centres cost their users money.
+        owner = make_owner(group=self.make_group(), data_centre="ptl-a")
+        for _ in range(10):
+            owner.submit()
+            owner.submit()
+            assert [s.server for s in owner.started[-2:]] == ["a", "a"]
+            for attempt_id in list(owner.open):
+                owner.end(attempt_id)
+
+    def test_a_full_or_failing_near_server_is_no_reason_to_wait(self):
+        owner = make_owner(group=self.make_group(), data_centre="ptl-a")
+        for _ in range(3):
+            owner.submit()
+        assert [s.server for s in owner.started] == ["a", "a", "b"]
--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -13,16 +13,10 @@
 )
 
 from lavendergap.coordination.calls import Call, CancelAttempt, FinishCall, StartAttempt
-from lavendergap.coordination.scheduler import (
-    HEDGE_BURST,
-    MAX_ATTEMPTS,
-    MAX_HEDGES,
-    RETRIES_PER_SECOND,
-    RETRY_BURST,
-)
+from lavendergap.coordination.scheduler import MAX_ATTEMPTS, MAX_HEDGES
 from lavendergap.coordination.timers import MAX_STALE
 from lavendergap.state.outcome import Answered, NotRun, Reason, Unknown
-from lavendergap.state.settings import Address, Control
+from lavendergap.state.settings import Address, Control, ExtraCalls
 
 from .groups import (
     ANSWER,
@@ -35,6 +29,7 @@
     refuse,
 )
 
+EXTRA = ExtraCalls()
 OUTCOMES = [
     ANSWER,
     ANSWER,
@@ -208,10 +203,10 @@
     def extra_attempts_stay_within_their_budgets(self) -> None:
         n_calls = len(self.calls)
         elapsed = self.owner.now - self.began
-        retries = RETRY_BURST + 0.1 * n_calls + RETRIES_PER_SECOND * elapsed
+        retries = EXTRA.retry_burst + 0.1 * n_calls + EXTRA.retries_per_second * elapsed
         assert self.n_unknown_retries <= retries + 1e-6
         n_hedges = sum(s.cause == "hedge" for s in self.owner.started)
-        assert n_hedges <= HEDGE_BURST + 0.3 * n_calls + 1e-6
+        assert n_hedges <= EXTRA.hedge_burst + 0.3 * n_calls + 1e-6
 
     @invariant()
     def memory_follows_what_is_under_way(self) -> None:
