--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -78,8 +78,13 @@
 class Adapter(Protocol):
     """What this daemon needs of the platform, in the product's own words."""
 
-    names: HeaderNames
-    source: FeedSource
+    @property
+    def names(self) -> HeaderNames:
+        """How the platform names its headers."""
+
+    @property
+    def source(self) -> FeedSource:
+        """The store's feeds."""
 
     def read_routes(self, entries: Mapping[str, bytes]) -> RouteTable | None:
         """Return the routes in a feed's entries; None where there are none yet.
--- /dev/null
+++ b/standins/leafs.py
@@ -0,0 +1,129 @@
+"""Stand-ins for backend servers of the users' platform, and their registration."""
+
+import itertools
+import secrets
+from collections import Counter
+from dataclasses import dataclass, field
+
+import trio
+
+from .http import Connection, HttpServer, Reply, Request
+from .objectstore import ObjectStore
+
+SERVERS = "servers"
+RECORD_BYTES = 16
+N_RECORDS = 60
+
+
+@dataclass(kw_only=True, slots=True)
+class LeafFaults:
+    """How one server fails: seconds of work, refusals, lost and doubled answers."""
+
+    work: float = 0.005
+    refuses: bool = False
+    fails: bool = False
+    loses: bool = False
+    n_copies: int = 1
+
+
+@dataclass(kw_only=True)
+class Leaf:
+    """One incarnation of a server: refuses what is meant for another one.
+
+    `runs` counts how often each request began, `arrivals` each that came, and
+    `n_abandoned` those whose connection closed while they ran.
+    """
+
+    service: str
+    zone: str
+    slots: int = 2
+    server_id: str = field(default_factory=lambda: f"i-{secrets.token_hex(5)}")
+    faults: LeafFaults = field(default_factory=LeafFaults)
+    runs: Counter[str] = field(default_factory=Counter)
+    arrivals: Counter[str] = field(default_factory=Counter)
+    late_arrivals: int = 0
+    n_abandoned: int = 0
+    drained_at: float | None = None
+    address: str = ""
+    n_running: int = 0
+
+    async def run(
+        self,
+        store: ObjectStore,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled, registered in the store."""
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(ip="127.0.0.1", port=0, handle=self.handle)
+            port = await nursery.start(server.run)
+            self.address = f"127.0.0.1:{port}"
+            self.register(store, "ready")
+            task_status.started()
+
+    def register(self, store: ObjectStore, state: str) -> None:
+        """Write the entry that callers find the server by."""
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "warmup_left_ms": 0,
+            "seq_no": 1,
+        }
+        store.put(SERVERS, self.server_id, entry)
+
+    async def handle(self, request: Request, connection: Connection) -> Reply | None:
+        """Answer one request as the faults say."""
+        attempt = request.headers.get("lavendergap-attempt-id", "")
+        self.arrivals[attempt] += 1
+        if self.drained_at is not None and trio.current_time() > self.drained_at:
+            self.late_arrivals += 1
+        expected = request.headers.get("lavendergap-expected-instance")
+        if expected not in (None, self.server_id):
+            return Reply(
+                status=421, headers=(("Lavendergap-Instance-Id", self.server_id),)
+            )
+        if self.faults.refuses or self.n_running >= 2 * self.slots:
+            return Reply(status=503, headers=(("Lavendergap-Not-Executed", "1"),))
+        return await self._work(attempt, request, connection)
+
+    async def _work(
+        self, attempt: str, request: Request, connection: Connection
+    ) -> Reply | None:
+        self.runs[attempt] += 1
+        self.n_running += 1
+        try:
+            with trio.move_on_after(self.faults.work):
+                await connection.wait_for_close()
+                self.n_abandoned += 1
+                return None
+        finally:
+            self.n_running -= 1
+        if self.faults.loses:
+            connection.reset()
+            return None
+        headers = (
+            ("Lavendergap-Attempt-Id", attempt),
+            ("Lavendergap-Server-Stamp", f"{self.server_id}.{attempt}"),
+            ("Lavendergap-Server-Load", f"{self.n_running},0,{self.slots}"),
+        )
+        if self.faults.fails:
+            return Reply(status=500, headers=headers)
+        return Reply(
+            status=200,
+            headers=headers,
+            body=make_part(self.service, attempt, request.body),
+            n_copies=self.faults.n_copies,
+        )
+
+
+def make_part(service: str, attempt: str, body: bytes) -> bytes:
+    """Return the records that every server of `service` has for a request."""
+    head = f"{service}:{attempt}".encode()
+    records = (
+        bytes([place * 4 % 251]) + head[-(RECORD_BYTES - 2) :].rjust(15, b"-")
+        for place in itertools.islice(itertools.count(1), N_RECORDS)
+    )
+    return b"".join(records) + body
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,289 @@
+"""Gateway hosts as real processes, with the store and the servers in the test's own."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import h11
+import trio
+
+from lab.processes import find_free_ports
+from standins.leafs import Leaf
+from standins.objectstore import ObjectStore
+
+ROOT = Path(__file__).parents[1]
+HOST = "app.example"
+READY_LIMIT = 20.0
+DRAIN_MS = 3_000
+GRACE_S = 6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """What a caller got; names of headers in lower case, in their order."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def get(self, name: str) -> str:
+        """Return the values of a header, joined by commas."""
+        return ", ".join(value for key, value in self.headers if key == name)
+
+    @property
+    def proofs(self) -> list[str]:
+        """The digests of the parts that a joined answer names."""
+        text = self.get("lavendergap-part-stamps")
+        return [proof.strip() for proof in text.split(",") if proof.strip()]
+
+
+@dataclass(kw_only=True)
+class Gateway:
+    """One gateway process; `output` is the path of its log."""
+
+    name: str
+    zone: str
+    ports: tuple[int, int, int]
+    store_port: int
+    seeds: list[str]
+    directory: Path
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def settings_path(self) -> Path:
+        return self.directory / f"{self.name}.jsonc"
+
+    @property
+    def output_path(self) -> Path:
+        return self.directory / f"{self.name}.log"
+
+    def write_settings(self, **changes: Any) -> None:
+        """Write the settings file, as the platform fills it in."""
+        callers, admin, peers = self.ports
+        settings = {
+            "name": self.name,
+            "data_centre": self.zone,
+            "callers": f"127.0.0.1:{callers}",
+            "admin": f"127.0.0.1:{admin}",
+            "peer_ip": "127.0.0.1",
+            "peer_port": peers,
+            "store": f"127.0.0.1:{self.store_port}",
+            "seeds": self.seeds,
+            "bounds": {
+                "drain_ms": DRAIN_MS,
+                "stop_within_ms": GRACE_S * 1_000,
+                "extra_call_share": 0.2,
+                "extra_call_slack": 54,
+                "extra_call_window_s": 10,
+            },
+        }
+        self.settings_path.write_text(json.dumps(settings | changes))
+
+    def start(self) -> None:
+        """Start the process; it has to be stopped by whoever holds this."""
+        environment = dict(os.environ)
+        environment["LAVENDERGAP_NODE_FILE"] = str(self.settings_path)
+        with self.output_path.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "platform/main.py"],
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once, if it runs."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def read_events(self, event: str) -> list[dict[str, Any]]:
+        """Return the log's lines of one event."""
+        lines = self.output_path.read_text().splitlines()
+        decisions = [json.loads(line) for line in lines if line.startswith("{")]
+        return [each for each in decisions if each.get("event") == event]
+
+
+@dataclass(kw_only=True)
+class Platform:
+    """The store, the servers and the gateways of one test."""
+
+    nursery: trio.Nursery
+    directory: Path
+    store: ObjectStore
+    store_port: int
+    gateways: list[Gateway] = field(default_factory=list)
+    leafs: list[Leaf] = field(default_factory=list)
+    n_asked: int = 0
+
+    async def add_leaf(self, service: str, zone: str, **options: Any) -> Leaf:
+        """Start a server and register it."""
+        leaf = Leaf(service=service, zone=zone, **options)
+        await self.nursery.start(leaf.run, self.store)
+        self.leafs.append(leaf)
+        return leaf
+
+    def add_gateway(self, zone: str) -> Gateway:
+        """Start a gateway process; the first ones are the seeds of the later."""
+        ports = find_free_ports(3)
+        gateway = Gateway(
+            name=f"{zone}-{len(self.gateways) + 1}",
+            zone=zone,
+            ports=(ports[0], ports[1], ports[2]),
+            store_port=self.store_port,
+            seeds=[],
+            directory=self.directory,
+        )
+        gateway.write_settings()
+        gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    def write_routes(self, version: int, routes: list[dict[str, Any]]) -> None:
+        """Write a manifest."""
+        manifest = {"version": version, "routes": routes, "services": [], "limits": {}}
+        self.store.put("config", "main", manifest)
+
+    async def wait_ready(self, gateway: Gateway, *, limit: float = READY_LIMIT) -> None:
+        """Return when the gateway says that it is ready."""
+        with trio.fail_after(limit):
+            while not await self.is_ready(gateway):
+                await trio.sleep(0.05)
+
+    async def is_ready(self, gateway: Gateway) -> bool:
+        """Ask a gateway whether it is ready, as the balancer does."""
+        try:
+            answer = await ask(gateway.ports[1], "/ready")
+        except OSError:
+            return False
+        return answer.status == 200
+
+    async def request(
+        self,
+        gateway: Gateway,
+        path: str,
+        *,
+        attempt: str | None = None,
+        deadline_ms: int = 1_000,
+        body: bytes = b"",
+    ) -> Answer:
+        """Make one request of a caller on a connection of its own."""
+        self.n_asked += 1
+        headers = [
+            ("Host", HOST),
+            ("Lavendergap-Attempt-Id", attempt or f"a{self.n_asked}"),
+            ("Lavendergap-Deadline-Ms", str(deadline_ms)),
+        ]
+        return await ask(gateway.ports[0], path, headers=headers, body=body)
+
+
+async def ask(
+    port: int,
+    path: str,
+    *,
+    headers: list[tuple[str, str]] | None = None,
+    body: bytes = b"",
+) -> Answer:
+    """Make one HTTP call and return its whole answer."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    async with stream:
+        http = h11.Connection(h11.CLIENT)
+        fields = headers or [("Host", "x")]
+        if body:
+            fields = [*fields, ("Content-Length", str(len(body)))]
+        method = "POST" if body else "GET"
+        data = http.send(h11.Request(method=method, target=path, headers=fields))
+        assert data is not None
+        if body:
+            data += http.send(h11.Data(data=body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        await stream.send_all(data)
+        return await read_answer(stream, http)
+
+
+async def read_answer(stream: trio.SocketStream, http: h11.Connection) -> Answer:
+    """Read one whole answer; an answer that ends early raises."""
+    head: h11.Response | None = None
+    parts: list[bytes] = []
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await stream.receive_some(65_536))
+        elif isinstance(event, h11.Response):
+            head = event
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            assert head is not None
+            return Answer(
+                status=head.status_code,
+                headers=tuple(
+                    (name.decode(), value.decode()) for name, value in head.headers
+                ),
+                body=b"".join(parts),
+            )
+        else:
+            raise ConnectionResetError("the connection closed without an answer")
+
+
+def make_search_route(path: str, shards: list[str], **changes: Any) -> dict[str, Any]:
+    """Return a route over all shards, as a manifest holds it."""
+    route = {
+        "name": f"r{path}",
+        "host": HOST,
+        "path_prefix": path,
+        "type": "idempotent",
+        "timeout_ms": 1_000,
+        "slo_ms": 400,
+        "priority": 1,
+        "gather": shards,
+        "attempts": 2,
+        "top_k": 5,
+        "min_coverage": 0.5,
+    }
+    return route | changes
+
+
+def make_one_route(path: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route to one service, as a manifest holds it."""
+    route = {
+        "name": f"r{path}",
+        "host": HOST,
+        "path_prefix": path,
+        "type": "idempotent",
+        "timeout_ms": 1_000,
+        "slo_ms": 400,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+    }
+    return route | changes
+
+
+@asynccontextmanager
+async def open_platform(directory: Path):
+    """Yield a platform without servers; ends every process that was started."""
+    async with trio.open_nursery() as nursery:
+        store = ObjectStore()
+        port = await nursery.start(store.make_server(ip="127.0.0.1", port=0).run)
+        platform = Platform(
+            nursery=nursery, directory=directory, store=store, store_port=port
+        )
+        try:
+            yield platform
+        finally:
+            for gateway in platform.gateways:
+                gateway.kill()
+            nursery.cancel_scope.cancel()
