Share the store's feeds between hosts; write the log by its own descriptor

Two holders watch now, tell all others what changed or that nothing did, and a host without news asks the store itself and tells the others. A part that is joined carries its proof and no other header.

Log lines were lost on the platform: the fallback wrote to a duplicate of standard output, which it does not read.

Ruled out: whole documents by gossip digests (a change of one server would send the whole registry to each host: 10 KB now, 70 KB at 683 servers).

--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -77,6 +77,8 @@
     best = _pick_best(healthy or possible, tried, typical, now, dice, data_centre)
     if best is None:
         return BUSY
+    if data_centre and best.server.data_centre != data_centre:
+        note += f" (in {best.server.data_centre})"
     return Chosen(replica=best, why=_explain(possible, best, now) + note)
 
 
--- /dev/null
+++ b/src/lavendergap/entry/feedpeers.py
@@ -0,0 +1,80 @@
+"""Carries the feeds between hosts: news to all, and whole copies on demand."""
+
+from random import Random
+
+import trio
+
+from ..coordination.membership import Membership
+from ..coordination.watchers import choose_watch_holders
+from ..protocol.messages import FeedFetch, FeedNews, FeedState, Frame
+from ..transport.channel import Loss
+from ..transport.dialer import Dialer
+from .fleet import Fleet
+
+N_HOLDERS = 2
+"""One to watch, and one that goes on when the first one is lost unnoticed."""
+
+FETCH_LIMIT = 1.0
+"""Seconds for a peer's whole copy; another one is asked after it."""
+
+
+class FeedChannels:
+    """The other hosts, as the readers of this host's feeds see them."""
+
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        membership: Membership,
+        fleet: Fleet,
+        dialer: Dialer,
+        nursery: trio.Nursery,
+        random: Random,
+    ) -> None:
+        self._own_name = own_name
+        self._membership = membership
+        self._fleet = fleet
+        self._dialer = dialer
+        self._nursery = nursery
+        self._random = random
+
+    def is_holder(self) -> bool:
+        """Tell whether this host is one of those that watch the store for all."""
+        holders = choose_watch_holders(self._membership.members(), N_HOLDERS)
+        return self._own_name in holders
+
+    def tell(self, news: FeedNews) -> None:
+        """Send news to all live hosts; who is missed hears the next, or asks."""
+        for host in self._list_others():
+            channel = self._dialer.get_open(host)
+            if channel is not None:
+                channel.send(Frame(id=0, message=news))
+            else:
+                self._nursery.start_soon(self._dial_and_tell, host, news)
+
+    async def _dial_and_tell(self, host: str, news: FeedNews) -> None:
+        address = self._fleet.get_address(host)
+        if address is None:
+            return
+        channel = await self._dialer.dial(host, address)
+        if not isinstance(channel, Loss):
+            channel.send(Frame(id=0, message=news))
+
+    async def fetch(self, feed: str, host: str | None) -> FeedState | None:
+        """Return a feed as `host` has it, or any live one; None without an answer."""
+        others = self._list_others()
+        if host is None and others:
+            host = self._random.choice(others)
+        address = self._fleet.get_address(host) if host else None
+        if host is None or address is None:
+            return None
+        channel = await self._dialer.dial(host, address)
+        if isinstance(channel, Loss):
+            return None
+        reply = await channel.ask(FeedFetch(feed=feed), limit=FETCH_LIMIT)
+        if isinstance(reply, FeedState) and reply.feed == feed:
+            return reply
+        return None
+
+    def _list_others(self) -> list[str]:
+        return sorted(self._membership.live() - {self._own_name})
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -1,15 +1,25 @@
-"""Keeps this host's copy of the store's feeds up to date."""
+"""Keeps this host's copy of the store's feeds up to date, from the store or a peer.
+
+Two hosts, the holders, watch the store for all. Whoever has an answer of the store
+tells all others what changed, or that nothing did. A host that has heard nothing for
+a while asks the store itself, and tells the others what it said: so the feeds go on
+when both holders are gone, and reach a host that the store turns away.
+"""
 
 from collections.abc import Callable, Mapping
 from random import Random
+from typing import Protocol
 
 import trio
 
 from .. import metrics
 from ..coordination.feeds import FeedCopy
 from ..logs import Category, get_logger, log_decision
+from ..protocol.messages import FeedNews, FeedState
 from ..state.feeds import (
+    FeedChange,
     FeedChanges,
+    FeedEntry,
     FeedListing,
     FeedSource,
     HistoryGone,
@@ -18,9 +28,18 @@
 
 logger = get_logger(Category.SETTINGS)
 
-# How long one watch waits, in seconds. A watch whose connection has gone silent is
-# found out at its end; what it should have told has to be acted on within 3 s.
-WATCH_WAIT = 2.0
+# How long a holder's watch waits, in seconds. It is how often the others hear that
+# nothing has changed, and how long a connection gone silent hides what has.
+WATCH_WAIT = 1.5
+# A host that has heard nothing for so long asks the store itself, in seconds. More
+# than a watch takes, and soon enough to act on a change within the 3 s that a leaving
+# server goes on serving.
+STALE_AFTER = 2.1
+# Not all at once: the first one's answer saves the others theirs.
+STALE_JITTER = 0.25
+# After news, a holder waits so long, in seconds, before it watches again: what
+# changes together, as when servers are replaced, then shares one call of each holder.
+GATHER_PAUSE = 0.15
 # Between failed calls, in seconds: the first is often a lost connection, and the
 # store bounds all hosts' calls together.
 FIRST_RETRY = 0.1
@@ -32,55 +51,87 @@
 UseEntries = Callable[[Mapping[str, bytes], int], None]
 
 
+class FeedPeers(Protocol):
+    """What a feed's reader needs of the other hosts. Nothing here raises."""
+
+    def is_holder(self) -> bool:
+        """Tell whether this host watches the store for all."""
+
+    def tell(self, news: FeedNews) -> None:
+        """Send news to all live hosts."""
+
+    async def fetch(self, feed: str, host: str | None) -> FeedState | None:
+        """Return a feed as `host` has it, or any live one; None without an answer."""
+
+
 class FeedReader:
-    """Lists one feed, then watches it; `use` gets the entries whenever they change."""
+    """One feed's copy; `use` gets the entries whenever they change."""
 
     def __init__(
-        self, *, feed: str, source: FeedSource, use: UseEntries, random: Random
+        self,
+        *,
+        feed: str,
+        source: FeedSource,
+        peers: FeedPeers,
+        use: UseEntries,
+        random: Random,
+        nursery: trio.Nursery,
     ) -> None:
         self.feed = feed
         self.copy = FeedCopy(lapse_grace=LAPSE_GRACE)
         self.is_listed = False
         self._source = source
+        self._peers = peers
         self._use = use
         self._random = random
+        self._nursery = nursery
         self._n_failures = 0
-        self._heard_at = 0.0
+        self._confirmed_at = trio.current_time()
+        self._is_fetching = False
 
     async def run(self) -> None:
         """Read until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._settle)
-            while True:
-                await self._list()
-                await self._watch()
+        self._nursery.start_soon(self._settle)
+        while True:
+            await self._list()
+            await self._follow()
+
+    # From the store.
 
     async def _list(self) -> None:
+        """List the feed, or take it of a peer while the store does not answer."""
         while True:
             match await self._source.list_feed(self.feed):
                 case FeedListing() as listing:
                     self._note_answer()
-                    now = trio.current_time()
-                    has_changed = self.copy.take_listing(listing, now=now)
-                    if has_changed or not self.is_listed:
-                        self.is_listed = True
-                        self._tell("listed")
+                    self._take_listing(listing, "store")
+                    # The others fetch what a lost history kept from this host.
+                    self._tell_peers(base=self.copy.revision, changes=())
                     return
                 case StoreLost() as lost:
                     await self._note_loss(lost)
+                    if not self.is_listed:
+                        await self._fetch(None)
+                    if self.is_listed and not self._is_stale():
+                        return
 
-    async def _watch(self) -> None:
-        """Watch until the store has forgotten what has changed since."""
+    async def _follow(self) -> None:
+        """Watch, or hear of the others, until the history is gone."""
         while True:
-            result = await self._source.watch_feed(
-                self.feed, after=self.copy.revision, wait_s=WATCH_WAIT
-            )
-            match result:
+            is_holder = self._peers.is_holder()
+            if not is_holder and not self._is_stale():
+                await trio.sleep_until(self._confirmed_at + self._draw_patience())
+                continue
+            base = self.copy.revision
+            wait = WATCH_WAIT if is_holder else 0.0
+            match await self._source.watch_feed(self.feed, after=base, wait_s=wait):
                 case FeedChanges() as changes:
                     self._note_answer()
-                    now = trio.current_time()
-                    if self.copy.take_changes(changes, now=now):
-                        self._tell("watched")
+                    if self.copy.take_changes(changes, now=trio.current_time()):
+                        self._put_in_force("store")
+                    self._tell_peers(base=base, changes=changes.changes)
+                    if changes.changes:
+                        await trio.sleep(GATHER_PAUSE)
                 case HistoryGone():
                     self._note_answer()
                     log_decision(
@@ -88,33 +139,27 @@
                         "history gone",
                         request_id=None,
                         feed=self.feed,
-                        revision=self.copy.revision,
+                        revision=base,
                     )
                     return
                 case StoreLost() as lost:
                     await self._note_loss(lost)
 
-    async def _settle(self) -> None:
-        while True:
-            due = self.copy.next_due
-            now = trio.current_time()
-            if due is not None and due <= now:
-                if self.copy.settle(now=now):
-                    self._tell("lapsed")
-                continue
-            await trio.sleep(LAPSE_GRACE / 4 if due is None else due - now)
+    def _is_stale(self) -> bool:
+        return trio.current_time() - self._confirmed_at >= STALE_AFTER
 
-    def _tell(self, source: str) -> None:
-        log_decision(
-            logger,
-            "feed changed",
-            request_id=None,
-            feed=self.feed,
-            revision=self.copy.revision,
-            n_entries=len(self.copy.entries),
-            source=source,
+    def _draw_patience(self) -> float:
+        return STALE_AFTER * (1.0 + STALE_JITTER * self._random.random())
+
+    def _tell_peers(self, *, base: int, changes: tuple[FeedChange, ...]) -> None:
+        self._peers.tell(
+            FeedNews(
+                feed=self.feed,
+                base=base,
+                revision=self.copy.revision,
+                changes=changes,
+            )
         )
-        self._use(self.copy.entries, self.copy.revision)
 
     def _note_answer(self) -> None:
         now = trio.current_time()
@@ -125,11 +170,11 @@
                 request_id=None,
                 feed=self.feed,
                 n_failures=self._n_failures,
-                silent_s=round(now - self._heard_at, 2),
+                unconfirmed_s=round(now - self._confirmed_at, 2),
             )
             self.copy.note_return(now=now)
         self._n_failures = 0
-        self._heard_at = now
+        self._confirmed_at = now
 
     async def _note_loss(self, lost: StoreLost) -> None:
         self._n_failures += 1
@@ -147,3 +192,76 @@
         pause = min(LONGEST_RETRY, FIRST_RETRY * 2.0 ** (self._n_failures - 1))
         pause = max(pause * self._random.uniform(0.7, 1.3), lost.retry_after_s)
         await trio.sleep(min(pause, LONGEST_RETRY * 1.3))
+
+    # From peers.
+
+    def hear(self, news: FeedNews, *, host: str) -> None:
+        """Take news of the store that another host had."""
+        now = trio.current_time()
+        if news.revision < self.copy.revision:
+            return  # Its host lags behind this one, and confirms nothing.
+        if self._is_stale():
+            # Nobody had an answer of the store for a while: what vanishes now may
+            # have lapsed meanwhile.
+            self.copy.note_return(now=now)
+        if self.copy.revision < news.base or not self.is_listed:
+            if not self._is_fetching:
+                self._nursery.start_soon(self._fetch, host)
+            return
+        self._confirmed_at = now
+        changes = FeedChanges(revision=news.revision, changes=news.changes)
+        if self.copy.take_changes(changes, now=now):
+            self._put_in_force(host)
+
+    async def _fetch(self, host: str | None) -> None:
+        self._is_fetching = True
+        try:
+            state = await self._peers.fetch(self.feed, host)
+        finally:
+            self._is_fetching = False
+        if state is None or state.revision <= self.copy.revision:
+            return
+        self._confirmed_at = trio.current_time()
+        listing = FeedListing(revision=state.revision, entries=state.entries)
+        self._take_listing(listing, host or "a peer")
+
+    def describe(self) -> FeedState:
+        """Return the copy for a peer that asks for it."""
+        return FeedState(
+            feed=self.feed,
+            revision=self.copy.revision,
+            entries=tuple(
+                FeedEntry(name=name, body=body)
+                for name, body in self.copy.entries.items()
+            ),
+        )
+
+    # In force.
+
+    def _take_listing(self, listing: FeedListing, source: str) -> None:
+        has_changed = self.copy.take_listing(listing, now=trio.current_time())
+        if has_changed or not self.is_listed:
+            self.is_listed = True
+            self._put_in_force(source)
+
+    async def _settle(self) -> None:
+        while True:
+            due = self.copy.next_due
+            now = trio.current_time()
+            if due is not None and due <= now:
+                if self.copy.settle(now=now):
+                    self._put_in_force("lapse")
+                continue
+            await trio.sleep(LAPSE_GRACE / 4 if due is None else due - now)
+
+    def _put_in_force(self, source: str) -> None:
+        log_decision(
+            logger,
+            "feed changed",
+            request_id=None,
+            feed=self.feed,
+            revision=self.copy.revision,
+            n_entries=len(self.copy.entries),
+            source=source,
+        )
+        self._use(self.copy.entries, self.copy.revision)
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -23,7 +23,14 @@
 from ..errors import SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
 from ..protocol.forwarding import HeaderNames
-from ..protocol.messages import Frame, Hello, TicketAsk, TicketReply
+from ..protocol.messages import (
+    FeedNews,
+    FeedState,
+    Frame,
+    Hello,
+    TicketAsk,
+    TicketReply,
+)
 from ..state.feeds import FeedSource
 from ..state.gossip import DocumentsHeard, Event, MemberChanged
 from ..state.hostfile import GatewayHost, read_host_file
@@ -39,6 +46,7 @@
 from ..transport.gateway import GatewayApp, GatewayHandlers
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
 from .daemon import BACKLOG, COLLECTOR_THRESHOLDS
+from .feedpeers import FeedChannels
 from .feeds import FeedReader
 from .fleet import Fleet
 from .forwarding import Forwarder
@@ -121,6 +129,26 @@
     servers: tuple[RegisteredServer, ...] = ()
 
 
+class _Feeds:
+    """This host's feeds, as peers speak of them."""
+
+    def __init__(self, *, readers: tuple[FeedReader, ...]) -> None:
+        self._readers = {reader.feed: reader for reader in readers}
+
+    def hear(self, news: FeedNews, *, host: str) -> None:
+        """Hand a peer's news to its feed."""
+        reader = self._readers.get(news.feed)
+        if reader is not None:
+            reader.hear(news, host=host)
+
+    def describe(self, feed: str) -> FeedState:
+        """Return this host's copy of a feed; empty for one that it does not have."""
+        reader = self._readers.get(feed)
+        if reader is None:
+            return FeedState(feed=feed, revision=0, entries=())
+        return reader.describe()
+
+
 def run_gateway(path: Path, make_adapter: Callable[[GatewayHost], Adapter]) -> None:
     """Run the daemon until SIGTERM; raise SettingsError for a bad settings file."""
     host = read_host_file(path)
@@ -228,11 +256,29 @@
             control=CONTROL,
             random=self._random,
         )
+        feed_peers = FeedChannels(
+            own_name=host.name,
+            membership=self._membership,
+            fleet=self._fleet,
+            dialer=self._dialer,
+            nursery=nursery,
+            random=self._random,
+        )
+        make_reader = functools.partial(
+            FeedReader,
+            source=self._adapter.source,
+            peers=feed_peers,
+            random=self._random,
+            nursery=nursery,
+        )
+        self._routes = make_reader(feed=ROUTES_FEED, use=self._use_routes)
+        self._servers = make_reader(feed=SERVERS_FEED, use=self._use_servers)
         self._peers = PeerService(
             owner=self._owner,
             documents=Documents(check=lambda name, body: None),
             nursery=nursery,
             answer_ticket=_refuse_ticket,
+            feeds=_Feeds(readers=(self._routes, self._servers)),
         )
         self._acceptor = Acceptor(
             own=hello, handle=self._handle_peer, lose=self._peers.drop
@@ -244,13 +290,6 @@
             nursery=nursery,
             random=self._random,
         )
-        source = self._adapter.source
-        self._routes = FeedReader(
-            feed=ROUTES_FEED, source=source, use=self._use_routes, random=self._random
-        )
-        self._servers = FeedReader(
-            feed=SERVERS_FEED, source=source, use=self._use_servers, random=self._random
-        )
 
     def _make_client(self, server: Server, idle_limit: float) -> ForwardClient:
         return ForwardClient(
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 import trio
 
@@ -13,6 +14,9 @@
     Answers,
     Cancel,
     Document,
+    FeedFetch,
+    FeedNews,
+    FeedState,
     Fetch,
     Frame,
     Ran,
@@ -41,6 +45,16 @@
     held: trio.Event = field(default_factory=trio.Event)
 
 
+class FeedService(Protocol):
+    """The feeds of this host, where it has any."""
+
+    def hear(self, news: FeedNews, *, host: str) -> None:
+        """Take a peer's news."""
+
+    def describe(self, feed: str) -> FeedState:
+        """Return this host's copy of a feed."""
+
+
 class PeerService:
     """Serves peers' requests; `answer_ticket` decides on tickets."""
 
@@ -51,7 +65,9 @@
         documents: Documents,
         nursery: trio.Nursery,
         answer_ticket: Callable[[TicketAsk], Awaitable[TicketReply]],
+        feeds: FeedService | None = None,
     ) -> None:
+        self._feeds = feeds
         self._owner = owner
         self._documents = documents
         self._nursery = nursery
@@ -71,6 +87,12 @@
                 self._fetch(channel, frame.id, fetch)
             case TicketAsk() as ask:
                 self._nursery.start_soon(self._ticket, channel, frame.id, ask)
+            case FeedNews() as news if self._feeds is not None:
+                if channel.peer is not None:
+                    self._feeds.hear(news, host=channel.peer.host)
+            case FeedFetch(feed=feed) if self._feeds is not None:
+                state = self._feeds.describe(feed)
+                channel.send(Frame(id=frame.id, message=state))
             case _:
                 metrics.rejected_input.labels("peers", "unexpected message").inc()
 
--- a/src/lavendergap/logs.py
+++ b/src/lavendergap/logs.py
@@ -145,7 +145,10 @@
     try:
         descriptor = os.open(f"/proc/self/fd/{descriptor}", flags)
     except OSError:
-        descriptor = os.dup(descriptor)
+        # Not a duplicate of it either: a platform that takes what is written to
+        # the standard descriptors may know them by their numbers, and every line
+        # would be lost without a sign.
+        return DescriptorOutput(descriptor=descriptor)
     return DescriptorOutput(descriptor=descriptor)
 
 
--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -31,6 +31,7 @@
 )
 LONGEST_RETRY_AFTER_MS = 10_000
 MISDIRECTED = 421
+SUCCESS_END = 300
 SERVER_ERRORS = 500
 
 
@@ -106,11 +107,30 @@
 
 
 def judge_forwarded(
-    reply: Reply, request: ForwardedRequest, *, names: HeaderNames, server: str
+    reply: Reply,
+    request: ForwardedRequest,
+    *,
+    names: HeaderNames,
+    server: str,
+    is_part: bool = False,
 ) -> Verdict:
-    """Return what a server's reply to `request` proves."""
+    """Return what a server's reply to `request` proves.
+
+    Of a part that is joined with others only the proof goes on: the other headers,
+    some 200 bytes, would cross between data centres with each part for nothing.
+    """
     report = read_load(reply.headers.get(names.load))
-    return Verdict(outcome=_judge(reply, request, names, server), report=report)
+    outcome = _judge(reply, request, names, server)
+    if is_part and isinstance(outcome, Answered):
+        outcome = _take_part(reply, names, server)
+    return Verdict(outcome=outcome, report=report)
+
+
+def _take_part(reply: Reply, names: HeaderNames, server: str) -> Outcome:
+    if reply.status >= SUCCESS_END:
+        return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.SERVER_ERROR)
+    proof = reply.headers[names.proof]
+    return Answered(body=reply.body, headers=((names.proof, proof),))
 
 
 def _judge(
@@ -128,7 +148,7 @@
         return Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
     if reply.status >= SERVER_ERRORS:
         return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.SERVER_ERROR)
-    if reply.status < 300 and names.proof not in fields:
+    if reply.status < SUCCESS_END and names.proof not in fields:
         return Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
     return Answered(
         body=reply.body,
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ..state.feeds import FeedChange, FeedEntry
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Outcome
 
@@ -166,6 +167,36 @@
     outcome: Outcome | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FeedNews:
+    """What the store has just told the sender of a feed; wants no reply.
+
+    `changes` are all between the revisions `base` and `revision`. Without any, it
+    still says that the store had nothing newer a moment ago.
+    """
+
+    feed: str
+    base: int
+    revision: int
+    changes: tuple[FeedChange, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FeedFetch:
+    """Asks for all entries of a feed as the receiver has them."""
+
+    feed: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FeedState:
+    """All entries of a feed at a revision; 0 when the sender has none."""
+
+    feed: str
+    revision: int
+    entries: tuple[FeedEntry, ...]
+
+
 Message = (
     Hello
     | Ping
@@ -180,6 +211,9 @@
     | Document
     | TicketAsk
     | TicketReply
+    | FeedNews
+    | FeedFetch
+    | FeedState
 )
 
 
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -1,4 +1,4 @@
-"""A second codec, for the two messages that go with every query: msgpack.
+"""A second codec, for messages that go often or are long: msgpack.
 
 Cap'n Proto spends about ten times as long on them in Python (see
 docs/design/connections.md); all other messages between hosts stay with it.
@@ -6,11 +6,15 @@
 
 import msgspec
 
+from ..state.feeds import FeedChange, FeedEntry
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from .messages import (
     Answers,
     BadFrameError,
+    FeedFetch,
+    FeedNews,
+    FeedState,
     Frame,
     Greatest,
     Search,
@@ -75,8 +79,29 @@
     records: bytes = b""
 
 
+class _PackedNews(msgspec.Struct, array_like=True, tag=3):
+    id: int
+    feed: str
+    base: int
+    revision: int
+    changes: list[tuple[str, bytes | None]]
+
+
+class _PackedFetch(msgspec.Struct, array_like=True, tag=4):
+    id: int
+    feed: str
+
+
+class _PackedState(msgspec.Struct, array_like=True, tag=5):
+    id: int
+    feed: str
+    revision: int
+    entries: list[tuple[str, bytes]]
+
+
+_Packed = _PackedSearch | _PackedAnswers | _PackedNews | _PackedFetch | _PackedState
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(_PackedSearch | _PackedAnswers).decode
+_decode = msgspec.msgpack.Decoder(_Packed).decode
 
 
 def pack_search(frame_id: int, search: Search) -> bytes:
@@ -137,14 +162,62 @@
     )
 
 
+def pack_news(frame_id: int, news: FeedNews) -> bytes:
+    """Return the bytes of FeedNews, without their length."""
+    changes = [(change.name, change.body) for change in news.changes]
+    return _encode(_PackedNews(frame_id, news.feed, news.base, news.revision, changes))
+
+
+def pack_fetch(frame_id: int, fetch: FeedFetch) -> bytes:
+    """Return the bytes of a FeedFetch, without their length."""
+    return _encode(_PackedFetch(frame_id, fetch.feed))
+
+
+def pack_state(frame_id: int, state: FeedState) -> bytes:
+    """Return the bytes of a FeedState, without their length."""
+    entries = [(entry.name, entry.body) for entry in state.entries]
+    return _encode(_PackedState(frame_id, state.feed, state.revision, entries))
+
+
 def unpack(body: bytes) -> Frame:
     """Return the frame in `body`, or raise `BadFrameError`."""
     try:
         packed = _decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise BadFrameError(problem=str(error)) from error
-    if isinstance(packed, _PackedSearch):
-        return Frame(id=packed.id, message=_unpack_search(packed))
+    match packed:
+        case _PackedSearch():
+            return Frame(id=packed.id, message=_unpack_search(packed))
+        case _PackedAnswers():
+            return Frame(id=packed.id, message=_unpack_answers(packed))
+        case _PackedNews():
+            return Frame(id=packed.id, message=_unpack_news(packed))
+        case _PackedFetch(id=frame_id, feed=feed):
+            return Frame(id=frame_id, message=FeedFetch(feed=feed))
+        case _PackedState():
+            return Frame(id=packed.id, message=_unpack_state(packed))
+
+
+def _unpack_news(packed: _PackedNews) -> FeedNews:
+    return FeedNews(
+        feed=packed.feed,
+        base=packed.base,
+        revision=packed.revision,
+        changes=tuple(
+            FeedChange(name=name, body=body) for name, body in packed.changes
+        ),
+    )
+
+
+def _unpack_state(packed: _PackedState) -> FeedState:
+    return FeedState(
+        feed=packed.feed,
+        revision=packed.revision,
+        entries=tuple(FeedEntry(name=name, body=body) for name, body in packed.entries),
+    )
+
+
+def _unpack_answers(packed: _PackedAnswers) -> Answers:
     answers = tuple(
         ShardAnswer(
             shard=answer.shard,
@@ -154,8 +227,7 @@
         )
         for answer in packed.answers
     )
-    message = Answers(answers=answers, records=packed.records)
-    return Frame(id=packed.id, message=message)
+    return Answers(answers=answers, records=packed.records)
 
 
 def _unpack_search(packed: _PackedSearch) -> Search:
--- a/src/lavendergap/protocol/peer.py
+++ b/src/lavendergap/protocol/peer.py
@@ -18,6 +18,9 @@
     BadFrameError,
     Cancel,
     Document,
+    FeedFetch,
+    FeedNews,
+    FeedState,
     Fetch,
     Frame,
     GoingAway,
@@ -31,7 +34,14 @@
     TicketAsk,
     TicketReply,
 )
-from .packing import pack_answers, pack_search, unpack
+from .packing import (
+    pack_answers,
+    pack_fetch,
+    pack_news,
+    pack_search,
+    pack_state,
+    unpack,
+)
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 LENGTH = struct.Struct(">I")
@@ -176,13 +186,9 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Return the bytes of a frame, its length in front."""
-    match frame.message:
-        case Search() as search:
-            body = pack_search(frame.id, search)
-            return LENGTH.pack(len(body) | PACKED) + body
-        case Answers() as answers:
-            body = pack_answers(frame.id, answers)
-            return LENGTH.pack(len(body) | PACKED) + body
+    packed = _pack(frame)
+    if packed is not None:
+        return LENGTH.pack(len(packed) | PACKED) + packed
     target = _Frame.new_message()
     target.id = frame.id
     _fill(target, frame.message)
@@ -190,6 +196,22 @@
     return LENGTH.pack(len(plain)) + plain
 
 
+def _pack(frame: Frame) -> bytes | None:
+    """Return the message by the second codec, or None where the first one serves."""
+    match frame.message:
+        case Search() as search:
+            return pack_search(frame.id, search)
+        case Answers() as answers:
+            return pack_answers(frame.id, answers)
+        case FeedNews() as news:
+            return pack_news(frame.id, news)
+        case FeedFetch() as fetch:
+            return pack_fetch(frame.id, fetch)
+        case FeedState() as state:
+            return pack_state(frame.id, state)
+    return None
+
+
 def read_length(head: bytes | bytearray, start: int) -> tuple[int, bool]:
     """Return a frame's length at `start`, and whether its message is packed."""
     (word,) = LENGTH.unpack_from(head, start)
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -97,7 +97,11 @@
         result = await self._exchange(connection, call, left=left, limit=limit)
         if isinstance(result, Reply):
             return judge_forwarded(
-                result, call.forward, names=self._names, server=self.server.name
+                result,
+                call.forward,
+                names=self._names,
+                server=self.server.name,
+                is_part=bool(call.shard),
             )
         return Verdict(outcome=result, report=None)
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -3,9 +3,11 @@
 from random import Random
 
 import trio
+import trio.testing
 
 from lavendergap.coordination.feeds import FeedCopy
 from lavendergap.entry.feeds import LAPSE_GRACE, FeedReader
+from lavendergap.protocol.messages import FeedNews, FeedState
 from lavendergap.state.feeds import (
     FeedChange,
     FeedChanges,
@@ -109,13 +111,38 @@
         return await self._next(f"watch {after}")
 
 
-async def read(script: Script, nursery: trio.Nursery):
+class Peers:
+    """Other hosts, as one reader sees them; `others` hear what it tells."""
+
+    def __init__(self, *, is_holder: bool = True) -> None:
+        self.holder = is_holder
+        self.others: list[FeedReader] = []
+        self.state: FeedState | None = None
+        self.told: list[FeedNews] = []
+        self.fetches: list[str | None] = []
+
+    def is_holder(self) -> bool:
+        return self.holder
+
+    def tell(self, news: FeedNews) -> None:
+        self.told.append(news)
+        for other in self.others:
+            other.hear(news, host="teller")
+
+    async def fetch(self, feed: str, host: str | None) -> FeedState | None:
+        self.fetches.append(host)
+        return self.state
+
+
+def read(script, nursery: trio.Nursery, peers: Peers | None = None):
     told: list[dict[str, bytes]] = []
     reader = FeedReader(
         feed="servers",
         source=script,
+        peers=peers or Peers(),
         use=lambda entries, revision: told.append(dict(entries)),
         random=Random(1),
+        nursery=nursery,
     )
     nursery.start_soon(reader.run)
     return reader, told
@@ -127,7 +154,7 @@
             make_listing(1, a="1"), change(3, b="2"), HistoryGone(), make_listing(9)
         )
         async with trio.open_nursery() as nursery:
-            reader, told = await read(script, nursery)
+            _, told = read(script, nursery)
             await trio.sleep(1.0)
             assert script.asked == ["list", "watch 1", "watch 3", "list", "watch 9"]
             assert told[-1] == {}
@@ -144,7 +171,7 @@
             change(5, a="1"),
         )
         async with trio.open_nursery() as nursery:
-            reader, told = await read(script, nursery)
+            _, told = read(script, nursery)
             await trio.sleep(1.0)
             assert told == [{"a": b"1", "b": b"2"}]
             await trio.sleep(LAPSE_GRACE)
@@ -154,7 +181,122 @@
     async def test_a_store_that_is_away_is_not_asked_in_a_loop(self, autojump_clock):
         script = Script(*[LOST] * 100)
         async with trio.open_nursery() as nursery:
-            await read(script, nursery)
+            read(script, nursery)
             await trio.sleep(10.0)
             assert 8 <= len(script.asked) <= 20
             nursery.cancel_scope.cancel()
+
+
+class TestPeers:
+    async def test_who_hears_of_a_holder_asks_the_store_for_nothing(
+        self, autojump_clock
+    ):
+        # One host watches; the other one lists once and lives on what it is told,
+        # changes and the word that there are none.
+        answers = [change(2, a="2"), *[change(2)] * 8]
+        watching = Script(make_listing(1, a="1"), *answers)
+        quiet = Script(make_listing(1, a="1"))
+        async with trio.open_nursery() as nursery:
+            hearer, told = read(quiet, nursery, Peers(is_holder=False))
+            await trio.testing.wait_all_tasks_blocked()
+            peers = Peers()
+            peers.others.append(hearer)
+            reader, _ = read(SlowScript(watching, 1.5), nursery, peers)
+            await trio.sleep(10.0)
+            assert quiet.asked == ["list"]
+            assert told[-1] == {"a": b"2"}
+            nursery.cancel_scope.cancel()
+
+    async def test_without_news_a_host_asks_the_store_and_tells(self, autojump_clock):
+        # Both holders are gone, or the store turns them away. A server begins to
+        # leave at that moment; the others act on it within 3 s.
+        script = Script(make_listing(1, a="1"), change(2, a="leaving"))
+        async with trio.open_nursery() as nursery:
+            peers = Peers(is_holder=False)
+            _, told = read(script, nursery, peers)
+            await trio.sleep(2.9)
+            assert told[-1] == {"a": b"leaving"}
+            assert [c.name for c in peers.told[-1].changes] == ["a"]
+            nursery.cancel_scope.cancel()
+
+    async def test_a_gap_is_closed_by_the_teller_s_copy(self, autojump_clock):
+        # News from revision 5 on come to a host that is at 1: what happened between
+        # is not in them, so it takes the whole copy of whoever told it.
+        script = Script(make_listing(1, a="1"))
+        async with trio.open_nursery() as nursery:
+            peers = Peers(is_holder=False)
+            peers.state = FeedState(
+                feed="servers",
+                revision=6,
+                entries=(FeedEntry(name="b", body=b"6"),),
+            )
+            reader, told = read(script, nursery, peers)
+            await trio.sleep(0.1)
+            news = FeedNews(feed="servers", base=5, revision=6, changes=())
+            reader.hear(news, host="teller")
+            await trio.sleep(0.1)
+            assert peers.fetches == ["teller"]
+            assert told[-1] == {"b": b"6"}
+            nursery.cancel_scope.cancel()
+
+    async def test_a_host_that_starts_while_the_store_is_away(self, autojump_clock):
+        script = Script(*[LOST] * 100)
+        async with trio.open_nursery() as nursery:
+            peers = Peers(is_holder=False)
+            peers.state = FeedState(
+                feed="servers", revision=6, entries=(FeedEntry(name="b", body=b"6"),)
+            )
+            reader, told = read(script, nursery, peers)
+            await trio.sleep(0.5)
+            assert reader.is_listed
+            assert told == [{"b": b"6"}]
+            nursery.cancel_scope.cancel()
+
+    async def test_news_that_lag_behind_change_and_confirm_nothing(
+        self, autojump_clock
+    ):
+        script = Script(make_listing(9, a="9"), change(10))
+        async with trio.open_nursery() as nursery:
+            reader, told = read(script, nursery, Peers(is_holder=False))
+            await trio.sleep(1.0)
+            old = FeedNews(feed="servers", base=7, revision=8, changes=())
+            reader.hear(old, host="teller")
+            await trio.sleep(1.9)
+            assert script.asked[:2] == ["list", "watch 9"]
+            assert told == [{"a": b"9"}]
+            nursery.cancel_scope.cancel()
+
+    async def test_lapses_that_a_peer_tells_of_are_waited_out_too(self, autojump_clock):
+        # Nobody reached the store for 5 s. The first news after it say that an entry
+        # is gone; the server lives, and is back in the store a second later.
+        script = Script(make_listing(1, a="1"), *[LOST] * 100)
+        async with trio.open_nursery() as nursery:
+            reader, told = read(script, nursery, Peers(is_holder=False))
+            await trio.sleep(5.0)
+            gone = (FeedChange(name="a", body=None),)
+            reader.hear(
+                FeedNews(feed="servers", base=1, revision=4, changes=gone), host="t"
+            )
+            back = (FeedChange(name="a", body=b"1"),)
+            await trio.sleep(1.0)
+            reader.hear(
+                FeedNews(feed="servers", base=4, revision=5, changes=back), host="t"
+            )
+            await trio.sleep(3.0)
+            assert told == [{"a": b"1"}]
+            nursery.cancel_scope.cancel()
+
+
+class SlowScript:
+    """A script whose watches take a time, as a waiting watch does."""
+
+    def __init__(self, script: Script, seconds: float) -> None:
+        self._script = script
+        self._seconds = seconds
+
+    async def list_feed(self, feed):
+        return await self._script.list_feed(feed)
+
+    async def watch_feed(self, feed, *, after, wait_s):
+        await trio.sleep(self._seconds)
+        return await self._script.watch_feed(feed, after=after, wait_s=wait_s)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -257,7 +257,10 @@
             assert bench.n_connections == 2
 
     async def test_no_more_connections_than_allowed(self):
-        async with open_bench(b"silence") as bench, trio.open_nursery() as nursery:
+        async with (
+            open_bench(b"silence", b"silence") as bench,
+            trio.open_nursery() as nursery,
+        ):
             nursery.start_soon(bench.call)
             nursery.start_soon(bench.call)
             await trio.sleep(0.1)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -233,3 +233,16 @@
         text += read_all(pipe[0])
     text += read_all(pipe[0])
     return [json.loads(line) for line in text.splitlines()]
+
+
+class TestDescriptors:
+    def test_one_that_cannot_be_opened_anew_is_written_by_its_own_number(
+        self, monkeypatch, pipe
+    ):
+        # A platform knows the standard descriptors by their numbers, and forbids to
+        # open them anew. Written to a duplicate, every line of the log was lost.
+        def refuse(*arguments, **options):
+            raise OSError
+
+        monkeypatch.setattr(os, "open", refuse)
+        assert open_output(pipe[1]).fileno() == pipe[1]
