Have the test of a server taken away place its call and the edit in one turn

It left the order of two tasks to the scheduler, and failed when the edit came first: the call then rightly found no replica.

--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -52,8 +52,15 @@
             ended.append(end)
             done.set()
 
+        call = self.make_call(limit=limit)
+        self.owner.submit([Wanted(call=call, finish=finish)])
+        await done.wait()
+        return ended[0].outcome
+
+    def make_call(self, *, limit: float = 0.5) -> Call:
+        """Return a call to the group, not made yet."""
         service = self.settings.services[0]
-        call = Call(
+        return Call(
             call_id=self.owner.make_call_id(),
             request_id="r",
             service=service.name,
@@ -64,9 +71,6 @@
             body=b"{}",
             idempotent=True,
         )
-        self.owner.submit([Wanted(call=call, finish=finish)])
-        await done.wait()
-        return ended[0].outcome
 
     async def call_all(self, n_calls: int, *, every: float = 0.02) -> int:
         """Make calls one after the other; return how many were answered."""
@@ -168,17 +172,14 @@
             service = bench.settings.services[0]
             empty = replace(service, groups=(replace(service.groups[0], servers=()),))
             settings = replace(bench.settings, services=(empty,))
-            outcomes: list[Outcome] = []
-            async with trio.open_nursery() as nursery:
-
-                async def call() -> None:
-                    outcomes.append(await bench.call())
-
-                nursery.start_soon(call)
-                await trio.lowlevel.checkpoint()
-                bench.owner.replace(settings)
-            [outcome] = outcomes
-            assert isinstance(outcome, Answered)
+            ended: list[FinishCall] = []
+            call = bench.make_call()
+            wanted = Wanted(call=call, finish=lambda end, versions: ended.append(end))
+            bench.owner.submit([wanted])
+            bench.owner.replace(settings)
+            while not ended:
+                await trio.sleep(0.01)
+            assert isinstance(ended[0].outcome, Answered)
 
     async def test_a_call_cancelled_in_the_same_turn_reaches_no_server(self, clock):
         # A caller leaves in the very turn in which its call was placed. The task
@@ -186,18 +187,7 @@
         async with open_bench() as bench:
             await bench.call()
             n_before = sum(server.counts.received for server in bench.servers)
-            service = bench.settings.services[0]
-            call = Call(
-                call_id=bench.owner.make_call_id(),
-                request_id="r",
-                service=service.name,
-                group=service.groups[0].name,
-                shard="s00",
-                version=1,
-                deadline=trio.current_time() + 0.5,
-                body=b"{}",
-                idempotent=True,
-            )
+            call = bench.make_call()
             bench.owner.submit([Wanted(call=call, finish=lambda end, versions: None)])
             bench.owner.cancel([call])
             await trio.sleep(0.2)
