--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 SPIN := $(shell command -v spin 2>/dev/null)
-MEASURES := fanout tail overload faults control settings once memory logging \
-            convergence policy
+MEASURES := faults control settings once memory convergence
 
 # Lines appear as they are printed, also through a pipe.
 export PYTHONUNBUFFERED := 1
@@ -61,6 +60,7 @@
 
 demo: venv ## Start a small deployment, query it, break it, and tell the truth.
 	$(BIN)/python -m lab.demo
+	$(BIN)/python -m lab.gatewaydemo
 
 binary: venv ## Build the one file that ships: dist/lavendergap.
 	$(BIN)/python -m lab.binary build
@@ -68,15 +68,6 @@
 check-binary: binary ## Run the built file as an operator would.
 	$(BIN)/python -m lab.binary check
 
-measure-fanout: venv ## Processor time of one leaf call, against the naive way.
-	$(BIN)/python -m lab.fanout
-
-measure-tail: venv ## Latency and coverage with stragglers, hedged and not.
-	$(BIN)/python -m lab.tail
-
-measure-overload: venv ## Useful answers when more is asked than can be done.
-	$(BIN)/python -m lab.overload
-
 measure-faults: venv ## Answers while servers and hosts fail.
 	$(BIN)/python -m lab.faults
 
@@ -92,15 +83,9 @@
 measure-memory: venv ## Resident memory of an entry process.
 	$(BIN)/python -m lab.memory
 
-measure-logging: venv ## Cost of the line that tells a query's plan.
-	$(BIN)/python -m lab.decisions
-
 measure-convergence: venv ## Time until all hosts know of a change of members.
 	$(BIN)/python -m lab.convergence
 
-measure-policy: venv ## Choice of replica, hedges and retries, against simpler ones.
-	$(BIN)/python -m lab.policy
-
 capacity: venv ## Work out the figures of docs/CAPACITY.md from measured slopes.
 	$(BIN)/python -m lab.capacity
 
--- a/lab/control.py
+++ b/lab/control.py
@@ -30,10 +30,9 @@
 from standins.fleet import parse_address
 
 from .bookers import call
-from .comparison import read_scheduled
 from .entries import EntryFleet, has_room, open_fleet
 from .figures import Value, make_figures, report
-from .processes import EntryHost, read_usage
+from .processes import EntryHost, read_scheduled, read_usage
 
 SIZES = (7, 25, 50, 100)
 TARGET = 550
--- a/tests/gateways.py
+++ b/lab/gateways.py
@@ -1,10 +1,11 @@
-"""Gateway hosts as real processes, with the store and the servers in the test's own."""
+"""Gateway hosts as real processes, before a store and servers of the caller's own."""
 
 import json
 import os
 import signal
 import subprocess
 import sys
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,10 +14,11 @@
 import h11
 import trio
 
-from lab.processes import find_free_ports
 from standins.leafs import Leaf
 from standins.objectstore import ObjectStore
 
+from .processes import find_free_ports
+
 ROOT = Path(__file__).parents[1]
 HOST = "app.example"
 READY_LIMIT = 20.0
@@ -118,7 +120,7 @@
 
 @dataclass(kw_only=True)
 class Platform:
-    """The store, the servers and the gateways of one test."""
+    """The store, the servers and the gateways of one deployment."""
 
     nursery: trio.Nursery
     directory: Path
@@ -273,7 +275,7 @@
 
 
 @asynccontextmanager
-async def open_platform(directory: Path):
+async def open_platform(directory: Path) -> AsyncIterator[Platform]:
     """Yield a platform without servers; ends every process that was started."""
     async with trio.open_nursery() as nursery:
         store = ObjectStore()
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -484,3 +484,17 @@
         return
     with tempfile.TemporaryDirectory(prefix="lavendergap-") as name:
         yield Path(name)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Scheduled:
+    """Seconds that a process ran on a core, and that it waited for one."""
+
+    ran_s: float
+    waited_s: float
+
+
+def read_scheduled(pid: int) -> Scheduled:
+    """Read from /proc how long a process ran and how long it waited to run."""
+    ran_ns, waited_ns, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
+    return Scheduled(ran_s=int(ran_ns) / 1e9, waited_s=int(waited_ns) / 1e9)
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -7,8 +7,7 @@
 import pytest
 import trio
 
-from standins.leafs import make_part
-from tests.gateways import (
+from lab.gateways import (
     HOST,
     Gateway,
     Platform,
@@ -18,6 +17,7 @@
     open_platform,
     read_answer,
 )
+from standins.leafs import make_part
 
 SHARDS = [f"shard{n}" for n in range(6)]
 
