Keep calls near: no long memory of one slow answer, long news from the store

The group's mean, which the near server dominates, would have hidden a server that is truly slow. And news of the operators' document, 100 KB and more, went from both holders to every host.

--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -10,9 +10,11 @@
 # More than any load: a server that failed the call is taken if there is no other.
 LAST_RESORT = 1_000.0
 # What a server in another data centre has to be better by, in slots in use as a share
-# of its slots. One call more on a near server with two slots is borne (0.5), a second
-# one is not: bytes between data centres are paid for, late answers are worse.
-REMOTE_PENALTY = 0.6
+# of its slots: as much as all slots of an idle one. So a near server is used while it
+# has a free slot and is not twice as slow as usual; bytes between data centres are
+# paid for, and a free slot is no faster for being in another one. At 0.6 a sixth of
+# all first calls went to another data centre, most of them past a free near slot.
+REMOTE_PENALTY = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -30,6 +30,13 @@
 # replica that was slow once is tried again.
 LATENCY_HALF_LIFE = 2.0
 LATENCY_GAIN = 0.125
+# Beyond so many half-lives it is worth nothing. However faint, it would else decide
+# between idle replicas for ever, and one that was slow once would never be tried.
+LATENCY_MEMORY = 4
+# A single answer speaks for at most this many times what a fast one takes. One that
+# pauses for a moment would look twice as slow for seconds after one long answer; one
+# that is slow shows it in all of them.
+LONGEST_SAMPLE = 4.0
 # How much a replica's latency may speak for or against it: without bounds one slow
 # answer would outweigh any load on the others.
 FASTEST_RATIO = 0.5
@@ -126,7 +133,7 @@
 
         The load is own calls in flight plus calls of others that the last report
         showed, which fade as the report grows old. It is weighed by how slow the
-        server has been against `typical`, the group's mean latency in seconds.
+        server has been against `typical`, the fastest replica's latency in seconds.
         """
         load = self.in_flight + 1.0
         age = now - self.foreign_at
@@ -134,7 +141,8 @@
             load += self.foreign * (1.0 - age / REPORT_LIFETIME)
         score = load / self.server.slots
         if typical > 0.0 and self.latency > 0.0:
-            weight = 0.5 ** ((now - self.latency_at) / LATENCY_HALF_LIFE)
+            age = (now - self.latency_at) / LATENCY_HALF_LIFE
+            weight = 0.5**age if age < LATENCY_MEMORY else 0.0
             ratio = self.latency / typical
             if ratio > SLOWEST_RATIO:
                 ratio = SLOWEST_RATIO
@@ -146,9 +154,18 @@
         return score
 
     def note_end(
-        self, outcome: Outcome, *, elapsed: float, fresh: bool, now: float, dice: Random
+        self,
+        outcome: Outcome,
+        *,
+        elapsed: float,
+        fresh: bool,
+        now: float,
+        dice: Random,
+        typical: float = 0.0,
     ) -> None:
-        """Learn from how an attempt ended."""
+        """Learn from how an attempt ended; `typical` is what a fast one takes."""
+        if typical > 0.0:
+            elapsed = min(elapsed, LONGEST_SAMPLE * typical)
         match outcome:
             case Answered():
                 self._note_success(elapsed, now)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -349,12 +349,22 @@
             version=progress.call.version,
             excluded=excluded,
             tried=tried,
-            typical=self._recent.mean or 0.0,
+            typical=self._find_typical(),
             now=now,
             dice=self.random,
             data_centre=self.data_centre,
         )
 
+    def _find_typical(self) -> float:
+        """Return the latency that a replica is held against: the fastest one's.
+
+        The group's mean is that of the replica which gets most calls. Where that is
+        the near one, and it turns slow, the mean turns slow with it, and nothing
+        would ever go to the others.
+        """
+        known = [r.latency for r in self._replicas if r.latency > 0.0]
+        return min(known, default=0.0)
+
     def _find_stalled(self, now: float) -> frozenset[str]:
         """Return the servers that have held a call for much longer than is usual.
 
@@ -414,6 +424,7 @@
             fresh=attempt.fresh,
             now=now,
             dice=self.random,
+            typical=self._find_typical(),
         )
         if attempt.progress is None and self._is_overtaken(attempt, ended, now):
             replica.add_blame(BLAME[Reason.DEADLINE], now=now, dice=self.random)
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -48,6 +48,11 @@
 # the platform says two, and a heartbeat may be under way.
 LAPSE_GRACE = 2.2
 
+# Longer news are not sent: who needs them is told that there is something newer, and
+# reads it from the store. An operator's document of some hundred routes is over
+# 100 KB, and would cross between data centres to every host, from each holder.
+MAX_NEWS_BYTES = 4_096
+
 UseEntries = Callable[[Mapping[str, bytes], int], None]
 
 
@@ -152,6 +157,8 @@
         return STALE_AFTER * (1.0 + STALE_JITTER * self._random.random())
 
     def _tell_peers(self, *, base: int, changes: tuple[FeedChange, ...]) -> None:
+        if sum(len(change.body or b"") for change in changes) > MAX_NEWS_BYTES:
+            base, changes = self.copy.revision, ()
         self._peers.tell(
             FeedNews(
                 feed=self.feed,
@@ -206,19 +213,31 @@
             self.copy.note_return(now=now)
         if self.copy.revision < news.base or not self.is_listed:
             if not self._is_fetching:
-                self._nursery.start_soon(self._fetch, host)
+                self._is_fetching = True
+                self._nursery.start_soon(self._catch_up, host)
             return
         self._confirmed_at = now
         changes = FeedChanges(revision=news.revision, changes=news.changes)
         if self.copy.take_changes(changes, now=now):
             self._put_in_force(host)
 
-    async def _fetch(self, host: str | None) -> None:
-        self._is_fetching = True
+    async def _catch_up(self, host: str) -> None:
+        """Take what news did not hold from the store, or else from who told them."""
         try:
-            state = await self._peers.fetch(self.feed, host)
+            base = self.copy.revision
+            told = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
+            match told:
+                case FeedChanges() as changes if self.is_listed:
+                    self._confirmed_at = trio.current_time()
+                    if self.copy.take_changes(changes, now=self._confirmed_at):
+                        self._put_in_force("store")
+                case _:
+                    await self._fetch(host)
         finally:
             self._is_fetching = False
+
+    async def _fetch(self, host: str | None) -> None:
+        state = await self._peers.fetch(self.feed, host)
         if state is None or state.revision <= self.copy.revision:
             return
         self._confirmed_at = trio.current_time()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -363,3 +363,29 @@
         for _ in range(3):
             owner.submit()
         assert [s.server for s in owner.started] == ["a", "a", "b"]
+
+    def test_one_long_answer_is_no_reason_to_go_elsewhere(self):
+        # The near server paused for a moment, and one call took ten times as long
+        # as usual. The next ones go there all the same, one at a time or two; once
+        # all its answers are slow, they do not.
+        owner = make_owner(group=self.make_group(), data_centre="ptl-a")
+        owner.warm_up()
+        owner.submit()
+        owner.now += 0.1
+        owner.end(owner.started[-1].attempt_id, elapsed=0.1)
+        for _ in range(10):
+            owner.submit()
+            owner.submit()
+            assert [s.server for s in owner.started[-2:]] == ["a", "a"]
+            for attempt_id in list(owner.open):
+                owner.end(attempt_id)
+        owner.submit()
+        owner.submit()
+        owner.submit()
+        for attempt_id in list(owner.open):
+            owner.end(attempt_id)
+        for _ in range(60):
+            owner.submit()
+            slow = 0.06 if owner.started[-1].server == "a" else 0.01
+            owner.end(owner.started[-1].attempt_id, elapsed=slow)
+        assert [s.server for s in owner.started[-5:]].count("b") >= 4
