--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,199 @@
+"""The adapter: the platform's manifest, entries and store in the product's words."""
+
+import json
+
+import pytest
+import trio
+
+from adapter import manifest
+from adapter.store import ObjectStore
+from adapter.translation import HEADER_NAMES, KINDS, PlatformAdapter
+from lavendergap.entry.gateway import HOSTS_FEED, ROUTES_FEED, SERVERS_FEED
+from lavendergap.state.feeds import FeedChanges, FeedListing, HistoryGone, StoreLost
+from lavendergap.state.hostfile import parse_host_file
+from lavendergap.state.outcome import Reason
+from lavendergap.state.routes import GreatestOfAll, OneOf, WeightedGroup
+from lavendergap.state.settings import Address
+from standins import objectstore
+
+ROUTE = {
+    "name": "r1",
+    "host": "a.example",
+    "path_prefix": "/a/",
+    "type": "idempotent",
+    "timeout_ms": 400,
+    "slo_ms": 92,
+    "priority": 1,
+    "attempts": 2,
+}
+
+
+def read(**changes):
+    body = {"version": 7, "routes": [ROUTE | changes], "services": [], "limits": {}}
+    return manifest.read_routes(json.dumps(body).encode())
+
+
+class TestManifest:
+    def test_a_route_to_one_service(self):
+        [route] = read(service="s1").routes
+        assert route.target == OneOf(groups=(WeightedGroup(group="s1", weight=1.0),))
+        assert (route.goal_ms, route.timeout_ms, route.max_attempts) == (92, 400, 2)
+        assert route.idempotent
+
+    def test_a_route_over_all_shards(self):
+        [route] = read(gather=["s1", "s2"], top_k=50, min_coverage=0.89).routes
+        assert route.target == GreatestOfAll(
+            groups=("s1", "s2"), n_records=50, min_share=0.89
+        )
+
+    def test_a_split_route(self):
+        split = [{"service": "s1", "weight": 3}, {"service": "s2", "weight": 1}]
+        [route] = read(traffic_split=split).routes
+        assert isinstance(route.target, OneOf)
+        assert [each.weight for each in route.target.groups] == [3, 1]
+
+    def test_whatever_is_not_idempotent_runs_at_most_once(self):
+        assert not read(service="s1", type="non_idempotent").routes[0].idempotent
+        assert not read(service="s1", type="something new").routes[0].idempotent
+
+    @pytest.mark.parametrize("body", [b"", b"[]", b'{"version": "x"}', b"\xff"])
+    def test_nonsense_is_a_value_error(self, body):
+        with pytest.raises(ValueError):
+            manifest.read_routes(body)
+
+    @pytest.mark.parametrize("address", ["", "10.0.0.1", "10.0.0.1:x", 3])
+    def test_a_server_s_entry_without_an_address_is_refused(self, address):
+        entry = {"service": "s", "address": address, "zone": "z", "slots": 2}
+        with pytest.raises(ValueError):
+            manifest.read_server("i-1", json.dumps(entry | {"state": "ready"}).encode())
+
+    def test_a_server_that_leaves(self):
+        entry = {
+            "service": "s",
+            "address": "10.0.0.1:80",
+            "zone": "ptl-a",
+            "slots": 2,
+            "state": "draining",
+            "seq_no": 4,
+        }
+        server = manifest.read_server("i-1", json.dumps(entry).encode())
+        assert server.is_draining
+        assert (server.server_id, server.data_centre) == ("i-1", "ptl-a")
+
+
+class TestHeaders:
+    def test_names_are_in_lower_case_as_they_are_compared(self):
+        for name in HEADER_NAMES.__slots__:
+            value = getattr(HEADER_NAMES, name)
+            assert value == value.lower()
+
+
+@pytest.fixture
+async def store():
+    async with trio.open_nursery() as nursery:
+        standin = objectstore.ObjectStore()
+        port = await nursery.start(standin.make_server(ip="127.0.0.1", port=0).run)
+        address = Address(ip="127.0.0.1", port=port)
+        yield standin, ObjectStore(address=address, kinds=KINDS)
+        nursery.cancel_scope.cancel()
+
+
+class TestStore:
+    async def test_a_listing_goes_over_all_pages(self, store):
+        standin, client = store
+        for place in range(2 * objectstore.PAGE_ITEMS + 3):
+            standin.put("servers", f"i-{place:03}", {"n": place})
+        listing = await client.list_feed(SERVERS_FEED)
+        assert isinstance(listing, FeedListing)
+        assert len(listing.entries) == 2 * objectstore.PAGE_ITEMS + 3
+        assert listing.revision == standin.revision
+
+    async def test_a_watch_tells_what_changes_while_it_waits(self, store):
+        standin, client = store
+        base = standin.put("servers", "i-1", {"n": 1})
+        async with trio.open_nursery() as nursery:
+            told = []
+
+            async def watch():
+                told.append(
+                    await client.watch_feed(SERVERS_FEED, after=base, wait_s=5.0)
+                )
+
+            nursery.start_soon(watch)
+            await trio.sleep(0.05)
+            standin.remove("servers", "i-1")
+        [changes] = told
+        assert isinstance(changes, FeedChanges)
+        assert [(c.name, c.body) for c in changes.changes] == [("i-1", None)]
+
+    async def test_a_watch_without_news_ends_in_time(self, store):
+        standin, client = store
+        told = await client.watch_feed(
+            SERVERS_FEED, after=standin.revision, wait_s=0.05
+        )
+        assert told == FeedChanges(revision=standin.revision, changes=())
+
+    async def test_history_that_is_gone(self, store):
+        standin, client = store
+        base = standin.put("servers", "i-1", {"n": 1})
+        standin.put("servers", "i-2", {"n": 1})
+        standin.forget_history()
+        told = await client.watch_feed(SERVERS_FEED, after=base, wait_s=1.0)
+        assert told == HistoryGone()
+
+    async def test_a_busy_store_is_lost_with_its_reason(self, store):
+        standin, client = store
+        standin.mode = "busy"
+        told = await client.list_feed(SERVERS_FEED)
+        assert isinstance(told, StoreLost)
+        assert told.reason is Reason.SERVER_ERROR
+
+    async def test_a_watch_that_hangs_is_given_up_soon(self, store):
+        standin, client = store
+        standin.mode = "silent"
+        with trio.fail_after(2.0):
+            told = await client.watch_feed(SERVERS_FEED, after=1, wait_s=0.1)
+        assert isinstance(told, StoreLost)
+
+    async def test_a_host_registers_over_its_older_entry(self, store):
+        standin, client = store
+        host = parse_host_file(
+            json.dumps(
+                {
+                    "name": "ptl-a-1",
+                    "data_centre": "ptl-a",
+                    "callers": "127.0.0.1:1",
+                    "admin": "127.0.0.1:2",
+                    "peer_ip": "127.0.0.1",
+                    "peer_port": 3,
+                    "store": str(client._exchange.address),
+                    "bounds": {
+                        "drain_ms": 1,
+                        "stop_within_ms": 1,
+                        "extra_call_share": 0.2,
+                        "extra_call_slack": 5,
+                        "extra_call_window_s": 10,
+                    },
+                }
+            ),
+            file="host.jsonc",
+        )
+        adapter = PlatformAdapter(host)
+        for port in (3, 4):
+            address = Address(ip="127.0.0.1", port=port)
+            assert await adapter.register_host("ptl-a-1", address)
+            listing = await adapter.source.list_feed(HOSTS_FEED)
+            assert isinstance(listing, FeedListing)
+            [entry] = listing.entries
+            assert adapter.read_host(entry.body) == address
+
+    async def test_the_newest_manifest_is_found(self, store):
+        standin, client = store
+        adapter = PlatformAdapter.__new__(PlatformAdapter)
+        assert adapter.read_routes({}) is None
+        standin.put("config", "main", {"version": 4, "routes": []})
+        listing = await client.list_feed(ROUTES_FEED)
+        assert isinstance(listing, FeedListing)
+        table = adapter.read_routes({e.name: e.body for e in listing.entries})
+        assert table is not None
+        assert table.version == 4
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,259 @@
+"""The gateway's port for callers: what it refuses, and what it says of an outcome."""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import pytest
+import trio
+
+from lavendergap.coordination.routing import RouteIndex, draw_group
+from lavendergap.protocol.forwarding import HeaderNames, JoinedRecords
+from lavendergap.state.outcome import (
+    Answered,
+    Coverage,
+    Missing,
+    NotRun,
+    Reason,
+    Step,
+    Unknown,
+)
+from lavendergap.state.routes import (
+    OneOf,
+    RequestLimits,
+    Route,
+    RouteTable,
+    WeightedGroup,
+)
+from lavendergap.transport.gateway import (
+    GatewayApp,
+    GatewayHandlers,
+    GatewayRequest,
+    GatewayResult,
+)
+
+NAMES = HeaderNames(
+    attempt=b"x-attempt",
+    time_left=b"x-time-left",
+    proof=b"x-proof",
+    proofs=b"x-proofs",
+    n_missing=b"x-missing",
+    expected_server=b"x-expected",
+    server=b"x-server",
+    not_run=b"x-not-run",
+    load=b"x-load",
+)
+HEADERS = {b"host": b"a.example", b"x-attempt": b"r1", b"x-time-left": b"250"}
+
+
+def make_route(name: str, prefix: str) -> Route:
+    return Route(
+        name=name,
+        host="a.example",
+        prefix=prefix,
+        target=OneOf(groups=(WeightedGroup(group="g", weight=1.0),)),
+        idempotent=True,
+        max_attempts=2,
+        timeout_ms=400,
+        goal_ms=90,
+        priority=1,
+    )
+
+
+TABLE = RouteTable(
+    version=3,
+    routes=(make_route("r1", "/a/"), make_route("r2", "/a/b/")),
+    limits=RequestLimits(max_body_bytes=10),
+)
+
+
+@dataclass
+class Port:
+    """The application with a fixed result, and what it sent."""
+
+    result: GatewayResult | None = None
+    index: RouteIndex | None = field(default_factory=lambda: RouteIndex(table=TABLE))
+    is_leaving: bool = False
+    seen: list[GatewayRequest] = field(default_factory=list)
+    was_cancelled: bool = False
+
+    async def ask(
+        self,
+        path: bytes = b"/a/x",
+        *,
+        headers: dict[bytes, bytes] | None = None,
+        body: bytes = b"",
+        leaves_after: float | None = None,
+    ) -> tuple[int, dict[bytes, bytes], bytes]:
+        app = GatewayApp(
+            handlers=GatewayHandlers(
+                get_routes=lambda: self.index,
+                forward=self._forward,
+                is_leaving=lambda: self.is_leaving,
+            ),
+            names=NAMES,
+        )
+        incoming = [{"type": "http.request", "body": body, "more_body": False}]
+        sent: list[dict[str, Any]] = []
+
+        async def receive() -> dict[str, Any]:
+            if incoming:
+                return incoming.pop(0)
+            if leaves_after is None:
+                await trio.sleep_forever()
+            else:
+                await trio.sleep(leaves_after)
+            return {"type": "http.disconnect"}
+
+        async def send(message: dict[str, Any]) -> None:
+            sent.append(message)
+
+        scope = {
+            "type": "http",
+            "method": "GET",
+            "raw_path": path,
+            "path": path.decode(),
+            "query_string": b"q=1",
+            "headers": list((HEADERS if headers is None else headers).items()),
+        }
+        await app(scope, receive, send)
+        assert app.n_running == 0
+        if not sent:
+            return 0, {}, b""
+        return sent[0]["status"], dict(sent[0]["headers"]), sent[1]["body"]
+
+    async def _forward(self, request: GatewayRequest) -> GatewayResult:
+        self.seen.append(request)
+        if self.result is None:
+            try:
+                await trio.sleep_forever()
+            except trio.Cancelled:
+                self.was_cancelled = True
+                raise
+        assert self.result is not None
+        return self.result
+
+
+def not_run(reason: Reason, after_ms: int = 0) -> NotRun:
+    return NotRun(step=Step.QUEUE, peer="g", reason=reason, retry_after_ms=after_ms)
+
+
+class TestRequests:
+    async def test_the_longest_prefix_wins_and_the_deadline_is_the_nearer_one(self):
+        port = Port(result=Answered(body=b"x"))
+        await port.ask(b"/a/b/c")
+        [request] = port.seen
+        assert request.route.name == "r2"
+        assert request.forward.target == b"/a/b/c?q=1"
+        assert request.deadline - request.started == pytest.approx(0.25)
+        await port.ask(headers=HEADERS | {b"x-time-left": b"9000"})
+        request = port.seen[-1]
+        assert request.deadline - request.started == pytest.approx(0.4)
+
+    async def test_headers_of_one_connection_are_left_out(self):
+        port = Port(result=Answered(body=b"x"))
+        extra = {b"connection": b"x-hop", b"x-hop": b"1", b"accept": b"a"}
+        await port.ask(headers=HEADERS | extra)
+        names = [name for name, _ in port.seen[0].forward.headers]
+        assert names == [b"host", b"x-attempt", b"x-time-left", b"accept"]
+
+    @pytest.mark.parametrize(
+        ("path", "headers", "body", "status"),
+        [
+            (b"/c/", HEADERS, b"", 404),
+            (b"/a/", {b"host": b"b.example"}, b"", 404),
+            (b"/a/", {b"host": b"a.example"}, b"", 400),
+            (b"/a/", HEADERS | {b"x-time-left": b"soon"}, b"", 400),
+            (b"/a/", HEADERS | {b"x-time-left": b"-1"}, b"", 400),
+            (b"/a/", HEADERS, b"x" * 11, 413),
+        ],
+    )
+    async def test_what_cannot_be_served_is_told(self, path, headers, body, status):
+        port = Port(result=Answered(body=b"x"))
+        assert (await port.ask(path, headers=headers, body=body))[0] == status
+        assert port.seen == []
+
+    async def test_a_host_name_may_have_a_port(self):
+        port = Port(result=Answered(body=b"x"))
+        headers = HEADERS | {b"host": b"A.example:8104"}
+        assert (await port.ask(headers=headers))[0] == 200
+
+    async def test_without_routes_nothing_runs_and_another_host_is_near(self):
+        port = Port(index=None)
+        status, headers, _ = await port.ask()
+        assert status == 503
+        assert float(headers[b"retry-after"]) < 1.0
+
+    async def test_a_caller_that_leaves_ends_its_request(self, autojump_clock):
+        port = Port()
+        status, _, _ = await port.ask(leaves_after=0.1)
+        assert status == 0
+        assert port.was_cancelled
+
+
+class TestOutcomes:
+    async def test_an_answer_goes_back_unchanged(self):
+        headers = ((b"x-proof", b"p"), (b"content-type", b"t"))
+        port = Port(result=Answered(body=b"whole", status=201, headers=headers))
+        status, got, body = await port.ask()
+        assert (status, body) == (201, b"whole")
+        assert got == {
+            b"x-proof": b"p",
+            b"content-type": b"t",
+            b"content-length": b"5",
+        }
+
+    async def test_a_joined_answer_names_its_parts_and_how_many_are_missing(self):
+        missing = Missing(
+            shard="s2", reason=Reason.STRAGGLER, step=Step.RECEIVE, peer="s2"
+        )
+        joined = JoinedRecords(
+            records=b"r" * 16,
+            proofs={"s1": ((b"x-proof", b"p1"),), "s3": ((b"x-proof", b"p3"),)},
+            coverage=Coverage(n_asked=3, n_answered=2, share=0.67, missing=(missing,)),
+        )
+        status, headers, body = await Port(result=joined).ask()
+        assert (status, body) == (200, b"r" * 16)
+        assert headers[b"x-proofs"] == b"p1, p3"
+        assert headers[b"x-missing"] == b"1"
+
+    async def test_not_run_says_when_to_come_back(self):
+        port = Port(result=not_run(Reason.OVERLOADED, after_ms=250))
+        status, headers, _ = await port.ask()
+        assert status == 503
+        assert headers[b"retry-after"] == b"0.250"
+
+    @pytest.mark.parametrize(
+        ("reason", "status"),
+        [
+            (Reason.LOST_CONNECTION, 502),
+            (Reason.SERVER_ERROR, 502),
+            (Reason.DEADLINE, 504),
+            (Reason.STRAGGLER, 504),
+        ],
+    )
+    async def test_what_may_have_run_promises_nothing(self, reason, status):
+        outcome = Unknown(step=Step.RECEIVE, peer="i-1", reason=reason)
+        got, headers, _ = await Port(result=outcome).ask()
+        assert got == status
+        assert b"retry-after" not in headers
+
+    async def test_while_leaving_each_answer_closes_its_connection(self):
+        port = Port(result=Answered(body=b"x"), is_leaving=True)
+        _, headers, _ = await port.ask()
+        assert headers[b"connection"] == b"close"
+
+
+class TestWeights:
+    def test_groups_are_drawn_in_proportion(self):
+        target = OneOf(
+            groups=(
+                WeightedGroup(group="a", weight=3.0),
+                WeightedGroup(group="b", weight=1.0),
+                WeightedGroup(group="c", weight=0.0),
+            )
+        )
+        dice = Random(1)
+        drawn = [draw_group(target, dice) for _ in range(4_000)]
+        assert drawn.count("c") == 0
+        assert 0.72 < drawn.count("a") / 4_000 < 0.78
--- /dev/null
+++ b/tests/test_hostfile.py
@@ -0,0 +1,76 @@
+"""The settings file of a gateway host: what is wrong is named."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from lavendergap.errors import SettingsError
+from lavendergap.state.hostfile import parse_host_file, read_host_file
+from lavendergap.state.settings import Address
+
+BOUNDS = {
+    "drain_ms": 3000,
+    "stop_within_ms": 6000,
+    "extra_call_share": 0.2,
+    "extra_call_slack": 54,
+    "extra_call_window_s": 10,
+}
+FILE = {
+    "name": "ptl-a-1",
+    "data_centre": "ptl-a",
+    "callers": "10.1.0.9:8104",
+    "admin": "10.1.0.9:8108",
+    "peer_ip": "10.1.0.9",
+    "peer_port": 7380,
+    "store": "10.200.1.7:8102",
+    "seeds": ["10.2.0.21:8106"],
+    "bounds": BOUNDS,
+}
+
+
+def parse(**changes):
+    return parse_host_file(json.dumps(FILE | changes), file="host.jsonc")
+
+
+class TestReading:
+    def test_seeds_are_tried_at_the_port_of_peers(self):
+        assert parse().seeds == (Address(ip="10.2.0.21", port=7380),)
+
+    def test_comments_are_allowed(self):
+        text = "// A host.\n" + json.dumps(FILE)
+        assert parse_host_file(text, file="host.jsonc").name == "ptl-a-1"
+
+    def test_times_are_seconds(self):
+        bounds = parse().bounds
+        assert (bounds.drain, bounds.stop_within) == (3.0, 6.0)
+
+
+class TestMistakes:
+    @pytest.mark.parametrize(
+        ("changes", "place"),
+        [
+            ({"peer_port": "x"}, "peer_port"),
+            ({"callers": "10.1.0.9"}, "callers"),
+            ({"seeds": ["nowhere"]}, "seeds"),
+            ({"bounds": BOUNDS | {"drain_ms": None}}, "bounds.drain_ms"),
+            ({"unknown": 1}, "(top)"),
+        ],
+    )
+    def test_the_message_names_file_field_and_expectation(self, changes, place):
+        with pytest.raises(SettingsError) as caught:
+            parse(**changes)
+        assert str(caught.value).startswith(f"host.jsonc: {place}: ")
+
+    def test_a_missing_file_is_a_settings_error(self, tmp_path):
+        with pytest.raises(SettingsError, match="cannot be read"):
+            read_host_file(tmp_path / "none.jsonc")
+
+
+class TestTemplate:
+    def test_every_setting_is_filled_in(self):
+        # The platform fills in the template; what it names has to be what is read.
+        template = Path(__file__).parents[1] / "deploy" / "host.jsonc"
+        text = template.read_text()
+        for name in [*FILE, *BOUNDS, "heartbeat_ms"]:
+            assert f'"{name}":' in text
