Serve the most urgent first; start from a copy of the store that may lag

Waiting calls went by deadline alone, so that under overload a quick look with a short deadline went before what its operator ranks higher. A copy that may lag costs a tenth, and the watch from its revision, made at once, tells the rest.

--- a/src/lavendergap/coordination/admission.py
+++ b/src/lavendergap/coordination/admission.py
@@ -20,59 +20,63 @@
 PRESSURE_GAIN = 1.0
 
 
-def _get_deadline(entry: tuple[float, int, Progress]) -> float:
-    return entry[0]
+_Entry = tuple[int, float, int, Progress]
+
+
+def _get_place(entry: _Entry) -> tuple[int, float]:
+    return entry[0], entry[1]
 
 
 class WaitingCalls:
-    """Calls that wait for a slot, the earliest deadline first.
+    """Calls that wait for a slot: the most urgent first, then the earliest deadline.
 
-    With one deadline for all calls this is first come, first served, and a retry
-    keeps the place that its deadline gives it. See docs/design/admission.md for the
-    orders that were weighed.
+    With one priority and one deadline for all calls this is first come, first
+    served, and a retry keeps the place that its deadline gives it. Without the
+    priority a short deadline would go before what its operator calls more urgent,
+    and under overload the urgent would be refused for it. See
+    docs/design/admission.md for the orders that were weighed.
     """
 
     __slots__ = ("_entries",)
 
     def __init__(self) -> None:
-        # Call ids are unique, so a comparison never reaches the third member.
-        self._entries: list[tuple[float, int, Progress]] = []
+        # Call ids are unique, so a comparison never reaches the last member.
+        self._entries: list[_Entry] = []
 
     def __len__(self) -> int:
         return len(self._entries)
 
     def __getitem__(self, index: int) -> Progress:
-        return self._entries[index][2]
+        return self._entries[index][3]
 
     def add(self, progress: Progress) -> None:
-        """Add a call at the place that its deadline gives it."""
+        """Add a call at the place that its priority and deadline give it."""
         call = progress.call
-        insort(self._entries, (call.deadline, call.call_id, progress))
+        insort(self._entries, (call.priority, call.deadline, call.call_id, progress))
         progress.is_waiting = True
 
     def discard(self, progress: Progress) -> None:
         """Remove a call that waits here."""
-        key = (progress.call.deadline, progress.call.call_id)
+        call = progress.call
+        key = (call.priority, call.deadline, call.call_id)
         del self._entries[bisect_left(self._entries, key)]
         progress.is_waiting = False
 
-    def count_ahead(self, deadline: float) -> int:
+    def count_ahead(self, *, priority: int, deadline: float) -> int:
         """Count the calls that would be served before a new one."""
-        return bisect_right(self._entries, deadline, key=_get_deadline)
+        return bisect_right(self._entries, (priority, deadline), key=_get_place)
 
     def pop_late(self, *, now: float, needed: float) -> list[Progress]:
         """Remove and return the calls with less than `needed` seconds left."""
-        late = []
-        while self._entries and self._entries[0][0] - needed <= now:
-            progress = self._entries.pop(0)[2]
-            progress.is_waiting = False
-            late.append(progress)
+        late = [entry[3] for entry in self._entries if entry[1] - needed <= now]
+        for progress in late:
+            self.discard(progress)
         return late
 
     @property
     def first_deadline(self) -> float | None:
-        """The deadline of the call at the head, in seconds, or None."""
-        return self._entries[0][0] if self._entries else None
+        """The earliest deadline of all that wait, in seconds, or None."""
+        return min((entry[1] for entry in self._entries), default=None)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/coordination/calls.py
+++ b/src/lavendergap/coordination/calls.py
@@ -25,7 +25,7 @@
     servers that it is sent to; 0 leaves that to the scheduler. `is_repeat` says that
     another host may have sent it already, so that it counts as an extra call.
     `wanted_by` is the time by which an answer is of most use; 0 where all up to the
-    deadline are alike.
+    deadline are alike. Of calls that wait, those of the lowest `priority` go first.
     """
 
     call_id: int
@@ -41,6 +41,7 @@
     max_attempts: int = 0
     is_repeat: bool = False
     wanted_by: float = 0.0
+    priority: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -289,7 +289,9 @@
     def _admit(self, progress: Progress, now: float) -> list[Effect]:
         call = progress.call
         capacity = measure_capacity(self._replicas, now)
-        n_ahead = self._waiting.count_ahead(call.deadline)
+        n_ahead = self._waiting.count_ahead(
+            priority=call.priority, deadline=call.deadline
+        )
         time_left = call.deadline - now
         may_wait = len(self._waiting) < self.service.queue_limit
         if may_wait:
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -97,21 +97,29 @@
     async def run(self) -> None:
         """Read until cancelled."""
         self._nursery.start_soon(self._settle)
+        # All hosts may start together, and each reads many pages: a copy that lags is
+        # cheaper, and the watch that follows at once tells what it lacks. After a
+        # history was lost it may be older than what the store still remembers.
+        may_lag = True
         while True:
-            await self._list()
+            await self._list(may_lag=may_lag)
             await self._follow()
+            may_lag = False
 
     # From the store.
 
-    async def _list(self) -> None:
+    async def _list(self, *, may_lag: bool) -> None:
         """List the feed, or take it of a peer while the store does not answer."""
         while True:
-            match await self._source.list_feed(self.feed):
+            match await self._source.list_feed(self.feed, may_lag=may_lag):
                 case FeedListing() as listing:
                     self._note_answer()
                     self._take_listing(listing, "store")
-                    # The others fetch what a lost history kept from this host.
-                    self._tell_peers(base=self.copy.revision, changes=())
+                    if may_lag:
+                        self._confirmed_at = float("-inf")
+                    else:
+                        # The others fetch what the lost history kept from this host.
+                        self._tell_peers(base=self.copy.revision, changes=())
                     return
                 case StoreLost() as lost:
                     await self._note_loss(lost)
@@ -177,7 +185,7 @@
                 request_id=None,
                 feed=self.feed,
                 n_failures=self._n_failures,
-                unconfirmed_s=round(now - self._confirmed_at, 2),
+                unconfirmed_s=round(min(now - self._confirmed_at, 1e6), 2),
             )
             self.copy.note_return(now=now)
         self._n_failures = 0
--- a/src/lavendergap/entry/forwarding.py
+++ b/src/lavendergap/entry/forwarding.py
@@ -76,6 +76,7 @@
             idempotent=request.route.idempotent,
             forward=request.forward,
             max_attempts=request.route.max_attempts,
+            priority=request.route.priority,
             wanted_by=request.started + compute_goal(request.route) / 1_000,
         )
         self._owner.submit([Wanted(call=call, finish=finish)])
@@ -102,6 +103,7 @@
                     request=request.forward,
                     n_wanted=target.n_records,
                     max_attempts=request.route.max_attempts,
+                    priority=request.route.priority,
                     goal=request.started + goal_ms / 1_000,
                 ),
             ),
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -350,7 +350,7 @@
                 is_registered = await self._adapter.register_host(
                     self._host.name, self._host.peers
                 )
-            listing = await self._adapter.source.list_feed(HOSTS_FEED)
+            listing = await self._adapter.source.list_feed(HOSTS_FEED, may_lag=True)
             for entry in getattr(listing, "entries", ()):
                 try:
                     self._membership.join([self._adapter.read_host(entry.body)])
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -144,6 +144,7 @@
                 max_attempts=greatest.max_attempts if greatest else 0,
                 is_repeat=greatest.is_repeat if greatest else False,
                 wanted_by=goal,
+                priority=greatest.priority if greatest else 0,
             )
             served.calls[ref.shard] = call
             wanted.append(Wanted(call=call, finish=finish))
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -61,6 +61,7 @@
     request: ForwardedRequest
     n_wanted: int
     max_attempts: int
+    priority: int
     goal: float
 
 
@@ -351,6 +352,7 @@
                 max_attempts=greatest.max_attempts if greatest else 0,
                 is_repeat=part.is_repeat,
                 wanted_by=greatest.goal if greatest else 0.0,
+                priority=greatest.priority if greatest else 0,
             )
             part.calls.append(call)
             wanted.append(
@@ -417,6 +419,7 @@
             n_wanted=greatest.n_wanted,
             goal_ms=max(0, int(left * 1_000)),
             max_attempts=greatest.max_attempts,
+            priority=greatest.priority,
             is_repeat=part.is_repeat,
         )
 
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -56,7 +56,8 @@
 
     `request` goes to the backend servers unchanged. `goal_ms` is the time until an
     answer is wanted; for a part of it the receiver holds back what it has, so that
-    most of its shards share one message. `max_attempts` is for each shard;
+    most of its shards share one message. `max_attempts` is for each shard,
+    `priority` ranks the query among others (0 is the most urgent);
     `is_repeat` says that another host was asked for these shards before.
     """
 
@@ -64,6 +65,7 @@
     n_wanted: int
     goal_ms: int
     max_attempts: int
+    priority: int
     is_repeat: bool
 
 
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -31,6 +31,7 @@
     n_wanted: int
     goal_ms: int
     max_attempts: int
+    priority: int
     is_repeat: bool
 
 
@@ -141,6 +142,7 @@
         greatest.n_wanted,
         greatest.goal_ms,
         greatest.max_attempts,
+        greatest.priority,
         greatest.is_repeat,
     )
 
@@ -158,6 +160,7 @@
         n_wanted=packed.n_wanted,
         goal_ms=packed.goal_ms,
         max_attempts=packed.max_attempts,
+        priority=packed.priority,
         is_repeat=packed.is_repeat,
     )
 
--- a/src/lavendergap/state/feeds.py
+++ b/src/lavendergap/state/feeds.py
@@ -55,8 +55,11 @@
 class FeedSource(Protocol):
     """The store's feeds, as the adapter reads them. Nothing here raises."""
 
-    async def list_feed(self, feed: str) -> FeedListing | StoreLost:
-        """Return all entries of a feed."""
+    async def list_feed(self, feed: str, *, may_lag: bool) -> FeedListing | StoreLost:
+        """Return all entries of a feed, with `may_lag` perhaps some seconds old.
+
+        Such a read costs the store a tenth; a watch from its revision tells the rest.
+        """
 
     async def watch_feed(
         self, feed: str, *, after: int, wait_s: float
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -116,6 +116,7 @@
         max_attempts: int = 0,
         is_repeat: bool = False,
         goal_ms: float | None = None,
+        priority: int = 0,
     ) -> Call:
         self.n_calls += 1
         call = Call(
@@ -130,6 +131,7 @@
             idempotent=idempotent,
             max_attempts=max_attempts,
             is_repeat=is_repeat,
+            priority=priority,
             wanted_by=0.0 if goal_ms is None else self.now + goal_ms / 1000,
         )
         self.take(self.scheduler.submit(call, now=self.now))
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -103,7 +103,7 @@
         standin, client = store
         for place in range(2 * objectstore.PAGE_ITEMS + 3):
             standin.put("servers", f"i-{place:03}", {"n": place})
-        listing = await client.list_feed(SERVERS_FEED)
+        listing = await client.list_feed(SERVERS_FEED, may_lag=False)
         assert isinstance(listing, FeedListing)
         assert len(listing.entries) == 2 * objectstore.PAGE_ITEMS + 3
         assert listing.revision == standin.revision
@@ -144,7 +144,7 @@
     async def test_a_busy_store_is_lost_with_its_reason(self, store):
         standin, client = store
         standin.mode = "busy"
-        told = await client.list_feed(SERVERS_FEED)
+        told = await client.list_feed(SERVERS_FEED, may_lag=False)
         assert isinstance(told, StoreLost)
         assert told.reason is Reason.SERVER_ERROR
 
@@ -182,7 +182,7 @@
         for port in (3, 4):
             address = Address(ip="127.0.0.1", port=port)
             assert await adapter.register_host("ptl-a-1", address)
-            listing = await adapter.source.list_feed(HOSTS_FEED)
+            listing = await adapter.source.list_feed(HOSTS_FEED, may_lag=False)
             assert isinstance(listing, FeedListing)
             [entry] = listing.entries
             assert adapter.read_host(entry.body) == address
@@ -192,7 +192,7 @@
         adapter = PlatformAdapter.__new__(PlatformAdapter)
         assert adapter.read_routes({}) is None
         standin.put("config", "main", {"version": 4, "routes": []})
-        listing = await client.list_feed(ROUTES_FEED)
+        listing = await client.list_feed(ROUTES_FEED, may_lag=False)
         assert isinstance(listing, FeedListing)
         table = adapter.read_routes({e.name: e.body for e in listing.entries})
         assert table is not None
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -44,6 +44,24 @@
             owner.end_last()
         assert [s.call.call_id for s in owner.started] == [1, 3, 4, 2]
 
+    def test_the_most_urgent_is_served_first_whatever_its_deadline(self):
+        # An operator ranks a search over a quick look with a shorter deadline. Of
+        # those that wait, the searches go first, each by its deadline.
+        owner = make_owner("a", slots=1)
+        for in_ms, priority in ((500, 2), (300, 2), (500, 1), (400, 1)):
+            owner.submit(in_ms=in_ms, priority=priority)
+        for _ in range(4):
+            owner.end_last()
+        assert [s.call.call_id for s in owner.started] == [1, 4, 3, 2]
+
+    def test_what_is_late_is_refused_wherever_it_stands(self):
+        owner = make_owner("a", slots=1)
+        owner.submit(in_ms=1_000)
+        owner.submit(in_ms=1_000, priority=1)
+        late = owner.submit(in_ms=50, priority=2)
+        owner.move(0.06)
+        assert isinstance(owner.finished[late.call_id].outcome, NotRun)
+
     def test_a_cancelled_call_leaves_the_queue(self):
         owner = make_owner("a", slots=1)
         for _ in range(3):
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -18,6 +18,7 @@
 )
 from lavendergap.state.outcome import Reason, Step
 
+LAGGING = "list, may lag"
 LOST = StoreLost(step=Step.CONNECT, reason=Reason.REFUSED_CONNECTION)
 
 
@@ -104,8 +105,8 @@
             await trio.sleep_forever()
         return self.answers.pop(0)
 
-    async def list_feed(self, feed):
-        return await self._next("list")
+    async def list_feed(self, feed, *, may_lag):
+        return await self._next(LAGGING if may_lag else "list")
 
     async def watch_feed(self, feed, *, after, wait_s):
         return await self._next(f"watch {after}")
@@ -156,7 +157,7 @@
         async with trio.open_nursery() as nursery:
             _, told = read(script, nursery)
             await trio.sleep(1.0)
-            assert script.asked == ["list", "watch 1", "watch 3", "list", "watch 9"]
+            assert script.asked == [LAGGING, "watch 1", "watch 3", "list", "watch 9"]
             assert told[-1] == {}
             nursery.cancel_scope.cancel()
 
@@ -191,11 +192,11 @@
     async def test_who_hears_of_a_holder_asks_the_store_for_nothing(
         self, autojump_clock
     ):
-        # One host watches; the other one lists once and lives on what it is told,
-        # changes and the word that there are none.
+        # One host watches; the other one lists once, asks what came since, and lives
+        # on what it is told: changes, and the word that there are none.
         answers = [change(2, a="2"), *[change(2)] * 8]
         watching = Script(make_listing(1, a="1"), *answers)
-        quiet = Script(make_listing(1, a="1"))
+        quiet = Script(make_listing(1, a="1"), change(1))
         async with trio.open_nursery() as nursery:
             hearer, told = read(quiet, nursery, Peers(is_holder=False))
             await trio.testing.wait_all_tasks_blocked()
@@ -203,7 +204,7 @@
             peers.others.append(hearer)
             reader, _ = read(SlowScript(watching, 1.5), nursery, peers)
             await trio.sleep(10.0)
-            assert quiet.asked == ["list"]
+            assert quiet.asked == [LAGGING, "watch 1"]
             assert told[-1] == {"a": b"2"}
             nursery.cancel_scope.cancel()
 
@@ -223,7 +224,7 @@
         # News from revision 5 on come to a host that is at 1: what happened between
         # is not in them, and the store turns the host away. It takes the whole copy
         # of whoever told it.
-        script = Script(make_listing(1, a="1"), LOST)
+        script = Script(make_listing(1, a="1"), change(1), LOST)
         async with trio.open_nursery() as nursery:
             peers = Peers(is_holder=False)
             peers.state = FeedState(
@@ -245,7 +246,7 @@
         # something newer; the others read it from the store, and no host sends it.
         long = "x" * 100_000
         watching = Script(make_listing(1, a="1"), change(2, a=long))
-        quiet = Script(make_listing(1, a="1"), change(2, a=long))
+        quiet = Script(make_listing(1, a="1"), change(1), change(2, a=long))
         async with trio.open_nursery() as nursery:
             hearer, told = read(quiet, nursery, Peers(is_holder=False))
             await trio.testing.wait_all_tasks_blocked()
@@ -253,7 +254,7 @@
             peers.others.append(hearer)
             read(SlowScript(watching, 1.0), nursery, peers)
             await trio.sleep(1.5)
-            assert quiet.asked == ["list", "watch 1"]
+            assert quiet.asked == [LAGGING, "watch 1", "watch 1"]
             assert told[-1] == {"a": long.encode()}
             assert all(not news.changes for news in peers.told)
             nursery.cancel_scope.cancel()
@@ -274,14 +275,14 @@
     async def test_news_that_lag_behind_change_and_confirm_nothing(
         self, autojump_clock
     ):
-        script = Script(make_listing(9, a="9"), change(10))
+        script = Script(make_listing(9, a="9"), change(9), change(10))
         async with trio.open_nursery() as nursery:
             reader, told = read(script, nursery, Peers(is_holder=False))
             await trio.sleep(1.0)
             old = FeedNews(feed="servers", base=7, revision=8, changes=())
             reader.hear(old, host="teller")
             await trio.sleep(1.9)
-            assert script.asked[:2] == ["list", "watch 9"]
+            assert script.asked[:3] == [LAGGING, "watch 9", "watch 9"]
             assert told == [{"a": b"9"}]
             nursery.cancel_scope.cancel()
 
@@ -313,8 +314,8 @@
         self._script = script
         self._seconds = seconds
 
-    async def list_feed(self, feed):
-        return await self._script.list_feed(feed)
+    async def list_feed(self, feed, *, may_lag):
+        return await self._script.list_feed(feed, may_lag=may_lag)
 
     async def watch_feed(self, feed, *, after, wait_s):
         await trio.sleep(self._seconds)
