--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -137,12 +137,16 @@
                 continue
             base = self.copy.revision
             wait = WATCH_WAIT if is_holder else 0.0
+            # Not after the first question of a host that has just started: it is
+            # for itself alone, and all hosts may start at once.
+            is_telling = is_holder or self._confirmed_at > float("-inf")
             match await self._source.watch_feed(self.feed, after=base, wait_s=wait):
                 case FeedChanges() as changes:
                     self._note_answer()
                     if self.copy.take_changes(changes, now=trio.current_time()):
                         self._put_in_force("store")
-                    self._tell_peers(base=base, changes=changes.changes)
+                    if is_telling:
+                        self._tell_peers(base=base, changes=changes.changes)
                     if changes.changes:
                         await trio.sleep(GATHER_PAUSE)
                 case HistoryGone():
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -211,11 +211,13 @@
     async def test_without_news_a_host_asks_the_store_and_tells(self, autojump_clock):
         # Both holders are gone, or the store turns them away. A server begins to
         # leave at that moment; the others act on it within 3 s.
-        script = Script(make_listing(1, a="1"), change(2, a="leaving"))
+        script = Script(make_listing(1, a="1"), change(1), change(2, a="leaving"))
         async with trio.open_nursery() as nursery:
             peers = Peers(is_holder=False)
             _, told = read(script, nursery, peers)
-            await trio.sleep(2.9)
+            await trio.sleep(1.0)
+            assert peers.told == []  # Its first question was for itself alone.
+            await trio.sleep(1.9)
             assert told[-1] == {"a": b"leaving"}
             assert [c.name for c in peers.told[-1].changes] == ["a"]
             nursery.cancel_scope.cancel()
