Have a host that has just started leave the holders' work to others

77 hosts that started together opened 6,514 channels across data centres in the first seconds, each taking itself for a holder among the few whom it knew.

--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -14,6 +14,13 @@
 N_HOLDERS = 2
 """One to watch, and one that goes on when the first one is lost unnoticed."""
 
+SETTLE_TIME = 3.0
+"""Seconds after a start in which a host that knows others is no holder, nor tells.
+
+It does not know the fleet yet: when 77 hosts started together, most took themselves
+for a holder and opened channels to all whom they knew, 6,500 of them.
+"""
+
 FETCH_LIMIT = 1.0
 """Seconds for a peer's whole copy; another one is asked after it."""
 
@@ -37,9 +44,12 @@
         self._dialer = dialer
         self._nursery = nursery
         self._random = random
+        self._settles_at = trio.current_time() + SETTLE_TIME
 
     def get_holder_rank(self) -> int | None:
         """Return this host's place among those that watch the store for all."""
+        if not self._is_settled() and self._list_others():
+            return None
         holders = choose_watch_holders(self._membership.members(), N_HOLDERS)
         if self._own_name not in holders:
             return None
@@ -47,7 +57,7 @@
 
     def tell(self, news: FeedNews) -> None:
         """Send news to all live hosts; who is missed hears the next, or asks."""
-        for host in self._list_others():
+        for host in self._list_others() if self._is_settled() else ():
             channel = self._dialer.get_open(host)
             if channel is not None:
                 channel.send(Frame(id=0, message=news))
@@ -78,5 +88,8 @@
             return reply
         return None
 
+    def _is_settled(self) -> bool:
+        return trio.current_time() >= self._settles_at
+
     def _list_others(self) -> list[str]:
         return sorted(self._membership.live() - {self._own_name})
