--- /dev/null
+++ b/tests/headers.py
@@ -0,0 +1,15 @@
+"""Header names that stand for a platform's, in tests that need none."""
+
+from lavendergap.protocol.forwarding import HeaderNames
+
+NAMES = HeaderNames(
+    attempt=b"x-attempt",
+    time_left=b"x-time-left",
+    proof=b"x-proof",
+    proofs=b"x-proofs",
+    n_missing=b"x-missing",
+    expected_server=b"x-expected",
+    server=b"x-server",
+    not_run=b"x-not-run",
+    load=b"x-load",
+)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -9,25 +9,14 @@
 import trio
 
 from lavendergap.coordination.calls import Call
-from lavendergap.protocol.forwarding import HeaderNames
 from lavendergap.protocol.leaf import Verdict
 from lavendergap.state.forwarding import ForwardedRequest
 from lavendergap.state.outcome import Answered, NotRun, Reason, Unknown
 from lavendergap.state.settings import Address, Server
 from lavendergap.transport import forward
 from lavendergap.transport.forward import ForwardClient
+from tests.headers import NAMES
 
-NAMES = HeaderNames(
-    attempt=b"x-attempt",
-    time_left=b"x-time-left",
-    proof=b"x-proof",
-    proofs=b"x-proofs",
-    n_missing=b"x-missing",
-    expected_server=b"x-expected",
-    server=b"x-server",
-    not_run=b"x-not-run",
-    load=b"x-load",
-)
 LIMIT = 2.0
 
 Serve = Callable[[trio.SocketStream, bytes], Awaitable[None]]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,7 +8,7 @@
 import trio
 
 from lavendergap.coordination.routing import RouteIndex, draw_group
-from lavendergap.protocol.forwarding import HeaderNames, JoinedRecords
+from lavendergap.protocol.forwarding import JoinedRecords
 from lavendergap.state.outcome import (
     Answered,
     Coverage,
@@ -31,18 +31,8 @@
     GatewayRequest,
     GatewayResult,
 )
+from tests.headers import NAMES
 
-NAMES = HeaderNames(
-    attempt=b"x-attempt",
-    time_left=b"x-time-left",
-    proof=b"x-proof",
-    proofs=b"x-proofs",
-    n_missing=b"x-missing",
-    expected_server=b"x-expected",
-    server=b"x-server",
-    not_run=b"x-not-run",
-    load=b"x-load",
-)
 HEADERS = {b"host": b"a.example", b"x-attempt": b"r1", b"x-time-left": b"250"}
 
 
--- /dev/null
+++ b/tests/test_packing.py
@@ -0,0 +1,111 @@
+"""The second codec between hosts: what is sent is what arrives, whatever comes in."""
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lavendergap.protocol.messages import (
+    Answers,
+    BadFrameError,
+    FeedFetch,
+    FeedNews,
+    FeedState,
+    Frame,
+    Greatest,
+    Message,
+    Search,
+    ShardAnswer,
+    ShardRef,
+)
+from lavendergap.protocol.peer import (
+    LENGTH,
+    decode_frame,
+    encode_frame,
+    read_length,
+)
+from lavendergap.state.feeds import FeedChange, FeedEntry
+from lavendergap.state.forwarding import ForwardedRequest
+from lavendergap.state.outcome import Answered, NotRun, Reason, Step
+
+GREATEST = Greatest(
+    request=ForwardedRequest(
+        method=b"GET",
+        target=b"/a/b?c=%20",
+        attempt=b"r1",
+        headers=((b"host", b"a.example"),),
+    ),
+    n_wanted=50,
+    goal_ms=83,
+    max_attempts=2,
+    priority=1,
+    is_repeat=True,
+)
+MESSAGES: list[Message] = [
+    Search(
+        request_id="r1",
+        service="route",
+        version=7,
+        left_ms=250,
+        body=b"{}",
+        shards=(ShardRef(shard="s1", group="s1"),),
+        greatest=GREATEST,
+    ),
+    Answers(
+        answers=(
+            ShardAnswer(
+                shard="s1",
+                server="i-1",
+                outcome=Answered(body=b"", headers=((b"x-proof", b"p"),)),
+            ),
+            ShardAnswer(
+                shard="s2",
+                server="",
+                outcome=NotRun(step=Step.ROUTE, peer="s2", reason=Reason.NO_REPLICA),
+            ),
+        ),
+        records=b"r" * 32,
+    ),
+    FeedNews(
+        feed="servers",
+        base=3,
+        revision=5,
+        changes=(
+            FeedChange(name="i-1", body=b"{}"),
+            FeedChange(name="i-2", body=None),
+        ),
+    ),
+    FeedFetch(feed="routes"),
+    FeedState(feed="routes", revision=5, entries=(FeedEntry(name="main", body=b"x"),)),
+]
+
+
+def pass_through(message: Message) -> Message:
+    data = encode_frame(Frame(id=9, message=message))
+    length, is_packed = read_length(data, 0)
+    body = data[LENGTH.size :]
+    assert (len(body), is_packed) == (length, True)
+    frame = decode_frame(body, is_packed=True)
+    assert frame.id == 9
+    return frame.message
+
+
+class TestRoundTrip:
+    @pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+    def test_what_is_sent_arrives(self, message):
+        assert pass_through(message) == message
+
+
+class TestGarbage:
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_a_message_or_a_bad_frame(self, body):
+        with contextlib.suppress(BadFrameError):
+            decode_frame(body, is_packed=True)
+
+    @given(st.integers(0, len(MESSAGES) - 1), st.data())
+    def test_a_torn_message_is_a_bad_frame(self, place, data):
+        whole = encode_frame(Frame(id=1, message=MESSAGES[place]))[LENGTH.size :]
+        cut = data.draw(st.integers(0, len(whole) - 1))
+        with pytest.raises(BadFrameError):
+            decode_frame(whole[:cut], is_packed=True)
