Take replicas of nearly one speed as alike

The least difference decided between idle replicas for up to 8 s, and a server back from a drain got one call of 200.

Ruled out: the test's clock (it runs on a mock clock over real sockets, and passes at the base under the same load).

--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -40,6 +40,10 @@
 # How much a replica's latency may speak for or against it: without bounds one slow
 # answer would outweigh any load on the others.
 FASTEST_RATIO = 0.5
+# Up to this ratio a replica is as fast as the fastest. The least difference would else
+# decide between idle ones, and a server that is back from a drain would get nothing
+# for as long as its first answers are remembered.
+SIMILAR_RATIO = 1.25
 SLOWEST_RATIO = 4.0
 # How much of an ejection one failure is worth; at 1 the server is ejected. A refused
 # connection is beyond doubt. A lost or silent connection says as much of the
@@ -148,6 +152,8 @@
                 ratio = SLOWEST_RATIO
             elif ratio < FASTEST_RATIO:
                 ratio = FASTEST_RATIO
+            elif 1.0 < ratio <= SIMILAR_RATIO:
+                ratio = 1.0
             score *= 1.0 + (ratio - 1.0) * weight
         if now - self.ramp_from < SLOW_START or self.is_on_trial:
             score += 0.5
