Have a watch without news move no revision

The store dropped its history; for a second before that watches hear nothing though changes are made, and an empty answer already named the revision beyond them. Taken at its word, the change was skipped for good.

Ruled out: waiting longer for news of peers (all hosts had skipped the same change).

--- a/src/lavendergap/coordination/feeds.py
+++ b/src/lavendergap/coordination/feeds.py
@@ -58,8 +58,15 @@
         return has_changed
 
     def take_changes(self, changes: FeedChanges, *, now: float) -> bool:
-        """Take what a watch told; tell whether anything changed."""
-        if changes.revision < self.revision:
+        """Take what a watch told; tell whether anything changed.
+
+        A watch without news does not move the revision. While the store drops its
+        history, watches hear nothing although changes are made: taken at its word,
+        such an answer would skip them for good, and a server that began to leave then
+        would get work until its end. From the older revision the next watch either
+        tells them or says that the history is gone.
+        """
+        if changes.revision < self.revision or not changes.changes:
             return False
         self.revision = changes.revision
         has_changed = False
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -122,12 +122,14 @@
             match await self._source.list_feed(self.feed, may_lag=may_lag):
                 case FeedListing() as listing:
                     self._note_answer()
-                    self._take_listing(listing, "store")
+                    before = self.copy.revision
+                    has_changed = self._take_listing(listing, "store")
                     if may_lag:
                         self._confirmed_at = float("-inf")
                     else:
                         # The others fetch what the lost history kept from this host.
-                        self._tell_peers(base=self.copy.revision, changes=())
+                        base = self.copy.revision if has_changed else before
+                        self._tell_peers(base=base, changes=())
                     return
                 case StoreLost() as lost:
                     await self._note_loss(lost)
@@ -299,11 +301,12 @@
 
     # In force.
 
-    def _take_listing(self, listing: FeedListing, source: str) -> None:
+    def _take_listing(self, listing: FeedListing, source: str) -> bool:
         has_changed = self.copy.take_listing(listing, now=trio.current_time())
         if has_changed or not self.is_listed:
             self.is_listed = True
             self._put_in_force(source)
+        return has_changed
 
     async def _settle(self) -> None:
         while True:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -63,6 +63,15 @@
         assert not copy.take_changes(change(2, a="1"), now=0.0)
         assert copy.revision == 2
 
+    def test_a_watch_that_heard_nothing_skips_nothing(self):
+        # The store is about to drop its history: for a second watches hear nothing,
+        # and a server begins to leave. The empty answer names a revision beyond that.
+        # The next watch goes on from before it, and learns that the history is gone.
+        copy = FeedCopy(lapse_grace=2.0)
+        copy.take_listing(make_listing(1, a="ready"), now=0.0)
+        assert not copy.take_changes(change(5), now=0.5)
+        assert copy.revision == 1
+
 
 class TestLapses:
     def test_entries_that_lapsed_in_an_outage_are_kept_until_they_can_be_back(self):
