--- a/src/lavendergap/coordination/feeds.py
+++ b/src/lavendergap/coordination/feeds.py
@@ -85,6 +85,10 @@
             self._entries.pop(name, None)
         return bool(due)
 
+    def is_lapsing(self, name: str) -> bool:
+        """Tell whether an entry has vanished and is kept for a while only."""
+        return name in self._lapsed
+
     @property
     def next_due(self) -> float | None:
         """The time at which `settle` has something to do, or None."""
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -181,13 +181,22 @@
 
         Servers write how much longer they are slow with each heartbeat after their
         start: told of that, a fleet of 77 hosts hears some thousand times of nothing.
+        An entry that is back is news however it looks: the others keep it for a while
+        only, and would drop a living server for good.
         """
-        return tuple(change for change in changes if self._is_news(change))
+        removed = {change.name for change in changes if change.body is None}
+        return tuple(
+            change
+            for change in changes
+            if change.name in removed or self._is_news(change)
+        )
 
     def _is_news(self, change: FeedChange) -> bool:
         held = self.copy.entries.get(change.name)
         if held is None or change.body is None:
             return True
+        if self.copy.is_lapsing(change.name):
+            return True
         try:
             known = self._summarize(change.name, held)
             return known != self._summarize(change.name, change.body)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -282,6 +282,32 @@
             assert [news.revision for news in peers.told] == [2, 3]
             nursery.cancel_scope.cancel()
 
+    async def test_an_entry_that_is_back_unchanged_is_told(self, autojump_clock):
+        # All entries lapsed in an outage. The holder tells that they are gone, keeps
+        # them for a while, and they are back as they were. Were that no news, all
+        # other hosts would drop living servers for good and refuse every caller.
+        script = Script(
+            make_listing(1, a="1", b="1"),
+            LOST,
+            change(4, a=None),
+            change(5, a="1"),
+            change(7, b=None, a="1"),
+            change(8, b="1"),
+        )
+        async with trio.open_nursery() as nursery:
+            peers = Peers()
+            hearer, told = read(
+                Script(make_listing(1, a="1", b="1"), change(1), *[LOST] * 99),
+                nursery,
+                Peers(rank=None),
+            )
+            await trio.sleep(0.1)
+            peers.others.append(hearer)
+            read(script, nursery, peers)
+            await trio.sleep(6.0)
+            assert told[-1] == {"a": b"1", "b": b"1"}
+            nursery.cancel_scope.cancel()
+
     async def test_the_second_holder_says_only_that_there_is_something_newer(
         self, autojump_clock
     ):
