--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -12,7 +12,7 @@
 # What a server in another data centre has to be better by, in slots in use as a share
 # of its slots: as much as all slots of an idle one. So a near server is used while it
 # has a free slot and is not twice as slow as usual; bytes between data centres are
-# paid for, and a free slot is no faster for being in another one. At 0.6 a sixth of
+# paid for, and a free slot is no faster for being in another one. At 0.6 a seventh of
 # all first calls went to another data centre, most of them past a free near slot.
 REMOTE_PENALTY = 1.0
 
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -38,9 +38,8 @@
 MAX_HEDGES = 2
 # Before this share of the time to its goal has passed, a call with one is not hedged:
 # most of those that are merely slow answer by themselves by then, and from then on a
-# second call has twice the time that it needs. Of 18,500 calls with servers that
-# pause for 4% of the time it saves two hedges in five, most of them to other data
-# centres, and no answer is later than its goal for it.
+# second call has twice the time that it needs. Without it 1,516 of 18,512 calls were
+# hedged on a calm day, 1,386 of them to another data centre.
 HEDGE_GOAL_SHARE = 0.35
 # A call that has taken this many times the median is no ordinary one any more: of
 # exponential times one in twenty is as long, and then only the next choice is moved.
--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -18,7 +18,7 @@
 """Seconds after a start in which a host that knows others is no holder, nor tells.
 
 It does not know the fleet yet: when 77 hosts started together, most took themselves
-for a holder and opened channels to all whom they knew, 6,500 of them.
+for a holder and opened channels to all whom they knew; 6,514 greetings were sent.
 """
 
 FETCH_LIMIT = 1.0
