Have a host that has just started watch the store for itself

All hosts lose power while the store is down, and come back with it at 37.7 s, as do the entries of the servers, which lapsed. For 3 s after its start no host tells others or watches for them; each asked the store once, had 8 to 60 of 78 servers, and asked again after 2.1 s: until 40.5 s calls were refused as without replica, and two versions of the routes were in force.

A host that has just started now watches with a wait, as holders do, and pauses 0.4 s after each change, since each of many pays a call for it. Test seen failing before.

--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -48,7 +48,7 @@
 
     def get_holder_rank(self) -> int | None:
         """Return this host's place among those that watch the store for all."""
-        if not self._is_settled() and self._list_others():
+        if not self.is_settled() and self._list_others():
             return None
         holders = choose_watch_holders(self._membership.members(), N_HOLDERS)
         if self._own_name not in holders:
@@ -57,7 +57,7 @@
 
     def tell(self, news: FeedNews) -> None:
         """Send news to all live hosts; who is missed hears the next, or asks."""
-        for host in self._list_others() if self._is_settled() else ():
+        for host in self._list_others() if self.is_settled() else ():
             channel = self._dialer.get_open(host)
             if channel is not None:
                 channel.send(Frame(id=0, message=news))
@@ -88,7 +88,8 @@
             return reply
         return None
 
-    def _is_settled(self) -> bool:
+    def is_settled(self) -> bool:
+        """Tell whether this host has run for long enough to know the others."""
         return trio.current_time() >= self._settles_at
 
     def _list_others(self) -> list[str]:
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -37,6 +37,9 @@
 STALE_AFTER = 2.1
 # Not all at once: the first one's answer saves the others theirs.
 STALE_JITTER = 0.25
+# The same for a host that has just started and watches for itself, as all may: longer,
+# since each of many pays a call for it.
+SETTLING_PAUSE = 0.4
 # After news, a holder waits so long, in seconds, before it watches again: what
 # changes together, as when servers are replaced, then shares one call of each holder.
 GATHER_PAUSE = 0.15
@@ -66,6 +69,9 @@
     def get_holder_rank(self) -> int | None:
         """Return this host's place among the holders, 0 for the first, or None."""
 
+    def is_settled(self) -> bool:
+        """Tell whether this host has run for long enough to know the others."""
+
     def tell(self, news: FeedNews) -> None:
         """Send news to all live hosts."""
 
@@ -139,11 +145,15 @@
         """Watch, or hear of the others, until the history is gone."""
         while True:
             rank = self._peers.get_holder_rank()
-            if rank is None and not self._is_stale():
+            # When all hosts come back with the store, the servers register again one
+            # by one, and nobody tells the others yet. Asking once each 2.1 s, hosts
+            # had 25 to 60 of 78 servers for two seconds and refused a third of all.
+            is_settling = not self._peers.is_settled()
+            if rank is None and not is_settling and not self._is_stale():
                 await trio.sleep_until(self._confirmed_at + self._draw_patience())
                 continue
             base = self.copy.revision
-            wait = 0.0 if rank is None else WATCH_WAIT
+            wait = 0.0 if rank is None and not is_settling else WATCH_WAIT
             # Not after the first question of a host that has just started: it is
             # for itself alone, and all hosts may start at once.
             is_telling = rank is not None or self._confirmed_at > float("-inf")
@@ -159,7 +169,9 @@
                     if is_telling:
                         self._tell_peers(base=base, changes=news)
                     if changes.changes:
-                        await trio.sleep(GATHER_PAUSE)
+                        await trio.sleep(
+                            SETTLING_PAUSE if is_settling else GATHER_PAUSE
+                        )
                 case HistoryGone():
                     self._note_answer()
                     log_decision(
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -142,8 +142,9 @@
 class Peers:
     """Other hosts, as one reader sees them; `others` hear what it tells."""
 
-    def __init__(self, *, rank: int | None = 0) -> None:
+    def __init__(self, *, rank: int | None = 0, is_settling: bool = False) -> None:
         self.rank = rank
+        self.is_settling = is_settling
         self.others: list[FeedReader] = []
         self.state: FeedState | None = None
         self.told: list[FeedNews] = []
@@ -152,6 +153,9 @@
     def get_holder_rank(self) -> int | None:
         return self.rank
 
+    def is_settled(self) -> bool:
+        return not self.is_settling
+
     def tell(self, news: FeedNews) -> None:
         self.told.append(news)
         for other in self.others:
@@ -250,6 +254,23 @@
             assert [c.name for c in peers.told[-1].changes] == ["a"]
             nursery.cancel_scope.cancel()
 
+    async def test_a_host_that_has_just_started_follows_by_itself(self, autojump_clock):
+        # The store is back, and with it all hosts; servers register again one by one,
+        # and no host knows the fleet yet. Each watches for itself and tells nobody.
+        moving = [change(2, b="2"), change(3, c="3"), *[change(3)] * 9]
+        script = Script(make_listing(1, a="1"), *moving)
+        async with trio.open_nursery() as nursery:
+            peers = Peers(rank=None, is_settling=True)
+            _, told = read(SlowScript(script, 0.2), nursery, peers)
+            await trio.sleep(1.2)
+            assert set(told[-1]) == {"a", "b", "c"}
+            assert len(script.asked) <= 4
+            n_asked = len(script.asked)
+            peers.is_settling = False
+            await trio.sleep(1.5)  # From here on it relies on the others for a while.
+            assert len(script.asked) == n_asked
+            nursery.cancel_scope.cancel()
+
     async def test_a_gap_is_closed_by_the_teller_s_copy(self, autojump_clock):
         # News from revision 5 on come to a host that is at 1: what happened between
         # is not in them, and the store turns the host away. It takes the whole copy
