Hedge by the goal where latencies are unknown; tell why a hedge is withheld

A lookup comes to one of 77 hosts, each sees one in 12 s, and eight are needed before anything is hedged. And a log showed a slow server but not why no second one was asked.

Ruled out: sharing latencies between hosts (messages for each of 77).

--- a/src/lavendergap/coordination/calls.py
+++ b/src/lavendergap/coordination/calls.py
@@ -112,4 +112,16 @@
     n_attempts: int
 
 
-Effect = StartAttempt | CancelAttempt | FinishCall
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WithholdHedge:
+    """A slow call gets no second attempt for now; told once for each call.
+
+    Nothing is to be done but to log it: whoever looks for the cause of a late answer
+    would else see a slow server, and not why no other was asked.
+    """
+
+    call: Call
+    why: Literal["no budget", "no free slot"]
+
+
+Effect = StartAttempt | CancelAttempt | FinishCall | WithholdHedge
--- a/src/lavendergap/coordination/progress.py
+++ b/src/lavendergap/coordination/progress.py
@@ -63,6 +63,7 @@
         "server",
         "n_hedges",
         "is_waiting",
+        "is_hedge_withheld",
     )
 
     def __init__(self, *, call: Call) -> None:
@@ -78,6 +79,7 @@
         self.server = ""
         self.n_hedges = 0
         self.is_waiting = False
+        self.is_hedge_withheld = False
 
     def note_failure(self, outcome: NotRun | Unknown, server: str) -> None:
         """Remember a failed attempt, and which servers the next should not use."""
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -2,6 +2,7 @@
 
 from itertools import count
 from random import Random
+from typing import Literal
 
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Control, Group, Service
@@ -16,6 +17,7 @@
     FinishCall,
     ServerReport,
     StartAttempt,
+    WithholdHedge,
 )
 from .choice import Busy, Choice, Chosen, NoneLeft, choose, measure_capacity
 from .hedging import KindLatencies, RecentLatencies, choose_quantile
@@ -551,23 +553,31 @@
         self._timers.drop_stale(self._calls, len(self._calls))
 
     def _get_hedge_time(self, progress: Progress) -> float:
-        recent = self._get_recent(progress.call)
-        delay = recent.delay
-        if delay is None or not progress.call.idempotent:
+        call = progress.call
+        recent = self._get_recent(call)
+        if not call.idempotent or (recent.delay is None and call.wanted_by <= 0.0):
             return NEVER
         if progress.n_hedges >= MAX_HEDGES or self._hedges.share <= 0.0:
             return NEVER
         if progress.n_attempts >= _limit_attempts(progress.call):
             return NEVER
         started = progress.attempts[-1].started
-        left = progress.call.wanted_by - started
-        if left > 0.0:
-            # Where the goal is shorter than two calls, no hedge is of help to most.
-            slow = STRAGGLER_RATIO * (recent.median or 0.0)
-            delay = max(delay, HEDGE_GOAL_SHARE * left)
-            delay = min(delay, max(slow, LATEST_HEDGE_SHARE * left))
+        delay = self._get_hedge_delay(recent, call.wanted_by - started)
         return started + max(SHORTEST_HEDGE_DELAY, delay)
 
+    def _get_hedge_delay(self, recent: RecentLatencies, left: float) -> float:
+        """Return how long an attempt may take, with `left` seconds to its goal."""
+        if left <= 0.0:
+            return NEVER if recent.delay is None else recent.delay
+        latest = LATEST_HEDGE_SHARE * left
+        if recent.delay is None:
+            # Among 77 hosts each sees a lookup of one record in 12 s. Waiting for
+            # eight of them, none was hedged, and a slow server held some to the end.
+            return latest
+        # Where the goal is shorter than two calls, no hedge is of help to most.
+        latest = max(latest, STRAGGLER_RATIO * (recent.median or 0.0))
+        return min(latest, max(recent.delay, HEDGE_GOAL_SHARE * left))
+
     def _look_after(
         self, progress: Progress, now: float, effects: list[Effect]
     ) -> None:
@@ -576,7 +586,11 @@
             return
         hedges = self._hedge(progress, now)
         effects.extend(hedges)
-        if not hedges and self._waiting and self._may_overtake(progress, now):
+        if (
+            not _has_started(hedges)
+            and self._waiting
+            and self._may_overtake(progress, now)
+        ):
             self._blocked[progress.call.call_id] = progress
         # Whether hedged or not: next time is another try, or the deadline.
         self._set_timer(progress, now)
@@ -590,17 +604,27 @@
         if self._get_hedge_time(progress) > now:
             return []
         match self._choose(progress, now):
+            case Busy():
+                return self._withhold(progress, "no free slot")
             case Chosen(replica=replica) as chosen if replica.ejected_until <= now:
                 if self._is_reserved(progress, now):
                     return []
                 if not self._hedges.spend(now=now):
                     self._n_budget_denials += 1
-                    return []
+                    return self._withhold(progress, "no budget")
                 progress.n_hedges += 1
                 self._n_hedges += 1
                 return [self._start(progress, chosen, "hedge", now)]
         return []
 
+    def _withhold(
+        self, progress: Progress, why: Literal["no budget", "no free slot"]
+    ) -> list[Effect]:
+        if progress.is_hedge_withheld:
+            return []
+        progress.is_hedge_withheld = True
+        return [WithholdHedge(call=progress.call, why=why)]
+
     def _may_overtake(self, progress: Progress, now: float) -> bool:
         """Tell whether a hedge of this call may take a slot before calls that wait.
 
@@ -620,10 +644,10 @@
                 del self._blocked[call_id]
                 continue
             hedges = self._hedge(progress, now)
-            if hedges:
+            effects.extend(hedges)
+            if _has_started(hedges):
                 self._blocked.pop(call_id, None)
                 self._set_timer(progress, now)
-                effects.extend(hedges)
 
     def _is_straggling(self, progress: Progress, now: float) -> bool:
         waited = now - progress.attempts[-1].started
@@ -698,6 +722,10 @@
         progress.attempts.clear()
 
 
+def _has_started(effects: list[Effect]) -> bool:
+    return any(isinstance(effect, StartAttempt) for effect in effects)
+
+
 def _limit_attempts(call: Call) -> int:
     """Return to how many servers a call may be sent, hedges included."""
     return min(MAX_ATTEMPTS, call.max_attempts or MAX_ATTEMPTS)
--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -18,6 +18,7 @@
     FinishCall,
     ServerReport,
     StartAttempt,
+    WithholdHedge,
 )
 from ..coordination.hedging import KindLatencies
 from ..coordination.scheduler import GroupScheduler
@@ -186,6 +187,14 @@
                         scope.cancel()
                 case FinishCall():
                     self._finish(effect)
+                case WithholdHedge():
+                    log_decision(
+                        logger,
+                        "hedge withheld",
+                        request_id=effect.call.request_id,
+                        shard=effect.call.shard,
+                        why=effect.why,
+                    )
         self._clock.set(self._alarm, self.scheduler.next_wake())
         return starts
 
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from random import Random
 
-from lavendergap.coordination.calls import CancelAttempt
+from lavendergap.coordination.calls import CancelAttempt, WithholdHedge
 from lavendergap.coordination.hedging import (
     MAX_KINDS,
     MIN_SAMPLES,
@@ -72,6 +72,16 @@
         owner.move(0.042)
         assert owner.started[-1].cause == "hedge"
 
+    def test_a_host_that_has_seen_no_call_hedges_by_the_goal(self):
+        # A lookup comes to one of 77 hosts, which has seen none for a minute, and its
+        # server is slow. It was waited for until the caller's deadline.
+        owner = make_owner("ab")
+        owner.submit(kind="lookup", goal_ms=340, in_ms=1_500)
+        owner.move(0.169)
+        assert len(owner.started) == 1
+        owner.move(0.002)
+        assert owner.started[-1].cause == "hedge"
+
     def test_what_other_groups_have_seen_tells_when_to_hedge(self):
         # A group's first call, at a server that is slow: eight calls of its own, that
         # it has not seen, would take it several seconds.
@@ -309,6 +319,28 @@
         assert (owner.scheduler._recent.delay or 0.0) > 0.010
 
 
+class TestWithheld:
+    def test_it_is_told_once_why_a_slow_call_is_not_hedged(self):
+        # A caller's answer came late. Its log shows the slow server; without this line
+        # nobody could tell whether a second one was forgotten or not allowed.
+        told: list[WithholdHedge] = []
+
+        def note(effects):
+            told.extend(e for e in effects if isinstance(e, WithholdHedge))
+
+        owner = make_owner("ab", slots=1)
+        owner.warm_up()
+        owner.check = note
+        owner.submit()
+        slow = owner.submit()
+        owner.move(0.200)
+        assert {(e.call.call_id, e.why) for e in told} == {
+            (slow.call_id - 1, "no free slot"),
+            (slow.call_id, "no free slot"),
+        }
+        assert len(told) == 2
+
+
 class TestGoal:
     def test_a_call_with_time_to_its_goal_is_not_hedged_for_being_slow(self):
         # Calls take 10 ms and are wanted within 80. One that takes 20 ms answers by
