--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -5,11 +5,9 @@
 import logging
 import secrets
 import signal
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import Protocol
 
 import msgspec
 import trio
@@ -19,10 +17,8 @@
 from ..coordination.documents import Documents
 from ..coordination.membership import Membership
 from ..coordination.placement import Placement
-from ..coordination.routing import RouteIndex
 from ..errors import SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
-from ..protocol.forwarding import HeaderNames
 from ..protocol.messages import (
     FeedNews,
     FeedState,
@@ -31,13 +27,10 @@
     TicketAsk,
     TicketReply,
 )
-from ..state.feeds import FeedSource
 from ..state.gossip import DocumentsHeard, Event, MemberChanged
 from ..state.hostfile import GatewayHost, read_host_file
 from ..state.member import Member
-from ..state.registry import RegisteredServer
-from ..state.routes import RouteTable
-from ..state.settings import Address, Control, Server, Settings
+from ..state.settings import Control, Server, Settings
 from ..transport.acceptor import Acceptor
 from ..transport.admin import AdminApp
 from ..transport.channel import Channel
@@ -45,21 +38,20 @@
 from ..transport.forward import ForwardClient
 from ..transport.gateway import GatewayApp, GatewayHandlers
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
+from .adapter import ROUTES_FEED, SERVERS_FEED, Adapter
 from .daemon import BACKLOG, COLLECTOR_THRESHOLDS
+from .discovery import find_hosts, keep_channels
 from .feedpeers import FeedChannels
 from .feeds import FeedReader
 from .fleet import Fleet
 from .forwarding import Forwarder
+from .inforce import InForce
 from .owner import Owner
 from .peers import PeerService
 from .ports import PortLimits, serve_port
 
 logger = logging.getLogger("lavendergap.entry")
 
-ROUTES_FEED = "routes"
-SERVERS_FEED = "servers"
-HOSTS_FEED = "hosts"
-
 # Hosts probe each other more often than the default: an owner that is gone costs the
 # queries of its groups a detour until it is known, and these fleets are small.
 CONTROL = Control(
@@ -77,42 +69,10 @@
 STOP_RESERVE = 0.8
 DRAIN_CHECK = 0.05
 SWEEP_INTERVAL = 1.0
-# How often the list of hosts is read while no peer has answered, in seconds.
-HOSTS_RETRY = 1.0
-# How often the channels to owners are looked at, in seconds: owners move when hosts
-# come and go, which membership tells within some seconds.
-CHANNEL_CHECK = 0.5
 # The settings file may change without a signal; it is looked at this often, seconds.
 FILE_CHECK = 2.0
 
 
-class Adapter(Protocol):
-    """What this daemon needs of the platform, in the product's own words."""
-
-    @property
-    def names(self) -> HeaderNames:
-        """How the platform names its headers."""
-
-    @property
-    def source(self) -> FeedSource:
-        """The store's feeds."""
-
-    def read_routes(self, entries: Mapping[str, bytes]) -> RouteTable | None:
-        """Return the routes in a feed's entries; None where there are none yet.
-
-        Raises ValueError for entries that make no sense.
-        """
-
-    def read_server(self, name: str, body: bytes) -> RegisteredServer:
-        """Return a registered server; raises ValueError where it makes no sense."""
-
-    async def register_host(self, name: str, address: Address) -> bool:
-        """Tell other hosts where this one is; False when the store did not take it."""
-
-    def read_host(self, body: bytes) -> Address:
-        """Return where a host takes peers; raises ValueError for nonsense."""
-
-
 class _Status(msgspec.Struct):
     """What /status answers."""
 
@@ -124,14 +84,6 @@
     members: list[str]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Believed:
-    """What the feeds say now."""
-
-    index: RouteIndex | None = None
-    servers: tuple[RegisteredServer, ...] = ()
-
-
 class _Feeds:
     """This host's feeds, as peers speak of them."""
 
@@ -173,7 +125,8 @@
         # name under a higher one takes a number above that. The time of day would
         # run backwards on hosts whose clock is stepped.
         self._incarnation = secrets.randbits(31)
-        self._believed = _Believed()
+        self._limits = PortLimits()
+        self._in_force = InForce(adapter=adapter, apply=self._apply)
         self._placement = Placement(own_data_centre=host.data_centre)
         self._settings = Settings(
             deployment=str(host.store),
@@ -222,8 +175,21 @@
         nursery.start_soon(self._gossip)
         nursery.start_soon(self._routes.run)
         nursery.start_soon(self._servers.run)
-        nursery.start_soon(self._find_hosts)
-        nursery.start_soon(self._keep_channels)
+        find = functools.partial(
+            find_hosts,
+            host=self._host,
+            adapter=self._adapter,
+            membership=self._membership,
+            random=self._random,
+        )
+        nursery.start_soon(find)
+        keep = functools.partial(
+            keep_channels,
+            fleet=self._fleet,
+            dialer=self._dialer,
+            get_groups=lambda: self._shards,
+        )
+        nursery.start_soon(keep)
         nursery.start_soon(self._sweep)
         nursery.start_soon(self._follow_file)
         await self._open_ports(nursery)
@@ -278,12 +244,12 @@
         )
         self._routes = make_reader(
             feed=ROUTES_FEED,
-            use=self._use_routes,
+            use=self._in_force.use_routes,
             summarize=lambda name, body: body,
         )
         self._servers = make_reader(
             feed=SERVERS_FEED,
-            use=self._use_servers,
+            use=self._in_force.use_servers,
             summarize=self._adapter.read_server,
         )
         self._peers = PeerService(
@@ -314,13 +280,12 @@
 
     async def _open_ports(self, nursery: trio.Nursery) -> None:
         handlers = GatewayHandlers(
-            get_routes=lambda: self._believed.index,
+            get_routes=lambda: self._in_force.index,
             forward=self._forwarder.forward,
             is_leaving=lambda: self._is_leaving,
         )
         self._callers = GatewayApp(handlers=handlers, names=self._adapter.names)
         admin = AdminApp(get_unready=self._get_unready, get_status=self._get_status)
-        self._limits = PortLimits()
         for app, address in (
             (self._callers, self._host.callers),
             (admin, self._host.admin),
@@ -351,109 +316,20 @@
             case DocumentsHeard():
                 pass
 
-    async def _find_hosts(self) -> None:
-        """Tell others where this host is, and learn of them, through the store.
-
-        The seeds may all be down, and a host whose seeds are gone would own
-        everything for itself.
-        """
-        is_registered = False
-        while True:
-            if not is_registered:
-                is_registered = await self._adapter.register_host(
-                    self._host.name, self._host.peers
-                )
-            listing = await self._adapter.source.list_feed(HOSTS_FEED, may_lag=True)
-            for entry in getattr(listing, "entries", ()):
-                try:
-                    self._membership.join([self._adapter.read_host(entry.body)])
-                except ValueError as error:
-                    log_decision(
-                        logger,
-                        "host entry refused",
-                        request_id=None,
-                        entry=entry.name,
-                        error=str(error),
-                    )
-            if is_registered and len(self._membership.live()) > 1:
-                return
-            await trio.sleep(HOSTS_RETRY * self._random.uniform(1.0, 3.0))
-
-    async def _keep_channels(self) -> None:
-        """Keep channels open to the owners that queries of this host would ask.
-
-        A query that has to open its channels first takes 20 to 100 ms longer on a
-        weak host, misses its goal, and takes owners for lost that are merely new to
-        it. They are opened one after the other, so that a fleet that starts together
-        does not meet itself in a burst.
-        """
-        while True:
-            await trio.sleep(CHANNEL_CHECK)
-            owners = {self._fleet.rank(group)[0] for group in self._shards}
-            for host in sorted(owners - {self._host.name}):
-                address = self._fleet.get_address(host)
-                if address is not None and self._dialer.get_open(host) is None:
-                    await self._dialer.dial(host, address)
-
     # Routes and servers in force.
 
-    def _use_routes(self, entries: Mapping[str, bytes], revision: int) -> None:
-        try:
-            table = self._adapter.read_routes(entries)
-        except ValueError as error:
-            log_decision(
-                logger,
-                "routes refused",
-                request_id=None,
-                revision=revision,
-                error=str(error),
-            )
-            return
-        current = self._believed.index
-        if table is None or (current and table.version <= current.table.version):
-            return
-        index = RouteIndex(table=table)
-        self._believed = _Believed(index=index, servers=self._believed.servers)
-        self._limits.idle_timeout = table.limits.idle_timeout_ms / 1_000
-        self._limits.max_header_bytes = table.limits.max_header_bytes
-        metrics.settings_version.set(table.version)
-        log_decision(
-            logger,
-            "routes in force",
-            request_id=None,
-            version=table.version,
-            before=current.table.version if current else 0,
-            revision=revision,
-            n_routes=len(table.routes),
-        )
-        self._apply()
-
-    def _use_servers(self, entries: Mapping[str, bytes], revision: int) -> None:
-        servers = []
-        for name, body in entries.items():
-            try:
-                servers.append(self._adapter.read_server(name, body))
-            except ValueError as error:
-                log_decision(
-                    logger,
-                    "server entry refused",
-                    request_id=None,
-                    entry=name,
-                    revision=revision,
-                    error=str(error),
-                )
-        self._believed = _Believed(index=self._believed.index, servers=tuple(servers))
-        self._apply()
-
     def _apply(self) -> None:
         """Put what is believed in force for the groups that run here."""
-        index = self._believed.index
+        index = self._in_force.index
         if index is None:
             return
+        limits = index.table.limits
+        self._limits.idle_timeout = limits.idle_timeout_ms / 1_000
+        self._limits.max_header_bytes = limits.max_header_bytes
         bounds = self._host.bounds
         catalog = build_catalog(
             table=index.table,
-            servers=self._believed.servers,
+            servers=self._in_force.servers,
             budget=ExtraCallBudget(
                 share=bounds.extra_call_share,
                 slack=bounds.extra_call_slack,
@@ -478,7 +354,7 @@
     def _get_unready(self) -> str:
         if self._is_leaving:
             return "stopping"
-        if self._believed.index is None:
+        if self._in_force.index is None:
             return "no routes from the store or a peer yet"
         if not self._servers.is_listed:
             return "no servers from the store or a peer yet"
@@ -487,13 +363,13 @@
         return ""
 
     def _get_status(self) -> _Status:
-        index = self._believed.index
+        index = self._in_force.index
         return _Status(
             host=self._host.name,
             data_centre=self._host.data_centre,
             unready=self._get_unready(),
             routes_version=index.table.version if index else 0,
-            n_servers=len(self._believed.servers),
+            n_servers=len(self._in_force.servers),
             members=sorted(self._membership.live()),
         )
 
--- /dev/null
+++ b/src/lavendergap/entry/inforce.py
@@ -0,0 +1,73 @@
+"""The routes and backend servers that are in force on a gateway host."""
+
+from collections.abc import Callable, Mapping
+
+from .. import metrics
+from ..coordination.routing import RouteIndex
+from ..logs import Category, get_logger, log_decision
+from ..state.registry import RegisteredServer
+from .adapter import Adapter
+
+logger = get_logger(Category.SETTINGS)
+
+
+class InForce:
+    """What the feeds say now, in the product's words; `apply` acts on a change.
+
+    A document that makes no sense leaves the routes before it in force, and so does an
+    older one: an operator's edit is never taken back by a copy that lags. An entry
+    that makes no sense is left out, and the other servers are used.
+    """
+
+    def __init__(self, *, adapter: Adapter, apply: Callable[[], None]) -> None:
+        self.index: RouteIndex | None = None
+        self.servers: tuple[RegisteredServer, ...] = ()
+        self._adapter = adapter
+        self._apply = apply
+
+    def use_routes(self, entries: Mapping[str, bytes], revision: int) -> None:
+        """Put the routes in a feed's entries in force, if they are newer."""
+        try:
+            table = self._adapter.read_routes(entries)
+        except ValueError as error:
+            log_decision(
+                logger,
+                "routes refused",
+                request_id=None,
+                revision=revision,
+                error=str(error),
+            )
+            return
+        before = self.index.table.version if self.index else 0
+        if table is None or (self.index and table.version <= before):
+            return
+        self.index = RouteIndex(table=table)
+        metrics.settings_version.set(table.version)
+        log_decision(
+            logger,
+            "routes in force",
+            request_id=None,
+            version=table.version,
+            before=before,
+            revision=revision,
+            n_routes=len(table.routes),
+        )
+        self._apply()
+
+    def use_servers(self, entries: Mapping[str, bytes], revision: int) -> None:
+        """Put the servers in a feed's entries in force."""
+        servers = []
+        for name, body in entries.items():
+            try:
+                servers.append(self._adapter.read_server(name, body))
+            except ValueError as error:
+                log_decision(
+                    logger,
+                    "server entry refused",
+                    request_id=None,
+                    entry=name,
+                    revision=revision,
+                    error=str(error),
+                )
+        self.servers = tuple(servers)
+        self._apply()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,7 +8,7 @@
 from adapter import manifest
 from adapter.store import ObjectStore
 from adapter.translation import HEADER_NAMES, KINDS, PlatformAdapter
-from lavendergap.entry.gateway import HOSTS_FEED, ROUTES_FEED, SERVERS_FEED
+from lavendergap.entry.adapter import HOSTS_FEED, ROUTES_FEED, SERVERS_FEED
 from lavendergap.state.feeds import FeedChanges, FeedListing, HistoryGone, StoreLost
 from lavendergap.state.hostfile import parse_host_file
 from lavendergap.state.outcome import Reason
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -58,6 +58,7 @@
     is_near_slow: bool
     load: Load
     began: float = 0.0
+    n_served: int = 0
     ends: list[tuple[float, int, float]] = field(default_factory=list)
     waiting: dict[int, float] = field(default_factory=dict)
     phases: dict[str, float] = field(default_factory=dict)
@@ -74,7 +75,6 @@
             if now >= stops_at:
                 return
             self.owner.now = max(self.owner.now, now)
-            n_started = len(self.owner.started)
             if now == next_call:
                 self._submit()
                 next_call += self.dice.expovariate(self.rate)
@@ -82,14 +82,19 @@
                 self._end(*self.ends.pop(self.ends.index(min(self.ends))))
             else:
                 self.owner.take(self.owner.scheduler.advance(now=self.owner.now))
-            for start in self.owner.started[n_started:]:
-                self._serve(start)
+            self._serve_started()
             self._count_finished()
+            self._serve_started()
 
     def _submit(self) -> None:
         call = self.owner.submit(kind="search", goal_ms=GOAL * 1_000, in_ms=400)
         self.waiting[call.call_id] = self.owner.now
 
+    def _serve_started(self) -> None:
+        for start in self.owner.started[self.n_served :]:
+            self._serve(start)
+        self.n_served = len(self.owner.started)
+
     def _serve(self, start: StartAttempt) -> None:
         now = self.owner.now
         work = WORK * self.dice.lognormvariate(0.0, SPREAD)
