Ask nobody else what a lost owner may have hedged

An owner that is busy for over 50 ms had hedged by then; the next owner still got one attempt more, since a lost owner counted as one server.

A lost owner now counts as one only as long as it was too early for it to hedge (0.35 of the time to the goal), and as all attempts after that: then the shard is missed at once. For a search the loss is noticed after 50 ms of 82, so that a repeat came late anyway; the caller's own retry is as good.

Ruled out: telling the coordinator of each hedge (it arrives late just when it matters).

--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -12,6 +12,7 @@
 from ..coordination.joining import ROUNDING, Join
 from ..coordination.pinning import Pinning
 from ..coordination.records import merge_greatest
+from ..coordination.scheduler import HEDGE_GOAL_SHARE
 from ..logs import log_decision
 from ..protocol.answers import Refusal, SearchResult, ShardResult
 from ..protocol.forwarding import JoinedRecords
@@ -517,16 +518,18 @@
         is_uncertain = loss is not Loss.REFUSED
         if is_uncertain:
             self._may_have_run = True
-            self._n_uncertain.update(shard.name for shard in shards)
+            n_sent = self._count_sent(part, now)
+            self._n_uncertain.update({shard.name: n_sent for shard in shards})
         if now < self._query.deadline:
             self._send_again(shards, part.host, is_repeat=is_uncertain)
 
     def _send_again(self, shards: list[Shard], host: str, *, is_repeat: bool) -> None:
         """Send to other owners what a lost one may have sent to servers already.
 
-        The route bounds the servers that may get a request. Each owner that was lost
-        with it has taken one of them: without that a request for two servers reached
-        three and four, when owners were slow to answer and not dead.
+        The route bounds the servers that may get a request. What owners that were lost
+        with it may have sent has taken some of them: without that a request for two
+        servers reached three and four, when owners were busy and not dead. Where none
+        is left the shard is missed at once, and the caller may ask again.
         """
         repeated = []
         for shard in shards:
@@ -537,6 +540,16 @@
         if repeated:
             self._send(repeated, is_repeat=is_repeat)
 
+    def _count_sent(self, part: Part, now: float) -> int:
+        """Return to how many servers a lost owner may have sent each of its calls.
+
+        To one as long as it was too early to hedge, and else to all that it might.
+        """
+        greatest = self._query.greatest
+        if greatest is None or now < self._share_time(part.sent_at, HEDGE_GOAL_SHARE):
+            return 1
+        return greatest.max_attempts
+
     def _count_attempts_left(self, shard: str) -> int:
         """Return to how many servers one more owner may send the call of a shard."""
         greatest = self._query.greatest
--- a/tests/test_greatest.py
+++ b/tests/test_greatest.py
@@ -9,6 +9,7 @@
 from lavendergap.entry.search import GreatestWanted, Query, SearchRun
 from lavendergap.protocol.forwarding import JoinedRecords
 from lavendergap.state.forwarding import ForwardedRequest
+from lavendergap.state.outcome import Unknown
 from lavendergap.state.settings import AnswerByGoal
 from lavendergap.state.snapshot import Shard, Snapshot
 from tests.nodes import Cluster, Node
@@ -72,33 +73,46 @@
 
 class TestLostOwners:
     async def test_what_it_may_have_sent_counts_against_the_route(self, autojump_clock):
-        # An owner goes silent, and its shards are asked elsewhere. It may have sent
-        # each call to one server of the two that the route allows.
+        # An owner dies 10 ms after it was asked: too early for it to have hedged, so
+        # each call has reached one server at most of the two that the route allows.
         async with trio.open_nursery() as nursery:
             cluster = make_cluster(nursery)
             node, *others = cluster.nodes
             assert isinstance(await ask(cluster, node), JoinedRecords)
-            silent = max(others, key=cluster.count_owned)
-            cluster.network.silent.add(silent.name)
+            lost = max(others, key=cluster.count_owned)
+            cluster.network.silent.add(lost.name)
             cluster.backends.calls.clear()
-            assert isinstance(await ask(cluster, node), JoinedRecords)
+            async with trio.open_nursery() as asking:
+                asking.start_soon(ask, cluster, node)
+                await trio.sleep(0.01)
+                channel = node.dialer.get_open(lost.name)
+                assert channel is not None
+                channel.close()
             repeated = [c for _, c in cluster.backends.calls if c.is_repeat]
-            assert len(repeated) == cluster.count_owned(silent)
+            assert len(repeated) == cluster.count_owned(lost)
             assert {call.max_attempts for call in repeated} == {1}
             cluster.network.silent.clear()
             nursery.cancel_scope.cancel()
 
-    async def test_a_route_for_one_server_is_not_asked_elsewhere(self, autojump_clock):
+    async def test_what_it_may_have_hedged_is_not_asked_elsewhere(self, autojump_clock):
+        # An owner is silent for half of the time to the goal. It may be busy, and may
+        # have sent each call to both servers that the route allows; a third one would
+        # break the operator's bound. The caller is told what is missing, and asks
+        # again.
         async with trio.open_nursery() as nursery:
             cluster = make_cluster(nursery)
             node, *others = cluster.nodes
             assert isinstance(await ask(cluster, node), JoinedRecords)
             silent = max(others, key=cluster.count_owned)
             cluster.network.silent.add(silent.name)
-            await ask(cluster, node, max_attempts=1)
+            started = trio.current_time()
+            outcome = await ask(cluster, node)
+            assert isinstance(outcome, Unknown)
+            assert trio.current_time() - started < 0.1  # At once, not at the deadline.
             cluster.network.silent.clear()
             await trio.sleep(0.1)
             assert not [c for _, c in cluster.backends.calls if c.is_repeat]
+            assert isinstance(await ask(cluster, node), JoinedRecords)
             nursery.cancel_scope.cancel()
 
     @pytest.mark.parametrize("busy_for", [0.02, 0.04])
