--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -34,12 +34,13 @@
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
 from ..transport.platform import PlatformClient
 from .bookings import Bookings
+from .coordinator import Coordinator
 from .documents import DocumentKeeper, check_document
 from .fleet import Fleet
 from .owner import Owner
 from .peers import PeerService
 from .ports import serve_port
-from .search import Coordinator, Query
+from .search import Query
 from .status import HostStatus, MemberStatus, ServiceStatus, SettingsStatus
 
 logger = logging.getLogger("lavendergap.entry")
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -14,10 +14,11 @@
 from lavendergap.coordination.calls import Call, ServerReport
 from lavendergap.coordination.documents import Documents
 from lavendergap.coordination.pinning import Pinning
+from lavendergap.entry.coordinator import Coordinator
 from lavendergap.entry.fleet import Fleet
 from lavendergap.entry.owner import Owner
 from lavendergap.entry.peers import PeerService
-from lavendergap.entry.search import Coordinator, Query
+from lavendergap.entry.search import Query
 from lavendergap.protocol.answers import Refusal, SearchResult
 from lavendergap.protocol.leaf import Verdict
 from lavendergap.protocol.messages import Hello, TicketAsk, TicketReply
