Tell a data centre through one of its hosts

Cause: holders told every host by themselves.

News for a data centre with five hosts or more go to one of them, which tells the others. Tellers differ in whom they choose. A frozen relay keeps its neighbours waiting until they ask the store themselves after 2.1 s, as when a holder is lost; smaller fleets are told as before. Ruled out: the membership's probes as carrier (their packets are full at 77).

--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -1,10 +1,12 @@
 """Carries the feeds between hosts: news to all, and whole copies on demand."""
 
+from dataclasses import replace
 from random import Random
 
 import trio
 
 from ..coordination.membership import Membership
+from ..coordination.telling import choose_hearers, list_neighbours
 from ..coordination.watchers import choose_watch_holders
 from ..protocol.messages import FeedFetch, FeedNews, FeedState, Frame
 from ..transport.channel import Loss
@@ -57,12 +59,22 @@
 
     def tell(self, news: FeedNews) -> None:
         """Send news to all live hosts; who is missed hears the next, or asks."""
-        for host in self._list_others() if self.is_settled() else ():
-            channel = self._dialer.get_open(host)
-            if channel is not None:
-                channel.send(Frame(id=0, message=news))
-            else:
-                self._nursery.start_soon(self._dial_and_tell, host, news)
+        if not self.is_settled():
+            return
+        for hearer in choose_hearers(self._own_name, self._list_places()):
+            self._send(hearer.host, replace(news, passes_on=hearer.passes_on))
+
+    def pass_on(self, news: FeedNews) -> None:
+        """Tell the other hosts of this data centre what this one was told for them."""
+        for host in list_neighbours(self._own_name, self._list_places()):
+            self._send(host, replace(news, passes_on=False))
+
+    def _send(self, host: str, news: FeedNews) -> None:
+        channel = self._dialer.get_open(host)
+        if channel is not None:
+            channel.send(Frame(id=0, message=news))
+        else:
+            self._nursery.start_soon(self._dial_and_tell, host, news)
 
     async def _dial_and_tell(self, host: str, news: FeedNews) -> None:
         address = self._fleet.get_address(host)
@@ -92,5 +104,10 @@
         """Tell whether this host has run for long enough to know the others."""
         return trio.current_time() >= self._settles_at
 
+    def _list_places(self) -> dict[str, str]:
+        live = self._membership.live()
+        members = self._membership.members()
+        return {m.name: m.data_centre for m in members if m.name in live}
+
     def _list_others(self) -> list[str]:
         return sorted(self._membership.live() - {self._own_name})
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -87,11 +87,16 @@
 class _Feeds:
     """This host's feeds, as peers speak of them."""
 
-    def __init__(self, *, readers: tuple[FeedReader, ...]) -> None:
+    def __init__(
+        self, *, readers: tuple[FeedReader, ...], channels: FeedChannels
+    ) -> None:
         self._readers = {reader.feed: reader for reader in readers}
+        self._channels = channels
 
     def hear(self, news: FeedNews, *, host: str) -> None:
-        """Hand a peer's news to its feed."""
+        """Hand a peer's news to its feed, and pass on what is for neighbours too."""
+        if news.passes_on:
+            self._channels.pass_on(news)
         reader = self._readers.get(news.feed)
         if reader is not None:
             reader.hear(news, host=host)
@@ -257,7 +262,7 @@
             documents=Documents(check=lambda name, body: None),
             nursery=nursery,
             answer_ticket=_refuse_ticket,
-            feeds=_Feeds(readers=(self._routes, self._servers)),
+            feeds=_Feeds(readers=(self._routes, self._servers), channels=feed_peers),
         )
         self._acceptor = Acceptor(
             own=hello, handle=self._handle_peer, lose=self._peers.drop
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -176,7 +176,8 @@
     `changes` are all between the revisions `base` and `revision`. Without any, it
     still says that the store had nothing newer a moment ago. `fingerprint` is that of
     the sender's copy with them: a receiver whose own is the same lacks nothing,
-    whatever revisions the two have read it at.
+    whatever revisions the two have read it at. With `passes_on` the receiver tells the
+    other hosts of its data centre the same.
     """
 
     feed: str
@@ -184,6 +185,7 @@
     revision: int
     changes: tuple[FeedChange, ...]
     fingerprint: int
+    passes_on: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -87,6 +87,7 @@
     revision: int
     changes: list[tuple[str, bytes | None]]
     fingerprint: int
+    passes_on: bool
 
 
 class _PackedFetch(msgspec.Struct, array_like=True, tag=4):
@@ -171,7 +172,13 @@
     changes = [(change.name, change.body) for change in news.changes]
     return _encode(
         _PackedNews(
-            frame_id, news.feed, news.base, news.revision, changes, news.fingerprint
+            frame_id,
+            news.feed,
+            news.base,
+            news.revision,
+            changes,
+            news.fingerprint,
+            news.passes_on,
         )
     )
 
@@ -215,6 +222,7 @@
             FeedChange(name=name, body=body) for name, body in packed.changes
         ),
         fingerprint=packed.fingerprint,
+        passes_on=packed.passes_on,
     )
 
 
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -76,6 +76,7 @@
             FeedChange(name="i-2", body=None),
         ),
         fingerprint=2**64 - 1,
+        passes_on=True,
     ),
     FeedFetch(feed="routes"),
     FeedState(feed="routes", revision=5, entries=(FeedEntry(name="main", body=b"x"),)),
