--- a/tests/test_greatest.py
+++ b/tests/test_greatest.py
@@ -117,9 +117,9 @@
 
     @pytest.mark.parametrize("busy_for", [0.02, 0.04, 0.12])
     async def test_a_busy_owner_is_not_lost(self, autojump_clock, busy_for):
-        # A quick look wants its answer in 33 ms. An owner is busy for 20 to 120, as weak
-        # hosts are that read new routes or are sent two searches together, and answers no ping meanwhile. Taken for lost, its
-        # shards would be asked twice and it would be passed over for two seconds.
+        # A quick look wants its answer in 33 ms. An owner is busy for 20 to 120, as
+        # weak hosts are that read new routes, and answers no ping meanwhile. Taken for
+        # lost, its shards would be asked twice and it be passed over for two seconds.
         async with trio.open_nursery() as nursery:
             cluster = make_cluster(nursery)
             node, *others = cluster.nodes
