--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -455,7 +455,7 @@
             if self._count_attempts_left(shard.name) > 0:
                 repeated.append(shard)
             else:
-                self._miss(shard, Reason.OVERLOADED, host)
+                self._miss(shard, Reason.LOST_CONNECTION, host)
         if repeated:
             self._send(repeated, is_repeat=is_repeat)
 
