Send nothing more to a server whose address another one has

A server had gone, its address had passed to that group, and the registry still held its entry: each query called there in vain (90 refusals as another server in 10 s, step receive, no replica), beside its own call to the same address for the other shard.

Such a refusal is the server's own word that the one we mean is gone: it now gets nothing more, as one that drains by its own word. A new process at an address starts afresh. Tests seen failing before (the first of the two).

Ruled out: hedges and retries (55 at most for a shard in the window), lost owners (none).

--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -189,6 +189,13 @@
             case NotRun(reason=Reason.SHED, retry_after_ms=ms):
                 wait = min(LONGEST_BACKOFF, ms / 1000) if ms > 0 else DEFAULT_BACKOFF
                 self.backoff_until = max(self.backoff_until, now + wait)
+            case NotRun(reason=Reason.NO_REPLICA):
+                # Another server has its address and refused the call; this one is gone,
+                # whatever the registry still says. Each query would go on calling
+                # there, beside its own call to the server that has moved in: an owner
+                # of a lapsed entry sent 90 such calls in 10 s, over the extra calls
+                # that are allowed for the other server's group.
+                self._set_state("draining", from_answer=True, now=now)
             case Unknown(reason=Reason.CANCELLED):
                 self._note_at_least(elapsed, now)
             case NotRun(reason=reason) | Unknown(reason=reason):
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -236,7 +236,8 @@
             replica = known.pop(server.address, None)
             if replica is None:
                 replica = Replica(server=server, ramp_from=now)
-            elif server.address not in staying:
+            elif server.address not in staying or server.name != replica.server.name:
+                # Another process at the address: what is known is of the one before.
                 replica.rejoin(now)
             replica.server = server
             self._replicas.append(replica)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,5 +1,6 @@
 """What is known of replicas, and which one is chosen."""
 
+from dataclasses import replace
 from random import Random
 
 from lavendergap.coordination.choice import Chosen, NoneLeft, choose
@@ -232,6 +233,40 @@
         assert pick(replicas) == NoneLeft(reason=Reason.NO_REPLICA)
 
 
+class TestAddressTaken:
+    """A server has gone, and another service's has its address; the registry lags."""
+
+    def test_one_refusal_is_enough(self):
+        # Each query would go on calling there, and the server that has moved in sees
+        # twice the calls of each: its group's budget of extra calls was exceeded.
+        owner = make_owner("ab")
+        for _ in range(20):
+            owner.submit()
+            server = owner.started[-1].server
+            owner.now += 0.010
+            if server == "a":
+                owner.end_last(refuse(Reason.NO_REPLICA))
+            for attempt_id in list(owner.open):
+                owner.end(attempt_id)
+        assert [s.server for s in owner.started].count("a") == 1
+
+    def test_a_new_process_at_the_address_is_used(self):
+        owner = make_owner("a")
+        owner.submit()
+        owner.end_last(refuse(Reason.NO_REPLICA))
+        [server] = make_group("a").servers
+        owner.take(
+            owner.scheduler.replace(
+                group=replace(make_group("a"), servers=(replace(server, name="a2"),)),
+                service=owner.scheduler.service,
+                control=owner.scheduler.control,
+                now=owner.now,
+            )
+        )
+        owner.submit()
+        assert owner.started[-1].server == "a2"
+
+
 class TestHealth:
     def test_versions_from_answers_outweigh_the_endpoint(self):
         (a,) = make_replicas("a")
