Give an owner 50 ms to take a channel; nothing sent is nothing used up

Cause: an owner whose channel was only being opened was lost after a fifth of the time to the goal, 7 ms for a quick look, passed over for 2 s, and counted as one that may have sent its calls. It was listed in docs/OPEN.md; tests met it as owners lost in their first query.

It now has 50 ms, and until a channel carries a part nothing of it counts against the route: the next owner may use all attempts. A first dial no longer needs to be tried twice in tests, which open their channels once and say so.

Ruled out: 150 ms as for a silent owner (a host without power would cost the goal).

--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -53,6 +53,11 @@
 # few had failed, and were passed over for 2 s each. What is asked again comes after
 # the goal of a search at either time, so that nothing is lost by waiting.
 SHORTEST_LOSS = 0.15
+# A channel may take this long to open, in seconds, before its owner is lost: a new one
+# takes 20 to 100 ms at a weak host. At a fifth of the time to the goal, 7 ms of a quick
+# look, live owners were passed over for 2 s. Half of a search's goal is left after it,
+# and as nothing has been sent, the next owner may do all that the lost one might.
+SHORTEST_DIAL = 0.05
 # A check that comes later than it was due by this many seconds tells of this process.
 OWN_STALL = 0.02
 
@@ -206,6 +211,8 @@
                 lose_at = max(lose_at, part.sent_at + SHORTEST_LOSS)
                 part.check_at = max(lose_at, now + OWN_STALL)
                 channel.ping()
+            elif channel is None and now < part.sent_at + SHORTEST_DIAL:
+                part.check_at = part.sent_at + SHORTEST_DIAL
             else:
                 part.check_at = float("inf")
                 self._lose(part, Loss.SILENT)
@@ -253,12 +260,12 @@
         if host == self._fleet.own_name:
             self._submit(part, shards)
             return
-        part.check_at = self._share_time(now, PING_SHARE)
-        self._progress.set()
         channel = self._dialer.get_open(host)
         if channel is not None:
             self._ask(part, channel)
         else:
+            part.check_at = self._share_time(now, PING_SHARE)
+            self._progress.set()
             self._nursery.start_soon(self._dial_and_ask, part)
 
     def _submit(self, part: Part, shards: list[Shard]) -> None:
@@ -319,6 +326,8 @@
         left = query.deadline - trio.current_time()
         part.channel = channel
         part.sent_at = trio.current_time()
+        part.check_at = self._share_time(part.sent_at, PING_SHARE)
+        self._progress.set()
         part.request_id = channel.request(
             Search(
                 request_id=query.request_id,
@@ -434,7 +443,8 @@
             loss=loss.value,
             n_shards=len(shards),
         )
-        is_uncertain = loss is not Loss.REFUSED
+        # Nothing has been sent to an owner to which no channel was open yet.
+        is_uncertain = loss is not Loss.REFUSED and part.channel is not None
         if is_uncertain:
             self._may_have_run = True
             n_sent = self._count_sent(part, now)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -35,6 +35,7 @@
     WaitForCoverage,
 )
 from lavendergap.transport.acceptor import Acceptor
+from lavendergap.transport.channel import Channel
 from lavendergap.transport.dialer import Dialer
 
 DEADLINE_MS = 280
@@ -155,6 +156,7 @@
     def __init__(self, *, nursery: trio.Nursery) -> None:
         self.silent: set[str] = set()
         self.refusing: set[str] = set()
+        self.dial_times: dict[str, float] = {}
         self.nodes: dict[Address, Node] = {}
         self._nursery = nursery
 
@@ -163,6 +165,7 @@
         node = self.nodes[address]
         if node.name in self.refusing:
             raise ConnectionRefusedError
+        await trio.sleep(self.dial_times.get(node.name, 0.0))
         ours, theirs = trio.testing.memory_stream_pair()
         sending = theirs.send_stream
         sending.send_all_hook = self._make_hook(node.name, sending.send_all_hook)
@@ -223,13 +226,10 @@
         return await node.coordinator.search(query)
 
     async def open_channels(self, node: Node) -> None:
-        """Have `node` be connected to all others, as after its first queries.
-
-        Some of the first dials time out, for a cause that docs/OPEN.md has open.
-        """
+        """Have `node` be connected to all others, as hosts are after some queries."""
         for address, other in self.network.nodes.items():
-            while other is not node and node.dialer.get_open(other.name) is None:
-                await node.dialer.dial(other.name, address)
+            if other is not node:
+                assert isinstance(await node.dialer.dial(other.name, address), Channel)
 
     def count_owned(self, node: Node) -> int:
         """Return how many groups `node` owns."""
--- a/tests/test_greatest.py
+++ b/tests/test_greatest.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from lavendergap.coordination.calls import Call
 from lavendergap.entry.search import GreatestWanted, Query, SearchRun
 from lavendergap.protocol.forwarding import JoinedRecords
 from lavendergap.state.forwarding import ForwardedRequest
@@ -71,70 +72,101 @@
     return await run.run_greatest()
 
 
+@pytest.fixture
+async def cluster(autojump_clock):
+    """Hosts of which the first one is connected to all others."""
+    async with trio.open_nursery() as nursery:
+        cluster = make_cluster(nursery)
+        await cluster.open_channels(cluster.nodes[0])
+        yield cluster
+        cluster.network.silent.clear()
+        nursery.cancel_scope.cancel()
+
+
+def choose_other(cluster: Cluster) -> Node:
+    """Return the owner of most shards among the hosts that are asked by the first."""
+    return max(cluster.nodes[1:], key=cluster.count_owned)
+
+
+def list_repeats(cluster: Cluster) -> list[Call]:
+    return [call for _, call in cluster.backends.calls if call.is_repeat]
+
+
 class TestLostOwners:
-    async def test_what_it_may_have_sent_counts_against_the_route(self, autojump_clock):
+    async def test_what_it_may_have_sent_counts_against_the_route(self, cluster):
         # An owner dies 10 ms after it was asked: too early for it to have hedged, so
         # each call has reached one server at most of the two that the route allows.
-        async with trio.open_nursery() as nursery:
-            cluster = make_cluster(nursery)
-            node, *others = cluster.nodes
-            await cluster.open_channels(node)
-            assert isinstance(await ask(cluster, node), JoinedRecords)
-            lost = max(others, key=cluster.count_owned)
-            cluster.network.silent.add(lost.name)
-            cluster.backends.calls.clear()
-            async with trio.open_nursery() as asking:
-                asking.start_soon(ask, cluster, node)
-                await trio.sleep(0.01)
-                channel = node.dialer.get_open(lost.name)
-                assert channel is not None
-                channel.close()
-            repeated = [c for _, c in cluster.backends.calls if c.is_repeat]
-            assert len(repeated) == cluster.count_owned(lost)
-            assert {call.max_attempts for call in repeated} == {1}
-            cluster.network.silent.clear()
-            nursery.cancel_scope.cancel()
+        node, lost = cluster.nodes[0], choose_other(cluster)
+        cluster.network.silent.add(lost.name)
+        async with trio.open_nursery() as asking:
+            asking.start_soon(ask, cluster, node)
+            await trio.sleep(0.01)
+            channel = node.dialer.get_open(lost.name)
+            assert channel is not None
+            channel.close()
+        repeated = list_repeats(cluster)
+        assert len(repeated) == cluster.count_owned(lost)
+        assert {call.max_attempts for call in repeated} == {1}
 
-    async def test_what_it_may_have_hedged_is_not_asked_elsewhere(self, autojump_clock):
+    async def test_what_it_may_have_hedged_is_not_asked_elsewhere(self, cluster):
         # An owner is silent for half of the time to the goal. It may be busy, and may
         # have sent each call to both servers that the route allows; a third one would
         # break the operator's bound. The caller is told what is missing, and asks
         # again.
-        async with trio.open_nursery() as nursery:
-            cluster = make_cluster(nursery)
-            node, *others = cluster.nodes
-            await cluster.open_channels(node)
-            assert isinstance(await ask(cluster, node), JoinedRecords)
-            silent = max(others, key=cluster.count_owned)
-            cluster.network.silent.add(silent.name)
-            started = trio.current_time()
-            outcome = await ask(cluster, node)
-            assert isinstance(outcome, Unknown)
-            assert trio.current_time() - started < 0.2  # Not at the deadline of 0.4.
-            cluster.network.silent.clear()
-            await trio.sleep(0.1)
-            assert not [c for _, c in cluster.backends.calls if c.is_repeat]
-            assert isinstance(await ask(cluster, node), JoinedRecords)
-            nursery.cancel_scope.cancel()
+        node, silent = cluster.nodes[0], choose_other(cluster)
+        cluster.network.silent.add(silent.name)
+        started = trio.current_time()
+        assert isinstance(await ask(cluster, node), Unknown)
+        assert trio.current_time() - started < 0.2  # Not at the deadline of 0.4.
+        cluster.network.silent.clear()
+        await trio.sleep(0.1)
+        assert not list_repeats(cluster)
+        assert isinstance(await ask(cluster, node), JoinedRecords)
 
     @pytest.mark.parametrize("busy_for", [0.02, 0.04, 0.12])
-    async def test_a_busy_owner_is_not_lost(self, autojump_clock, busy_for):
+    async def test_a_busy_owner_is_not_lost(self, cluster, busy_for):
         # A quick look wants its answer in 33 ms. An owner is busy for 20 to 120, as
         # weak hosts are that read new routes, and answers no ping meanwhile. Taken for
         # lost, its shards would be asked twice and it be passed over for two seconds.
-        async with trio.open_nursery() as nursery:
-            cluster = make_cluster(nursery)
-            node, *others = cluster.nodes
-            await cluster.open_channels(node)
-            assert isinstance(await ask(cluster, node), JoinedRecords)
-            busy = max(others, key=cluster.count_owned)
-            cluster.network.silent.add(busy.name)
-            async with trio.open_nursery() as asking:
-                asking.start_soon(partial(ask, cluster, node, goal=0.033))
-                await trio.sleep(busy_for)
-                cluster.network.silent.clear()
-            assert not [c for _, c in cluster.backends.calls if c.is_repeat]
-            assert node.fleet.rank("scheduler-00") == others[0].fleet.rank(
-                "scheduler-00"
-            )
-            nursery.cancel_scope.cancel()
+        node, busy = cluster.nodes[0], choose_other(cluster)
+        before = node.fleet.rank("scheduler-00")
+        cluster.network.silent.add(busy.name)
+        async with trio.open_nursery() as asking:
+            asking.start_soon(partial(ask, cluster, node, goal=0.033))
+            await trio.sleep(busy_for)
+            cluster.network.silent.clear()
+        assert not list_repeats(cluster)
+        assert node.fleet.rank("scheduler-00") == before
+
+
+class TestOpeningChannels:
+    """The first query to an owner, whose channel is only being opened."""
+
+    async def test_an_owner_is_not_lost_while_it_opens(self, cluster):
+        # A weak host takes 30 ms to take a channel, and a quick look has 33. Taken for
+        # lost after a fifth of them, a live host was passed over for two seconds.
+        node, slow = cluster.nodes[0], choose_other(cluster)
+        _forget_channel(node, slow)
+        cluster.network.dial_times[slow.name] = 0.03
+        before = node.fleet.rank("scheduler-00")
+        assert isinstance(await ask(cluster, node, goal=0.033), JoinedRecords)
+        assert not list_repeats(cluster)
+        assert node.fleet.rank("scheduler-00") == before
+
+    async def test_one_that_never_opens_has_been_sent_nothing(self, cluster):
+        # A host has lost power, and connections to it hang. The next owner is asked
+        # in time for the goal, and may use all attempts: none has left this host.
+        node, dead = cluster.nodes[0], choose_other(cluster)
+        _forget_channel(node, dead)
+        cluster.network.dial_times[dead.name] = 10.0
+        started = trio.current_time()
+        assert isinstance(await ask(cluster, node, max_attempts=1), JoinedRecords)
+        assert trio.current_time() - started < 0.1
+        assert not list_repeats(cluster)
+        assert {call.max_attempts for _, call in cluster.backends.calls} == {1}
+
+
+def _forget_channel(node: Node, other: Node) -> None:
+    channel = node.dialer.get_open(other.name)
+    assert channel is not None
+    channel.close()
