Read an entry of the registry once, not with every change

Cause: each change of one server hands over all entries. All were decoded to be put in force, and the changed ones twice more for their hash and to see whether they are news. A newcomer found the same lambda beside `use_whole`, which says what it is for.

675 entries (77 hosts' fleet), processor time of one change: 2.4 ms before, 0.1 after, the least of 20 each in one run. Behaviour as before, held by the tests of feeds and gateways.

--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -15,6 +15,7 @@
 from .. import metrics
 from ..coordination.catalog import ExtraCallBudget, build_catalog
 from ..coordination.documents import Documents
+from ..coordination.feeds import use_whole
 from ..coordination.membership import Membership
 from ..coordination.placement import Placement
 from ..errors import SettingsError
@@ -250,12 +251,12 @@
         self._routes = make_reader(
             feed=ROUTES_FEED,
             use=self._in_force.use_routes,
-            summarize=lambda name, body: body,
+            summarize=use_whole,
         )
         self._servers = make_reader(
             feed=SERVERS_FEED,
             use=self._in_force.use_servers,
-            summarize=self._adapter.read_server,
+            summarize=self._in_force.read_server,
         )
         self._peers = PeerService(
             owner=self._owner,
--- a/src/lavendergap/entry/inforce.py
+++ b/src/lavendergap/entry/inforce.py
@@ -1,6 +1,7 @@
 """The routes and backend servers that are in force on a gateway host."""
 
 from collections.abc import Callable, Mapping
+from functools import lru_cache
 
 from .. import metrics
 from ..coordination.routing import RouteIndex
@@ -11,6 +12,14 @@
 logger = get_logger(Category.SETTINGS)
 
 
+MAX_SERVERS_READ = 4_096
+"""Entries of the registry that are kept as read: those in force, and some before them.
+
+A change of one server hands over all of them, and each is looked at for its hash, for
+whether it is news, and to put it in force.
+"""
+
+
 class InForce:
     """What the feeds say now, in the product's words; `apply` acts on a change.
 
@@ -22,6 +31,7 @@
     def __init__(self, *, adapter: Adapter, apply: Callable[[], None]) -> None:
         self.index: RouteIndex | None = None
         self.servers: tuple[RegisteredServer, ...] = ()
+        self.read_server = lru_cache(maxsize=MAX_SERVERS_READ)(adapter.read_server)
         self._adapter = adapter
         self._apply = apply
 
@@ -59,7 +69,7 @@
         servers = []
         for name, body in entries.items():
             try:
-                servers.append(self._adapter.read_server(name, body))
+                servers.append(self.read_server(name, body))
             except ValueError as error:
                 log_decision(
                     logger,
