--- a/src/lavendergap/coordination/hedging.py
+++ b/src/lavendergap/coordination/hedging.py
@@ -1,6 +1,7 @@
 """When a second attempt is worth its cost: recent latencies and their quantiles."""
 
 from collections import deque
+from math import inf
 
 from ..state.settings import Service
 
@@ -21,6 +22,17 @@
 # Kinds that are measured at a time; more than an operator has routes with calls in one
 # minute. Beyond it the one that was used longest ago is measured anew.
 MAX_KINDS = 256
+# A call that has taken this many medians straggles, whatever the quantile says.
+STRAGGLER_RATIO = 2.0
+# Before this share of the time to its goal has passed, a call with one is not hedged:
+# most of those that are merely slow answer by themselves by then, and from then on a
+# second call has twice the time that it needs. Without it 1,516 of 18,512 calls were
+# hedged on a calm day, 1,386 of them to another data centre.
+HEDGE_GOAL_SHARE = 0.35
+# By this share of it a call is hedged, if that is ever to help: a second call has as
+# long as the first has had. With a sixth of the servers slow and hosts busy, the
+# quantile rose to 60 to 90 ms of a goal of 82, and hedges came when nothing was left.
+LATEST_HEDGE_SHARE = 0.5
 # The share of the budget that hedges use on average; see docs/design/hedging.md.
 BUDGET_USE = 0.6
 
@@ -84,6 +96,32 @@
             self.delay = min(quantile, _compute_fence(self.median, ordered[3 * n // 4]))
 
 
+def choose_hedge_delay(recent: RecentLatencies, *, left: float) -> float:
+    """Return how long an attempt may take, with `left` seconds to its call's goal.
+
+    Without a goal (`left` of 0 or less) the latencies decide alone, and nothing is
+    hedged while they are unknown.
+
+    >>> recent = RecentLatencies(quantile=0.9)
+    >>> choose_hedge_delay(recent, left=0.08), choose_hedge_delay(recent, left=0.0)
+    (0.04, inf)
+    >>> for _ in range(8):
+    ...     recent.add(0.010)
+    >>> round(choose_hedge_delay(recent, left=0.08), 3)
+    0.028
+    """
+    if left <= 0.0:
+        return inf if recent.delay is None else recent.delay
+    latest = LATEST_HEDGE_SHARE * left
+    if recent.delay is None:
+        # Among 77 hosts each sees a lookup of one record in 12 s. Waiting for eight of
+        # them, none was hedged, and a slow server held some to the end.
+        return latest
+    # Where the goal is shorter than two calls, no hedge is of help to most.
+    latest = max(latest, STRAGGLER_RATIO * (recent.median or 0.0))
+    return min(latest, max(recent.delay, HEDGE_GOAL_SHARE * left))
+
+
 class KindLatencies:
     """The latencies of each kind of call, of all groups of this host together.
 
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -20,7 +20,13 @@
     WithholdHedge,
 )
 from .choice import Busy, Choice, Chosen, NoneLeft, choose, measure_capacity
-from .hedging import KindLatencies, RecentLatencies, choose_quantile
+from .hedging import (
+    STRAGGLER_RATIO,
+    KindLatencies,
+    RecentLatencies,
+    choose_hedge_delay,
+    choose_quantile,
+)
 from .progress import Attempt, Progress
 from .replicas import BLAME, NEVER, Replica
 from .summary import GroupSummary, summarize_server, to_ms
@@ -34,19 +40,9 @@
 # ordinary calls just beyond it would take every token. These are for attempts that
 # are slow by any measure; the others get what is above the reserve.
 HEDGE_RESERVE = 3.0
-STRAGGLER_RATIO = 2.0
 # How often in one delay a hedge that found no free slot looks for one again.
 LOOKS_PER_DELAY = 8
 MAX_HEDGES = 2
-# Before this share of the time to its goal has passed, a call with one is not hedged:
-# most of those that are merely slow answer by themselves by then, and from then on a
-# second call has twice the time that it needs. Without it 1,516 of 18,512 calls were
-# hedged on a calm day, 1,386 of them to another data centre.
-HEDGE_GOAL_SHARE = 0.35
-# By this share of it a call is hedged, if that is ever to help: a second call has as
-# long as the first has had. With a sixth of the servers slow and hosts busy, the
-# quantile rose to 60 to 90 ms of a goal of 82, and hedges came when nothing was left.
-LATEST_HEDGE_SHARE = 0.5
 # A call that has taken this many times the median is no ordinary one any more: of
 # exponential times one in twenty is as long, and then only the next choice is moved.
 STALL_RATIO = 3.0
@@ -556,29 +552,16 @@
     def _get_hedge_time(self, progress: Progress) -> float:
         call = progress.call
         recent = self._get_recent(call)
-        if not call.idempotent or (recent.delay is None and call.wanted_by <= 0.0):
+        if not call.idempotent:
             return NEVER
         if progress.n_hedges >= MAX_HEDGES or self._hedges.share <= 0.0:
             return NEVER
         if progress.n_attempts >= _limit_attempts(progress.call):
             return NEVER
         started = progress.attempts[-1].started
-        delay = self._get_hedge_delay(recent, call.wanted_by - started)
+        delay = choose_hedge_delay(recent, left=call.wanted_by - started)
         return started + max(SHORTEST_HEDGE_DELAY, delay)
 
-    def _get_hedge_delay(self, recent: RecentLatencies, left: float) -> float:
-        """Return how long an attempt may take, with `left` seconds to its goal."""
-        if left <= 0.0:
-            return NEVER if recent.delay is None else recent.delay
-        latest = LATEST_HEDGE_SHARE * left
-        if recent.delay is None:
-            # Among 77 hosts each sees a lookup of one record in 12 s. Waiting for
-            # eight of them, none was hedged, and a slow server held some to the end.
-            return latest
-        # Where the goal is shorter than two calls, no hedge is of help to most.
-        latest = max(latest, STRAGGLER_RATIO * (recent.median or 0.0))
-        return min(latest, max(recent.delay, HEDGE_GOAL_SHARE * left))
-
     def _look_after(
         self, progress: Progress, now: float, effects: list[Effect]
     ) -> None:
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -9,10 +9,10 @@
 from .. import metrics
 from ..coordination.calls import Call, FinishCall
 from ..coordination.gate import is_slow
+from ..coordination.hedging import HEDGE_GOAL_SHARE
 from ..coordination.joining import ROUNDING, Join
 from ..coordination.pinning import Pinning
 from ..coordination.records import merge_greatest
-from ..coordination.scheduler import HEDGE_GOAL_SHARE
 from ..logs import log_decision
 from ..protocol.answers import Refusal, SearchResult, ShardResult
 from ..protocol.forwarding import JoinedRecords
