Take a server that starts again for another process; refuse entries of nobody

Cause: a server's record, its connections and its slots were kept by name and address, so that a process that started again under its id inherited ejection, drain, latency and load of the one before, and calls that hung there held its slots.

What a call has tried is kept by record, not by name. Connections are kept when only their allowed number changes: with each host that came or went they were opened anew beside the old ones, which stayed open unaccounted. A refused entry is told once and is the same in all fingerprints.

Ruled out: order by the time of start, since servers' clocks are stepped; a fallback to one call an object, which costs a call each.

The table of options names the incarnation as what no operator sets.

--- a/src/lavendergap/coordination/catalog.py
+++ b/src/lavendergap/coordination/catalog.py
@@ -113,6 +113,7 @@
             data_centre=member.data_centre,
             slots=member.slots,
             connections=n_connections,
+            incarnation=member.started_at_ms,
         )
         for member in members
     )
--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -45,8 +45,8 @@
     replicas: list[Replica],
     *,
     version: int,
-    excluded: frozenset[str],
-    tried: frozenset[str],
+    excluded: frozenset[Replica],
+    tried: frozenset[Replica],
     typical: float,
     now: float,
     dice: Random,
@@ -61,7 +61,7 @@
     host's side, and an attempt tells more than waiting does. `why` then says so.
     """
     able = [r for r in replicas if version in r.versions or r.may_serve(version)]
-    serving = [r for r in able if r.server.name not in excluded]
+    serving = [r for r in able if r not in excluded]
     possible = [r for r in serving if r.state != "draining"]
     note = ""
     if not possible and all(r.state == "draining" for r in able):
@@ -92,7 +92,7 @@
 
 def _pick_best(
     candidates: list[Replica],
-    tried: frozenset[str],
+    tried: frozenset[Replica],
     typical: float,
     now: float,
     dice: Random,
@@ -104,7 +104,7 @@
         if replica.backoff_until > now or replica.in_flight >= replica.limit(now):
             continue
         score = replica.score(now, typical)
-        if tried and replica.server.name in tried:
+        if tried and replica in tried:
             score += LAST_RESORT
         if data_centre and replica.server.data_centre != data_centre:
             score += REMOTE_PENALTY
--- a/src/lavendergap/coordination/progress.py
+++ b/src/lavendergap/coordination/progress.py
@@ -4,7 +4,7 @@
 from .calls import Call, Cause
 from .replicas import Replica
 
-NOTHING: frozenset[str] = frozenset()
+NOTHING: frozenset[Replica] = frozenset()
 
 
 class Attempt:
@@ -48,6 +48,8 @@
 
     `unknown` is the first outcome after which the call may have run: from then on it
     can never be finished as "not run". `refusal` is the last proof that it has not.
+    `excluded` and `tried` hold the records of processes and not names: a server that
+    starts again has refused and failed nothing.
     """
 
     __slots__ = (
@@ -81,26 +83,26 @@
         self.is_waiting = False
         self.is_hedge_withheld = False
 
-    def note_failure(self, outcome: NotRun | Unknown, server: str) -> None:
+    def note_failure(self, outcome: NotRun | Unknown, replica: Replica) -> None:
         """Remember a failed attempt, and which servers the next should not use."""
-        self.server = server
+        self.server = replica.server.name
         match outcome:
             case NotRun():
-                self._note_refusal(outcome, server)
+                self._note_refusal(outcome, replica)
             case Unknown(reason=reason):
                 self.unknown = self.unknown or outcome
-                self.tried |= {server}
+                self.tried |= {replica}
                 if reason in (Reason.SILENT_CONNECTION, Reason.LOST_CONNECTION):
                     self.fresh = True
 
-    def _note_refusal(self, outcome: NotRun, server: str) -> None:
+    def _note_refusal(self, outcome: NotRun, replica: Replica) -> None:
         # "Version gone" outlasts later refusals: it tells the coordinator to start
         # again at another version, which the other reasons would hide.
         if self.refusal is None or self.refusal.reason is not Reason.VERSION_GONE:
             self.refusal = outcome
         # A server that sheds is kept out by its backoff, for as long as it asked.
         if outcome.reason is not Reason.SHED:
-            self.excluded |= {server}
+            self.excluded |= {replica}
 
     def get_failure(self) -> NotRun | Unknown | None:
         """Return the outcome of the attempts so far: "unknown" if any may have run."""
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -223,13 +223,18 @@
         """Act on changed settings from now on; running calls go on.
 
         A server that is gone, or has another address, gets nothing new. A new one
-        starts slowly, as its caches are cold.
+        starts slowly, as its caches are cold. So does one that has started again, of
+        which nothing holds: what was learned of the process before is about slots,
+        queues and failures that ended with it. Its attempts teach only the old record.
         """
-        known = {r.server.address: r for r in self._replicas + self._leaving}
+        known = {
+            (r.server.address, r.server.incarnation): r
+            for r in self._leaving + self._replicas
+        }
         staying = {r.server.address for r in self._replicas}
         self._replicas = []
         for server in group.servers:
-            replica = known.pop(server.address, None)
+            replica = known.pop((server.address, server.incarnation), None)
             if replica is None:
                 replica = Replica(server=server, ramp_from=now)
             elif server.address not in staying or server.name != replica.server.name:
@@ -343,7 +348,7 @@
         excluded = progress.excluded
         tried = progress.tried | self._find_stalled(now)
         if progress.attempts:
-            running = {attempt.replica.server.name for attempt in progress.attempts}
+            running = {attempt.replica for attempt in progress.attempts}
             # A first hedge on the same server would meet what holds up the call. When
             # two servers are slow with it, the cause is with the attempts.
             if len(progress.attempts) == 1:
@@ -371,7 +376,7 @@
         known = [r.slowness for r in self._replicas if r.slowness > 0.0]
         return min(known, default=0.0)
 
-    def _find_stalled(self, now: float) -> frozenset[str]:
+    def _find_stalled(self, now: float) -> frozenset[Replica]:
         """Return the servers that have held a call for much longer than is usual.
 
         A server that pauses (a collection of garbage, say) answers nothing for a
@@ -380,7 +385,7 @@
         it answers.
         """
         return frozenset(
-            attempt.replica.server.name
+            attempt.replica
             for attempt in self._attempts.values()
             if now - attempt.started > self._get_stall_limit(attempt.call)
         )
@@ -490,7 +495,7 @@
                 self._finish(progress, outcome, effects)
                 return
             case NotRun() | Unknown():
-                progress.note_failure(outcome, server)
+                progress.note_failure(outcome, attempt.replica)
         if progress.attempts:
             return
         if not self._retry(progress, now, effects):
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -256,7 +256,7 @@
         self._servers = make_reader(
             feed=SERVERS_FEED,
             use=self._in_force.use_servers,
-            summarize=self._in_force.read_server,
+            summarize=self._in_force.summarize_server,
         )
         self._peers = PeerService(
             owner=self._owner,
--- a/src/lavendergap/entry/inforce.py
+++ b/src/lavendergap/entry/inforce.py
@@ -6,7 +6,7 @@
 from .. import metrics
 from ..coordination.routing import RouteIndex
 from ..logs import Category, get_logger, log_decision
-from ..state.registry import RegisteredServer
+from ..state.registry import RefusedEntry, RegisteredServer
 from .adapter import Adapter
 
 logger = get_logger(Category.SETTINGS)
@@ -31,7 +31,8 @@
     def __init__(self, *, adapter: Adapter, apply: Callable[[], None]) -> None:
         self.index: RouteIndex | None = None
         self.servers: tuple[RegisteredServer, ...] = ()
-        self.read_server = lru_cache(maxsize=MAX_SERVERS_READ)(adapter.read_server)
+        self.read_server = lru_cache(maxsize=MAX_SERVERS_READ)(self._read_server)
+        self._refused: set[str] = set()
         self._adapter = adapter
         self._apply = apply
 
@@ -67,17 +68,45 @@
     def use_servers(self, entries: Mapping[str, bytes], revision: int) -> None:
         """Put the servers in a feed's entries in force."""
         servers = []
+        refused = set()
         for name, body in entries.items():
-            try:
-                servers.append(self.read_server(name, body))
-            except ValueError as error:
-                log_decision(
-                    logger,
-                    "server entry refused",
-                    request_id=None,
-                    entry=name,
-                    revision=revision,
-                    error=str(error),
-                )
+            match self.read_server(name, body):
+                case RegisteredServer() as server:
+                    servers.append(server)
+                case RefusedEntry(problem=problem):
+                    refused.add(name)
+                    self._tell_refused(name, problem, revision)
+        self._refused = refused
         self.servers = tuple(servers)
         self._apply()
+
+    def summarize_server(self, name: str, body: bytes) -> object:
+        """Return what of an entry matters: nothing of one that is refused.
+
+        Whoever writes nonsense may write it often. Were each text of it another
+        entry, all hosts would be told of each.
+        """
+        match self.read_server(name, body):
+            case RegisteredServer() as server:
+                return server
+            case RefusedEntry():
+                return RefusedEntry.__name__
+
+    def _read_server(self, name: str, body: bytes) -> RegisteredServer | RefusedEntry:
+        try:
+            return self._adapter.read_server(name, body)
+        except ValueError as error:
+            return RefusedEntry(problem=str(error))
+
+    def _tell_refused(self, name: str, problem: str, revision: int) -> None:
+        """Say why an entry is not used, until it is gone or can be read."""
+        if name in self._refused:
+            return
+        log_decision(
+            logger,
+            "server entry refused",
+            request_id=None,
+            entry=name,
+            revision=revision,
+            error=problem,
+        )
--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -119,14 +119,18 @@
 
     def _add_clients(self, group: Group) -> None:
         idle_limit = self._settings.control.idle_connection_ms / 1_000
+        before, self._clients = self._clients, {}
         for server in group.servers:
-            held = self._clients.get(server.name)
-            if held is None or held.server != server:
+            held = before.get(server.name)
+            if held is not None and held.server.is_same_process(server):
+                held.server = server
+                self._clients[server.name] = before.pop(server.name)
+            else:
                 self._clients[server.name] = self._make_client(server, idle_limit)
-        named = {server.name for server in group.servers}
-        for name in self._clients.keys() - named:
-            # Its connections would stay open to a server that takes no new work.
-            self._nursery.start_soon(self._clients.pop(name).close)
+        for client in before.values():
+            # Its connections would stay open, and count at the server, to a process
+            # that has ended or takes no new work.
+            self._nursery.start_soon(client.close)
 
     def replace(self, *, group: Group, service: Service, settings: Settings) -> None:
         """Act on new settings; calls that run are finished as they started."""
--- a/src/lavendergap/state/registry.py
+++ b/src/lavendergap/state/registry.py
@@ -12,7 +12,9 @@
 class RegisteredServer:
     """One incarnation of a backend server, by its own word.
 
-    `server_id` is new at each start.
+    A server may start again under the id that it had. `started_at_ms` is then another
+    one, in Unix milliseconds by the server's own clock: it tells incarnations apart,
+    and not which of them came first. It is 0 where servers do not tell it.
     """
 
     server_id: str
@@ -21,6 +23,7 @@
     data_centre: str
     slots: int
     is_draining: bool
+    started_at_ms: int = 0
 
     def __post_init__(self) -> None:
         """Raise ValueError for an id that cannot stand in a header.
@@ -30,3 +33,10 @@
         """
         if not _VISIBLE.fullmatch(self.server_id):
             raise ValueError(f"a server's id is no plain text: {self.server_id!r}")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RefusedEntry:
+    """An entry of the registry that names no server to use."""
+
+    problem: str
--- a/src/lavendergap/state/settings.py
+++ b/src/lavendergap/state/settings.py
@@ -32,13 +32,26 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Server:
-    """A backend server: `slots` calls at once over at most `connections`."""
+    """A backend server: `slots` calls at once over at most `connections`.
+
+    `incarnation` tells a start of the server from others under the same name. What is
+    known of one says nothing of the next. It is 0 where starts are not told apart.
+    """
 
     name: str
     address: Address
     data_centre: str
     slots: int
     connections: int
+    incarnation: int = 0
+
+    def is_same_process(self, other: "Server") -> bool:
+        """Tell whether both are one process, as far as names and addresses tell."""
+        return (
+            self.name == other.name
+            and self.address == other.address
+            and self.incarnation == other.incarnation
+        )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,7 +89,7 @@
     """
 
     min_share: float
-    goal_ms: int
+    goal_ms: float
 
 
 StragglerPolicy = GiveUpStragglers | WaitForCoverage | AnswerByGoal
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from adapter import manifest
+from adapter import entries, manifest
 from adapter.store import ObjectStore
 from adapter.translation import HEADER_NAMES, KINDS, PlatformAdapter
 from lavendergap.entry.adapter import HOSTS_FEED, ROUTES_FEED, SERVERS_FEED
@@ -65,18 +65,20 @@
     def test_a_server_s_entry_without_an_address_is_refused(self, address):
         entry = {"service": "s", "address": address, "zone": "z", "slots": 2}
         with pytest.raises(ValueError):
-            manifest.read_server("i-1", json.dumps(entry | {"state": "ready"}).encode())
+            entries.read_server("i-1", json.dumps(entry | {"state": "ready"}).encode())
 
     def test_a_server_that_leaves(self):
         entry = {
             "service": "s",
             "address": "10.0.0.1:80",
             "zone": "ptl-a",
+            "version": "v1",
             "slots": 2,
             "state": "draining",
+            "warmup_left_ms": 0,
             "seq_no": 4,
         }
-        server = manifest.read_server("i-1", json.dumps(entry).encode())
+        server = entries.read_server("i-1", json.dumps(entry).encode())
         assert server.is_draining
         assert (server.server_id, server.data_centre) == ("i-1", "ptl-a")
 
--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,283 @@
+"""A backend server that starts again under its name: nothing known before holds."""
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+import trio
+
+from lavendergap.coordination.calls import Call, FinishCall
+from lavendergap.coordination.feeds import FeedCopy
+from lavendergap.entry.owner import Owner as CallOwner
+from lavendergap.entry.owner import Wanted
+from lavendergap.protocol.leaf import Verdict
+from lavendergap.state.feeds import FeedChange, FeedChanges, FeedEntry, FeedListing
+from lavendergap.state.outcome import NotRun, Reason, Step, Unknown
+from lavendergap.state.settings import Server, Settings, WaitForCoverage
+from tests.groups import Owner, lose, make_group, make_owner, refuse
+from tests.nodes import build_settings
+
+
+def restart(
+    owner: Owner, names: str = "ab", *, incarnation: int = 2, slots: int = 2
+) -> None:
+    """Put in force that server `a` has started again under its name."""
+    group = make_group(names, slots=slots)
+    servers = [
+        replace(server, incarnation=incarnation) if server.name == "a" else server
+        for server in group.servers
+    ]
+    owner.take(
+        owner.scheduler.replace(
+            group=replace(group, servers=tuple(servers)),
+            service=owner.scheduler.service,
+            control=owner.scheduler.control,
+            now=owner.now,
+        )
+    )
+
+
+def get_replica(owner: Owner, name: str = "a"):
+    return next(r for r in owner.scheduler._replicas if r.server.name == name)
+
+
+class TestWhatWasLearned:
+    def test_an_ejected_server_is_used_again(self):
+        # The process fails, is ejected for seconds, and a new one starts meanwhile.
+        # Believed of the new one, the group would be short of half its slots.
+        owner = make_owner("a")
+        for _ in range(4):
+            owner.submit()
+            owner.end_last(lose(Reason.REFUSED_CONNECTION))
+        assert get_replica(owner).ejected_until > owner.now
+        restart(owner, "a")
+        replica = get_replica(owner)
+        assert replica.ejected_until <= owner.now
+        assert (replica.blame, replica.n_ejections, replica.is_on_trial) == (
+            0,
+            0,
+            False,
+        )
+
+    def test_a_server_that_was_leaving_or_gone_serves(self):
+        # Another server had its address, or it said that it drains: said of a process
+        # that has ended, this would keep the next one out for a minute.
+        owner = make_owner("a")
+        owner.submit()
+        owner.end_last(refuse(Reason.NO_REPLICA))
+        assert get_replica(owner).state == "draining"
+        restart(owner, "a")
+        owner.submit()
+        assert len(owner.started) == 2
+
+    def test_slots_of_the_process_before_are_free(self):
+        # Two calls hang at a process that has died unnoticed. The next one has all of
+        # its slots, in slow start one, and the calls that hang hold none of them.
+        owner = make_owner("a")
+        owner.submit()
+        owner.submit()
+        restart(owner, "a")
+        owner.now += 10.0
+        owner.submit()
+        owner.submit()
+        assert len(owner.started) == 4
+
+    def test_its_latency_and_load_are_unknown(self):
+        owner = make_owner("a")
+        owner.submit()
+        owner.now += 0.2
+        owner.end_last()
+        assert get_replica(owner).slowness > 0.0
+        restart(owner, "a")
+        replica = get_replica(owner)
+        assert (replica.slowness, replica.foreign, replica.in_flight) == (0.0, 0, 0)
+
+    def test_a_late_end_teaches_nothing_of_the_next_process(self):
+        owner = make_owner("a")
+        owner.submit(max_attempts=1)
+        restart(owner, "a")
+        owner.end_last(lose(Reason.LOST_CONNECTION))
+        replica = get_replica(owner)
+        assert (replica.blame, replica.in_flight) == (0.0, 0)
+
+    def test_each_of_two_starts_between_two_looks_is_another_one(self):
+        owner = make_owner("a")
+        owner.submit()
+        restart(owner, "a", incarnation=5)
+        owner.submit()
+        restart(owner, "a", incarnation=3)
+        assert get_replica(owner).in_flight == 0
+        for attempt_id in list(owner.open):
+            owner.end(attempt_id)
+        assert get_replica(owner).in_flight == 0
+
+    def test_what_is_learned_of_it_stays_through_other_changes(self):
+        # Its predecessor still holds a call when the next change of the group comes:
+        # the records of the two must not be mixed up.
+        owner = make_owner("ab")
+        owner.submit()
+        owner.submit()
+        restart(owner)
+        owner.now += 10.0
+        owner.submit()
+        owner.submit()
+        n_at_a = sum(s.server == "a" for s in owner.started[2:])
+        assert n_at_a > 0
+        restart(owner)
+        assert get_replica(owner).in_flight == n_at_a
+
+    def test_a_call_that_the_process_before_refused_may_go_to_the_next(self):
+        owner = make_owner("ab", slots=1)
+        owner.submit()
+        owner.submit()
+        [at_a] = [s for s in owner.started if s.server == "a"]
+        owner.end(at_a.attempt_id, refuse(Reason.WRONG_ANSWER))
+        assert len(owner.started) == 2
+        restart(owner, slots=1)
+        assert owner.started[2:] == [replace(owner.started[2], call=at_a.call)]
+        assert owner.started[2].server == "a"
+
+
+class TestAtMostOnce:
+    def test_not_run_by_the_next_process_does_not_cover_the_one_before(self):
+        # A booking is sent, the server dies with it and starts again, and the new
+        # process truly says that it ran nothing. It cannot speak for the old one.
+        owner = make_owner("ab")
+        call = owner.submit(idempotent=False)
+        server = owner.started[-1].server
+        owner.end_last(lose(Reason.LOST_CONNECTION))
+        restart(owner)
+        assert len(owner.started) == 1, f"sent again after {server} was lost"
+        assert isinstance(owner.finished[call.call_id].outcome, Unknown)
+
+
+class FakeClient:
+    """Connections that never answer; they tell when they are closed."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.is_closed = False
+
+    async def call(self, call, *, attempt: bytes, fresh: bool) -> Verdict:
+        outcome = NotRun(step=Step.SEND, peer=self.server.name, reason=Reason.SHED)
+        return Verdict(outcome=outcome, report=None)
+
+    async def probe(self):
+        return None
+
+    async def close_idle(self, *, now: float) -> None:
+        pass
+
+    async def close(self) -> None:
+        self.is_closed = True
+
+
+def change_servers(settings: Settings, **changes) -> Settings:
+    [service] = settings.services
+    [group] = service.groups
+    servers = tuple(replace(server, **changes) for server in group.servers)
+    group = replace(group, servers=servers)
+    return replace(settings, services=(replace(service, groups=(group,)),))
+
+
+class TestConnections:
+    @pytest.fixture
+    async def owned(self, nursery, autojump_clock):
+        clients: list[FakeClient] = []
+
+        def make_client(server: Server, idle_limit: float) -> FakeClient:
+            clients.append(FakeClient(server))
+            return clients[-1]
+
+        settings = build_settings(n_hosts=1, n_groups=1, stragglers=WaitForCoverage())
+        owner = CallOwner(
+            settings=settings,
+            nursery=nursery,
+            random=Random(1),
+            attempt_prefix="t",
+            make_client=make_client,
+        )
+        [service] = settings.services
+
+        call = Call(
+            call_id=owner.make_call_id(),
+            request_id="r",
+            service=service.name,
+            group=service.groups[0].name,
+            shard="s",
+            version=1,
+            deadline=trio.current_time() + 1.0,
+            body=b"",
+            idempotent=True,
+        )
+        ended: list[FinishCall] = []
+        owner.submit([Wanted(call=call, finish=lambda end, _: ended.append(end))])
+        return owner, settings, clients
+
+    async def test_those_to_the_process_before_are_closed(self, owned):
+        owner, settings, clients = owned
+        before = list(clients)
+        owner.replace(change_servers(settings, incarnation=7))
+        await trio.sleep(0.01)
+        assert all(client.is_closed for client in before)
+        assert len(clients) == 2 * len(before)
+
+    async def test_those_that_only_may_be_fewer_are_kept(self, owned):
+        # With each host that comes or goes a host's part of a server's connections is
+        # another one. Were new ones opened beside the old, the server's bound, which
+        # counts those of all callers, would be exceeded and it would reset some.
+        owner, settings, clients = owned
+        before = list(clients)
+        owner.replace(change_servers(settings, connections=3))
+        await trio.sleep(0.01)
+        assert clients == before
+        assert not any(client.is_closed for client in clients)
+        assert {client.server.connections for client in clients} == {3}
+
+
+def entry(name: str, started_at_ms: int) -> FeedEntry:
+    return FeedEntry(name=name, body=str(started_at_ms).encode())
+
+
+def change(revision: int, *bodies: bytes | None) -> FeedChanges:
+    changes = tuple(FeedChange(name="a", body=body) for body in bodies)
+    return FeedChanges(revision=revision, changes=changes)
+
+
+class TestWhatPeersHear:
+    def test_another_start_is_news_and_another_fingerprint(self):
+        copy = FeedCopy(lapse_grace=2.0)
+        copy.take_listing(FeedListing(revision=1, entries=(entry("a", 1),)), now=0.0)
+        before = copy.fingerprint
+        assert copy.is_news(FeedChange(name="a", body=b"2"))
+        assert copy.take_changes(change(3, None, b"2"), now=1.0)
+        assert copy.entries == {"a": b"2"}
+        assert copy.fingerprint != before
+
+    def test_a_start_that_is_heard_of_first_stays(self):
+        # The second holder's news of the end come after the first one's of the start.
+        copy = FeedCopy(lapse_grace=2.0)
+        copy.take_listing(FeedListing(revision=1, entries=(entry("a", 1),)), now=0.0)
+        copy.take_changes(change(3, b"2"), now=1.0)
+        copy.take_changes(change(2, None), now=1.1)
+        assert copy.entries == {"a": b"2"}
+
+    def test_two_starts_between_two_looks(self):
+        told = FeedCopy(lapse_grace=2.0)
+        listed = FeedCopy(lapse_grace=2.0)
+        for copy in (told, listed):
+            first = FeedListing(revision=1, entries=(entry("a", 1),))
+            copy.take_listing(first, now=0.0)
+        told.take_changes(change(5, None, b"2", None, b"3"), now=1.0)
+        listed.take_listing(FeedListing(revision=5, entries=(entry("a", 3),)), now=1.0)
+        assert told.entries == listed.entries == {"a": b"3"}
+        assert told.fingerprint == listed.fingerprint
+
+    def test_one_that_lapsed_while_the_store_was_away_is_not_dropped(self):
+        copy = FeedCopy(lapse_grace=2.0)
+        copy.take_listing(FeedListing(revision=1, entries=(entry("a", 1),)), now=0.0)
+        copy.note_return(now=1.0)
+        copy.take_changes(change(2, None), now=1.1)
+        copy.take_changes(change(3, b"2"), now=1.2)
+        copy.settle(now=9.0)
+        assert copy.entries == {"a": b"2"}
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -28,7 +28,8 @@
         [
             (Level.CONTROL, Control, set()),
             (Level.HOST, Host, {"name", "data_centre"}),
-            (Level.SERVER, Server, {"name"}),
+            # An incarnation is told by the server itself.
+            (Level.SERVER, Server, {"name", "incarnation"}),
             # What a platform allows beyond the shares is no operator's choice.
             (Level.SERVICE, Service, {"name", "groups", "extra"}),
         ],
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -15,7 +15,7 @@
 
 from .groups import ANSWER, lose, make_group, make_owner, make_report, refuse
 
-NOBODY: frozenset[str] = frozenset()
+NOBODY: frozenset[Replica] = frozenset()
 
 
 def make_replicas(names: str = "ab", *, slots: int = 2) -> list[Replica]:
