Import on a gateway host only what it uses

The gateway's daemon took two constants from the other daemon's module, and with it bookings, documents, the tree of settings and the platform's client; the package of decisions imported all of its modules for whoever wanted one.

--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -1,7 +1,6 @@
 """The daemon on an entry host: starts its parts, and stops them without a cut."""
 
 import functools
-import gc
 import logging
 import secrets
 import signal
@@ -40,6 +39,7 @@
 from .owner import Owner
 from .peers import PeerService
 from .ports import serve_port
+from .process import BACKLOG, tune_collector
 from .search import Query
 from .status import HostStatus, MemberStatus, ServiceStatus, SettingsStatus
 
@@ -50,8 +50,6 @@
 LEAVE_NOTICE = 3.0
 DRAIN_CHECK = 0.05
 SWEEP_INTERVAL = 1.0
-BACKLOG = 256
-COLLECTOR_THRESHOLDS = (50_000, 10, 10)
 
 
 def run_entry(settings: Settings, host: str, settings_path: str) -> None:
@@ -74,17 +72,6 @@
         raise find_first(group) from None
 
 
-def tune_collector() -> None:
-    """Have Python look for reference cycles less often.
-
-    With its own thresholds the collector walks all connections and calls many times
-    a second: a leaf call costs about a tenth more (docs/design/connections.md).
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTOR_THRESHOLDS)
-
-
 def find_first(group: BaseExceptionGroup[LavendergapError]) -> LavendergapError:
     """Return the first error in a group, however deep it stands."""
     first = group.exceptions[0]
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -1,7 +1,6 @@
 """The daemon of a gateway host: starts its parts, and stops them without a cut."""
 
 import functools
-import gc
 import logging
 import secrets
 import signal
@@ -40,7 +39,6 @@
 from ..transport.gateway import GatewayApp, GatewayHandlers
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
 from .adapter import ROUTES_FEED, SERVERS_FEED, Adapter
-from .daemon import BACKLOG, COLLECTOR_THRESHOLDS
 from .discovery import find_hosts, keep_channels
 from .feedpeers import FeedChannels
 from .feeds import FeedReader
@@ -50,6 +48,7 @@
 from .owner import Owner
 from .peers import PeerService
 from .ports import PortLimits, serve_port
+from .process import BACKLOG, tune_collector
 
 logger = logging.getLogger("lavendergap.entry")
 
@@ -113,9 +112,7 @@
 def run_gateway(path: Path, make_adapter: Callable[[GatewayHost], Adapter]) -> None:
     """Run the daemon until SIGTERM; raise SettingsError for a bad settings file."""
     host = read_host_file(path)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+    tune_collector()
     trio.run(Gateway(host=host, path=path, adapter=make_adapter(host)).run)
 
 
