Give each connection to a server one task, not one to each call

Hypothesis: what a host spends a call goes to the loop. In a profile of 73 hosts over ten calm seconds each call took five waits for input and eight steps of tasks: one task spawned, three scopes, a send and a receive with their checkpoints. 28 of 84 s were the attempts' own.

Change: `Link` is an open connection with one reading task; `ForwardClient.begin` writes the request in the step that starts the attempt, and the answer's end goes to the scheduler from the reading task. Deadlines are the scheduler's; a connection that was idle gets its shorter limit from one scope that stays. Cancelling closes the connection as before. Two more things follow: a close by the server is seen while nothing is asked, and a send that the kernel refuses is "not run" and no longer "unknown".

Tests: tests/test_forward.py, `TestOneTaskAConnection`, of which those of the close, the steps and the refused send fail on the code before.

--- /dev/null
+++ b/lab/callcost.py
@@ -0,0 +1,203 @@
+"""What a call to a backend server costs a host: processor time and turns of the loop.
+
+One process calls servers of a second one, which answer at once, as an owner does for
+queries of many shards: bursts of calls to groups, each answer joined to its query. Run
+with `python -m lab.callcost`; it prints microseconds of processor time and turns of
+the loop for each call, and what a turn without calls costs.
+"""
+
+import multiprocessing
+import time
+from functools import partial
+from random import Random
+
+import click
+import trio
+
+from lavendergap.coordination.calls import Call, FinishCall
+from lavendergap.entry.owner import Owner, Wanted
+from lavendergap.state.forwarding import ForwardedRequest
+from lavendergap.state.settings import (
+    Address,
+    Control,
+    Group,
+    Server,
+    Service,
+    Settings,
+    WaitForCoverage,
+)
+from lavendergap.transport.forward import ForwardClient
+from tests.headers import NAMES
+
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nx-attempt: r1\r\nx-proof: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+    b"x-load: 1,0,2\r\nkeep-alive: timeout=10\r\ncontent-length: 400\r\n\r\n"
+) + b"r" * 400
+
+
+class TurnCounter(trio.abc.Instrument):
+    """Counts the loop's waits for input and its tasks' steps."""
+
+    def __init__(self) -> None:
+        self.n_turns = 0
+        self.n_steps = 0
+
+    def before_io_wait(self, timeout: float) -> None:
+        self.n_turns += 1
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        self.n_steps += 1
+
+
+async def _answer(stream: trio.SocketStream) -> None:
+    async with stream:
+        while await stream.receive_some(65_536):
+            await stream.send_all(ANSWER)
+
+
+def _serve(n_servers: int, ports: "multiprocessing.Queue[int]") -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            for _ in range(n_servers):
+                serve = partial(trio.serve_tcp, _answer, 0, host="127.0.0.1")
+                [listener] = await nursery.start(serve)
+                ports.put(listener.socket.getsockname()[1])
+
+    trio.run(main)
+
+
+def _make_settings(ports: list[int]) -> Settings:
+    groups = []
+    for number in range(len(ports) // 2):
+        servers = tuple(
+            Server(
+                name=f"i-{port}",
+                address=Address(ip="127.0.0.1", port=port),
+                data_centre="a",
+                slots=2,
+                connections=8,
+            )
+            for port in ports[2 * number : 2 * number + 2]
+        )
+        groups.append(Group(name=f"s{number:02}", servers=servers))
+    services = tuple(
+        Service(
+            name=group.name,
+            idempotent=True,
+            groups=(group,),
+            deadline_ms=0,
+            stragglers=WaitForCoverage(),
+            hedge_budget=0.1,
+            hedge_after_quantile=0.95,
+            retry_budget=0.1,
+            queue_limit=64,
+            max_body_bytes=0,
+            weight=1.0,
+        )
+        for group in groups
+    )
+    return Settings(
+        deployment="lab",
+        version=1,
+        platform=Address(ip="127.0.0.1", port=1),
+        hosts=(),
+        services=services,
+        control=Control(),
+    )
+
+
+async def _query(owner: Owner, settings: Settings) -> int:
+    done = trio.Event()
+    n_open = len(settings.services)
+    forward = ForwardedRequest(
+        method=b"GET",
+        target=b"/a",
+        attempt=b"r1",
+        headers=((b"host", b"a.example"), (b"x-attempt", b"r1")),
+    )
+
+    def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+        nonlocal n_open
+        n_open -= 1
+        if not n_open:
+            done.set()
+
+    now = trio.current_time()
+    wanted = [
+        Wanted(
+            call=Call(
+                call_id=owner.make_call_id(),
+                request_id="r1",
+                service=service.name,
+                group=service.name,
+                shard=service.name,
+                version=0,
+                deadline=now + 1.0,
+                body=b"",
+                idempotent=True,
+                forward=forward,
+                max_attempts=2,
+                wanted_by=now + 0.25,
+                kind="q",
+            ),
+            finish=finish,
+        )
+        for service in settings.services
+    ]
+    owner.submit(wanted)
+    await done.wait()
+    return len(wanted)
+
+
+async def _measure(settings: Settings, n_queries: int, pause: float) -> None:
+    counter = TurnCounter()
+    trio.lowlevel.add_instrument(counter)
+    async with trio.open_nursery() as nursery:
+
+        def make_client(server: Server, idle_limit: float) -> ForwardClient:
+            return ForwardClient(
+                server=server, idle_limit=idle_limit, names=NAMES, nursery=nursery
+            )
+
+        owner = Owner(
+            settings=settings,
+            nursery=nursery,
+            random=Random(1),
+            attempt_prefix="l",
+            make_client=make_client,
+        )
+        for _ in range(20):
+            await _query(owner, settings)
+        counter.n_turns = counter.n_steps = 0
+        began = time.process_time()
+        n_calls = 0
+        for _ in range(n_queries):
+            n_calls += await _query(owner, settings)
+            await trio.sleep(pause)
+        took = time.process_time() - began
+        print(
+            f"calls={n_calls} us_a_call={1e6 * took / n_calls:.0f}"
+            f" turns_a_call={counter.n_turns / n_calls:.2f}"
+            f" steps_a_call={counter.n_steps / n_calls:.2f}"
+        )
+        nursery.cancel_scope.cancel()
+
+
+@click.command()
+@click.option("--groups", default=5, show_default=True, help="Shards an owner has.")
+@click.option("--queries", default=600, show_default=True)
+@click.option("--pause", default=0.005, show_default=True, help="Seconds between.")
+def main(groups: int, queries: int, pause: float) -> None:
+    """Print what a call costs an owner of some groups."""
+    ports: multiprocessing.Queue[int] = multiprocessing.Queue()
+    servers = multiprocessing.Process(
+        target=_serve, args=(2 * groups, ports), daemon=True
+    )
+    servers.start()
+    settings = _make_settings([ports.get() for _ in range(2 * groups)])
+    trio.run(_measure, settings, queries, pause)
+    servers.terminate()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -275,7 +275,10 @@
 
     def _make_client(self, server: Server, idle_limit: float) -> ForwardClient:
         return ForwardClient(
-            server=server, idle_limit=idle_limit, names=self._adapter.names
+            server=server,
+            idle_limit=idle_limit,
+            names=self._adapter.names,
+            nursery=self._nursery,
         )
 
     def _handle_peer(self, channel: Channel, frame: Frame) -> None:
--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -27,11 +28,19 @@
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Group, Server, Service, Settings
 from ..transport.backend import BackendClient
+from ..transport.forward import ForwardClient
 from .alarms import Alarm, AlarmClock
 
 logger = logging.getLogger("lavendergap.route")
 
 
+class Cancellable(Protocol):
+    """An attempt under way."""
+
+    def cancel(self) -> None:
+        """Give it up; it ends all the same, soon after."""
+
+
 class Client(Protocol):
     """What a group needs of the connections to one of its backend servers."""
 
@@ -105,7 +114,7 @@
         self._make_client = make_client
         self._clients: dict[str, Client] = {}
         self._finishes: dict[int, Finish] = {}
-        self._scopes: dict[int, trio.CancelScope] = {}
+        self._running: dict[int, Cancellable] = {}
         self._versions: dict[str, tuple[int, ...]] = {}
         self._clock = clock
         self._alarm = Alarm(wake=self._advance)
@@ -166,7 +175,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether any call has not ended yet."""
-        return bool(self._finishes) or bool(self._scopes)
+        return bool(self._finishes) or bool(self._running)
 
     def close(self) -> None:
         """End the group's tasks; used once it is no longer busy."""
@@ -186,9 +195,9 @@
                     if not is_logged or effect.cause != "first":
                         self._log_start(effect)
                 case CancelAttempt(attempt_id=attempt_id):
-                    scope = self._scopes.get(attempt_id)
-                    if scope is not None:
-                        scope.cancel()
+                    running = self._running.get(attempt_id)
+                    if running is not None:
+                        running.cancel()
                 case FinishCall():
                     self._finish(effect)
                 case WithholdHedge():
@@ -230,17 +239,25 @@
         finish(effect, self._versions.get(effect.server, ()))
 
     def _launch(self, effect: StartAttempt) -> None:
-        """Start the task of an attempt.
+        """Start an attempt.
 
-        Before the task first runs, other settings may take its server away, and its
+        Before anything of it runs, other settings may take its server away, and its
         call may end. So it is given the connections here, and can be cancelled from
-        here on: looked up by the task, the one would be missing and end the whole
-        process, and the other would let a server work for nobody.
+        here on: looked up later, the one would be missing and end the whole process,
+        and the other would let a server work for nobody.
         """
-        scope = trio.CancelScope()
-        self._scopes[effect.attempt_id] = scope
-        client = self._clients[effect.server]
-        self._nursery.start_soon(self._attempt, effect, client, scope)
+        started = trio.current_time()
+        match self._clients[effect.server]:
+            case ForwardClient() as client:
+                self._running[effect.attempt_id] = client.begin(
+                    effect.call,
+                    fresh=effect.fresh_connection,
+                    end=partial(self._end_attempt, effect, started),
+                )
+            case client:
+                scope = trio.CancelScope()
+                self._running[effect.attempt_id] = scope
+                self._nursery.start_soon(self._attempt, effect, client, scope)
 
     async def _attempt(
         self, effect: StartAttempt, client: Client, scope: trio.CancelScope
@@ -250,7 +267,12 @@
         verdict = Verdict(outcome=_judge_cancelled(effect.server), report=None)
         with scope:
             verdict = await self._call(client, effect, attempt)
-        del self._scopes[effect.attempt_id]
+        self._end_attempt(effect, started, verdict)
+
+    def _end_attempt(
+        self, effect: StartAttempt, started: float, verdict: Verdict
+    ) -> None:
+        del self._running[effect.attempt_id]
         now = trio.current_time()
         self._count_end(verdict.outcome)
         if verdict.report is not None:
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -6,7 +6,8 @@
 """
 
 import socket
-from dataclasses import dataclass
+from collections.abc import Callable
+from math import inf
 
 import trio
 
@@ -21,11 +22,10 @@
 from ..protocol.leaf import Reply, Verdict
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
-from .replies import ReplyReader, WrongAnswerError
+from .link import Exchange, Link, Result, has_input
 
 logger = get_logger(Category.CONNECTIONS)
 
-READ_SIZE = 65_536
 # What a new connection may take, in seconds. Most take a few milliseconds; a packet
 # that is dropped at a full queue is sent again after a second, and by then another
 # server has answered.
@@ -41,70 +41,78 @@
 # so that a request does not cross the close.
 IDLE_SHARE = 0.7
 
-
-@dataclass(slots=True, kw_only=True)
-class ForwardConnection:
-    """One open connection, and when it last carried a whole answer."""
-
-    stream: trio.SocketStream
-    raw: socket.socket
-    answered_at: float
-    idle_limit: float
-    is_new: bool = True
-    is_closed: bool = False
-    n_sent: int = 0
+EndCall = Callable[[Verdict], None]
 
 
 class ForwardClient:
     """All connections of this process to one backend server.
 
-    `call` never raises for what the server or the network does. `idle_limit` is how
-    long, in seconds, an idle connection is kept; a server that names a shorter time
-    in its answers gets that.
+    `call` and `begin` never raise for what the server or the network does.
+    `idle_limit` is how long, in seconds, an idle connection is kept; a server that
+    names a shorter time in its answers gets that. The connections' tasks run in
+    `nursery`.
     """
 
     def __init__(
-        self, *, server: Server, idle_limit: float, names: HeaderNames
+        self,
+        *,
+        server: Server,
+        idle_limit: float,
+        names: HeaderNames,
+        nursery: trio.Nursery,
     ) -> None:
         self.server = server
         self.n_open = 0
         self._idle_limit = idle_limit
         self._names = names
-        self._idle: list[ForwardConnection] = []
+        self._nursery = nursery
+        self._idle: list[Link] = []
         self._is_closed = False
 
+    # Attempts.
+
     async def call(self, call: Call, *, attempt: bytes, fresh: bool) -> Verdict:
         """Make one attempt at `call`, within its deadline."""
-        assert call.forward is not None
+        ended: list[Verdict] = []
+        done = trio.Event()
+
+        def end(verdict: Verdict) -> None:
+            ended.append(verdict)
+            done.set()
+
+        exchange = self.begin(call, fresh=fresh, end=end)
+        try:
+            with trio.move_on_at(call.deadline):
+                await done.wait()
+        finally:
+            if not ended:
+                exchange.cancel()
+        return ended[0] if ended else self._lose(Step.RECEIVE, Reason.DEADLINE)
+
+    def begin(self, call: Call, *, fresh: bool, end: EndCall) -> Exchange:
+        """Begin an attempt at `call`; `end` is told its verdict, after this returns.
+
+        Whoever begins it cancels it at the call's deadline.
+        """
         now = trio.current_time()
-        left = call.deadline - now
-        if left <= 0:
-            return self._refuse(Step.QUEUE, Reason.DEADLINE)
-        connection = None if fresh else self._take_idle(call, now)
-        if connection is None:
-            opened = await self._open(min(CONNECT_LIMIT, left))
-            if isinstance(opened, NotRun):
-                return Verdict(outcome=opened, report=None)
-            connection = opened
-            left = call.deadline - trio.current_time()
-            if left <= 0:
-                # Opening it took what was left; nothing was sent, and the next call
-                # finds the connection open.
-                self._idle.append(connection)
-                return self._refuse(Step.CONNECT, Reason.DEADLINE)
-        limit = left
-        if call.idempotent and now - connection.answered_at > TRUSTED_IDLE:
-            limit = left * UNPROVED_SHARE
-        result = await self._exchange(connection, call, left=left, limit=limit)
-        if isinstance(result, Reply):
-            return judge_forwarded(
-                result,
-                call.forward,
-                names=self._names,
-                server=self.server.name,
-                is_part=bool(call.shard),
-            )
-        return Verdict(outcome=result, report=None)
+        exchange = Exchange(
+            call=call,
+            peer=self.server.name,
+            end=lambda ended, result: end(self._judge(ended.call, result)),
+        )
+        if call.deadline <= now:
+            self._refuse(exchange, Step.QUEUE, Reason.DEADLINE)
+            return exchange
+        link = None if fresh else self._take_idle(call, now)
+        if link is not None:
+            self._send(link, exchange, now)
+        elif self.n_open >= self.server.connections:
+            self._refuse(exchange, Step.CONNECT, Reason.OVERLOADED)
+        else:
+            self._count_opened()
+            scope = exchange.opening = trio.CancelScope()
+            self._nursery.start_soon(self._open, exchange, scope)
+        return exchange
 
     async def probe(self) -> ServerReport | None:
         """Tell nothing: answers and the registry say what a probe would.
@@ -115,48 +123,81 @@
 
     async def close_idle(self, *, now: float) -> None:
         """Close the connections that have been idle for too long at `now`."""
-        old = [c for c in self._idle if now - c.answered_at > c.idle_limit]
-        self._idle = [c for c in self._idle if now - c.answered_at <= c.idle_limit]
-        for connection in old:
-            self._drop(connection)
+        old = [link for link in self._idle if now - link.answered_at > link.idle_limit]
+        for link in old:
+            link.drop(Reason.LOST_CONNECTION)
 
     async def close(self) -> None:
         """Close every idle connection; those in use close as their calls end."""
         self._is_closed = True
         await self.close_idle(now=float("inf"))
 
-    def _refuse(self, step: Step, reason: Reason) -> Verdict:
+    # What an exchange came to.
+
+    def _judge(self, call: Call, result: Result) -> Verdict:
+        """Return what a result proves; an error of this program costs it and no more.
+
+        Raised further it would end the process, and with it every request of every
+        caller that the host serves.
+        """
+        if not isinstance(result, Reply):
+            return Verdict(outcome=result, report=None)
+        assert call.forward is not None
+        try:
+            return judge_forwarded(
+                result,
+                call.forward,
+                names=self._names,
+                server=self.server.name,
+                is_part=bool(call.shard),
+            )
+        except Exception:
+            logger.exception("the answer of %s cannot be judged", self.server.name)
+            return self._lose(Step.CHECK, Reason.SERVER_ERROR)
+
+    def _refuse(self, exchange: Exchange, step: Step, reason: Reason) -> None:
         outcome = NotRun(step=step, peer=self.server.name, reason=reason)
+        self._nursery.start_soon(_finish_soon, exchange, outcome)
+
+    def _lose(self, step: Step, reason: Reason) -> Verdict:
+        outcome: Outcome = Unknown(step=step, peer=self.server.name, reason=reason)
         return Verdict(outcome=outcome, report=None)
 
-    def _take_idle(self, call: Call, now: float) -> ForwardConnection | None:
+    # Connections.
+
+    def _take_idle(self, call: Call, now: float) -> Link | None:
         while self._idle:
-            connection = self._idle[-1]
-            age = now - connection.answered_at
+            link = self._idle[-1]
+            age = now - link.answered_at
             if not call.idempotent and age > TRUSTED_IDLE:
                 return None
             self._idle.pop()
-            if age <= connection.idle_limit and not _has_input(connection):
-                connection.is_new = False
-                return connection
-            self._drop(connection)
+            # Its task may not have had a turn yet to see that the server closed it.
+            if age <= link.idle_limit and not has_input(link):
+                return link
+            link.drop(Reason.LOST_CONNECTION)
         return None
 
-    async def _open(self, limit: float) -> ForwardConnection | NotRun:
+    async def _open(self, exchange: Exchange, scope: trio.CancelScope) -> None:
+        """Open a connection for an exchange, and read on it until it closes."""
+        link = await self._connect(exchange, scope)
+        if link is not None:
+            await link.read()
+
+    async def _connect(
+        self, exchange: Exchange, scope: trio.CancelScope
+    ) -> Link | None:
         peer = self.server.name
-        if self.n_open >= self.server.connections:
-            return NotRun(step=Step.CONNECT, peer=peer, reason=Reason.OVERLOADED)
-        self.n_open += 1
-        metrics.backend_connections.inc()
+        left = exchange.call.deadline - trio.current_time()
         connected = None
         try:
-            with trio.move_on_after(limit):
+            with scope, trio.move_on_after(min(CONNECT_LIMIT, left)):
                 connected = await _connect(self.server)
         except OSError as error:
             log_decision(
                 logger,
                 "connect failed",
-                request_id=None,
+                request_id=exchange.call.request_id,
                 server=peer,
                 error=str(error),
             )
@@ -164,118 +205,110 @@
             if connected is None:
                 self._count_closed()
         if connected is None:
-            reason = Reason.REFUSED_CONNECTION
-            return NotRun(step=Step.CONNECT, peer=peer, reason=reason)
-        return ForwardConnection(
-            stream=trio.SocketStream(trio.socket.from_stdlib_socket(connected)),
-            raw=connected,
-            answered_at=trio.current_time(),
-            idle_limit=self._idle_limit,
-        )
-
-    async def _exchange(
-        self, connection: ForwardConnection, call: Call, *, left: float, limit: float
-    ) -> Reply | Outcome:
-        """Send one request and read its whole answer."""
-        peer = self.server.name
-        is_reusable = False
-        connection.n_sent = 0
+            if scope.cancel_called:
+                exchange.lose(Reason.CANCELLED)
+            else:
+                reason = Reason.REFUSED_CONNECTION
+                exchange.finish(NotRun(step=Step.CONNECT, peer=peer, reason=reason))
+            return None
+        link = Link(raw=connected, idle_limit=self._idle_limit, owner=self)
+        now = trio.current_time()
+        if exchange.call.deadline <= now:
+            # Opening it took what was left; nothing was sent, and the next call
+            # finds the connection open.
+            self._idle.append(link)
+            outcome = NotRun(step=Step.CONNECT, peer=peer, reason=Reason.DEADLINE)
+            exchange.finish(outcome)
+        else:
+            self._send(link, exchange, now)
+        return link
+
+    def _send(self, link: Link, exchange: Exchange, now: float) -> None:
+        call = exchange.call
         assert call.forward is not None
-        reader = ReplyReader(has_no_body=call.forward.method == b"HEAD")
+        left = call.deadline - now
         try:
-            with trio.move_on_after(limit):
-                await self._send(connection, call, left)
-                await _receive(connection, reader)
-                reply = reader.make_reply()
-                is_reusable = self._may_reuse(connection, reader, reply, call)
-                return reply
-            if connection.is_new or limit >= left:
-                return Unknown(step=Step.RECEIVE, peer=peer, reason=Reason.DEADLINE)
-            await self._distrust(call)
-            reason = Reason.SILENT_CONNECTION
-            return Unknown(step=Step.RECEIVE, peer=peer, reason=reason)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return self._judge_loss(connection, Reason.LOST_CONNECTION)
-        except WrongAnswerError:
-            return self._judge_loss(connection, Reason.WRONG_ANSWER)
-        finally:
-            if is_reusable:
-                connection.answered_at = trio.current_time()
-                self._idle.append(connection)
-            else:
-                self._drop(connection)
-
-    async def _send(
-        self, connection: ForwardConnection, call: Call, left: float
-    ) -> None:
-        request = call.forward
-        assert request is not None
-        data = render_request(
-            request,
-            names=self._names,
+            data = render_request(
+                call.forward,
+                names=self._names,
+                server=self.server.name,
+                left_ms=max(1, int(left * 1_000)),
+                body=call.body,
+            )
+        except Exception:
+            # As above. Nothing has left, and the connection is as good as before.
+            logger.exception("a request to %s cannot be sent", self.server.name)
+            self._idle.append(link)
+            self._refuse(exchange, Step.SEND, Reason.SERVER_ERROR)
+            return
+        silent_at = inf
+        if call.idempotent and now - link.answered_at > TRUSTED_IDLE:
+            silent_at = now + left * UNPROVED_SHARE
+        rest = link.send(exchange, data, silent_at=silent_at)
+        if rest:
+            self._nursery.start_soon(link.send_rest, exchange, rest)
+
+    # What the connections tell.
+
+    def note_silence(self, exchange: Exchange) -> None:
+        """Close what was idle beside a connection that went silent.
+
+        Its siblings went through the same middle.
+        """
+        log_decision(
+            logger,
+            "silent connection",
+            request_id=exchange.call.request_id,
             server=self.server.name,
-            left_ms=max(1, int(left * 1_000)),
-            body=call.body,
+            n_idle_dropped=len(self._idle),
         )
-        # From here on the server may have the request, whatever becomes of the call.
-        connection.n_sent = len(data)
-        await connection.stream.send_all(data)
+        for sibling in list(self._idle):
+            sibling.drop(Reason.SILENT_CONNECTION)
 
-    def _may_reuse(
-        self,
-        connection: ForwardConnection,
-        reader: ReplyReader,
-        reply: Reply,
-        call: Call,
-    ) -> bool:
-        """Tell whether the next answer on the connection will be the next request's.
+    def note_closed(self, link: Link) -> None:
+        """Count a connection that is closed, and use it no more."""
+        self._count_closed()
+        if link in self._idle:
+            self._idle.remove(link)
+
+    def take_back(self, link: Link, exchange: Exchange) -> bool:
+        """Keep a connection for the next request, if its answer will be that one's.
 
         Bytes after a whole answer belong to no request, and an answer that names
         another request shows that the answers are off by one: so would be all that
         follow.
         """
-        assert call.forward is not None
-        if self._is_closed or connection.is_closed:
+        reader = exchange.reader
+        assert exchange.call.forward is not None
+        if self._is_closed or link.is_closing:
             return False
         if reader.is_followed or not reader.may_keep_alive:
             return False
-        if reply.headers.get(self._names.attempt) != call.forward.attempt:
+        headers = reader.headers
+        if headers.get(self._names.attempt) != exchange.call.forward.attempt:
             return False
-        connection.idle_limit = min(
-            self._idle_limit, _read_keep_alive(reply.headers.get(b"keep-alive", b""))
+        link.idle_limit = min(
+            self._idle_limit, _read_keep_alive(headers.get(b"keep-alive", b""))
         )
-        return connection.idle_limit > 0
-
-    def _judge_loss(self, connection: ForwardConnection, reason: Reason) -> Outcome:
-        peer = self.server.name
-        if connection.n_sent == 0:
-            return NotRun(step=Step.SEND, peer=peer, reason=reason)
-        return Unknown(step=Step.RECEIVE, peer=peer, reason=reason)
+        if link.idle_limit <= 0:
+            return False
+        link.answered_at = trio.current_time()
+        self._idle.append(link)
+        return True
 
-    async def _distrust(self, call: Call) -> None:
-        """Close what was idle beside a connection that went silent."""
-        log_decision(
-            logger,
-            "silent connection",
-            request_id=call.request_id,
-            server=self.server.name,
-            n_idle_dropped=len(self._idle),
-        )
-        idle, self._idle = self._idle, []
-        for connection in idle:
-            self._drop(connection)
-
-    def _drop(self, connection: ForwardConnection) -> None:
-        """Close at once. The server sees it, and stops what it still ran."""
-        trio.lowlevel.notify_closing(connection.raw)
-        connection.raw.close()
-        self._count_closed()
+    def _count_opened(self) -> None:
+        self.n_open += 1
+        metrics.backend_connections.inc()
 
     def _count_closed(self) -> None:
         self.n_open -= 1
         metrics.backend_connections.dec()
 
 
+async def _finish_soon(exchange: Exchange, outcome: NotRun) -> None:
+    exchange.finish(outcome)
+
+
 async def _connect(server: Server) -> socket.socket:
     connecting = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -289,29 +322,6 @@
     return connected
 
 
-def _has_input(connection: ForwardConnection) -> bool:
-    """Tell whether bytes, or the server's close, wait on an idle connection."""
-    try:
-        connection.raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
-
-
-async def _receive(connection: ForwardConnection, reader: ReplyReader) -> None:
-    while not reader.is_whole:
-        data = await connection.stream.receive_some(READ_SIZE)
-        if data:
-            reader.feed(data)
-            continue
-        connection.is_closed = True
-        if not reader.has_begun:
-            raise trio.BrokenResourceError("closed before an answer")
-        reader.end()
-
-
 def _read_keep_alive(text: bytes) -> float:
     """Return how long an idle connection is good for, in seconds.
 
--- a/src/lavendergap/transport/replies.py
+++ b/src/lavendergap/transport/replies.py
@@ -5,6 +5,8 @@
 thousand of them a second.
 """
 
+from collections.abc import Mapping
+
 import httptools
 
 from ..protocol.leaf import Reply
@@ -93,6 +95,11 @@
         """Whether any byte of an answer has come."""
         return self._n_head_bytes > 0
 
+    @property
+    def headers(self) -> Mapping[bytes, bytes]:
+        """The headers that have come, their names in lower case."""
+        return self._headers
+
     def make_reply(self) -> Reply:
         """Return the answer, once it is whole."""
         return Reply(
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -1,5 +1,6 @@
 """Connections that carry requests unchanged, to servers that answer as scripted."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -7,6 +8,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from lavendergap.coordination.calls import Call
 from lavendergap.protocol.leaf import Verdict
@@ -96,7 +98,9 @@
             slots=2,
             connections=2,
         )
-        client = ForwardClient(server=server, idle_limit=10.0, names=NAMES)
+        client = ForwardClient(
+            server=server, idle_limit=10.0, names=NAMES, nursery=nursery
+        )
         bench = Bench(client=client, requests=requests)
         yield bench
         await client.close()
@@ -206,7 +210,7 @@
             assert isinstance(outcome, Unknown)
             assert outcome.reason is Reason.LOST_CONNECTION
 
-    async def test_a_refused_connection_has_not_run(self):
+    async def test_a_refused_connection_has_not_run(self, nursery):
         async with open_bench() as bench:
             server = bench.client.server
             closed = Server(
@@ -216,7 +220,9 @@
                 slots=2,
                 connections=2,
             )
-            client = ForwardClient(server=closed, idle_limit=10.0, names=NAMES)
+            client = ForwardClient(
+                server=closed, idle_limit=10.0, names=NAMES, nursery=nursery
+            )
             verdict = await client.call(make_call(), attempt=b"", fresh=False)
             assert isinstance(verdict.outcome, NotRun)
             assert client.n_open == 0
@@ -280,3 +286,108 @@
             assert isinstance(outcome, NotRun)
             assert outcome.reason is Reason.DEADLINE
             assert bench.requests == []
+
+
+class StepCounter(trio.abc.Instrument):
+    """Counts the steps that connections' tasks of this host take, by their names."""
+
+    def __init__(self) -> None:
+        self.n_steps = 0
+        self.n_tasks = 0
+
+    def task_spawned(self, task: trio.lowlevel.Task) -> None:
+        self.n_tasks += 1
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        self.n_steps += "ForwardClient" in task.name
+
+
+class TestOneTaskAConnection:
+    async def test_a_close_is_seen_before_the_next_request(self):
+        # A server drops idle connections without a word. Seen only by the request that
+        # is sent there next, that one is lost, and a read has to be sent once more.
+        async with open_bench(answer()) as bench:
+            await bench.call()
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert bench.client.n_open == 0
+
+    async def test_an_attempt_takes_one_step(self):
+        # Hosts with half a core make some hundred calls a second, and the loop's steps
+        # were most of what each cost.
+        async with open_bench(*[answer()] * 40) as bench:
+            await bench.call()
+            counter = StepCounter()
+            trio.lowlevel.add_instrument(counter)
+            ended: list[Verdict] = []
+            for n_ended in range(1, 31):
+                bench.client.begin(make_call(), fresh=False, end=ended.append)
+                while len(ended) < n_ended:
+                    await trio.sleep(0.001)
+            trio.lowlevel.remove_instrument(counter)
+            assert bench.n_connections == 1
+            assert (counter.n_steps, counter.n_tasks) == (30, 0)
+
+    async def test_a_request_that_could_not_be_sent_has_not_run(self):
+        # The kernel refuses the bytes: none has left, and a booking may go elsewhere.
+        async with open_bench(answer(), answer()) as bench:
+            await bench.call()
+            [link] = bench.client._idle
+            link.raw.shutdown(socket.SHUT_WR)
+            verdict = await bench.call(make_call(idempotent=False))
+            assert isinstance(verdict.outcome, NotRun)
+            assert verdict.outcome.reason is Reason.LOST_CONNECTION
+            assert bench.client.n_open == 0
+
+    async def test_a_long_request_is_sent_as_the_server_takes_it(self):
+        body = b"x" * 8_000_000
+        async with open_bench(answer()) as bench:
+            verdict = await bench.call(make_call(body=body))
+            assert isinstance(verdict.outcome, Answered)
+
+    async def test_a_connection_that_was_idle_and_stays_silent(self, autojump_clock):
+        # Something between the ends has lost track of the connection: what is sent
+        # there never arrives. Half of the time is left for another server, and the
+        # connections beside it are not tried one after the other.
+        async with open_bench(answer(), b"silence") as bench:
+            await bench.call()
+            await trio.sleep(forward.TRUSTED_IDLE + 0.5)
+            started = trio.current_time()
+            outcome = (await bench.call()).outcome
+            assert isinstance(outcome, Unknown)
+            assert outcome.reason is Reason.SILENT_CONNECTION
+            assert trio.current_time() - started < LIMIT * 0.6
+            assert bench.client.n_open == 0
+
+    async def test_a_cancelled_attempt_ends_once_and_frees_its_connection(self):
+        async with open_bench(b"silence") as bench:
+            ended: list[Verdict] = []
+            exchange = bench.client.begin(make_call(), fresh=False, end=ended.append)
+            await trio.sleep(0.05)
+            exchange.cancel()
+            exchange.cancel()
+            await trio.sleep(0.05)
+            [verdict] = ended
+            assert isinstance(verdict.outcome, Unknown)
+            assert verdict.outcome.reason is Reason.CANCELLED
+            assert bench.client.n_open == 0
+
+    async def test_one_that_is_cancelled_while_its_connection_opens(self):
+        async with open_bench(answer()) as bench:
+            ended: list[Verdict] = []
+            exchange = bench.client.begin(make_call(), fresh=False, end=ended.append)
+            exchange.cancel()
+            await trio.sleep(0.05)
+            assert len(ended) == 1
+            assert bench.client.n_open == 0
+            assert bench.requests == []
+
+    async def test_a_late_cancel_harms_no_later_request(self):
+        async with open_bench(answer(), answer()) as bench:
+            ended: list[Verdict] = []
+            exchange = bench.client.begin(make_call(), fresh=False, end=ended.append)
+            await trio.sleep(0.05)
+            later = bench.client.begin(make_call(), fresh=False, end=ended.append)
+            exchange.cancel()
+            await trio.sleep(0.05)
+            assert [type(v.outcome) for v in ended] == [Answered, Answered]
+            assert later.link is exchange.link
