Leave out a name that no peer could be told

Cause: a page that is no JSON as a whole is searched for its objects, and the name of one was decoded less strictly than elsewhere. Half of a surrogate pair passed as a name and would have ended the process when the entry was hashed.

--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -225,6 +225,13 @@
         assert [entry.name for entry in found.entries] == ["c"]
         assert found.n_unreadable == 3
 
+    def test_a_name_that_no_peer_could_be_told_is_left_out(self):
+        # Half of a surrogate pair: a string here, and no bytes on any channel.
+        broken = rb'{"meta":{"name":"\ud800"},"spec":}{}'
+        found = pages.read_page(page(broken, show("c", encode())))
+        assert [entry.name for entry in found.entries] == ["c"]
+        assert found.n_unreadable == 1
+
     def test_an_event_that_cannot_be_read_hides_no_other(self):
         events = [
             b'{"deleted":false,"object":%s}' % show("a", encode()),
