Send nothing more of a long request on a connection that is closed

Cause: the task that sends the rest of a request looked only at whether its exchange was still on the connection, which it is until the reading task has its turn. Waiting for a closed socket raises ValueError, which would have ended the process.

--- a/src/lavendergap/transport/link.py
+++ b/src/lavendergap/transport/link.py
@@ -136,7 +136,7 @@
 
     async def send_rest(self, exchange: Exchange, rest: bytes) -> None:
         """Send what was left of a long request, as the server takes it."""
-        while rest and self._exchange is exchange:
+        while rest and self._is_open and self._exchange is exchange:
             try:
                 await trio.lowlevel.wait_writable(self.raw)
                 n_sent = self.raw.send(rest)
