Open a connection until a time, not for one that may be negative

Cause: the task that opens a connection took what was left of its call as the limit. A host that has just lost power or is late gives the task its first turn after the call's deadline; what is left is negative then, an error to trio, and the process ended.

Change: the limit is a time on the clock, and whatever goes wrong while a connection is opened costs that attempt alone.

--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -188,12 +188,15 @@
         self, exchange: Exchange, scope: trio.CancelScope
     ) -> Link | None:
         peer = self.server.name
-        left = exchange.call.deadline - trio.current_time()
+        # By the clock and not by a time left: before this task's first turn the
+        # deadline may have passed, and a negative time is an error to trio.
+        until = min(trio.current_time() + CONNECT_LIMIT, exchange.call.deadline)
         connected = None
         try:
-            with scope, trio.move_on_after(min(CONNECT_LIMIT, left)):
+            with scope, trio.move_on_at(until):
                 connected = await _connect(self.server)
-        except OSError as error:
+        except Exception as error:
+            # One of this program's own must not end the process either.
             log_decision(
                 logger,
                 "connect failed",
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -1,6 +1,7 @@
 """Connections that carry requests unchanged, to servers that answer as scripted."""
 
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -287,6 +288,30 @@
             assert outcome.reason is Reason.DEADLINE
             assert bench.requests == []
 
+    async def test_before_the_connection_is_begun(self):
+        # The loop is late: the task that opens a connection has its first turn after
+        # the request's deadline. A negative time to open it in once ended the whole
+        # process, on days when hosts had just lost power.
+        async with open_bench(answer()) as bench:
+            ended: list[Verdict] = []
+            call = replace(make_call(), deadline=trio.current_time() + 0.001)
+            bench.client.begin(call, fresh=False, end=ended.append)
+            time.sleep(0.005)
+            await trio.sleep(0.05)
+            [verdict] = ended
+            assert isinstance(verdict.outcome, NotRun)
+            assert bench.requests == []
+
+    async def test_an_error_of_our_own_costs_the_attempt_alone(self, monkeypatch):
+        async def fail(server):
+            raise RuntimeError("a fault in this program")
+
+        async with open_bench(answer()) as bench:
+            monkeypatch.setattr(forward, "_connect", fail)
+            outcome = (await bench.call()).outcome
+            assert isinstance(outcome, NotRun)
+            assert bench.client.n_open == 0
+
 
 class StepCounter(trio.abc.Instrument):
     """Counts the steps that connections' tasks of this host take, by their names."""
