Send nothing for an attempt that was given up while its connection opened

Cause: an attempt that was cancelled in the very step in which its connection was there was sent all the same, and a server worked for a caller that had left; a client that had been closed meanwhile kept a connection that opened too late. Found on reading the change again; two tests in tests/test_forward.py, both red before.

--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -216,16 +216,23 @@
             return None
         link = Link(raw=connected, idle_limit=self._idle_limit, owner=self)
         now = trio.current_time()
-        if exchange.call.deadline <= now:
+        if scope.cancel_called or exchange.call.deadline <= now:
             # Opening it took what was left; nothing was sent, and the next call
             # finds the connection open.
-            self._idle.append(link)
-            outcome = NotRun(step=Step.CONNECT, peer=peer, reason=Reason.DEADLINE)
-            exchange.finish(outcome)
+            self._keep(link)
+            reason = Reason.CANCELLED if scope.cancel_called else Reason.DEADLINE
+            exchange.finish(NotRun(step=Step.CONNECT, peer=peer, reason=reason))
         else:
             self._send(link, exchange, now)
         return link
 
+    def _keep(self, link: Link) -> None:
+        """Keep a connection for the next request."""
+        if self._is_closed:
+            link.drop(Reason.LOST_CONNECTION)
+        else:
+            self._idle.append(link)
+
     def _send(self, link: Link, exchange: Exchange, now: float) -> None:
         call = exchange.call
         assert call.forward is not None
@@ -241,7 +248,7 @@
         except Exception:
             # As above. Nothing has left, and the connection is as good as before.
             logger.exception("a request to %s cannot be sent", self.server.name)
-            self._idle.append(link)
+            self._keep(link)
             self._refuse(exchange, Step.SEND, Reason.SERVER_ERROR)
             return
         silent_at = inf
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -406,6 +406,42 @@
             assert bench.client.n_open == 0
             assert bench.requests == []
 
+    async def test_one_that_is_cancelled_as_its_connection_is_open(self, monkeypatch):
+        # The caller leaves in the moment in which the connection is there: nothing is
+        # sent any more, and the connection is good for the next request.
+        connect = forward._connect
+        async with open_bench(answer()) as bench:
+            ended: list[Verdict] = []
+
+            async def connect_and_cancel(server):
+                connected = await connect(server)
+                exchange.cancel()
+                return connected
+
+            monkeypatch.setattr(forward, "_connect", connect_and_cancel)
+            exchange = bench.client.begin(make_call(), fresh=False, end=ended.append)
+            await trio.sleep(0.05)
+            assert len(ended) == 1
+            assert bench.requests == []
+            assert isinstance((await bench.call()).outcome, Answered)
+            assert bench.n_connections == 1
+
+    async def test_a_closed_client_keeps_none_that_opened_too_late(self, monkeypatch):
+        connect = forward._connect
+        async with open_bench(answer()) as bench:
+
+            async def connect_late(server):
+                connected = await connect(server)
+                await bench.client.close()
+                time.sleep(0.15)
+                return connected
+
+            monkeypatch.setattr(forward, "_connect", connect_late)
+            call = replace(make_call(), deadline=trio.current_time() + 0.1)
+            await bench.call(call)
+            await trio.sleep(0.05)
+            assert bench.client.n_open == 0
+
     async def test_a_late_cancel_harms_no_later_request(self):
         async with open_bench(answer(), answer()) as bench:
             ended: list[Verdict] = []
