--- a/src/lavendergap/coordination/telling.py
+++ b/src/lavendergap/coordination/telling.py
@@ -1,9 +1,12 @@
 """Who hears news of the store from whom: one host of a data centre tells the others."""
 
-from collections.abc import Mapping
+import zlib
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from ..state.feeds import FeedChange
 from .ranking import rank_hosts
+from .watchers import WATCH_KEY
 
 RELAY_FROM = 5
 """How many hosts of another data centre are told through one of them.
@@ -16,18 +19,63 @@
 """
 
 
+MAX_CROSSING_BYTES = 4_096
+"""Longer news cross to one host of each data centre only, however few it has.
+
+An operator's document of some hundred routes is over 100 KB, and would cross once for
+each host.
+"""
+
+MAX_RELAYED_BYTES = 16_384
+"""As compressed; longer news cross without what changed, and relays read the store.
+
+Such a document is about 10 KB then and crosses once for each data centre, where all of
+its hosts would read it from the store: 195 calls for each change of the routes, against
+five copies.
+"""
+
+MAX_NEAR_BYTES = 131_072
+"""The same within the data centre, where only the sender's link is used.
+
+To 33 neighbours that takes a link of 35 Mbit/s one second, of the six or so within
+which a change has to be in force.
+"""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Hearer:
     """A host to tell; `passes_on` has it tell all others of its data centre."""
 
     host: str
     passes_on: bool
+    is_near: bool
 
 
-def choose_hearers(own: str, places: Mapping[str, str]) -> tuple[Hearer, ...]:
+def may_carry(changes: Iterable[FeedChange], hearer: Hearer) -> bool:
+    """Tell whether news to `hearer` are to hold the changes themselves."""
+    bodies = [change.body for change in changes if change.body]
+    n_bytes = sum(map(len, bodies))
+    if hearer.is_near or n_bytes <= MAX_CROSSING_BYTES:
+        return n_bytes <= MAX_NEAR_BYTES
+    if n_bytes > MAX_NEAR_BYTES:
+        return False
+    return len(zlib.compress(b"".join(bodies), 1)) <= MAX_RELAYED_BYTES
+
+
+def is_long(changes: Iterable[FeedChange]) -> bool:
+    """Tell whether changes are to cross to one host of a data centre only."""
+    return sum(len(change.body or b"") for change in changes) > MAX_CROSSING_BYTES
+
+
+def choose_hearers(
+    own: str, places: Mapping[str, str], *, is_long: bool = False
+) -> tuple[Hearer, ...]:
     """Return whom the host `own` tells directly; `places` holds all live hosts.
 
     Tellers differ in whom they choose, so that two of them seldom rely on one relay.
+    News that are long go through relays in small fleets, too. A relay that is frozen
+    then costs its neighbours a call: the next word, that nothing has changed since,
+    tells them that they lack something.
 
     >>> places = {"a-1": "a", "a-2": "a", "b-1": "b"}
     >>> [hearer.host for hearer in choose_hearers("a-1", places)]
@@ -39,11 +87,15 @@
             by_place.setdefault(place, []).append(host)
     hearers: list[Hearer] = []
     for place, hosts in sorted(by_place.items()):
-        if place == places.get(own) or len(hosts) < RELAY_FROM:
-            hearers += [Hearer(host=host, passes_on=False) for host in sorted(hosts)]
+        is_near = place == places.get(own)
+        if is_near or (len(hosts) < RELAY_FROM and not is_long):
+            hearers += [
+                Hearer(host=host, passes_on=False, is_near=is_near)
+                for host in sorted(hosts)
+            ]
         else:
             relay = rank_hosts(own, hosts)[0]
-            hearers.append(Hearer(host=relay, passes_on=True))
+            hearers.append(Hearer(host=relay, passes_on=True, is_near=False))
     return tuple(hearers)
 
 
@@ -51,3 +103,16 @@
     """Return the other hosts of `own`'s data centre, whom a relay tells."""
     place = places.get(own)
     return tuple(sorted(h for h, p in places.items() if p == place and h != own))
+
+
+def leads_place(own: str, places: Mapping[str, str]) -> bool:
+    """Tell whether `own` is the host that watches the store for its data centre.
+
+    Only where the hosts have just started and do not know yet who watches for all.
+
+    >>> places = {"a-1": "a", "a-2": "a", "b-1": "b"}
+    >>> [host for host in places if leads_place(host, places)]
+    ['a-1', 'b-1']
+    """
+    neighbours = list_neighbours(own, places)
+    return rank_hosts(WATCH_KEY, (own, *neighbours))[0] == own
--- a/src/lavendergap/entry/discovery.py
+++ b/src/lavendergap/entry/discovery.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..coordination.membership import Membership
+from ..coordination.registration import is_to_register
 from ..logs import log_decision
 from ..state.feeds import FeedEntry, FeedListing, StoreLost
 from ..state.hostfile import GatewayHost
@@ -18,32 +19,83 @@
 
 # How often the list of hosts is read while no peer has answered, in seconds.
 HOSTS_RETRY = 1.0
+# What the seeds are given to answer, in seconds, before a host registers for want of
+# anybody: three probes. Hosts that start together find the seeds still starting at the
+# first one.
+SEEDS_WAIT = 2.0
+# A host that knows others registers this long after its start, in seconds, if it is to:
+# until then it does not know how many stand before it.
+REGISTER_AFTER = 4.0
+# How often a host looks whether it is to register now, others being gone, in seconds.
+REGISTER_CHECK = 2.0
 # How often the channels to owners are looked at, in seconds: owners move when hosts
 # come and go, which membership tells within some seconds.
 CHANNEL_CHECK = 0.5
 
 
-async def find_hosts(
-    *,
-    host: GatewayHost,
-    adapter: Adapter,
-    membership: Membership,
-    random: Random,
-) -> None:
-    """Tell others where this host is, and learn of them, through the store.
+class Discovery:
+    """Finds other hosts through the store, and lets some of them be found there.
 
     The seeds may all be down, and a host whose seeds are gone would own everything
-    for itself. Returns once this host is registered and knows another one.
+    for itself.
     """
-    is_registered = False
-    while True:
-        if not is_registered:
-            is_registered = await adapter.register_host(host.name, host.peers)
-            said = "host registered" if is_registered else "host not registered"
-            log_decision(logger, said, request_id=None, host=host.name)
-        match await adapter.source.list_feed(HOSTS_FEED, may_lag=True):
+
+    def __init__(
+        self,
+        *,
+        host: GatewayHost,
+        adapter: Adapter,
+        membership: Membership,
+        random: Random,
+    ) -> None:
+        self._host = host
+        self._adapter = adapter
+        self._membership = membership
+        self._random = random
+        self._is_registered = False
+        self._started_at = trio.current_time()
+
+    async def run(self) -> None:
+        """List hosts until one has answered; register when it is this host's turn."""
+        await self._list()
+        await trio.sleep(SEEDS_WAIT)
+        while True:
+            is_alone = self._is_alone()
+            is_due = not self._is_registered and self._is_to_register()
+            if is_alone or is_due:
+                # An entry of this host's last process may stand there unchanged.
+                await self._list()
+            if is_due and not self._is_registered:
+                await self._register()
+            pause = HOSTS_RETRY * self._random.uniform(1.0, 3.0)
+            is_done = self._is_registered or not is_due
+            await trio.sleep(REGISTER_CHECK if is_done and not is_alone else pause)
+
+    def _is_alone(self) -> bool:
+        return len(self._membership.live()) < 2
+
+    def _is_to_register(self) -> bool:
+        if self._is_alone():
+            return True
+        if trio.current_time() < self._started_at + REGISTER_AFTER:
+            return False
+        live = self._membership.live()
+        members = self._membership.members()
+        places = {m.name: m.data_centre for m in members if m.name in live}
+        return is_to_register(self._host.name, places)
+
+    async def _register(self) -> None:
+        host = self._host
+        self._is_registered = await self._adapter.register_host(host.name, host.peers)
+        said = "host registered" if self._is_registered else "host not registered"
+        log_decision(logger, said, request_id=None, host=host.name)
+
+    async def _list(self) -> None:
+        """Try the hosts that are registered, this one's own entry aside."""
+        match await self._adapter.source.list_feed(HOSTS_FEED, may_lag=True):
             case FeedListing(entries=entries):
-                _join_listed(entries, adapter, membership)
+                for entry in entries:
+                    self._join(entry)
             case StoreLost(step=step, reason=reason):
                 log_decision(
                     logger,
@@ -53,17 +105,10 @@
                     step=step.value,
                     reason=reason.value,
                 )
-        if is_registered and len(membership.live()) > 1:
-            return
-        await trio.sleep(HOSTS_RETRY * random.uniform(1.0, 3.0))
 
-
-def _join_listed(
-    entries: tuple[FeedEntry, ...], adapter: Adapter, membership: Membership
-) -> None:
-    for entry in entries:
+    def _join(self, entry: FeedEntry) -> None:
         try:
-            membership.join([adapter.read_host(entry.body)])
+            address = self._adapter.read_host(entry.body)
         except ValueError as error:
             log_decision(
                 logger,
@@ -72,6 +117,10 @@
                 entry=entry.name,
                 error=str(error),
             )
+            return
+        if entry.name == self._host.name:
+            self._is_registered = address == self._host.peers
+        self._membership.join([address])
 
 
 async def keep_channels(
--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -6,7 +6,14 @@
 import trio
 
 from ..coordination.membership import Membership
-from ..coordination.telling import choose_hearers, list_neighbours
+from ..coordination.telling import (
+    Hearer,
+    choose_hearers,
+    is_long,
+    leads_place,
+    list_neighbours,
+    may_carry,
+)
 from ..coordination.watchers import choose_watch_holders
 from ..protocol.messages import FeedFetch, FeedNews, FeedState, Frame
 from ..transport.channel import Loss
@@ -17,7 +24,7 @@
 """One to watch, and one that goes on when the first one is lost unnoticed."""
 
 SETTLE_TIME = 3.0
-"""Seconds after a start in which a host that knows others is no holder, nor tells.
+"""Seconds after a start in which a host watches for its data centre at most.
 
 It does not know the fleet yet: when 77 hosts started together, most took themselves
 for a holder and opened channels to all whom they knew; 6,514 greetings were sent.
@@ -50,24 +57,46 @@
 
     def get_holder_rank(self) -> int | None:
         """Return this host's place among those that watch the store for all."""
-        if not self.is_settled() and self._list_others():
+        if not self.is_settled() and not self._is_alone():
             return None
         holders = choose_watch_holders(self._membership.members(), N_HOLDERS)
         if self._own_name not in holders:
             return None
         return holders.index(self._own_name)
 
+    def leads_place(self) -> bool:
+        """Tell whether this host watches the store for its data centre alone."""
+        if self.is_settled() or not self._membership.joined:
+            return False
+        return leads_place(self._own_name, self._list_places())
+
     def tell(self, news: FeedNews) -> None:
-        """Send news to all live hosts; who is missed hears the next, or asks."""
-        if not self.is_settled():
-            return
-        for hearer in choose_hearers(self._own_name, self._list_places()):
-            self._send(hearer.host, replace(news, passes_on=hearer.passes_on))
+        """Send news to all live hosts; who is missed hears the next, or asks.
+
+        A host that has just started tells its own data centre, if it leads it.
+        """
+        if self.is_settled():
+            places = self._list_places()
+            is_relayed = is_long(news.changes)
+            for hearer in choose_hearers(self._own_name, places, is_long=is_relayed):
+                self._tell_one(hearer, news)
+        elif self.leads_place():
+            self.pass_on(news)
 
     def pass_on(self, news: FeedNews) -> None:
         """Tell the other hosts of this data centre what this one was told for them."""
         for host in list_neighbours(self._own_name, self._list_places()):
-            self._send(host, replace(news, passes_on=False))
+            self._tell_one(Hearer(host=host, passes_on=False, is_near=True), news)
+
+    def is_near(self, host: str) -> bool:
+        """Tell whether `host` is in the data centre of this one."""
+        places = self._list_places()
+        return places.get(host) == places.get(self._own_name)
+
+    def _tell_one(self, hearer: Hearer, news: FeedNews) -> None:
+        if not may_carry(news.changes, hearer):
+            news = replace(news, base=news.revision, changes=())
+        self._send(hearer.host, replace(news, passes_on=hearer.passes_on))
 
     def _send(self, host: str, news: FeedNews) -> None:
         channel = self._dialer.get_open(host)
@@ -109,5 +138,9 @@
         members = self._membership.members()
         return {m.name: m.data_centre for m in members if m.name in live}
 
+    def _is_alone(self) -> bool:
+        """Tell whether this host has looked for others and found none."""
+        return self._membership.joined and not self._list_others()
+
     def _list_others(self) -> list[str]:
         return sorted(self._membership.live() - {self._own_name})
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -37,8 +37,9 @@
 STALE_AFTER = 2.1
 # Not all at once: the first one's answer saves the others theirs.
 STALE_JITTER = 0.25
-# The same for a host that has just started and watches for itself, as all may: longer,
-# since each of many pays a call for it.
+# The same for a host that has just started and watches for its data centre: longer,
+# since one in each pays a call for it. The others look this often whether it is theirs
+# to watch.
 SETTLING_PAUSE = 0.4
 # After news, a holder waits so long, in seconds, before it watches again: what
 # changes together, as when servers are replaced, then shares one call of each holder.
@@ -51,11 +52,6 @@
 # the platform says two, and a heartbeat may be under way.
 LAPSE_GRACE = 2.2
 
-# Longer news are not sent: who needs them is told that there is something newer, and
-# reads it from the store. An operator's document of some hundred routes is over
-# 100 KB, and would cross between data centres to every host, from each holder.
-MAX_NEWS_BYTES = 4_096
-
 # The second holder tells this much later, in seconds, and only that there is something
 # newer: who has it from the first one by then needs nothing more.
 SECOND_DELAY = 0.3
@@ -63,6 +59,10 @@
 UseEntries = Callable[[Mapping[str, bytes], int], None]
 
 
+def _do_nothing() -> None:
+    pass
+
+
 class FeedPeers(Protocol):
     """What a feed's reader needs of the other hosts. Nothing here raises."""
 
@@ -72,8 +72,16 @@
     def is_settled(self) -> bool:
         """Tell whether this host has run for long enough to know the others."""
 
+    def leads_place(self) -> bool:
+        """Tell whether this host, as it does not know the others yet, watches for those
+        of its data centre.
+        """
+
+    def is_near(self, host: str) -> bool:
+        """Tell whether `host` is in the data centre of this one."""
+
     def tell(self, news: FeedNews) -> None:
-        """Send news to all live hosts."""
+        """Send news to all live hosts, or to those that this host watches for."""
 
     async def fetch(self, feed: str, host: str | None) -> FeedState | None:
         """Return a feed as `host` has it, or any live one; None without an answer."""
@@ -127,9 +135,7 @@
                     self._note_answer()
                     before = self.copy.revision
                     has_changed = self._take_listing(listing, "store")
-                    if may_lag:
-                        self._confirmed_at = float("-inf")
-                    else:
+                    if not may_lag:
                         # The others fetch what the lost history kept from this host.
                         base = self.copy.revision if has_changed else before
                         self._tell_peers(base=base, changes=())
@@ -145,18 +151,18 @@
         """Watch, or hear of the others, until the history is gone."""
         while True:
             rank = self._peers.get_holder_rank()
-            # When all hosts come back with the store, the servers register again one
-            # by one, and nobody tells the others yet. Asking once each 2.1 s, hosts
-            # had 25 to 60 of 78 servers for two seconds and refused a third of all.
             is_settling = not self._peers.is_settled()
-            if rank is None and not is_settling and not self._is_stale():
-                await trio.sleep_until(self._confirmed_at + self._draw_patience())
+            # When all hosts come back with the store, the servers register again one
+            # by one, and nobody watches for all yet. Asking once each 2.1 s, hosts
+            # had 25 to 60 of 78 servers for two seconds and refused a third of all;
+            # each watching for itself, 195 hosts made 1,900 calls.
+            is_leading = rank is None and is_settling and self._peers.leads_place()
+            is_watching = rank is not None or is_leading
+            if not is_watching and not self._is_stale():
+                await self._wait_for_news(is_settling)
                 continue
             base = self.copy.revision
-            wait = 0.0 if rank is None and not is_settling else WATCH_WAIT
-            # Not after the first question of a host that has just started: it is
-            # for itself alone, and all hosts may start at once.
-            is_telling = rank is not None or self._confirmed_at > float("-inf")
+            wait = WATCH_WAIT if is_watching else 0.0
             match await self._source.watch_feed(self.feed, after=base, wait_s=wait):
                 case FeedChanges() as changes:
                     self._note_answer()
@@ -166,12 +172,9 @@
                     if news and rank == 1:
                         await trio.sleep(SECOND_DELAY)
                         base, news = self.copy.revision, ()
-                    if is_telling:
-                        self._tell_peers(base=base, changes=news)
+                    self._tell_peers(base=base, changes=news)
                     if changes.changes:
-                        await trio.sleep(
-                            SETTLING_PAUSE if is_settling else GATHER_PAUSE
-                        )
+                        await trio.sleep(SETTLING_PAUSE if is_leading else GATHER_PAUSE)
                 case HistoryGone():
                     self._note_answer()
                     log_decision(
@@ -185,6 +188,13 @@
                 case StoreLost() as lost:
                     await self._note_loss(lost)
 
+    async def _wait_for_news(self, is_settling: bool) -> None:
+        """Wait until news are overdue, or this host may have to watch by itself."""
+        until = self._confirmed_at + self._draw_patience()
+        if is_settling:
+            until = min(until, trio.current_time() + SETTLING_PAUSE)
+        await trio.sleep_until(until)
+
     def _pick_news(self, changes: tuple[FeedChange, ...]) -> tuple[FeedChange, ...]:
         """Leave out what changes nothing that matters.
 
@@ -205,8 +215,6 @@
         return STALE_AFTER * (1.0 + STALE_JITTER * self._random.random())
 
     def _tell_peers(self, *, base: int, changes: tuple[FeedChange, ...]) -> None:
-        if sum(len(change.body or b"") for change in changes) > MAX_NEWS_BYTES:
-            base, changes = self.copy.revision, ()
         self._peers.tell(
             FeedNews(
                 feed=self.feed,
@@ -251,13 +259,26 @@
 
     # From peers.
 
-    def hear(self, news: FeedNews, *, host: str) -> None:
-        """Take news of the store that another host had."""
+    def hear(
+        self, news: FeedNews, *, host: str, then: Callable[[], None] = _do_nothing
+    ) -> None:
+        """Take news of the store that another host had.
+
+        `then` is called once this copy holds what was told, or cannot be brought to
+        hold it: a relay passes news on then, so that its neighbours can ask it.
+        """
+        if self._take_news(news, host) or self._is_fetching:
+            then()
+            return
+        self._is_fetching = True
+        self._nursery.start_soon(self._catch_up, news, host, then)
+
+    def _take_news(self, news: FeedNews, host: str) -> bool:
+        """Take what news hold; tell whether nothing of it is lacking now."""
+        if not self.is_listed:
+            return False
         now = trio.current_time()
         copy = self.copy
-        if not self.is_listed:
-            self._start_catching_up(news, host)
-            return
         if self._is_stale():
             # Nobody had an answer of the store for a while: what vanishes now may
             # have lapsed meanwhile.
@@ -266,7 +287,7 @@
         changes = () if is_older else news.changes
         is_equal = copy.foresee(changes) == news.fingerprint
         if is_older and not is_equal:
-            return  # Its host lags behind this one, and confirms nothing.
+            return True  # Its host lags behind this one, and confirms nothing.
         if is_equal or copy.revision >= news.base:
             told = FeedChanges(revision=news.revision, changes=changes)
             if copy.take_changes(told, now=now):
@@ -276,30 +297,42 @@
             # the holder would ask the store itself, again and again.
             copy.adopt(news.revision)
             self._confirmed_at = now
-        else:
-            self._start_catching_up(news, host)
+        return is_equal
 
-    def _start_catching_up(self, news: FeedNews, host: str) -> None:
-        if not self._is_fetching:
-            self._is_fetching = True
-            self._nursery.start_soon(self._catch_up, news, host)
+    async def _catch_up(
+        self, news: FeedNews, host: str, then: Callable[[], None]
+    ) -> None:
+        """Take what news did not hold: from their teller if it is near, which costs
+        nothing, else from the store, and from a far teller last.
 
-    async def _catch_up(self, news: FeedNews, host: str) -> None:
-        """Take what news did not hold from the store, or else from who told them."""
+        Were it the store first, each change of the routes was a call of each host.
+        """
         try:
-            base = self.copy.revision
-            told = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
-            if isinstance(told, FeedChanges) and self.is_listed:
-                self._confirmed_at = trio.current_time()
-                if self.copy.take_changes(told, now=self._confirmed_at):
-                    self._put_in_force("store")
+            is_near = self._peers.is_near(host)
+            if is_near:
+                await self._fetch(host)
                 if self._is_as_told(news):
                     return
+            if self.is_listed and await self._ask_store(news):
+                return
             # Away, its history gone, or about to be: then it says that nothing has
             # changed, though the teller knows better.
-            await self._fetch(host)
+            if not is_near:
+                await self._fetch(host)
         finally:
             self._is_fetching = False
+            then()
+
+    async def _ask_store(self, news: FeedNews) -> bool:
+        """Take what the store has newer; tell whether it is what was told."""
+        base = self.copy.revision
+        told = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
+        if not isinstance(told, FeedChanges):
+            return False
+        self._confirmed_at = trio.current_time()
+        if self.copy.take_changes(told, now=self._confirmed_at):
+            self._put_in_force("store")
+        return self._is_as_told(news)
 
     def _is_as_told(self, news: FeedNews) -> bool:
         copy = self.copy
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -38,7 +38,7 @@
 from ..transport.gateway import GatewayApp, GatewayHandlers
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
 from .adapter import ROUTES_FEED, SERVERS_FEED, Adapter
-from .discovery import find_hosts, keep_channels
+from .discovery import Discovery, keep_channels
 from .feedpeers import FeedChannels
 from .feeds import FeedReader
 from .fleet import Fleet
@@ -95,10 +95,14 @@
 
     def hear(self, news: FeedNews, *, host: str) -> None:
         """Hand a peer's news to its feed, and pass on what is for neighbours too."""
-        if news.passes_on:
-            self._channels.pass_on(news)
         reader = self._readers.get(news.feed)
-        if reader is not None:
+        if reader is None:
+            return
+        if news.passes_on:
+            reader.hear(
+                news, host=host, then=functools.partial(self._channels.pass_on, news)
+            )
+        else:
             reader.hear(news, host=host)
 
     def describe(self, feed: str) -> FeedState:
@@ -179,14 +183,13 @@
         nursery.start_soon(self._live_hosts.run)
         nursery.start_soon(self._routes.run)
         nursery.start_soon(self._servers.run)
-        find = functools.partial(
-            find_hosts,
+        discovery = Discovery(
             host=self._host,
             adapter=self._adapter,
             membership=self._membership,
             random=self._random,
         )
-        nursery.start_soon(find)
+        nursery.start_soon(discovery.run)
         keep = functools.partial(
             keep_channels,
             fleet=self._fleet,
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -4,6 +4,8 @@
 docs/design/connections.md); all other messages between hosts stay with it.
 """
 
+import zlib
+
 import msgspec
 
 from ..state.feeds import FeedChange, FeedEntry
@@ -88,6 +90,8 @@
     changes: list[tuple[str, bytes | None]]
     fingerprint: int
     passes_on: bool
+    # All changes, compressed; then `changes` is empty.
+    deflated: bytes = b""
 
 
 class _PackedFetch(msgspec.Struct, array_like=True, tag=4):
@@ -105,6 +109,18 @@
 _Packed = _PackedSearch | _PackedAnswers | _PackedNews | _PackedFetch | _PackedState
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(_Packed).decode
+_decode_changes = msgspec.msgpack.Decoder(list[tuple[str, bytes | None]]).decode
+
+DEFLATE_FROM = 1_024
+"""Bytes of changes in news that cross between data centres, from which they are packed.
+
+An operator's document shrinks to an eighth or less within two milliseconds; what a
+server says of itself, 200 bytes, hardly does. Neighbours are sent plain bytes: their
+relay would pack them once for each.
+"""
+
+MAX_CHANGES_BYTES = 4_000_000
+"""What packed changes may come to, the length of the longest frame."""
 
 
 def pack_search(frame_id: int, search: Search) -> bytes:
@@ -170,6 +186,11 @@
 def pack_news(frame_id: int, news: FeedNews) -> bytes:
     """Return the bytes of FeedNews, without their length."""
     changes = [(change.name, change.body) for change in news.changes]
+    deflated = b""
+    n_bytes = sum(len(body) for _, body in changes if body)
+    if news.passes_on and n_bytes >= DEFLATE_FROM:
+        deflated = zlib.compress(_encode(changes), 1)
+        changes = []
     return _encode(
         _PackedNews(
             frame_id,
@@ -179,6 +200,7 @@
             changes,
             news.fingerprint,
             news.passes_on,
+            deflated,
         )
     )
 
@@ -198,7 +220,9 @@
     """Return the frame in `body`, or raise `BadFrameError`."""
     try:
         packed = _decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        if isinstance(packed, _PackedNews) and packed.deflated:
+            packed.changes = _decode_changes(_inflate(packed.deflated))
+    except (msgspec.MsgspecError, UnicodeDecodeError, zlib.error) as error:
         raise BadFrameError(problem=str(error)) from error
     match packed:
         case _PackedSearch():
@@ -213,6 +237,15 @@
             return Frame(id=packed.id, message=_unpack_state(packed))
 
 
+def _inflate(deflated: bytes) -> bytes:
+    """Return the plain bytes; raises zlib.error where there are too many of them."""
+    inflater = zlib.decompressobj()
+    plain = inflater.decompress(deflated, MAX_CHANGES_BYTES)
+    if not inflater.eof:
+        raise zlib.error("changes cut short or too long")
+    return plain
+
+
 def _unpack_news(packed: _PackedNews) -> FeedNews:
     return FeedNews(
         feed=packed.feed,
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,188 @@
+"""How gateway hosts find each other through the store, and what that asks of it."""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, cast
+
+import pytest
+import trio
+
+from lavendergap.coordination.registration import REGISTERED_A_PLACE
+from lavendergap.entry.discovery import Discovery
+from lavendergap.state.feeds import FeedEntry, FeedListing, StoreLost
+from lavendergap.state.hostfile import parse_host_file
+from lavendergap.state.member import Member
+from lavendergap.state.outcome import Reason, Step
+from lavendergap.state.settings import Address
+
+N_PLACES = 6
+
+
+def make_address(number: int) -> Address:
+    return Address(ip="127.0.0.1", port=10_000 + number)
+
+
+def make_member(number: int) -> Member:
+    return Member(
+        name=f"host-{number}",
+        data_centre=f"dc-{number % N_PLACES}",
+        incarnation=1,
+        peers=make_address(number),
+    )
+
+
+def make_host(number: int):
+    member = make_member(number)
+    bounds = '"drain_ms": 1, "stop_within_ms": 1, "extra_call_share": 0.2'
+    return parse_host_file(
+        f"""{{
+        "name": "{member.name}", "data_centre": "{member.data_centre}",
+        "callers": "127.0.0.1:1", "admin": "127.0.0.1:2",
+        "peer_ip": "127.0.0.1", "peer_port": {member.peers.port},
+        "store": "127.0.0.1:3",
+        "bounds": {{{bounds}, "extra_call_slack": 5, "extra_call_window_s": 10}}
+        }}""",
+        file="host.jsonc",
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class Store:
+    """The registered hosts, as all adapters share them; counts what it is asked."""
+
+    entries: dict[str, bytes] = field(default_factory=dict)
+    is_away: bool = False
+    n_lists: int = 0
+    n_writes: int = 0
+
+    @property
+    def source(self):
+        return self
+
+    async def list_feed(self, feed, *, may_lag):
+        self.n_lists += 1
+        if self.is_away:
+            return StoreLost(step=Step.CONNECT, reason=Reason.REFUSED_CONNECTION)
+        entries = [FeedEntry(name=n, body=b) for n, b in self.entries.items()]
+        return FeedListing(revision=1, entries=tuple(entries))
+
+    async def register_host(self, name, address):
+        self.n_writes += 1
+        if self.is_away:
+            return False
+        self.entries[name] = str(address).encode()
+        return True
+
+    def read_host(self, body):
+        ip, _, port = body.decode().partition(":")
+        return Address(ip=ip, port=int(port))
+
+
+class View:
+    """What one host knows of the fleet: itself, and whom `others` names."""
+
+    def __init__(self, number: int) -> None:
+        self.own = make_member(number)
+        self.others: list[Member] = []
+        self.hints: set[Address] = set()
+
+    def join(self, hints):
+        self.hints.update(hints)
+
+    def members(self):
+        return (self.own, *self.others)
+
+    def live(self):
+        return frozenset(member.name for member in self.members())
+
+
+def start(number: int, store: Store, nursery) -> View:
+    view = View(number)
+    discovery = Discovery(
+        host=make_host(number),
+        adapter=cast(Any, store),
+        membership=cast(Any, view),
+        random=Random(number),
+    )
+    nursery.start_soon(discovery.run)
+    return view
+
+
+class TestStart:
+    # All hosts start together and reach the seeds. Each that writes to the store where
+    # it is pays a call, and two after a loss of power, though a newcomer needs one
+    # entry only.
+
+    @pytest.mark.parametrize("n_hosts", [195, 550])
+    async def test_a_fleet_writes_three_entries_a_data_centre(
+        self, autojump_clock, nursery, n_hosts
+    ):
+        store = Store()
+        views = [start(number, store, nursery) for number in range(n_hosts)]
+        await trio.sleep(0.4)
+        for view in views:
+            view.others = [make_member(n) for n in range(n_hosts)]
+        await trio.sleep(20.0)
+        assert store.n_writes == REGISTERED_A_PLACE * N_PLACES
+        assert store.n_lists <= n_hosts + 2 * store.n_writes
+
+    async def test_after_a_loss_of_power_nothing_is_written(
+        self, autojump_clock, nursery
+    ):
+        store = Store()
+        for number in range(20):
+            store.entries[f"host-{number}"] = str(make_address(number)).encode()
+        views = [start(number, store, nursery) for number in range(20)]
+        await trio.sleep(0.4)
+        for view in views:
+            view.others = [make_member(n) for n in range(20)]
+        await trio.sleep(20.0)
+        assert store.n_writes == 0
+
+    async def test_a_host_with_another_address_writes_it(self, autojump_clock, nursery):
+        store = Store(entries={"host-1": str(make_address(7)).encode()})
+        start(1, store, nursery)
+        await trio.sleep(3.0)
+        assert store.entries["host-1"] == str(make_address(1)).encode()
+
+
+class TestAlone:
+    async def test_two_whose_seeds_are_down_find_each_other(
+        self, autojump_clock, nursery
+    ):
+        # No seed answers: each registers within seconds and finds the other's entry.
+        store = Store()
+        first, second = start(1, store, nursery), start(2, store, nursery)
+        await trio.sleep(8.0)
+        assert make_address(2) in first.hints
+        assert make_address(1) in second.hints
+
+    async def test_a_store_that_is_away_is_asked_again(self, autojump_clock, nursery):
+        store = Store(is_away=True)
+        start(1, store, nursery)
+        await trio.sleep(10.0)
+        assert 3 <= store.n_lists <= 12
+        store.is_away = False
+        await trio.sleep(4.0)
+        assert "host-1" in store.entries
+
+
+class TestLosses:
+    async def test_others_register_for_those_that_are_gone(
+        self, autojump_clock, nursery
+    ):
+        # All registered hosts of a data centre are lost for good, with their entries
+        # still there. A newcomer could reach nobody of it; three others register.
+        store = Store()
+        numbers = range(0, 12 * N_PLACES, N_PLACES)
+        views = {n: start(n, store, nursery) for n in numbers}
+        for view in views.values():
+            view.others = [make_member(n) for n in numbers]
+        await trio.sleep(10.0)
+        first = set(store.entries)
+        assert len(first) == REGISTERED_A_PLACE
+        left = [n for n in numbers if f"host-{n}" not in first]
+        for n in left:
+            views[n].others = [make_member(other) for other in left]
+        await trio.sleep(10.0)
+        assert len(store.entries) == 2 * REGISTERED_A_PLACE
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -19,6 +19,7 @@
     ShardAnswer,
     ShardRef,
 )
+from lavendergap.protocol.packing import MAX_CHANGES_BYTES, pack_news, unpack
 from lavendergap.protocol.peer import (
     LENGTH,
     decode_frame,
@@ -78,6 +79,14 @@
         fingerprint=2**64 - 1,
         passes_on=True,
     ),
+    FeedNews(
+        feed="routes",
+        base=5,
+        revision=5,
+        changes=(FeedChange(name="main", body=b"r" * 100_000),),
+        fingerprint=0,
+        passes_on=True,
+    ),
     FeedFetch(feed="routes"),
     FeedState(feed="routes", revision=5, entries=(FeedEntry(name="main", body=b"x"),)),
 ]
@@ -111,3 +120,31 @@
         cut = data.draw(st.integers(0, len(whole) - 1))
         with pytest.raises(BadFrameError):
             decode_frame(whole[:cut], is_packed=True)
+
+
+class TestLongNews:
+    # An operator's document of 100 KB is told to one host of each other data centre.
+    # It must cross as some kilobytes, and a frame that swells to fill a weak host's
+    # memory must be refused before it does.
+
+    def make_news(self, body: bytes, *, passes_on: bool) -> FeedNews:
+        return FeedNews(
+            feed="routes",
+            base=1,
+            revision=2,
+            changes=(FeedChange(name="main", body=body),),
+            fingerprint=1,
+            passes_on=passes_on,
+        )
+
+    def test_they_cross_packed(self):
+        routes = [f'{{"name": "r{n}", "timeout_ms": 400}}' for n in range(3_000)]
+        body = ",".join(routes).encode()
+        assert len(body) > 100_000
+        packed = pack_news(1, self.make_news(body, passes_on=True))
+        assert len(packed) < len(body) / 8
+
+    def test_a_frame_that_swells_is_refused(self):
+        news = self.make_news(b"0" * (MAX_CHANGES_BYTES + 1), passes_on=True)
+        with pytest.raises(BadFrameError):
+            unpack(pack_news(1, news))
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -4,13 +4,22 @@
 ten, which is what is planned for.
 """
 
+from random import Random
+
 import pytest
 
 from lavendergap.coordination.telling import (
+    MAX_CROSSING_BYTES,
+    MAX_RELAYED_BYTES,
     RELAY_FROM,
+    Hearer,
     choose_hearers,
+    is_long,
+    leads_place,
     list_neighbours,
+    may_carry,
 )
+from lavendergap.state.feeds import FeedChange
 
 MESSAGE_BYTES = 60
 TELLS_A_SECOND = 2 / 1.5  # Two feeds, each watch told on.
@@ -72,3 +81,51 @@
         places = make_fleet(550, 10)
         sent = len(choose_hearers("h-000", places)) * TELLS_A_SECOND * MESSAGE_BYTES
         assert sent < 5.2 * 1024
+
+
+class TestLongNews:
+    # An operator changes one of some hundred routes. Sent to each host, the document
+    # crosses between data centres 160 times; left to be read, it is 195 calls to the
+    # store. Sent packed to a relay of each data centre it is neither.
+
+    ROUTES = b",".join(b'{"name": "r%d", "timeout_ms": 400}' % n for n in range(3_000))
+    NEIGHBOUR = Hearer(host="a-1", passes_on=False, is_near=True)
+    RELAY = Hearer(host="b-1", passes_on=True, is_near=False)
+
+    def make(self, body: bytes | None) -> list[FeedChange]:
+        return [FeedChange(name="main", body=body)]
+
+    def test_relays_and_neighbours_get_a_document(self):
+        assert len(self.ROUTES) > 100_000
+        assert may_carry(self.make(self.ROUTES), self.RELAY)
+        assert may_carry(self.make(self.ROUTES), self.NEIGHBOUR)
+
+    def test_everybody_gets_what_is_short(self):
+        for body in (None, b"x" * MAX_CROSSING_BYTES):
+            assert not is_long(self.make(body))
+            assert may_carry(self.make(body), self.RELAY)
+            assert may_carry(self.make(body), self.NEIGHBOUR)
+
+    @pytest.mark.parametrize(("n_hosts", "n_places"), [(9, 4), (195, 6), (550, 10)])
+    def test_a_document_crosses_once_to_each_data_centre(self, n_hosts, n_places):
+        places = make_fleet(n_hosts, n_places)
+        assert is_long(self.make(self.ROUTES))
+        hearers = choose_hearers("h-000", places, is_long=True)
+        assert sum(not hearer.is_near for hearer in hearers) == n_places - 1
+        told = [hearer.host for hearer in hearers]
+        for hearer in hearers:
+            if hearer.passes_on:
+                told += list_neighbours(hearer.host, places)
+        assert sorted(told) == sorted(places.keys() - {"h-000"})
+
+    def test_what_does_not_pack_is_read_from_the_store(self):
+        body = Random(1).randbytes(2 * MAX_RELAYED_BYTES)
+        assert not may_carry(self.make(body), self.RELAY)
+
+
+class TestLeaders:
+    @pytest.mark.parametrize(("n_hosts", "n_places"), [(9, 4), (195, 6), (550, 10)])
+    def test_one_host_of_each_data_centre_leads_it(self, n_hosts, n_places):
+        places = make_fleet(n_hosts, n_places)
+        leaders = [host for host in places if leads_place(host, places)]
+        assert len({places[host] for host in leaders}) == len(leaders) == n_places
