--- a/src/lavendergap/commands/main.py
+++ b/src/lavendergap/commands/main.py
@@ -10,6 +10,7 @@
 from ..errors import LavendergapError
 from ..logs import Category, LogFormat, configure_logs
 from .entry import entry
+from .explain import explain
 from .options import parse_categories
 from .query import query
 from .settings import settings
@@ -32,7 +33,7 @@
 
     Operators drive lavendergap by editing a tree of settings; `settings` checks and
     applies them, `entry` is the daemon on each entry host, `query` and `status` ask
-    the hosts.
+    the hosts, and `explain` reads their logs.
 
     Exit codes: 0 done, 1 failed, 2 bad settings or usage, 3 nobody could be reached,
     4 another operator's edit came first, 5 not in force everywhere in time.
@@ -41,7 +42,7 @@
         configure_logs(level="warning", log_format=LogFormat.TEXT, debug=debug)
 
 
-for command in (entry, settings, query, status):
+for command in (entry, settings, query, status, explain):
     cli.add_command(command)
 
 
--- /dev/null
+++ b/src/lavendergap/protocol/account.py
@@ -0,0 +1,195 @@
+"""What became of callers' requests, and where the lost ones lost their time.
+
+Reads log lines of all hosts in any order across hosts, and keeps only what it counts:
+the memory is that of the requests under way, whatever the length of the logs.
+"""
+
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from .loglines import LogLine
+
+MAX_OPEN = 50_000
+"""Requests without a last line that are remembered: the lines of hosts are read one
+file after the other, so that an owner's may come long before the coordinator's."""
+
+MAX_MS = 60_000
+"""Longer requests are counted as of this many milliseconds."""
+
+
+class End(StrEnum):
+    """How a request ended for its caller."""
+
+    IN_TIME = "in time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LEFT = "left"
+
+
+@dataclass(slots=True)
+class Trace:
+    """What the hosts did for one request, as far as it decides its cause."""
+
+    lost_owners: list[str] = field(default_factory=list)
+    withheld: Counter[str] = field(default_factory=Counter)
+    n_hedges: int = 0
+    n_retries: int = 0
+    n_queued: int = 0
+
+
+@dataclass(slots=True)
+class RouteAccount:
+    """The requests of one route."""
+
+    ends: Counter[End] = field(default_factory=Counter)
+    n_partial: int = 0
+    ms: Counter[int] = field(default_factory=Counter)
+    causes: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def n_asked(self) -> int:
+        """All requests that came to their end."""
+        return self.ends.total()
+
+    def get_quantile_ms(self, share: float) -> int:
+        """Return the milliseconds within which `share` of the requests ended."""
+        wanted = share * self.ms.total()
+        seen = 0
+        for ms in sorted(self.ms):
+            seen += self.ms[ms]
+            if seen >= wanted:
+                return ms
+        return 0
+
+
+@dataclass(slots=True)
+class Second:
+    """One second of all hosts: what callers lost, and what was believed anew."""
+
+    n_asked: int = 0
+    n_lost: int = 0
+    beliefs: Counter[str] = field(default_factory=Counter)
+
+
+class Account:
+    """Counts requests by route, by cause and by second."""
+
+    def __init__(self) -> None:
+        self.routes: dict[str, RouteAccount] = {}
+        self.seconds: dict[str, Second] = {}
+        self.n_lines = 0
+        self.n_bad = 0
+        self._open: OrderedDict[str, Trace] = OrderedDict()
+
+    def note_bad(self) -> None:
+        """Count a line that is no log line."""
+        self.n_bad += 1
+
+    def note(self, line: LogLine) -> None:
+        """Count one line."""
+        self.n_lines += 1
+        if not line.request_id:
+            if line.event:
+                self._get_second(line).beliefs[line.event] += 1
+            return
+        match line.event:
+            case "done":
+                self._end(line, self._open.pop(line.request_id, Trace()))
+            case "caller left":
+                self._open.pop(line.request_id, None)
+                self._get_route(line).ends[End.LEFT] += 1
+                self._get_second(line).n_asked += 1
+            case _:
+                self._follow(line)
+
+    def _follow(self, line: LogLine) -> None:
+        trace = self._open.setdefault(line.request_id, Trace())
+        match line.event:
+            case "owner lost":
+                trace.lost_owners.append(str(line.fields.get("host", "")))
+            case "hedge withheld":
+                trace.withheld[str(line.fields.get("why", ""))] += 1
+            case "hedge":
+                trace.n_hedges += 1
+            case "retry":
+                trace.n_retries += 1
+            case "plan":
+                trace.n_queued += _read_int(line.fields, "n_queued")
+        if len(self._open) > MAX_OPEN:
+            self._open.popitem(last=False)
+
+    def _end(self, line: LogLine, trace: Trace) -> None:
+        end = judge_end(line)
+        route = self._get_route(line)
+        route.ends[end] += 1
+        route.ms[min(MAX_MS, int(_read_number(line.fields, "ms")))] += 1
+        is_partial = _read_int(line.fields, "n_missing") > 0
+        route.n_partial += is_partial
+        second = self._get_second(line)
+        second.n_asked += 1
+        if end is not End.IN_TIME:
+            second.n_lost += 1
+        if end is not End.IN_TIME or is_partial:
+            route.causes[f"{end}: {find_cause(line, trace)}"] += 1
+
+    def _get_route(self, line: LogLine) -> RouteAccount:
+        return self.routes.setdefault(str(line.fields.get("route", "")), RouteAccount())
+
+    def _get_second(self, line: LogLine) -> Second:
+        return self.seconds.setdefault(line.time[:19], Second())
+
+    def list_worst_seconds(self, n_wanted: int) -> list[tuple[str, Second]]:
+        """Return the seconds in which most callers lost, in their order."""
+        lossy = [(at, each) for at, each in self.seconds.items() if each.n_lost]
+        lossy.sort(key=lambda pair: (-pair[1].n_lost, pair[0]))
+        return sorted(lossy[:n_wanted], key=lambda pair: pair[0])
+
+
+def judge_end(line: LogLine) -> End:
+    """Return how a request ended, by the line of its end."""
+    match str(line.fields.get("outcome", "")):
+        case "answered" | "partly answered":
+            ms = _read_number(line.fields, "ms")
+            is_late = ms > _read_number(line.fields, "goal_ms")
+            return End.LATE if is_late else End.IN_TIME
+        case "not run":
+            return End.REFUSED
+        case _:
+            return End.FAILED
+
+
+def find_cause(line: LogLine, trace: Trace) -> str:
+    """Return where a request lost its time or its parts, the nearest cause first."""
+    fields = line.fields
+    if fields.get("reason"):
+        return f"{fields['reason']} in {fields.get('step', '?')}"
+    if trace.lost_owners:
+        return "owner lost"
+    missing = fields.get("missing")
+    reasons = Counter(
+        str(each).partition(": ")[2].partition(" at ")[0]
+        for each in (missing if isinstance(missing, list) else ())
+    )
+    if reasons:
+        reason = reasons.most_common(1)[0][0]
+        if trace.withheld:
+            why = trace.withheld.most_common(1)[0][0]
+            return f"shards missing: {reason}, hedge withheld: {why}"
+        return f"shards missing: {reason}"
+    if trace.n_queued:
+        return "waited for a slot"
+    if trace.n_hedges or trace.n_retries:
+        return "slow servers, asked again"
+    return "the host itself, or one slow server"
+
+
+def _read_number(fields: dict[str, Any], name: str) -> float:
+    value = fields.get(name, 0)
+    return float(value) if isinstance(value, int | float) else 0.0
+
+
+def _read_int(fields: dict[str, Any], name: str) -> int:
+    return int(_read_number(fields, name))
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,163 @@
+"""`lavendergap explain`, as an engineer on call uses it on hosts' logs."""
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lavendergap.commands.main import run
+from lavendergap.protocol.account import MAX_OPEN, Account
+from lavendergap.protocol.loglines import LogLine, read_line
+
+
+def write(event: str, *, at: str = "2026-03-01T10:00:00.100Z", **fields: Any) -> str:
+    return json.dumps({"time": at, "level": "info", "event": event, **fields})
+
+
+def write_done(request_id: str, **fields: Any) -> str:
+    known: dict[str, Any] = {
+        "route": "search",
+        "outcome": "answered",
+        "ms": 80.0,
+        "goal_ms": 120,
+    }
+    return write("done", request_id=request_id, **(known | fields))
+
+
+COORDINATOR = [
+    write_done("in-time"),
+    write("owner lost", request_id="late", host="b-1", loss="silent"),
+    write_done("late", ms=190.0),
+    write_done("queued", ms=150.0),
+    write_done(
+        "partial",
+        outcome="partly answered",
+        n_missing=2,
+        missing=["s1: straggler at s1", "s2: straggler at s2"],
+    ),
+    write_done("refused", outcome="not run", reason="shed", step="queue", peer="s1"),
+    write_done("failed", outcome="unknown", reason="lost connection", step="receive"),
+    write("caller left", request_id="left", route="search", after_ms=12.0),
+    write("store lost", request_id=None, feed="servers"),
+]
+OWNER = [
+    write("plan", request_id="queued", n_calls=9, n_queued=3),
+    write("hedge withheld", request_id="partial", shard="s1", why="no budget"),
+    write("plan", request_id="partial", n_calls=2, n_queued=0, at="2026-03-01T10:00"),
+]
+
+
+@pytest.fixture
+def logs(tmp_path):
+    for name, lines in (("a-1", COORDINATOR), ("b-1", OWNER)):
+        (tmp_path / f"{name}.log").write_text("\n".join([*lines, "Traceback"]))
+    # The owner's file first: its lines come long before the request's end.
+    return [str(tmp_path / "b-1.log"), str(tmp_path / "a-1.log")]
+
+
+def explain_json(logs, capsys, *options):
+    assert run(["explain", *logs, "--json", *options]) == 0
+    return json.loads(capsys.readouterr().out)
+
+
+class TestSummary:
+    def test_each_request_is_counted_once_by_its_end(self, logs, capsys):
+        route = explain_json(logs, capsys)["routes"]["search"]
+        ends = {name: route[name] for name in ("in time", "late", "refused", "failed")}
+        assert ends == {"in time": 2, "late": 2, "refused": 1, "failed": 1}
+        assert (route["left"], route["partial"], route["asked"]) == (1, 1, 7)
+
+    def test_a_cause_is_found_across_hosts(self, logs, capsys):
+        causes = explain_json(logs, capsys)["routes"]["search"]["causes"]
+        assert causes == {
+            "late: owner lost": 1,
+            "late: waited for a slot": 1,
+            "in time: shards missing: straggler, hedge withheld: no budget": 1,
+            "refused: shed in queue": 1,
+            "failed: lost connection in receive": 1,
+        }
+
+    def test_the_worst_second_names_what_was_believed_then(self, logs, capsys):
+        seconds = explain_json(logs, capsys)["worst_seconds"]
+        assert seconds == {
+            "2026-03-01T10:00:00": {
+                "asked": 7,
+                "lost": 4,
+                "beliefs": {"store lost": 1},
+            }
+        }
+
+    def test_people_get_tables_and_are_told_of_bad_lines(self, logs, capsys):
+        assert run(["explain", *logs]) == 0
+        shown = capsys.readouterr()
+        assert "waited for a slot" in shown.out
+        assert "2 lines were no log lines" in shown.err
+
+
+class TestStory:
+    def test_a_request_s_lines_come_from_all_hosts_in_order(self, logs, capsys):
+        story = explain_json(logs, capsys, "--request", "partial")
+        assert [(line["host"], line["event"]) for line in story] == [
+            ("b-1", "plan"),
+            ("b-1", "hedge withheld"),
+            ("a-1", "done"),
+        ]
+
+    def test_an_unknown_request_is_said_so(self, logs, capsys):
+        assert run(["explain", *logs, "--request", "nobody's"]) == 1
+        assert "no line tells of" in capsys.readouterr().err
+
+
+class TestMistakes:
+    def test_without_logs_it_says_what_it_wants(self, capsys):
+        assert run(["explain"]) == 2
+        assert "name the hosts' log files" in capsys.readouterr().err
+
+    def test_a_file_that_is_no_log_is_said_so(self, tmp_path, capsys):
+        path = tmp_path / "notes.txt"
+        path.write_text("nothing\n{]\n")
+        assert run(["explain", str(path)]) == 1
+        assert "no request has ended in 0 lines, 2 others" in capsys.readouterr().err
+
+    def test_a_missing_file_is_an_error_in_one_line(self, tmp_path, capsys):
+        assert run(["explain", str(tmp_path / "none.log")]) != 0
+        assert "none.log" in capsys.readouterr().err
+
+
+class TestLines:
+    def test_a_collector_s_words_before_the_line_name_its_host(self):
+        line = read_line("  -1.25 lhr-a-7 " + write("started"), host="x")
+        assert line is not None
+        assert line.host == "lhr-a-7"
+
+    @given(st.text() | st.binary().map(lambda b: b.decode("utf-8", "replace")))
+    def test_any_text_is_a_line_or_none(self, text):
+        line = read_line(text, host="x")
+        assert line is None or line.host
+
+    @given(
+        st.dictionaries(
+            st.sampled_from(["event", "request_id", "time", "ms", "missing", "why"]),
+            st.none() | st.text() | st.integers() | st.floats() | st.lists(st.text()),
+        )
+    )
+    def test_any_fields_are_counted_or_left(self, fields):
+        line = read_line(json.dumps(fields), host="x")
+        if line is not None:
+            Account().note(line)
+
+    def test_requests_that_never_end_are_forgotten(self):
+        account = Account()
+        for number in range(MAX_OPEN + 10):
+            account.note(
+                LogLine(
+                    host="a-1",
+                    time="",
+                    event="plan",
+                    request_id=str(number),
+                    fields={},
+                )
+            )
+        assert len(account._open) == MAX_OPEN
