--- a/src/lavendergap/coordination/arrivals.py
+++ b/src/lavendergap/coordination/arrivals.py
@@ -25,18 +25,6 @@
 many seconds: they may be other callers by then. Two requests of a route that a host
 gets once in ten seconds come within it."""
 
-ANSWER_RESERVE_MS = 9.0
-PART_RESERVE_MS = 0.07
-"""Milliseconds kept before the goal for waking up, joining and writing an answer, and
-the further ones for each part that it may hold.
-
-On a host with half a core the join ends 1 to 3 ms after its time, and each part's proof
-adds 28 bytes to an answer, of which a link of 7 Mbit/s carries 0.9 KB in a millisecond.
-With 20 to 30 parts, 6 and 10 ms in all were not told apart on six days. One play each:
-with 135, callers of 73 hosts got 0.72 of all credit in calm seconds with 10 ms, 0.93
-with 18 and 0.96 with 26, and 0.31, 0.67 and 0.57 while a sixth of the servers was slow.
-"""
-
 MIN_GOAL_SHARE = 0.5
 """A goal so short that the reserve is most of it keeps this share for the servers."""
 
@@ -154,13 +142,19 @@
         return median(self._trips_ms)
 
 
-def compute_goal(route: Route, arrival: Arrival) -> float:
-    """Return the milliseconds after which an answer without stragglers goes out."""
+def compute_goal(route: Route, arrival: Arrival, *, reserve_ms: float) -> float:
+    """Return the milliseconds after which an answer without stragglers goes out.
+
+    `reserve_ms` is what this host takes from there to the answer's last byte.
+    """
+    goal_ms = route.goal_ms - arrival.unseen_ms - reserve_ms
+    return min(max(goal_ms, MIN_GOAL_SHARE * route.goal_ms), route.timeout_ms)
+
+
+def count_parts(route: Route) -> int:
+    """Return of how many servers' parts an answer of the route is joined."""
     match route.target:
         case GreatestOfAll(groups=groups):
-            n_parts = len(groups)
+            return len(groups)
         case OneOf():
-            n_parts = 1
-    reserve_ms = ANSWER_RESERVE_MS + PART_RESERVE_MS * n_parts
-    goal_ms = route.goal_ms - arrival.unseen_ms - reserve_ms
-    return min(max(goal_ms, MIN_GOAL_SHARE * route.goal_ms), route.timeout_ms)
+            return 1
--- /dev/null
+++ b/src/lavendergap/coordination/reserve.py
@@ -0,0 +1,68 @@
+"""How long before the goal a host has to stop waiting, from its own answers."""
+
+from collections import deque
+from statistics import quantiles
+
+ANSWER_CORE_MS = 4.6
+PART_CORE_MS = 0.036
+"""Milliseconds of a core kept for waking up, joining and writing an answer, and the
+further ones for each part that it may hold.
+
+On hosts of half a core they are 9 ms and 0.07 ms a part. With 20 to 30 parts, 6 and 10
+ms in all were not told apart on six days. One play each: with 135, callers of 73 hosts,
+half of them such, got 0.72 of all credit in calm seconds with 10 ms, 0.93 with 18 and
+0.96 with 26, and 0.31, 0.67 and 0.57 while a sixth of the servers was slow.
+"""
+
+SAMPLES = 16
+"""Answers that are remembered: on a host with one search a second, some ten seconds."""
+
+MIN_SAMPLES = 4
+"""With fewer of them, one answer that met a busy moment would decide."""
+
+MEMORY_S = 30.0
+"""Older answers say nothing: what made the host slow, its neighbours or a burst of
+callers, has passed by then."""
+
+LEAST_SHARE = 0.5
+"""Of what a host's strength lets expect, this much is kept whatever its answers took:
+they show neither what a thin link takes for the bytes nor the next busy moment."""
+
+QUARTILE = 2
+"""The third quartile: three of four answers that wait for stragglers are to be in time,
+and a longer reserve would give up shards of all of them for the slowest."""
+
+
+class AnswerReserve:
+    """Learns what it takes from the end of the wait for stragglers to the last byte.
+
+    That is the host's own: joining, writing, and whatever else it does at the moment.
+    Where little is known yet, it is taken to be what such an answer takes a host of
+    its strength: with one time for all, hosts of an eighth of a core answered 54 of 57
+    searches after their goal, of which most hosts get one in some seconds.
+
+    >>> reserve = AnswerReserve(cores=0.5)
+    >>> round(reserve.get_ms(n_parts=50, now=0.0), 1)
+    12.8
+    >>> for took_ms in (40, 41, 44, 60):
+    ...     reserve.note(took_ms=took_ms, now=0.0)
+    >>> [round(reserve.get_ms(n_parts=50, now=now), 1) for now in (1.0, 31.0)]
+    [48.0, 12.8]
+    """
+
+    def __init__(self, *, cores: float) -> None:
+        self._cores = cores
+        self._samples: deque[tuple[float, float]] = deque(maxlen=SAMPLES)
+
+    def note(self, *, took_ms: float, now: float) -> None:
+        """Take what one answer took, in milliseconds; `now` is in seconds."""
+        self._samples.append((now, took_ms))
+
+    def get_ms(self, *, n_parts: int, now: float) -> float:
+        """Return the reserve for an answer of `n_parts`, in milliseconds."""
+        expected = (ANSWER_CORE_MS + PART_CORE_MS * n_parts) / self._cores
+        recent = [took for at, took in self._samples if now - at <= MEMORY_S]
+        if len(recent) < MIN_SAMPLES:
+            return expected
+        learned = quantiles(recent, n=4, method="inclusive")[QUARTILE]
+        return max(LEAST_SHARE * expected, learned)
--- a/src/lavendergap/entry/forwarding.py
+++ b/src/lavendergap/entry/forwarding.py
@@ -1,5 +1,6 @@
 """What this host does with a caller's request that goes on unchanged."""
 
+from contextlib import ExitStack
 from random import Random
 
 import trio
@@ -35,8 +36,11 @@
         self._nursery = nursery
         self._random = random
 
-    async def forward(self, request: GatewayRequest) -> GatewayResult:
-        """Forward a request until its deadline; the caller may cancel it before."""
+    async def forward(self, request: GatewayRequest, after: ExitStack) -> GatewayResult:
+        """Forward a request until its deadline; the caller may cancel it before.
+
+        What is left to do once it is answered is put on `after`.
+        """
         match request.route.target:
             case OneOf() as target:
                 group = draw_group(target, self._random)
@@ -48,7 +52,7 @@
                     )
                 return await self._ask_one(request, group)
             case GreatestOfAll() as target:
-                return await self._ask_all(request, target)
+                return await self._ask_all(request, target, after)
 
     async def _ask_one(self, request: GatewayRequest, group: str) -> Outcome:
         ended: list[FinishCall] = []
@@ -83,7 +87,7 @@
         return ended[0].outcome
 
     async def _ask_all(
-        self, request: GatewayRequest, target: GreatestOfAll
+        self, request: GatewayRequest, target: GreatestOfAll, after: ExitStack
     ) -> GatewayResult:
         goal_ms = (request.goal - request.started) * 1_000
         share = 1.0 / max(1, len(target.groups))
@@ -116,7 +120,7 @@
             dialer=self._dialer,
             nursery=self._nursery,
         )
-        return await run.run_greatest()
+        return await run.run_greatest(after)
 
 
 def _make_service(route: Route, target: GreatestOfAll, goal_ms: float) -> Service:
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -300,7 +300,9 @@
             forward=self._forwarder.forward,
             is_leaving=lambda: self._is_leaving,
         )
-        self._callers = GatewayApp(handlers=handlers, names=self._adapter.names)
+        self._callers = GatewayApp(
+            handlers=handlers, names=self._adapter.names, cores=self._host.cores
+        )
         admin = AdminApp(get_unready=self._get_unready, get_status=self._get_status)
         for app, address in (
             (self._callers, self._host.callers),
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 
 import trio
@@ -138,6 +139,7 @@
         self._began = trio.current_time()
         self._times: list[float] = []
         self._progress = trio.Event()
+        self._cut_at: float | None = None
         self._join = Join(
             snapshot=snapshot,
             policy=query.service.stragglers,
@@ -161,18 +163,27 @@
         await self._collect()
         return self._conclude()
 
-    async def run_greatest(self) -> JoinedRecords | NotRun | Unknown:
-        """Do the same, for the greatest records of all shards together."""
-        await self._collect()
+    async def run_greatest(self, after: ExitStack) -> JoinedRecords | NotRun | Unknown:
+        """Do the same, for the greatest records of all shards together.
+
+        What is left to do once the caller has its answer is put on `after`: telling
+        each owner that its stragglers are not wanted takes a weak host milliseconds,
+        and an answer that is cut shortly before the goal has none to lose.
+        """
+        after.callback(self._withdraw)
+        await self._search()
         return self._conclude_greatest()
 
     async def _collect(self) -> None:
         try:
-            self._send(list(self._snapshot.shards))
-            await self._wait()
+            await self._search()
         finally:
             self._withdraw()
 
+    async def _search(self) -> None:
+        self._send(list(self._snapshot.shards))
+        await self._wait()
+
     async def _wait(self) -> None:
         while not self._join.is_done and not self._join.needs_newer_snapshot:
             limit = self._query.deadline
@@ -185,11 +196,17 @@
             with trio.move_on_at(limit):
                 await self._progress.wait()
             now = trio.current_time()
-            self._join.advance(now=now)
+            self._advance_join(now)
             self._check_parts(now)
             if now >= self._query.deadline:
                 break
 
+    def _advance_join(self, now: float) -> None:
+        wake_at = self._join.next_wake()
+        self._join.advance(now=now)
+        if self._join.is_done:
+            self._cut_at = wake_at
+
     def _check_parts(self, now: float) -> None:
         """Find owners that are silent while there is still time to ask others."""
         for part in list(self._parts):
@@ -545,8 +562,10 @@
         if self._proofs and is_consistent and is_enough:
             return JoinedRecords(
                 records=merge_greatest(self._records, n_wanted=greatest.n_wanted),
-                proofs=self._proofs,
+                # Answers go on coming until the rest is withdrawn.
+                proofs=self._proofs.copy(),
                 coverage=coverage,
+                cut_at=self._cut_at,
             )
         if self._refusals and not self._may_have_run and not self._proofs:
             return max(self._refusals, key=lambda refusal: refusal.retry_after_ms)
--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -67,12 +67,14 @@
     """The greatest records of the shards that `coverage` counts as answered.
 
     `proofs` holds the headers by which each of these shards' servers vouches for its
-    part, by shard.
+    part, by shard. `cut_at` is the time on the loop's clock at which waiting for
+    stragglers was to end, None where nothing was waited for any more.
     """
 
     records: bytes
     proofs: dict[str, Headers]
     coverage: Coverage
+    cut_at: float | None = None
 
 
 def keep_end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/src/lavendergap/state/hostfile.py
+++ b/src/lavendergap/state/hostfile.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -13,6 +14,11 @@
 from .settings import Address
 from .syntax import parse_text
 
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+DEFAULT_CORES = 0.5
+"""Assumed of a host that does not say it: a weak one, so that its answers are early."""
+
 
 class _Bounds(msgspec.Struct, forbid_unknown_fields=True):
     """What the platform allows. Times as named; shares are of the requests."""
@@ -25,7 +31,10 @@
 
 
 class _HostFile(msgspec.Struct, forbid_unknown_fields=True):
-    """The file as it is written."""
+    """The file as it is written.
+
+    The host gets `cpu_share` of a processor that is `cpu_speed` times one core.
+    """
 
     name: str
     data_centre: str
@@ -37,6 +46,8 @@
     bounds: _Bounds
     seeds: list[str] = []
     heartbeat_ms: int = 1_200
+    cpu_share: _Positive = DEFAULT_CORES
+    cpu_speed: _Positive = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,7 +66,8 @@
     """One gateway host: its addresses, its seeds and what binds it.
 
     `seeds` are hosts to try first when it looks for others; they may be down. All
-    hosts take peers' channels at the same port.
+    hosts take peers' channels at the same port. `cores` is how many cores as fast as
+    one of today its only thread amounts to: 0.5 takes twice as long for an answer.
     """
 
     name: str
@@ -66,6 +78,7 @@
     store: Address
     seeds: tuple[Address, ...]
     heartbeat: float
+    cores: float
     bounds: GatewayBounds
 
 
@@ -107,6 +120,7 @@
             for seed in read.seeds
         ),
         heartbeat=read.heartbeat_ms / 1_000,
+        cores=read.cpu_share * read.cpu_speed,
         bounds=GatewayBounds(
             drain=bounds.drain_ms / 1_000,
             stop_within=bounds.stop_within_ms / 1_000,
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -9,7 +10,8 @@
 import trio
 
 from .. import metrics
-from ..coordination.arrivals import Arrivals, compute_goal
+from ..coordination.arrivals import Arrivals, compute_goal, count_parts
+from ..coordination.reserve import AnswerReserve
 from ..coordination.routing import RouteIndex
 from ..logs import Category, get_logger, log_decision
 from ..protocol.answers import encode_error, name_outcome
@@ -69,10 +71,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GatewayHandlers:
-    """What the daemon does for callers; `forward` never raises for a failure."""
+    """What the daemon does for callers; `forward` never raises for a failure.
+
+    It puts on the stack what is left to do once the caller has its answer.
+    """
 
     get_routes: Callable[[], RouteIndex | None]
-    forward: Callable[[GatewayRequest], Awaitable[GatewayResult]]
+    forward: Callable[[GatewayRequest, ExitStack], Awaitable[GatewayResult]]
     is_leaving: Callable[[], bool]
 
 
@@ -86,11 +91,14 @@
 class GatewayApp:
     """An ASGI application that finds the route of each request and forwards it."""
 
-    def __init__(self, *, handlers: GatewayHandlers, names: HeaderNames) -> None:
+    def __init__(
+        self, *, handlers: GatewayHandlers, names: HeaderNames, cores: float
+    ) -> None:
         self.n_running = 0
         self._handlers = handlers
         self._names = names
         self._arrivals = Arrivals()
+        self._reserve = AnswerReserve(cores=cores)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -128,11 +136,16 @@
                 ),
             )
             return
-        result = await self._forward_while_wanted(request, receive)
-        if result is None:
-            return
-        self._note(request, result)
-        await self._send(send, self._render(request, result))
+        with ExitStack() as after:
+            result = await self._forward_while_wanted(request, receive, after)
+            if result is None:
+                return
+            ended = trio.current_time()
+            # Logs and metrics come after the answer, which may have been held until
+            # just before its goal.
+            after.callback(self._note, request, result, ended)
+            await self._send(send, self._render(request, result))
+            self._note_sent(result)
 
     async def _read(
         self, scope: Scope, receive: Receive, index: RouteIndex, started: float
@@ -165,6 +178,8 @@
             connection=scope.get("client"),
             now=started,
         )
+        reserve_ms = self._reserve.get_ms(n_parts=count_parts(route), now=started)
+        goal_ms = compute_goal(route, arrival, reserve_ms=reserve_ms)
         left = min(stated, route.timeout_ms)
         target = scope["raw_path"]
         if scope["query_string"]:
@@ -181,7 +196,7 @@
             version=index.table.version,
             started=started,
             deadline=started + left / 1_000,
-            goal=started + compute_goal(route, arrival) / 1_000,
+            goal=started + goal_ms / 1_000,
         )
 
     def _read_attempt(self, headers: dict[bytes, bytes]) -> bytes:
@@ -210,8 +225,13 @@
             )
         return left
 
+    def _note_sent(self, result: GatewayResult) -> None:
+        if isinstance(result, JoinedRecords) and result.cut_at is not None:
+            now = trio.current_time()
+            self._reserve.note(took_ms=(now - result.cut_at) * 1_000, now=now)
+
     async def _forward_while_wanted(
-        self, request: GatewayRequest, receive: Receive
+        self, request: GatewayRequest, receive: Receive, after: ExitStack
     ) -> GatewayResult | None:
         """Forward, but stop when the caller's connection closes; then return None.
 
@@ -228,18 +248,21 @@
                     logger,
                     "caller left",
                     request_id=request.request_id,
+                    route=request.route.name,
                     after_ms=round((trio.current_time() - request.started) * 1_000, 1),
                 )
                 metrics.requests.labels(request.route.name, "caller left").inc()
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(cancel_on_disconnect)
-            result = await self._handlers.forward(request)
+            result = await self._handlers.forward(request, after)
             nursery.cancel_scope.cancel()
         return result
 
-    def _note(self, request: GatewayRequest, result: GatewayResult) -> None:
-        elapsed = trio.current_time() - request.started
+    def _note(
+        self, request: GatewayRequest, result: GatewayResult, ended: float
+    ) -> None:
+        elapsed = ended - request.started
         outcome = "answered"
         detail: dict[str, Any]
         match result:
@@ -276,7 +299,7 @@
             outcome=outcome,
             ms=round(elapsed * 1_000, 1),
             goal_ms=request.route.goal_ms,
-            left_ms=round((request.deadline - trio.current_time()) * 1_000),
+            left_ms=round((request.deadline - ended) * 1_000),
             **detail,
         )
 
--- /dev/null
+++ b/tests/test_reserve.py
@@ -0,0 +1,79 @@
+"""What a host keeps before the goal for joining and writing, learned from answers.
+
+The figures are those of a host with an eighth of a core that joins 87 parts: 40 to 60
+ms from the end of the wait to the last byte, for a goal of 120 ms.
+"""
+
+from lavendergap.coordination.arrivals import Arrival, compute_goal
+from lavendergap.coordination.reserve import (
+    LEAST_SHARE,
+    MEMORY_S,
+    MIN_SAMPLES,
+    AnswerReserve,
+)
+from lavendergap.state.routes import GreatestOfAll, Route
+
+SLOW_MS = (40.0, 45.0, 50.0, 60.0)
+ROUTE = Route(
+    name="sweep",
+    host="a.example",
+    prefix="/",
+    target=GreatestOfAll(
+        groups=tuple(f"s{number}" for number in range(87)), n_records=50, min_share=0.95
+    ),
+    idempotent=True,
+    max_attempts=2,
+    timeout_ms=600,
+    goal_ms=120,
+    priority=1,
+)
+ARRIVAL = Arrival(spent_ms=0.0, trip_ms=6.0)
+
+
+N_PARTS = 87
+WEAK_CORES = 0.5
+
+
+def make_reserve(*samples_ms: float, cores: float = WEAK_CORES) -> AnswerReserve:
+    reserve = AnswerReserve(cores=cores)
+    for took_ms in samples_ms:
+        reserve.note(took_ms=took_ms, now=0.0)
+    return reserve
+
+
+class TestReserve:
+    EXPECTED_MS = make_reserve().get_ms(n_parts=N_PARTS, now=0.0)
+
+    def test_a_slow_host_stops_waiting_early_enough(self):
+        reserve_ms = make_reserve(*SLOW_MS).get_ms(n_parts=N_PARTS, now=0.0)
+        goal_ms = compute_goal(ROUTE, ARRIVAL, reserve_ms=reserve_ms)
+        late = [ms for ms in SLOW_MS if goal_ms + ms + ARRIVAL.trip_ms > ROUTE.goal_ms]
+        assert len(late) <= len(SLOW_MS) / 4
+
+    def test_a_host_that_is_faster_than_it_says_waits_longer(self):
+        reserve = make_reserve(*[2.0] * 8)
+        reserve_ms = reserve.get_ms(n_parts=N_PARTS, now=0.0)
+        assert reserve_ms == self.EXPECTED_MS * LEAST_SHARE
+
+    def test_an_answer_of_many_parts_has_more(self):
+        # 135 proofs are 4 KB, which a thin link takes milliseconds for. Sent 10 ms
+        # before the goal, nine in ten of such answers came after it.
+        assert make_reserve().get_ms(n_parts=135, now=0.0) > 18
+
+    def test_one_slow_answer_does_not_decide(self):
+        reserve = make_reserve(*[30.0] * 8, 300.0)
+        assert reserve.get_ms(n_parts=N_PARTS, now=0.0) == 30.0
+
+    def test_a_host_of_which_nothing_is_known_yet_goes_by_its_strength(self):
+        # On a host of an eighth of a core a search comes once in some seconds. Until
+        # four have been late, nothing would be learned; it knows what it is.
+        for n_samples in range(MIN_SAMPLES):
+            reserve = make_reserve(*SLOW_MS[:n_samples], cores=0.12)
+            reserve_ms = reserve.get_ms(n_parts=N_PARTS, now=0.0)
+            assert min(SLOW_MS) < reserve_ms < 70.0
+
+    def test_a_busy_time_is_forgotten(self):
+        reserve = make_reserve(*SLOW_MS)
+        assert reserve.get_ms(n_parts=N_PARTS, now=MEMORY_S) > self.EXPECTED_MS
+        later = reserve.get_ms(n_parts=N_PARTS, now=MEMORY_S + 1.0)
+        assert later == self.EXPECTED_MS
