--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -141,11 +141,14 @@
             if result is None:
                 return
             ended = trio.current_time()
-            # Logs and metrics come after the answer, which may have been held until
-            # just before its goal.
-            after.callback(self._note, request, result, ended)
-            await self._send(send, self._render(request, result))
-            self._note_sent(result)
+            # All else comes after the answer, which may have been held until just
+            # before its goal; what frees servers goes before the log.
+            try:
+                await self._send(send, self._render(request, result))
+                self._note_sent(result)
+            finally:
+                after.close()
+                self._note(request, result, ended)
 
     async def _read(
         self, scope: Scope, receive: Receive, index: RouteIndex, started: float
