--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -567,7 +567,10 @@
                 coverage=coverage,
                 cut_at=self._cut_at,
             )
-        if self._refusals and not self._may_have_run and not self._proofs:
+        # What is still open is withdrawn after the answer, and runs until then.
+        is_open = any(part.open_shards for part in self._parts)
+        may_have_run = self._may_have_run or is_open
+        if self._refusals and not may_have_run and not self._proofs:
             return max(self._refusals, key=lambda refusal: refusal.retry_after_ms)
         first = coverage.missing[0]
         return Unknown(step=first.step, peer=first.peer, reason=first.reason)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -226,6 +226,22 @@
         assert isinstance(result, Unknown)
         assert trio.current_time() - started < 0.05
 
+    async def test_it_is_not_refused_while_servers_are_at_work_on_it(
+        self, forwarding, autojump_clock
+    ):
+        # The servers of two shards shed at once, which the least share does not bear;
+        # those of the others have the query and go on until they are told to stop,
+        # which they are after the caller has its answer. "Not run" would be untrue.
+        shed = NotRun(step=Step.RECEIVE, peer="x", reason=Reason.SHED)
+        for group in forwarding.groups:
+            for letter in "ab":
+                forwarding.faults[f"{group}-{letter}"] = (10.0, None)
+        for group in forwarding.groups[:2]:
+            for letter in "ab":
+                forwarding.faults[f"{group}-{letter}"] = (0.0, shed)
+        result = await forwarding.ask_all()
+        assert isinstance(result, Unknown)
+
     async def test_a_silent_owner_is_passed_over_by_the_next_query(
         self, forwarding, autojump_clock
     ):
