--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -114,10 +114,14 @@
             channel.send(Frame(id=0, message=news))
 
     async def fetch(self, feed: str, host: str | None) -> FeedState | None:
-        """Return a feed as `host` has it, or any live one; None without an answer."""
+        """Return a feed as `host` has it, or any live one; None without an answer.
+
+        One of this data centre, if there is one: a whole copy is some 90 KB.
+        """
         others = self._list_others()
         if host is None and others:
-            host = self._random.choice(others)
+            near = [other for other in others if self.is_near(other)]
+            host = self._random.choice(near or others)
         address = self._fleet.get_address(host) if host else None
         if host is None or address is None:
             return None
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -264,13 +264,17 @@
     ) -> None:
         """Take news of the store that another host had.
 
-        `then` is called once this copy holds what was told, or cannot be brought to
-        hold it: a relay passes news on then, so that its neighbours can ask it.
+        `then` is called at once where news hold what has changed, and else once this
+        copy holds it, or cannot be brought to: a relay passes news on then, so that
+        its neighbours can ask it for what the news lack.
         """
-        if self._take_news(news, host) or self._is_fetching:
+        is_taken = self._take_news(news, host)
+        if is_taken or news.changes or self._is_fetching:
             then()
+        if is_taken or self._is_fetching:
             return
         self._is_fetching = True
+        then = _do_nothing if news.changes else then
         self._nursery.start_soon(self._catch_up, news, host, then)
 
     def _take_news(self, news: FeedNews, host: str) -> bool:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -408,6 +408,26 @@
             assert passed_on[-1] == {"a": b"3"}
             nursery.cancel_scope.cancel()
 
+    async def test_a_relay_that_lags_keeps_no_change_from_its_neighbours(
+        self, autojump_clock
+    ):
+        # A relay lacks what was before the news, and the store turns it away. A server
+        # begins to leave; its neighbours, who lack nothing, must not wait for it.
+        script = Script(make_listing(1, a="1"), *[LOST] * 99)
+        passed_on = []
+        async with trio.open_nursery() as nursery:
+            reader, _ = read(script, nursery, Peers(rank=None))
+            await trio.sleep(0.1)
+            reader.hear(
+                tell(5, change(6, b="leaving"), a="2", b="leaving"),
+                host="far",
+                then=lambda: passed_on.append("news"),
+            )
+            assert passed_on == ["news"]
+            await trio.sleep(1.0)
+            assert passed_on == ["news"]
+            nursery.cancel_scope.cancel()
+
     async def test_what_changes_nothing_that_matters_is_not_told(self, autojump_clock):
         # A server writes with each heartbeat how much longer it is slow.
         script = Script(make_listing(1, a="1#3"), change(2, a="1#2"), change(3, a="2#"))
