--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -120,7 +120,7 @@
         """
         others = self._list_others()
         if host is None and others:
-            near = [other for other in others if self.is_near(other)]
+            near = list_neighbours(self._own_name, self._list_places())
             host = self._random.choice(near or others)
         address = self._fleet.get_address(host) if host else None
         if host is None or address is None:
