--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -116,9 +116,9 @@
     async def run(self) -> None:
         """Read until cancelled."""
         self._nursery.start_soon(self._settle)
-        # All hosts may start together: a copy that lags costs the store a tenth, and the
-        # first news, or else a watch after some 2 s, tell what it lacks. After a history
-        # was lost it may be older than what the store still remembers.
+        # All hosts may start together: a copy that lags costs the store a tenth, and
+        # the first news, or else a watch after some 2 s, tell what it lacks. After a
+        # history was lost it may be older than what the store still remembers.
         may_lag = True
         while True:
             await self._list(may_lag=may_lag)
