--- a/src/lavendergap/coordination/telling.py
+++ b/src/lavendergap/coordination/telling.py
@@ -18,7 +18,6 @@
 its neighbours waiting until they ask the store themselves, some 2 s.
 """
 
-
 MAX_CROSSING_BYTES = 4_096
 """Longer news cross to one host of each data centre only, however few it has.
 
@@ -62,20 +61,20 @@
     return len(zlib.compress(b"".join(bodies), 1)) <= MAX_RELAYED_BYTES
 
 
-def is_long(changes: Iterable[FeedChange]) -> bool:
+def are_long(changes: Iterable[FeedChange]) -> bool:
     """Tell whether changes are to cross to one host of a data centre only."""
     return sum(len(change.body or b"") for change in changes) > MAX_CROSSING_BYTES
 
 
 def choose_hearers(
-    own: str, places: Mapping[str, str], *, is_long: bool = False
+    own: str, places: Mapping[str, str], *, is_relayed: bool = False
 ) -> tuple[Hearer, ...]:
     """Return whom the host `own` tells directly; `places` holds all live hosts.
 
     Tellers differ in whom they choose, so that two of them seldom rely on one relay.
-    News that are long go through relays in small fleets, too. A relay that is frozen
-    then costs its neighbours a call: the next word, that nothing has changed since,
-    tells them that they lack something.
+    With `is_relayed` all other data centres are told through a relay, as long news
+    are. A relay that is frozen then costs its neighbours a call: the next word, that
+    nothing has changed since, tells them that they lack something.
 
     >>> places = {"a-1": "a", "a-2": "a", "b-1": "b"}
     >>> [hearer.host for hearer in choose_hearers("a-1", places)]
@@ -88,7 +87,7 @@
     hearers: list[Hearer] = []
     for place, hosts in sorted(by_place.items()):
         is_near = place == places.get(own)
-        if is_near or (len(hosts) < RELAY_FROM and not is_long):
+        if is_near or (len(hosts) < RELAY_FROM and not is_relayed):
             hearers += [
                 Hearer(host=host, passes_on=False, is_near=is_near)
                 for host in sorted(hosts)
--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -8,8 +8,8 @@
 from ..coordination.membership import Membership
 from ..coordination.telling import (
     Hearer,
+    are_long,
     choose_hearers,
-    is_long,
     leads_place,
     list_neighbours,
     may_carry,
@@ -77,8 +77,8 @@
         """
         if self.is_settled():
             places = self._list_places()
-            is_relayed = is_long(news.changes)
-            for hearer in choose_hearers(self._own_name, places, is_long=is_relayed):
+            is_relayed = are_long(news.changes)
+            for hearer in choose_hearers(self._own_name, places, is_relayed=is_relayed):
                 self._tell_one(hearer, news)
         elif self.leads_place():
             self.pass_on(news)
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -13,8 +13,8 @@
     MAX_RELAYED_BYTES,
     RELAY_FROM,
     Hearer,
+    are_long,
     choose_hearers,
-    is_long,
     leads_place,
     list_neighbours,
     may_carry,
@@ -102,15 +102,15 @@
 
     def test_everybody_gets_what_is_short(self):
         for body in (None, b"x" * MAX_CROSSING_BYTES):
-            assert not is_long(self.make(body))
+            assert not are_long(self.make(body))
             assert may_carry(self.make(body), self.RELAY)
             assert may_carry(self.make(body), self.NEIGHBOUR)
 
     @pytest.mark.parametrize(("n_hosts", "n_places"), [(9, 4), (195, 6), (550, 10)])
     def test_a_document_crosses_once_to_each_data_centre(self, n_hosts, n_places):
         places = make_fleet(n_hosts, n_places)
-        assert is_long(self.make(self.ROUTES))
-        hearers = choose_hearers("h-000", places, is_long=True)
+        assert are_long(self.make(self.ROUTES))
+        hearers = choose_hearers("h-000", places, is_relayed=True)
         assert sum(not hearer.is_near for hearer in hearers) == n_places - 1
         told = [hearer.host for hearer in hearers]
         for hearer in hearers:
