--- a/lab/processes.py
+++ b/lab/processes.py
@@ -45,6 +45,8 @@
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 
+_dealt: set[int] = set()
+
 LOCALHOST = "127.0.0.1"
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -79,15 +81,18 @@
     """Find ports of 127.0.0.1 that are free for both TCP and UDP.
 
     They are released before this returns, so another program may still take one;
-    the search starts at random places to make that unlikely.
+    the search starts at random places to make that unlikely. This process deals none
+    twice: the hosts of a deployment bind theirs later, and a second call could deal one
+    of them to the program that is started before them.
     """
     held: list[socket.socket] = []
     ports: list[int] = []
-    candidates = list(range(FIRST_PORT, LAST_PORT))
+    candidates = [p for p in range(FIRST_PORT, LAST_PORT) if p not in _dealt]
     random.SystemRandom().shuffle(candidates)
     try:
         for port in candidates:
             if len(ports) == n_ports:
+                _dealt.update(ports)
                 return tuple(ports)
             pair = _hold_port(port)
             held.extend(pair)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from lab import processes
 from lab.processes import (
     DeploymentShape,
     ServiceShape,
@@ -157,6 +158,13 @@
     def test_free_ports_are_distinct(self):
         assert len(set(find_free_ports(50))) == 50
 
+    def test_a_port_is_dealt_once(self, monkeypatch):
+        # A deployment's ports are found, then that of a control address. Its program
+        # starts first; were it dealt a host's port, the host would end as it starts.
+        monkeypatch.setattr(processes, "FIRST_PORT", 31_800)
+        dealt = [*find_free_ports(40), *find_free_ports(40), *find_free_ports(40)]
+        assert len(set(dealt)) == 120
+
 
 class TestStartsAtOnce:
     async def test_each_waits_for_its_own_ready(self, tmp_path):
