--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -337,53 +337,6 @@
             assert told[-1] == {"b": b"6"}
             nursery.cancel_scope.cancel()
 
-    async def test_news_without_the_change_are_read_from_the_store(
-        self, autojump_clock
-    ):
-        # An operator's document is too long to cross to each host. The teller says
-        # that there is something newer; a host elsewhere reads it from the store.
-        script = Script(make_listing(1, a="1"), change(2, a="2"))
-        async with trio.open_nursery() as nursery:
-            peers = Peers(rank=None)
-            reader, told = read(script, nursery, peers)
-            await trio.sleep(0.1)
-            reader.hear(tell(2, change(2), a="2"), host="far")
-            await trio.sleep(0.1)
-            assert script.asked == [LAGGING, "watch 1"]
-            assert peers.fetches == []
-            assert told[-1] == {"a": b"2"}
-            nursery.cancel_scope.cancel()
-
-    async def test_what_a_neighbour_has_is_not_asked_of_the_store(self, autojump_clock):
-        # Each change of long routes was a call of each of 195 hosts to the store.
-        script = Script(make_listing(1, a="1"))
-        async with trio.open_nursery() as nursery:
-            peers = Peers(rank=None, near=("near",))
-            peers.state = FeedState(
-                feed="servers", revision=2, entries=make_listing(2, a="2").entries
-            )
-            reader, told = read(script, nursery, peers)
-            await trio.sleep(0.1)
-            reader.hear(tell(2, change(2), a="2"), host="near")
-            await trio.sleep(0.1)
-            assert script.asked == [LAGGING]
-            assert told[-1] == {"a": b"2"}
-            nursery.cancel_scope.cancel()
-
-    async def test_a_neighbour_that_lacks_it_too_leaves_the_store(self, autojump_clock):
-        # Its copy is old, or it has been cut off meanwhile: the change is known from
-        # the store all the same.
-        script = Script(make_listing(1, a="1"), change(2, a="2"))
-        async with trio.open_nursery() as nursery:
-            peers = Peers(rank=None, near=("near",))
-            reader, told = read(script, nursery, peers)
-            await trio.sleep(0.1)
-            reader.hear(tell(2, change(2), a="2"), host="near")
-            await trio.sleep(0.1)
-            assert peers.fetches == ["near"]
-            assert told[-1] == {"a": b"2"}
-            nursery.cancel_scope.cancel()
-
     async def test_a_relay_passes_on_what_it_can_be_asked_for(self, autojump_clock):
         # Long news come to a relay without what changed. Passed on before it has that
         # itself, all its neighbours would ask it in vain, and then the store.
@@ -520,6 +473,48 @@
             nursery.cancel_scope.cancel()
 
 
+class TestNewsWithoutTheChange:
+    """An operator's document is too long to cross to each host.
+
+    The teller says only that there is something newer than the hearer has. Each change
+    of long routes was a call of each of 195 hosts to the store.
+    """
+
+    async def hear(self, script: Script, peers: Peers, *, host: str):
+        """Have a host at revision 1 hear of 2; return what it has in force then."""
+        async with trio.open_nursery() as nursery:
+            reader, told = read(script, nursery, peers)
+            await trio.sleep(0.1)
+            reader.hear(tell(2, change(2), a="2"), host=host)
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        return told[-1]
+
+    async def test_told_from_afar_it_is_read_from_the_store(self, autojump_clock):
+        script = Script(make_listing(1, a="1"), change(2, a="2"))
+        peers = Peers(rank=None)
+        assert await self.hear(script, peers, host="far") == {"a": b"2"}
+        assert script.asked == [LAGGING, "watch 1"]
+        assert peers.fetches == []
+
+    async def test_what_a_neighbour_has_is_not_asked_of_the_store(self, autojump_clock):
+        script = Script(make_listing(1, a="1"))
+        peers = Peers(rank=None, near=("near",))
+        peers.state = FeedState(
+            feed="servers", revision=2, entries=make_listing(2, a="2").entries
+        )
+        assert await self.hear(script, peers, host="near") == {"a": b"2"}
+        assert script.asked == [LAGGING]
+
+    async def test_a_neighbour_that_lacks_it_too_leaves_the_store(self, autojump_clock):
+        # Its copy is old, or it has been cut off meanwhile: the change is known from
+        # the store all the same.
+        script = Script(make_listing(1, a="1"), change(2, a="2"))
+        peers = Peers(rank=None, near=("near",))
+        assert await self.hear(script, peers, host="near") == {"a": b"2"}
+        assert peers.fetches == ["near"]
+
+
 class TestHostsThatReadAtOtherRevisions:
     """All hosts start together and register themselves between their readings.
 
