Tell a server that ended from a lost connection, and name what was asked

Callers saw searches fail within milliseconds while servers ended together. Whether one request did that, or servers that end fail requests, no line could tell: repeats come under new ids, and "lost connection" is all that was said of a server's end.

A request's failure and each server that ended under it now name its content, a hash of what is asked for. After a lost connection the client opens another one: a port that refuses it within a round trip is a process that has ended. An accepted one is kept for the next request. No decision changes but that such a server is ejected at once, as after a refused connection.

Ruled out: asking the registry, which tells of it 2 to 4 s later; the health endpoint, which costs a slot and may lie.

--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -57,6 +57,7 @@
 # connection as of the server, unless it was a fresh one.
 BLAME = {
     Reason.REFUSED_CONNECTION: 1.0,
+    Reason.SERVER_ENDED: 1.0,
     Reason.LOST_CONNECTION: 0.5,
     Reason.SILENT_CONNECTION: 0.5,
     Reason.SERVER_ERROR: 0.34,
--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -21,6 +21,7 @@
     StartAttempt,
     WithholdHedge,
 )
+from ..coordination.contents import identify_content
 from ..coordination.hedging import KindLatencies
 from ..coordination.scheduler import GroupScheduler
 from ..logs import log_decision
@@ -275,6 +276,7 @@
         del self._running[effect.attempt_id]
         now = trio.current_time()
         self._count_end(verdict.outcome)
+        self._tell_server_end(effect, verdict.outcome, now - started)
         if verdict.report is not None:
             self._versions[effect.server] = verdict.report.versions
         self.apply(
@@ -315,6 +317,26 @@
                 if reason is Reason.WRONG_ANSWER:
                     metrics.dropped_answers.labels("wrong answer of a server").inc()
 
+    def _tell_server_end(
+        self, effect: StartAttempt, outcome: Outcome, elapsed: float
+    ) -> None:
+        """Say under which request a server ended, and what it asked for."""
+        call = effect.call
+        if call.forward is None:
+            return
+        match outcome:
+            case Unknown(reason=Reason.SERVER_ENDED):
+                log_decision(
+                    logger,
+                    "server ended",
+                    request_id=call.request_id,
+                    content=identify_content(call.forward, call.body),
+                    shard=call.shard,
+                    server=effect.server,
+                    cause=effect.cause,
+                    after_ms=round(elapsed * 1_000, 1),
+                )
+
     async def _live(self) -> None:
         """Probe until closed; then close the idle connections."""
         with self._life:
--- a/src/lavendergap/state/outcome.py
+++ b/src/lavendergap/state/outcome.py
@@ -31,6 +31,7 @@
     REFUSED_CONNECTION = "refused connection"
     LOST_CONNECTION = "lost connection"
     SILENT_CONNECTION = "silent connection"
+    SERVER_ENDED = "server ended"
     VERSION_GONE = "version gone"
     WRONG_ANSWER = "wrong answer"
     SERVER_ERROR = "server error"
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -7,6 +7,7 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 from math import inf
 
 import trio
@@ -30,6 +31,10 @@
 # that is dropped at a full queue is sent again after a second, and by then another
 # server has answered.
 CONNECT_LIMIT = 0.25
+# How long a server that dropped a request may take to accept a connection, in seconds,
+# before no more than the lost connection is held against it. One that lives accepts
+# within a round trip, and the port of one that has ended refuses as fast.
+LIFE_CHECK_LIMIT = 0.05
 # A request that must not run twice goes out only on a connection that carried an
 # answer this recently, in seconds: one that the server has closed meanwhile would
 # end the request as unknown.
@@ -98,7 +103,7 @@
         exchange = Exchange(
             call=call,
             peer=self.server.name,
-            end=lambda ended, result: end(self._judge(ended.call, result)),
+            end=lambda ended, result: self._end(ended.call, result, end),
         )
         if call.deadline <= now:
             self._refuse(exchange, Step.QUEUE, Reason.DEADLINE)
@@ -106,7 +111,7 @@
         link = None if fresh else self._take_idle(call, now)
         if link is not None:
             self._send(link, exchange, now)
-        elif self.n_open >= self.server.connections:
+        elif self._is_full:
             self._refuse(exchange, Step.CONNECT, Reason.OVERLOADED)
         else:
             self._count_opened()
@@ -134,6 +139,39 @@
 
     # What an exchange came to.
 
+    def _end(self, call: Call, result: Result, end: EndCall) -> None:
+        match result:
+            case Unknown(reason=Reason.LOST_CONNECTION) if not self._is_full:
+                self._nursery.start_soon(self._end_lost, call, result, end)
+            case _:
+                end(self._judge(call, result))
+
+    async def _end_lost(self, call: Call, lost: Unknown, end: EndCall) -> None:
+        """End an attempt whose connection broke, with whether the server has ended.
+
+        A connection may break anywhere on its way, and a server may drop one request
+        and go on. One whose port refuses a new connection in that moment has ended.
+        """
+        outcome = lost
+        connected = None
+        self._count_opened()
+        try:
+            with trio.move_on_after(LIFE_CHECK_LIMIT):
+                connected = await _connect(self.server)
+        except ConnectionRefusedError:
+            outcome = replace(lost, reason=Reason.SERVER_ENDED)
+        except Exception as error:
+            # As below: one of this program's own must not end the process.
+            self._log_connect_failure(call, error)
+        finally:
+            if connected is None:
+                self._count_closed()
+        end(Verdict(outcome=outcome, report=None))
+        if connected is not None:
+            link = self._make_link(connected)
+            self._keep(link)
+            await link.read()
+
     def _judge(self, call: Call, result: Result) -> Verdict:
         """Return what a result proves; an error of this program costs it and no more.
 
@@ -197,13 +235,7 @@
                 connected = await _connect(self.server)
         except Exception as error:
             # One of this program's own must not end the process either.
-            log_decision(
-                logger,
-                "connect failed",
-                request_id=exchange.call.request_id,
-                server=peer,
-                error=str(error),
-            )
+            self._log_connect_failure(exchange.call, error)
         finally:
             if connected is None:
                 self._count_closed()
@@ -214,7 +246,7 @@
                 reason = Reason.REFUSED_CONNECTION
                 exchange.finish(NotRun(step=Step.CONNECT, peer=peer, reason=reason))
             return None
-        link = Link(raw=connected, idle_limit=self._idle_limit, owner=self)
+        link = self._make_link(connected)
         now = trio.current_time()
         if scope.cancel_called or exchange.call.deadline <= now:
             # Opening it took what was left; nothing was sent, and the next call
@@ -226,6 +258,18 @@
             self._send(link, exchange, now)
         return link
 
+    def _make_link(self, connected: socket.socket) -> Link:
+        return Link(raw=connected, idle_limit=self._idle_limit, owner=self)
+
+    def _log_connect_failure(self, call: Call, error: Exception) -> None:
+        log_decision(
+            logger,
+            "connect failed",
+            request_id=call.request_id,
+            server=self.server.name,
+            error=str(error),
+        )
+
     def _keep(self, link: Link) -> None:
         """Keep a connection for the next request."""
         if self._is_closed:
@@ -306,6 +350,10 @@
         self._idle.append(link)
         return True
 
+    @property
+    def _is_full(self) -> bool:
+        return self.n_open >= self.server.connections
+
     def _count_opened(self) -> None:
         self.n_open += 1
         metrics.backend_connections.inc()
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -11,6 +11,7 @@
 
 from .. import metrics
 from ..coordination.arrivals import Arrivals, compute_goal, count_parts
+from ..coordination.contents import identify_content
 from ..coordination.reserve import AnswerReserve
 from ..coordination.routing import RouteIndex
 from ..logs import Category, get_logger, log_decision
@@ -290,6 +291,7 @@
                     "reason": result.reason.value,
                     "step": result.step.value,
                     "peer": result.peer,
+                    "content": identify_content(request.forward, request.body),
                 }
         metrics.requests.labels(request.route.name, outcome).inc()
         metrics.request_seconds.labels(request.route.name).observe(elapsed)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
-from functools import partial
 
 import pytest
 import trio
@@ -53,9 +52,16 @@
 class Bench:
     """A server whose answer to each request is the next one of a script."""
 
-    def __init__(self, *, client: ForwardClient, requests: list[bytes]) -> None:
+    def __init__(
+        self,
+        *,
+        client: ForwardClient,
+        requests: list[bytes],
+        listening: trio.CancelScope,
+    ) -> None:
         self.client = client
         self.requests = requests
+        self.listening = listening
         self.n_connections = 0
 
     async def call(self, call: Call | None = None, *, fresh: bool = False) -> Verdict:
@@ -64,7 +70,10 @@
 
 @asynccontextmanager
 async def open_bench(*script: bytes | None):
-    """Yield the bench; None in the script closes the connection without an answer."""
+    """Yield the bench; None in the script closes the connection without an answer.
+
+    "end" closes the port first, as a process does that ends.
+    """
     answers = list(script)
     requests: list[bytes] = []
 
@@ -81,6 +90,10 @@
             reply = answers.pop(0)
             if reply is None:
                 return
+            if reply == b"end":
+                bench.listening.cancel()
+                await trio.testing.wait_all_tasks_blocked()
+                return
             if reply == b"silence":
                 await trio.sleep_forever()
             await stream.send_all(reply)
@@ -88,9 +101,9 @@
                 return
 
     async with trio.open_nursery() as nursery:
-        [listener] = await nursery.start(
-            partial(trio.serve_tcp, _closing(serve), 0, host="127.0.0.1")
-        )
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listening = trio.CancelScope()
+        nursery.start_soon(_listen, listener, _closing(serve), nursery, listening)
         port = listener.socket.getsockname()[1]
         server = Server(
             name="i-1",
@@ -102,12 +115,23 @@
         client = ForwardClient(
             server=server, idle_limit=10.0, names=NAMES, nursery=nursery
         )
-        bench = Bench(client=client, requests=requests)
+        bench = Bench(client=client, requests=requests, listening=listening)
         yield bench
         await client.close()
         nursery.cancel_scope.cancel()
 
 
+async def _listen(
+    listener: trio.SocketListener,
+    handle,
+    nursery: trio.Nursery,
+    listening: trio.CancelScope,
+) -> None:
+    with listening:
+        async with listener:
+            await trio.serve_listeners(handle, [listener], handler_nursery=nursery)
+
+
 def _closing(serve):
     async def handle(stream: trio.SocketStream) -> None:
         async with stream:
@@ -211,6 +235,22 @@
             assert isinstance(outcome, Unknown)
             assert outcome.reason is Reason.LOST_CONNECTION
 
+    async def test_a_server_that_ended_is_told_from_a_lost_connection(self):
+        # The connection breaks under a request, and the server takes no new one: it has
+        # ended, perhaps of this very request. Not so one that only dropped it.
+        async with open_bench(answer(), b"end") as bench:
+            await bench.call()
+            outcome = (await bench.call()).outcome
+            assert isinstance(outcome, Unknown)
+            assert outcome.reason is Reason.SERVER_ENDED
+            assert bench.client.n_open == 0
+
+    async def test_a_server_that_lives_is_asked_on_the_connection_that_showed_it(self):
+        async with open_bench(None, answer()) as bench:
+            assert isinstance((await bench.call()).outcome, Unknown)
+            assert isinstance((await bench.call()).outcome, Answered)
+            assert bench.n_connections == 2
+
     async def test_a_refused_connection_has_not_run(self, nursery):
         async with open_bench() as bench:
             server = bench.client.server
