--- a/standins/leafs.py
+++ b/standins/leafs.py
@@ -15,11 +15,22 @@
 N_RECORDS = 60
 
 
+def make_server_id() -> str:
+    """Return an id for one incarnation of a server."""
+    return f"i-{secrets.token_hex(5)}"
+
+
 @dataclass(kw_only=True, slots=True)
 class LeafFaults:
-    """How one server fails: seconds of work, refusals, lost and doubled answers."""
+    """How one server fails: seconds of work, refusals, lost and doubled answers.
+
+    A request for the path `ends_on` ends the server as it begins to run; it is back
+    under another id after `away` seconds.
+    """
 
     work: float = 0.005
+    ends_on: str = ""
+    away: float = 1.0
     refuses: bool = False
     fails: bool = False
     loses: bool = False
@@ -31,13 +42,14 @@
     """One incarnation of a server: refuses what is meant for another one.
 
     `runs` counts how often each request began, `arrivals` each that came, and
-    `n_abandoned` those whose connection closed while they ran.
+    `n_abandoned` those whose connection closed while they ran. `ended_by` holds the
+    requests under which it ended.
     """
 
     service: str
     zone: str
     slots: int = 2
-    server_id: str = field(default_factory=lambda: f"i-{secrets.token_hex(5)}")
+    server_id: str = field(default_factory=make_server_id)
     faults: LeafFaults = field(default_factory=LeafFaults)
     runs: Counter[str] = field(default_factory=Counter)
     arrivals: Counter[str] = field(default_factory=Counter)
@@ -46,19 +58,30 @@
     drained_at: float | None = None
     address: str = ""
     n_running: int = 0
+    ended_by: list[str] = field(default_factory=list)
+    life: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     async def run(
         self,
         store: ObjectStore,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until cancelled, registered in the store."""
-        async with trio.open_nursery() as nursery:
-            server = HttpServer(ip="127.0.0.1", port=0, handle=self.handle)
-            port = await nursery.start(server.run)
-            self.address = f"127.0.0.1:{port}"
-            self.register(store, "ready")
-            task_status.started()
+        """Serve until cancelled, registered in the store, and again after each end."""
+        is_first = True
+        while True:
+            self.life = trio.CancelScope()
+            with self.life:
+                async with trio.open_nursery() as nursery:
+                    server = HttpServer(ip="127.0.0.1", port=0, handle=self.handle)
+                    port = await nursery.start(server.run)
+                    self.address = f"127.0.0.1:{port}"
+                    self.register(store, "ready")
+                    if is_first:
+                        task_status.started()
+                        is_first = False
+            await trio.sleep(self.faults.away)
+            store.remove(SERVERS, self.server_id)
+            self.server_id = make_server_id()
 
     def register(self, store: ObjectStore, state: str) -> None:
         """Write the entry that callers find the server by."""
@@ -93,6 +116,9 @@
         self, attempt: str, request: Request, connection: Connection
     ) -> Reply | None:
         self.runs[attempt] += 1
+        if request.path == self.faults.ends_on:
+            self.ended_by.append(attempt)
+            self.life.cancel()
         self.n_running += 1
         try:
             with trio.move_on_after(self.faults.work):
