Have a caller in the soak whose request ends servers, and measure what it costs others

The soak's servers end under one caller's search, which comes every 0.2 to 1.5 s at any host, beside all other faults. New promises: it reaches servers in four attempts, and one more for each host that was killed, frozen or stopped; and no other request is held back, although the soak's callers all ask for the same few contents.

--- /dev/null
+++ b/lab/serverends.py
@@ -0,0 +1,123 @@
+"""Measures what a request that ends servers costs all other callers.
+
+Five gateway hosts, ten shards with two servers each, 20 searches a second, each
+retried once as callers do. One search ends each server that begins to run it; its
+caller repeats it, at once and later. `python -m lab.serverends` prints how many of the
+other searches were answered, second by second, and how many servers ended.
+"""
+
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import trio
+
+from .gateways import Platform, make_search_route, open_platform
+
+N_SHARDS = 10
+PLACES = ("ptl-a", "ptl-a", "ptl-b", "sea-a", "sea-b")
+DEADLY = "/all/deadly"
+WORK_S = 0.012
+AWAY_S = 3.0
+SETTLE_S = 3.0
+SEARCHES_A_SECOND = 20
+DURATION_S = 24.0
+DEADLY_AT = (3.0, 3.02, 7.5, 7.53, 12.0, 16.5)
+DEADLINE_MS = 400
+MIN_COVERAGE = 0.89
+N_TRIES = 2
+OK = 200
+
+
+@dataclass(kw_only=True)
+class Tally:
+    """How many searches came and were answered, by the second in which they came."""
+
+    n_asked: Counter[int] = field(default_factory=Counter)
+    n_answered: Counter[int] = field(default_factory=Counter)
+
+
+async def start_fleet(platform: Platform) -> None:
+    """Start servers that the deadly request ends, and the hosts before them."""
+    for place in range(N_SHARDS):
+        far = "sea-b" if place % 2 else "ptl-b"
+        for zone in ("ptl-a", far):
+            leaf = await platform.add_leaf(
+                f"shard{place}", zone, ends_on=DEADLY, away=AWAY_S
+            )
+            leaf.faults.work = WORK_S
+    shards = [f"shard{place}" for place in range(N_SHARDS)]
+    route = make_search_route("/all/", shards, min_coverage=MIN_COVERAGE)
+    platform.write_routes(1, [route])
+    for zone in PLACES:
+        platform.add_gateway(zone)
+    for gateway in platform.gateways:
+        await platform.wait_ready(gateway)
+    await trio.sleep(SETTLE_S)
+
+
+async def search(platform: Platform, dice: Random, path: str) -> int:
+    """Ask any host; return the status, or 0 for no answer."""
+    with trio.move_on_after(1.0):
+        try:
+            answer = await platform.request(
+                dice.choice(platform.gateways), path, deadline_ms=DEADLINE_MS
+            )
+        except (OSError, trio.BrokenResourceError):
+            return 0
+        return answer.status
+    return 0
+
+
+async def search_as_callers(
+    platform: Platform, dice: Random, place: int, second: int, tally: Tally
+) -> None:
+    """Search, and once more after a failure."""
+    tally.n_asked[second] += 1
+    for _ in range(N_TRIES):
+        if await search(platform, dice, f"/all/x{place}") == OK:
+            tally.n_answered[second] += 1
+            return
+
+
+async def repeat_deadly(platform: Platform, dice: Random, began: float) -> None:
+    """Send the request that ends servers at its times."""
+    for at in DEADLY_AT:
+        await trio.sleep_until(began + at)
+        status = await search(platform, dice, DEADLY)
+        n_ended = sum(len(leaf.ended_by) for leaf in platform.leafs)
+        print(f"deadly request at {at:5.2f} s: {status}, {n_ended} servers ended")
+
+
+async def measure(directory: Path) -> None:
+    """Run once and print what callers got."""
+    dice = Random(1)
+    tally = Tally()
+    async with open_platform(directory) as platform:
+        await start_fleet(platform)
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(repeat_deadly, platform, dice, began)
+            for place in range(int(DURATION_S * SEARCHES_A_SECOND)):
+                await trio.sleep_until(began + place / SEARCHES_A_SECOND)
+                second = place // SEARCHES_A_SECOND
+                nursery.start_soon(
+                    search_as_callers, platform, dice, place, second, tally
+                )
+        n_ended = sum(len(leaf.ended_by) for leaf in platform.leafs)
+    for second, n_asked in sorted(tally.n_asked.items()):
+        print(f"second {second:2}: {tally.n_answered[second]} of {n_asked} answered")
+    share = tally.n_answered.total() / tally.n_asked.total()
+    print(f"answered={share:.3f} ended={n_ended}")
+
+
+def main() -> None:
+    """Measure in a directory of its own."""
+    with tempfile.TemporaryDirectory() as directory:
+        trio.run(measure, Path(directory))
+
+
+if __name__ == "__main__":
+    main()
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -52,6 +52,14 @@
 # Faults of the store and freezes of hosts end some time before the last check, and a
 # host that was touched by one is left out of the bounds for as long.
 QUIET = 4.5
+# One caller's search ends each server that begins to run it, and comes again and again.
+DEADLY = "/all/deadly"
+DEADLY_PAUSE = (0.2, 1.5)
+LEAF_AWAY = 0.7
+# What the users bear once it has ended three servers. A host that is killed or frozen
+# with it under way may have told nobody, and each such harm allows one more.
+MAX_DEADLY = 4
+HELD_BACK = b"held back"
 
 
 @dataclass
@@ -82,6 +90,8 @@
         self.bookings: list[str] = []
         self.n_requests = 0
         self.retired: list[Leaf] = []
+        self.n_host_harms = 0
+        self.n_deadly = 0
 
     def break_promise(self, text: str) -> None:
         """Note a broken promise with all that leads back to it."""
@@ -95,7 +105,7 @@
         """Start servers, write routes, start hosts and wait for them."""
         for shard in [*self.shards, "desk"]:
             for zone in ZONES[:2]:
-                await self.platform.add_leaf(shard, zone)
+                await self.add_leaf(shard, zone)
         self.write_routes()
         for zone in ZONES:
             gateway = self.platform.add_gateway(zone)
@@ -106,6 +116,10 @@
         for gateway in self.platform.gateways:
             await self.platform.wait_ready(gateway)
 
+    async def add_leaf(self, service: str, zone: str) -> None:
+        """Start a server that the deadly request ends."""
+        await self.platform.add_leaf(service, zone, ends_on=DEADLY, away=LEAF_AWAY)
+
     def write_routes(self) -> None:
         """Write a newer version of the routes, with a path of its own."""
         self.version += self.dice.randint(1, 3)
@@ -132,6 +146,24 @@
             except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
                 await trio.sleep(CALLER_PAUSE)
 
+    async def repeat_deadly(self) -> None:
+        """Send the request that ends servers, at any host, until cancelled."""
+        dice = Random(self.seed)
+        while True:
+            await trio.sleep(dice.uniform(*DEADLY_PAUSE))
+            gateway = dice.choice(self.platform.gateways)
+            self.n_deadly += 1
+            attempt = f"deadly{self.seed}-{self.n_deadly}"
+            with trio.move_on_after(TIME_LEFT_MS / 1_000 + 1.0):
+                try:
+                    answer = await self.platform.request(
+                        gateway, DEADLY, attempt=attempt, deadline_ms=TIME_LEFT_MS
+                    )
+                except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+                    continue
+                if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+                    self.not_run.append(attempt)
+
     async def keep_connection(self, gateway: Gateway, dice: Random) -> None:
         """Ask on one connection until an answer says to close it."""
         stream = await trio.open_tcp_stream("127.0.0.1", gateway.ports[0])
@@ -171,6 +203,8 @@
         """Hold one answer against what servers have for its request."""
         if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
             self.not_run.append(attempt)
+            if HELD_BACK in answer.body:
+                self.break_promise(f"{path} {attempt}: held back, and ends no server")
         elif answer.status == HTTPStatus.OK and path == "/all/":
             self.check_joined(attempt, answer)
         elif answer.status == HTTPStatus.OK:
@@ -181,7 +215,11 @@
 
     def check_joined(self, attempt: str, answer: Answer) -> None:
         """Hold a joined answer against the parts that it names."""
-        services = {leaf.server_id: leaf.service for leaf in self.all_leafs()}
+        services = {
+            server_id: leaf.service
+            for leaf in self.all_leafs()
+            for server_id in (leaf.server_id, *leaf.past_ids)
+        }
         named = []
         for proof in answer.proofs:
             server, _, of = proof.partition(".")
@@ -237,6 +275,7 @@
             self.disturbed_at[gateway.name] = trio.current_time()
 
     async def kill_host(self) -> None:
+        self.n_host_harms += 1
         gateway = self.dice.choice(self.platform.gateways)
         self.touch(gateway)
         gateway.kill()
@@ -245,6 +284,7 @@
         gateway.start()
 
     async def pause_host(self) -> None:
+        self.n_host_harms += 1
         gateway = self.dice.choice(self.platform.gateways)
         self.touch(gateway)
         process = gateway.process
@@ -255,6 +295,7 @@
         self.touch(gateway)
 
     async def stop_host(self) -> None:
+        self.n_host_harms += 1
         gateway = self.dice.choice(self.platform.gateways)
         self.touch(gateway)
         process = gateway.process
@@ -324,7 +365,7 @@
     async def replace_leaf(self) -> None:
         """Start a server beside one that drains, and hold its bound."""
         leaf = self.dice.choice(self.platform.leafs)
-        await self.platform.add_leaf(leaf.service, leaf.zone)
+        await self.add_leaf(leaf.service, leaf.zone)
         if leaf not in self.platform.leafs:
             return
         self.platform.leafs.remove(leaf)
@@ -360,6 +401,9 @@
             n_runs = sum(leaf.runs[attempt] for leaf in self.all_leafs())
             if n_runs > 1:
                 self.break_promise(f"booking {attempt} ran {n_runs} times")
+        ended_by = {each for leaf in self.all_leafs() for each in leaf.ended_by}
+        if len(ended_by) > MAX_DEADLY + self.n_host_harms:
+            self.break_promise(f"{len(ended_by)} of {self.n_deadly} ended servers")
         for attempt in self.not_run:
             if any(leaf.runs[attempt] for leaf in self.all_leafs()):
                 self.break_promise(f"{attempt} was told as not run, and ran")
@@ -396,6 +440,7 @@
             async with trio.open_nursery() as callers:
                 for number in range(N_CALLERS):
                     callers.start_soon(soak.call_for_ever, number)
+                callers.start_soon(soak.repeat_deadly)
                 await soak.disturb()
                 await trio.sleep(QUIET)
                 await soak.check_end()
--- a/standins/leafs.py
+++ b/standins/leafs.py
@@ -22,15 +22,9 @@
 
 @dataclass(kw_only=True, slots=True)
 class LeafFaults:
-    """How one server fails: seconds of work, refusals, lost and doubled answers.
-
-    A request for the path `ends_on` ends the server as it begins to run; it is back
-    under another id after `away` seconds.
-    """
+    """How one server fails: seconds of work, refusals, lost and doubled answers."""
 
     work: float = 0.005
-    ends_on: str = ""
-    away: float = 1.0
     refuses: bool = False
     fails: bool = False
     loses: bool = False
@@ -42,8 +36,11 @@
     """One incarnation of a server: refuses what is meant for another one.
 
     `runs` counts how often each request began, `arrivals` each that came, and
-    `n_abandoned` those whose connection closed while they ran. `ended_by` holds the
-    requests under which it ended.
+    `n_abandoned` those whose connection closed while they ran.
+
+    A request for the path `ends_on` ends the server as it begins to run it; it is back
+    under another id after `away` seconds. `ended_by` holds these requests, and
+    `past_ids` the ids that it had before.
     """
 
     service: str
@@ -58,7 +55,10 @@
     drained_at: float | None = None
     address: str = ""
     n_running: int = 0
+    ends_on: str = ""
+    away: float = 1.0
     ended_by: list[str] = field(default_factory=list)
+    past_ids: list[str] = field(default_factory=list)
     life: trio.CancelScope = field(default_factory=trio.CancelScope)
     server: HttpServer = field(init=False)
 
@@ -80,8 +80,9 @@
                     if is_first:
                         task_status.started()
                         is_first = False
-            await trio.sleep(self.faults.away)
+            await trio.sleep(self.away)
             store.remove(SERVERS, self.server_id)
+            self.past_ids.append(self.server_id)
             self.server_id = make_server_id()
 
     def register(self, store: ObjectStore, state: str) -> None:
@@ -117,7 +118,7 @@
         self, attempt: str, request: Request, connection: Connection
     ) -> Reply | None:
         self.runs[attempt] += 1
-        if request.path == self.faults.ends_on:
+        if request.path == self.ends_on:
             self.ended_by.append(attempt)
             self.server.close_port()
             self.life.cancel()
--- a/tests/test_server_ends_processes.py
+++ b/tests/test_server_ends_processes.py
@@ -28,9 +28,8 @@
     async with open_platform(tmp_path) as platform:
         for group in (*SHARDS, "desk"):
             for place in PLACES:
-                leaf = await platform.add_leaf(group, place)
-                leaf.faults.away = AWAY
-                leaf.faults.ends_on = DEADLY if group != "desk" else DEADLY_BOOKING
+                path = DEADLY if group != "desk" else DEADLY_BOOKING
+                await platform.add_leaf(group, place, ends_on=path, away=AWAY)
         platform.write_routes(
             3,
             [
