--- a/src/lavendergap/commands/explain.py
+++ b/src/lavendergap/commands/explain.py
@@ -26,19 +26,28 @@
 @click.option(
     "--request", "request_id", metavar="ID", help="Tell this request's story."
 )
+@click.option(
+    "--content", metavar="ID", help="Tell what spoke against a content, and when."
+)
 @take_json
-def explain(logs: tuple[Any, ...], request_id: str | None, as_json: bool) -> None:
+def explain(
+    logs: tuple[Any, ...], request_id: str | None, content: str | None, as_json: bool
+) -> None:
     """Tell from LOGS what became of callers' requests, and why.
 
     LOGS are the JSON lines of any number of hosts, in files or, as `-`, on standard
     input. Shown are, by route, how requests ended and where the lost ones lost their
     time; the seconds in which most were lost; with --request the lines of one request
-    on all hosts, in their order.
+    on all hosts, in their order; with --content, as `done` names it, those of all
+    requests of one content under which servers ended.
     """
     if not logs:
         raise click.UsageError("name the hosts' log files, or - for standard input")
     if request_id is not None:
-        _tell_story(logs, request_id, as_json=as_json)
+        _tell_story(logs, "request_id", request_id, as_json=as_json)
+        return
+    if content is not None:
+        _tell_story(logs, "content", content, as_json=as_json)
         return
     account = Account()
     for line in _read(logs):
@@ -65,27 +74,29 @@
                 yield read_line(text, host=host)
 
 
-def _tell_story(logs: tuple[Any, ...], request_id: str, *, as_json: bool) -> None:
+def _tell_story(
+    logs: tuple[Any, ...], field: str, wanted: str, *, as_json: bool
+) -> None:
     story = []
     # Most lines are of other requests; those are not decoded.
     for log in logs:
         host = Path(log.name).stem
-        found = (read_line(text, host=host) for text in log if request_id in text)
-        story += [line for line in found if line and line.request_id == request_id]
+        found = (read_line(text, host=host) for text in log if wanted in text)
+        story += [line for line in found if line and line.fields.get(field) == wanted]
         if len(story) > MAX_STORY:
-            raise LavendergapError(f"over {MAX_STORY} lines tell of {request_id!r}")
+            raise LavendergapError(f"over {MAX_STORY} lines tell of {wanted!r}")
     if not story:
-        raise LavendergapError(f"no line tells of {request_id!r}")
+        raise LavendergapError(f"no line tells of {wanted!r}")
     story.sort(key=lambda line: line.time)
     if as_json:
         print_json([{"host": line.host, **line.fields} for line in story])
         return
-    rows = [(line.time, line.host, line.event, _join(line)) for line in story]
+    rows = [(line.time, line.host, line.event, _join(line, field)) for line in story]
     print_table(("TIME", "HOST", "EVENT", "INPUTS"), rows)
 
 
-def _join(line: LogLine) -> str:
-    known = {"time", "level", "logger", "event", "request_id"}
+def _join(line: LogLine, wanted_field: str) -> str:
+    known = {"time", "level", "logger", "event", wanted_field}
     return " ".join(f"{k}={v}" for k, v in line.fields.items() if k not in known)
 
 
--- a/src/lavendergap/entry/quarantine.py
+++ b/src/lavendergap/entry/quarantine.py
@@ -155,7 +155,7 @@
             "strike heard",
             request_id=None,
             content=strike.content,
-            host=strike.host,
+            seen_by=strike.host,
             is_trial=strike.is_trial,
             standing=self._quarantine.judge(strike.content, now=now).value,
         )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -62,6 +62,35 @@
     return json.loads(capsys.readouterr().out)
 
 
+class TestStoryOfAContent:
+    def test_from_a_refusal_to_the_servers_that_ended(self, tmp_path, capsys):
+        # A caller is told "held back". Its `done` names the content, and the lines of
+        # that content what ended servers earlier, at which host, and who was told.
+        held = {"outcome": "not run", "reason": "held back", "content": "c0"}
+        lines = {
+            "a-1": [
+                write("server ended", request_id="r1", content="c0", server="i-1"),
+                write("strike", request_id="r1", content="c0", standing="suspect"),
+                write("server ended", request_id="r8", content="c9", server="i-2"),
+            ],
+            "b-1": [
+                write("strike heard", request_id=None, content="c0", seen_by="a-1"),
+                write_done("r2", at="2026-03-01T10:00:09.000Z", **held),
+            ],
+        }
+        for host, told in lines.items():
+            (tmp_path / f"{host}.log").write_text("\n".join(told))
+        logs = [str(tmp_path / f"{host}.log") for host in lines]
+        story = explain_json(logs, capsys, "--content", "c0")
+        events = [(line["host"], line["event"], line["request_id"]) for line in story]
+        assert events == [
+            ("a-1", "server ended", "r1"),
+            ("a-1", "strike", "r1"),
+            ("b-1", "strike heard", None),
+            ("b-1", "done", "r2"),
+        ]
+
+
 class TestSummary:
     def test_each_request_is_counted_once_by_its_end(self, logs, capsys):
         route = explain_json(logs, capsys)["routes"]["search"]
