Bring about hedges that take each group's other server, in a test that fails

A third of a quick search's goal is 15 ms, and servers take about as long until they end: the hedge comes first.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,5 +1,6 @@
 """Requests forwarded over owners: the greatest records of all, or one answer."""
 
+from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import replace
 from functools import partial
@@ -52,16 +53,18 @@
         log: list[tuple[str, Call]],
         faults,
         ending: set[str],
+        get_time_to_end: Callable[[], float],
     ) -> None:
         self.server = server
         self._log = log
         self._faults = faults
         self._ending = ending
+        self._get_time_to_end = get_time_to_end
 
     async def call(self, call: Call, *, attempt: bytes, fresh: bool) -> Verdict:
         self._log.append((self.server.name, call))
         if call.body == DEADLY or self.server.name in self._ending:
-            await trio.sleep(TIME_TO_END)
+            await trio.sleep(self._get_time_to_end())
             self._ending.add(self.server.name)
             return Verdict(outcome=_lose_server(self.server.name), report=None)
         delay, outcome = self._faults.get(self.server.name, (0.01, None))
@@ -90,6 +93,7 @@
         self.calls: list[tuple[str, Call]] = []
         self.faults: dict[str, tuple[float, object]] = {}
         self.ending: set[str] = set()
+        self.time_to_end = TIME_TO_END
         self.nursery = nursery
         self.strikes = StoredStrikes()
         self.told: list[Strike] = []
@@ -117,7 +121,11 @@
         settings = self.cluster.settings
         owner = node.owner
         owner._make_client = lambda server, _: RecordsClient(
-            server=server, log=self.calls, faults=self.faults, ending=self.ending
+            server=server,
+            log=self.calls,
+            faults=self.faults,
+            ending=self.ending,
+            get_time_to_end=lambda: self.time_to_end,
         )
         owner.replace(
             type(settings)(
@@ -333,6 +341,34 @@
         assert sorted(called) == sorted(forwarding.groups)
         assert isinstance(await forwarding.ask_all(), JoinedRecords)
 
+    async def test_hedges_take_no_second_server_of_a_group(
+        self, forwarding, autojump_clock
+    ):
+        # Servers take longer to end than it takes to hedge. Each shard's call was sent
+        # to the group's other server before any end was known: one search, all servers.
+        # A hedge waits for a sign that others of the search fare better.
+        for n in range(40):
+            await forwarding.ask_all(attempt=b"r%d" % n)
+        forwarding.calls.clear()
+        forwarding.time_to_end = 0.06
+        await forwarding.ask_all(body=DEADLY)
+        assert len(forwarding.calls) == N_GROUPS
+        assert isinstance(await forwarding.ask_all(), JoinedRecords)
+
+    async def test_a_straggler_is_hedged_when_others_have_answered(
+        self, forwarding, autojump_clock
+    ):
+        for n in range(40):
+            await forwarding.ask_all(attempt=b"r%d" % n)
+        slow = forwarding.calls[-1][0]
+        for group in forwarding.cluster.service.groups:
+            if slow in {server.name for server in group.servers}:
+                forwarding.faults[group.servers[0].name] = (0.3, None)
+                forwarding.faults[group.servers[1].name] = (0.3, None)
+        forwarding.calls.clear()
+        await forwarding.ask_all(attempt=b"last")
+        assert len(forwarding.calls) == N_GROUPS + 1
+
     async def test_its_repeats_take_one_more_server_and_then_none(
         self, forwarding, autojump_clock
     ):
