Hedge a search only once a server has answered another of its calls here

Callers saw all searches fail for seconds although one search no longer took both servers of a shard by retries. A request that ends servers looks slow until its first server has ended; where that takes as long as a third of a quick search's goal, each of its calls was hedged first, at the group's other server.

An owner now hedges a call of a query when another of the query's calls that it has was answered. Of nearly all queries one is by the time at which hedges are due: what is hedged is the straggler among many. A call that is the only one of its query at an owner is hedged as before; its group may lose both servers.

Why it holds: what servers end under is never answered. Ruled out before: the time that strikes take to be known (played with both ways, no difference; retries come 26 ms or later).

--- a/lab/serverends.py
+++ b/lab/serverends.py
@@ -19,7 +19,6 @@
 N_SHARDS = 10
 PLACES = ("ptl-a", "ptl-a", "ptl-b", "sea-a", "sea-b")
 DEADLY = "/all/deadly"
-WORK_S = 0.012
 AWAY_S = 3.0
 SETTLE_S = 3.0
 SEARCHES_A_SECOND = 20
@@ -31,6 +30,22 @@
 OK = 200
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Case:
+    """How long a server works on a search and, on the deadly one, until it ends."""
+
+    name: str
+    work_s: float
+    ends_after_s: float
+    goal_ms: int
+
+
+CASES = (
+    Case(name="ends at once", work_s=0.012, ends_after_s=0.0, goal_ms=400),
+    Case(name="ends after hedges", work_s=0.004, ends_after_s=0.012, goal_ms=44),
+)
+
+
 @dataclass(kw_only=True)
 class Tally:
     """How many searches came and were answered, by the second in which they came."""
@@ -39,17 +54,23 @@
     n_answered: Counter[int] = field(default_factory=Counter)
 
 
-async def start_fleet(platform: Platform) -> None:
+async def start_fleet(platform: Platform, case: Case) -> None:
     """Start servers that the deadly request ends, and the hosts before them."""
     for place in range(N_SHARDS):
         far = "sea-b" if place % 2 else "ptl-b"
         for zone in ("ptl-a", far):
             leaf = await platform.add_leaf(
-                f"shard{place}", zone, ends_on=DEADLY, away=AWAY_S
+                f"shard{place}",
+                zone,
+                ends_on=DEADLY,
+                ends_after=case.ends_after_s,
+                away=AWAY_S,
             )
-            leaf.faults.work = WORK_S
+            leaf.faults.work = case.work_s
     shards = [f"shard{place}" for place in range(N_SHARDS)]
-    route = make_search_route("/all/", shards, min_coverage=MIN_COVERAGE)
+    route = make_search_route(
+        "/all/", shards, min_coverage=MIN_COVERAGE, slo_ms=case.goal_ms
+    )
     platform.write_routes(1, [route])
     for zone in PLACES:
         platform.add_gateway(zone)
@@ -91,12 +112,12 @@
         print(f"deadly request at {at:5.2f} s: {status}, {n_ended} servers ended")
 
 
-async def measure(directory: Path) -> None:
-    """Run once and print what callers got."""
+async def measure(directory: Path, case: Case) -> None:
+    """Run one case and print what callers got."""
     dice = Random(1)
     tally = Tally()
     async with open_platform(directory) as platform:
-        await start_fleet(platform)
+        await start_fleet(platform, case)
         began = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(repeat_deadly, platform, dice, began)
@@ -110,13 +131,14 @@
     for second, n_asked in sorted(tally.n_asked.items()):
         print(f"second {second:2}: {tally.n_answered[second]} of {n_asked} answered")
     share = tally.n_answered.total() / tally.n_asked.total()
-    print(f"answered={share:.3f} ended={n_ended}")
+    print(f"{case.name}: answered={share:.3f} ended={n_ended}")
 
 
 def main() -> None:
-    """Measure in a directory of its own."""
-    with tempfile.TemporaryDirectory() as directory:
-        trio.run(measure, Path(directory))
+    """Measure each case in a directory of its own."""
+    for case in CASES:
+        with tempfile.TemporaryDirectory() as directory:
+            trio.run(measure, Path(directory), case)
 
 
 if __name__ == "__main__":
--- a/src/lavendergap/coordination/calls.py
+++ b/src/lavendergap/coordination/calls.py
@@ -12,6 +12,7 @@
 
 ServerState = Literal["serving", "starting", "draining"]
 Cause = Literal["first", "retry", "hedge"]
+WhyWithheld = Literal["no budget", "no free slot", "no answer yet"]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -124,7 +125,7 @@
     """
 
     call: Call
-    why: Literal["no budget", "no free slot"]
+    why: WhyWithheld
 
 
 Effect = StartAttempt | CancelAttempt | FinishCall | WithholdHedge
--- a/src/lavendergap/coordination/progress.py
+++ b/src/lavendergap/coordination/progress.py
@@ -1,5 +1,7 @@
 """What the scheduler remembers of a call under way and of its attempts."""
 
+from collections.abc import Callable
+
 from ..state.outcome import NotRun, Reason, Unknown
 from .calls import Call, Cause
 from .replicas import Replica
@@ -48,8 +50,8 @@
 
     `unknown` is the first outcome after which the call may have run: from then on it
     can never be finished as "not run". `refusal` is the last proof that it has not.
-    `excluded` and `tried` hold the records of processes and not names: a server that
-    starts again has refused and failed nothing.
+    `may_hedge` is asked before each hedge. `excluded` and `tried` hold the records of
+    processes and not names: a server that starts again has refused and failed nothing.
     """
 
     __slots__ = (
@@ -66,10 +68,12 @@
         "n_hedges",
         "is_waiting",
         "is_hedge_withheld",
+        "may_hedge",
     )
 
-    def __init__(self, *, call: Call) -> None:
+    def __init__(self, *, call: Call, may_hedge: Callable[[], bool]) -> None:
         self.call = call
+        self.may_hedge = may_hedge
         self.attempts: list[Attempt] = []
         self.n_attempts = 0
         self.cause: Cause = "first"
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -1,8 +1,8 @@
 """The owner's decisions for one group of replicas: dispatch, queue, retry, hedge."""
 
+from collections.abc import Callable
 from itertools import count
 from random import Random
-from typing import Literal
 
 from ..state.outcome import (
     Answered,
@@ -25,6 +25,7 @@
     FinishCall,
     ServerReport,
     StartAttempt,
+    WhyWithheld,
     WithholdHedge,
 )
 from .choice import Busy, Choice, Chosen, NoneLeft, choose, measure_capacity
@@ -61,6 +62,10 @@
 MAX_PASSED_OVER = 8
 
 
+def _always() -> bool:
+    return True
+
+
 class GroupScheduler:
     """Runs the calls to one group on its replicas, within their slots.
 
@@ -144,17 +149,20 @@
 
     # What happens.
 
-    def submit(self, call: Call, *, now: float) -> list[Effect]:
+    def submit(
+        self, call: Call, *, now: float, may_hedge: Callable[[], bool] = _always
+    ) -> list[Effect]:
         """Take a call: start it, let it wait for a slot, or refuse it at once.
 
         A call that cannot finish before its deadline, given the calls ahead of it
         and the time that recent ones took, is refused as not run: an answer that
-        comes too late costs a slot and helps nobody. Raises ValueError for the id of
-        a call that has not finished yet.
+        comes too late costs a slot and helps nobody. It is hedged only while
+        `may_hedge` says so. Raises ValueError for the id of a call that has not
+        finished yet.
         """
         if call.call_id in self._calls:
             raise ValueError(f"call {call.call_id} was already submitted")
-        progress = Progress(call=call)
+        progress = Progress(call=call, may_hedge=may_hedge)
         self._n_calls += 1
         self._admission.arrivals.add(now=now)
         self._retries.earn()
@@ -603,6 +611,8 @@
             return []
         if self._get_hedge_time(progress) > now:
             return []
+        if not progress.may_hedge():
+            return self._withhold(progress, "no answer yet")
         match self._choose(progress, now):
             case Busy():
                 return self._withhold(progress, "no free slot")
@@ -617,9 +627,7 @@
                 return [self._start(progress, chosen, "hedge", now)]
         return []
 
-    def _withhold(
-        self, progress: Progress, why: Literal["no budget", "no free slot"]
-    ) -> list[Effect]:
+    def _withhold(self, progress: Progress, why: WhyWithheld) -> list[Effect]:
         if progress.is_hedge_withheld:
             return []
         progress.is_hedge_withheld = True
--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -26,7 +26,15 @@
 from ..coordination.scheduler import GroupScheduler
 from ..logs import log_decision
 from ..protocol.leaf import Verdict
-from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown, is_server_end
+from ..state.outcome import (
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+    Step,
+    Unknown,
+    is_server_end,
+)
 from ..state.quarantine import Standing
 from ..state.settings import Group, Server, Service, Settings
 from ..transport.backend import BackendClient
@@ -83,6 +91,33 @@
     finish: Finish
 
 
+@dataclass(kw_only=True, slots=True)
+class Batch:
+    """The calls of one query that came to this owner together."""
+
+    n_calls: int
+    n_answered: int = 0
+
+    def may_hedge(self) -> bool:
+        """Tell whether a call that is slow may go to a second server.
+
+        A request that ends servers looks slow until its first server has ended. Hedged
+        meanwhile, each of its calls took the group's second server, and no caller had
+        any left. Where another call of the query was answered it ends no servers, and
+        of nearly all queries one was by the time at which hedges are due.
+        """
+        return self.n_calls == 1 or self.n_answered > 0
+
+    def follow(self, wanted: Wanted) -> Wanted:
+        """Return the same, counted here when it is answered."""
+
+        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+            self.n_answered += isinstance(end.outcome, Answered)
+            wanted.finish(end, versions)
+
+        return Wanted(call=wanted.call, finish=finish)
+
+
 class GroupRunner:
     """One group's scheduler, its connections and the attempts that are running."""
 
@@ -159,12 +194,13 @@
             )
         )
 
-    def submit(self, wanted: Wanted) -> list[StartAttempt]:
+    def submit(self, wanted: Wanted, batch: Batch) -> list[StartAttempt]:
         """Submit a call; return the attempts that start at once, for the log."""
         now = trio.current_time()
         self.used_at = now
-        self._finishes[wanted.call.call_id] = wanted.finish
-        return self.apply(self.scheduler.submit(wanted.call, now=now), is_logged=True)
+        self._finishes[wanted.call.call_id] = batch.follow(wanted).finish
+        effects = self.scheduler.submit(wanted.call, now=now, may_hedge=batch.may_hedge)
+        return self.apply(effects, is_logged=True)
 
     def cancel(self, call_id: int) -> None:
         """Cancel a call that nobody waits for any more."""
@@ -457,6 +493,7 @@
             for one in wanted:
                 self._refuse(one, Reason.HELD_BACK)
             return
+        batch = Batch(n_calls=len(wanted))
         for one in wanted:
             if self._is_stopping:
                 self._refuse(one, Reason.STOPPING)
@@ -465,7 +502,7 @@
             if runner is None:
                 self._refuse(one, Reason.UNKNOWN_SERVICE)
                 continue
-            placed += runner.submit(one)
+            placed += runner.submit(one, batch)
         self._log_plan(wanted, placed)
 
     def _is_held_back(self, call: Call) -> bool:
--- a/standins/leafs.py
+++ b/standins/leafs.py
@@ -38,8 +38,8 @@
     `runs` counts how often each request began, `arrivals` each that came, and
     `n_abandoned` those whose connection closed while they ran.
 
-    A request for the path `ends_on` ends the server as it begins to run it; it is back
-    under another id after `away` seconds. `ended_by` holds these requests, and
+    A request for the path `ends_on` ends the server `ends_after` seconds after it began
+    to run it; it is back under another id after `away` seconds. `ended_by` holds these requests, and
     `past_ids` the ids that it had before.
     """
 
@@ -56,6 +56,7 @@
     address: str = ""
     n_running: int = 0
     ends_on: str = ""
+    ends_after: float = 0.0
     away: float = 1.0
     ended_by: list[str] = field(default_factory=list)
     past_ids: list[str] = field(default_factory=list)
@@ -119,6 +120,7 @@
     ) -> Reply | None:
         self.runs[attempt] += 1
         if request.path == self.ends_on:
+            await trio.sleep(self.ends_after)
             self.ended_by.append(attempt)
             self.server.close_port()
             self.life.cancel()
