--- a/standins/leafs.py
+++ b/standins/leafs.py
@@ -39,8 +39,8 @@
     `n_abandoned` those whose connection closed while they ran.
 
     A request for the path `ends_on` ends the server `ends_after` seconds after it began
-    to run it; it is back under another id after `away` seconds. `ended_by` holds these requests, and
-    `past_ids` the ids that it had before.
+    to run it; it is back under another id after `away` seconds. `ended_by` holds these
+    requests, and `past_ids` the ids that it had before.
     """
 
     service: str
