Hedge a search's only call at an owner late

In larger fleets an owner has one to three shards of a search. Where it had one, nothing tells it that servers live under the search, and its hedge took the group's second server: of 87 shards those of such owners were left without any, and a search may miss four.

Such a call is hedged by half of the time to the goal, which is when a call is hedged at the latest anyway. Test: red before (two servers), and the straggler is still hedged. Not measured at 73 or 195 hosts by itself.

--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -22,7 +22,7 @@
     WithholdHedge,
 )
 from ..coordination.contents import identify_content
-from ..coordination.hedging import KindLatencies
+from ..coordination.hedging import LATEST_HEDGE_SHARE, KindLatencies
 from ..coordination.scheduler import GroupScheduler
 from ..logs import log_decision
 from ..protocol.leaf import Verdict
@@ -93,9 +93,14 @@
 
 @dataclass(kw_only=True, slots=True)
 class Batch:
-    """The calls of one query that came to this owner together."""
+    """The calls of one query that came to this owner together.
+
+    The only call of a search here is not hedged before `alone_until`, a time on the
+    loop's clock.
+    """
 
     n_calls: int
+    alone_until: float
     n_answered: int = 0
 
     def may_hedge(self) -> bool:
@@ -104,9 +109,12 @@
         A request that ends servers looks slow until its first server has ended. Hedged
         meanwhile, each of its calls took the group's second server, and no caller had
         any left. Where another call of the query was answered it ends no servers, and
-        of nearly all queries one was by the time at which hedges are due.
+        of nearly all queries one was by the time at which hedges are due. For a call
+        without others, time has to tell: servers end within milliseconds.
         """
-        return self.n_calls == 1 or self.n_answered > 0
+        if self.n_answered > 0:
+            return True
+        return self.n_calls == 1 and trio.current_time() >= self.alone_until
 
     def follow(self, wanted: Wanted) -> Wanted:
         """Return the same, counted here when it is answered."""
@@ -118,6 +126,15 @@
         return Wanted(call=wanted.call, finish=finish)
 
 
+def _make_batch(calls: list[Call]) -> Batch:
+    [first, *_] = calls
+    now = trio.current_time()
+    alone_until = now
+    if first.ends_with_server:
+        alone_until += LATEST_HEDGE_SHARE * max(0.0, first.wanted_by - now)
+    return Batch(n_calls=len(calls), alone_until=alone_until)
+
+
 class GroupRunner:
     """One group's scheduler, its connections and the attempts that are running."""
 
@@ -493,7 +510,7 @@
             for one in wanted:
                 self._refuse(one, Reason.HELD_BACK)
             return
-        batch = Batch(n_calls=len(wanted))
+        batch = _make_batch([one.call for one in wanted])
         for one in wanted:
             if self._is_stopping:
                 self._refuse(one, Reason.STOPPING)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -355,6 +355,28 @@
         assert len(forwarding.calls) == N_GROUPS
         assert isinstance(await forwarding.ask_all(), JoinedRecords)
 
+    async def test_a_search_s_only_call_at_an_owner_is_hedged_late(
+        self, forwarding, autojump_clock
+    ):
+        # No other call of the search tells that servers live under it. By half of the
+        # time to the goal one that ends servers has ended its first.
+        for n in range(40):
+            await forwarding.ask_all(attempt=b"r%d" % n)
+        forwarding.calls.clear()
+        forwarding.time_to_end = 0.03
+        target = GreatestOfAll(
+            groups=tuple(forwarding.groups[:1]), n_records=4, min_share=0.8
+        )
+        node = forwarding.cluster.nodes[0]
+        await forwarding.ask(node, target, body=DEADLY)
+        assert len(forwarding.calls) == 1
+        forwarding.ending.clear()
+        await trio.sleep(1.0)
+        for server in forwarding.cluster.service.groups[0].servers:
+            forwarding.faults[server.name] = (0.06, None)
+        await forwarding.ask(node, target, attempt=b"last")
+        assert len(forwarding.calls) == 3
+
     async def test_a_straggler_is_hedged_when_others_have_answered(
         self, forwarding, autojump_clock
     ):
