Split the owner: its groups' runners, and the calls of one query, stand apart

Moved without change: GroupRunner and its client protocol to grouprunner.py, Wanted and Batch to batch.py.

--- a/lab/callcost.py
+++ b/lab/callcost.py
@@ -15,7 +15,8 @@
 import trio
 
 from lavendergap.coordination.calls import Call, FinishCall
-from lavendergap.entry.owner import Owner, Wanted
+from lavendergap.entry.batch import Wanted
+from lavendergap.entry.owner import Owner
 from lavendergap.state.forwarding import ForwardedRequest
 from lavendergap.state.settings import (
     Address,
--- a/src/lavendergap/entry/forwarding.py
+++ b/src/lavendergap/entry/forwarding.py
@@ -15,8 +15,9 @@
 from ..state.snapshot import Shard, Snapshot
 from ..transport.dialer import Dialer
 from ..transport.gateway import GatewayRequest, GatewayResult
+from .batch import Wanted
 from .fleet import Fleet
-from .owner import Owner, Wanted
+from .owner import Owner
 from .quarantine import QuarantineKeeper
 from .search import GreatestWanted, Query, SearchRun
 
--- /dev/null
+++ b/src/lavendergap/entry/grouprunner.py
@@ -0,0 +1,353 @@
+"""Runs the effects of one group's scheduler: its connections and attempts."""
+
+import logging
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Protocol
+
+import trio
+
+from .. import metrics
+from ..coordination.calls import (
+    AttemptEnded,
+    Call,
+    CancelAttempt,
+    Effect,
+    FinishCall,
+    ServerReport,
+    StartAttempt,
+    WithholdHedge,
+)
+from ..coordination.contents import identify_content
+from ..coordination.hedging import KindLatencies
+from ..coordination.scheduler import GroupScheduler
+from ..logs import log_decision
+from ..protocol.leaf import Verdict
+from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown, is_server_end
+from ..state.settings import Group, Server, Service, Settings
+from ..transport.backend import BackendClient
+from ..transport.forward import ForwardClient
+from .alarms import Alarm, AlarmClock
+from .batch import Batch, Finish, Wanted
+
+logger = logging.getLogger("lavendergap.route")
+
+
+class Cancellable(Protocol):
+    """An attempt under way."""
+
+    def cancel(self) -> None:
+        """Give it up; it ends all the same, soon after."""
+
+
+class Client(Protocol):
+    """What a group needs of the connections to one of its backend servers."""
+
+    server: Server
+
+    async def call(self, call: Call, *, attempt: bytes, fresh: bool) -> Verdict:
+        """Make one attempt at a call."""
+
+    async def probe(self) -> ServerReport | None:
+        """Ask for the server's health."""
+
+    async def close_idle(self, *, now: float) -> None:
+        """Close what has been idle for too long."""
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+
+
+# Returns the connections to a backend server; tests put a fake here.
+MakeClient = Callable[[Server, float], Client]
+
+
+def make_backend_client(server: Server, idle_limit: float) -> Client:
+    """Return the connections to `server`, idle ones kept for `idle_limit` seconds."""
+    return BackendClient(server=server, idle_limit=idle_limit)
+
+
+class GroupRunner:
+    """One group's scheduler, its connections and the attempts that are running."""
+
+    def __init__(
+        self,
+        *,
+        group: Group,
+        service: Service,
+        settings: Settings,
+        nursery: trio.Nursery,
+        random: Random,
+        attempt_prefix: str,
+        make_client: MakeClient,
+        data_centre: str,
+        kinds: KindLatencies,
+        clock: AlarmClock,
+    ) -> None:
+        self.group = group
+        self.service = service
+        self.used_at = trio.current_time()
+        self.scheduler = GroupScheduler(
+            group=group,
+            service=service,
+            control=settings.control,
+            random=random,
+            data_centre=data_centre,
+            kinds=kinds,
+        )
+        self._settings = settings
+        self._nursery = nursery
+        self._prefix = attempt_prefix
+        self._make_client = make_client
+        self._clients: dict[str, Client] = {}
+        self._finishes: dict[int, Finish] = {}
+        self._running: dict[int, Cancellable] = {}
+        self._versions: dict[str, tuple[int, ...]] = {}
+        self._clock = clock
+        self._alarm = Alarm(wake=self._advance)
+        self._life = trio.CancelScope()
+        self._count = {
+            cause: metrics.attempts.labels(service.name, cause)
+            for cause in ("first", "retry", "hedge")
+        }
+        self._add_clients(group)
+        nursery.start_soon(self._live)
+
+    def _add_clients(self, group: Group) -> None:
+        idle_limit = self._settings.control.idle_connection_ms / 1_000
+        before, self._clients = self._clients, {}
+        for server in group.servers:
+            held = before.get(server.name)
+            if held is not None and held.server.is_same_process(server):
+                held.server = server
+                self._clients[server.name] = before.pop(server.name)
+            else:
+                self._clients[server.name] = self._make_client(server, idle_limit)
+        for client in before.values():
+            # Its connections would stay open, and count at the server, to a process
+            # that has ended or takes no new work.
+            self._nursery.start_soon(client.close)
+
+    def replace(self, *, group: Group, service: Service, settings: Settings) -> None:
+        """Act on new settings; calls that run are finished as they started."""
+        self.group = group
+        self.service = service
+        self._settings = settings
+        self._add_clients(group)
+        self.apply(
+            self.scheduler.replace(
+                group=group,
+                service=service,
+                control=settings.control,
+                now=trio.current_time(),
+            )
+        )
+
+    def submit(self, wanted: Wanted, batch: Batch) -> list[StartAttempt]:
+        """Submit a call; return the attempts that start at once, for the log."""
+        now = trio.current_time()
+        self.used_at = now
+        self._finishes[wanted.call.call_id] = batch.follow(wanted).finish
+        effects = self.scheduler.submit(wanted.call, now=now, may_hedge=batch.may_hedge)
+        return self.apply(effects, is_logged=True)
+
+    def cancel(self, call_id: int) -> None:
+        """Cancel a call that nobody waits for any more."""
+        if call_id in self._finishes:
+            self.apply(self.scheduler.cancel(call_id, now=trio.current_time()))
+
+    def stop(self) -> None:
+        """Refuse what is queued; what runs goes on."""
+        self.apply(self.scheduler.stop(now=trio.current_time()))
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether any call has not ended yet."""
+        return bool(self._finishes) or bool(self._running)
+
+    def close(self) -> None:
+        """End the group's tasks; used once it is no longer busy."""
+        self._life.cancel()
+
+    def apply(
+        self, effects: list[Effect], *, is_logged: bool = False
+    ) -> list[StartAttempt]:
+        """Carry out effects in their order; return the attempts started."""
+        starts = []
+        for effect in effects:
+            match effect:
+                case StartAttempt():
+                    starts.append(effect)
+                    self._count[effect.cause].inc()
+                    self._launch(effect)
+                    if not is_logged or effect.cause != "first":
+                        self._log_start(effect)
+                case CancelAttempt(attempt_id=attempt_id):
+                    running = self._running.get(attempt_id)
+                    if running is not None:
+                        running.cancel()
+                case FinishCall():
+                    self._finish(effect)
+                case WithholdHedge():
+                    log_decision(
+                        logger,
+                        "hedge withheld",
+                        request_id=effect.call.request_id,
+                        shard=effect.call.shard,
+                        why=effect.why,
+                    )
+        self._clock.set(self._alarm, self.scheduler.next_wake())
+        return starts
+
+    def _log_start(self, effect: StartAttempt) -> None:
+        log_decision(
+            logger,
+            effect.cause,
+            request_id=effect.call.request_id,
+            shard=effect.call.shard,
+            server=effect.server,
+            why=effect.why,
+        )
+
+    def _finish(self, effect: FinishCall) -> None:
+        finish = self._finishes.pop(effect.call.call_id)
+        match effect.outcome:
+            case NotRun() | Unknown() as outcome:
+                log_decision(
+                    logger,
+                    "no answer",
+                    request_id=effect.call.request_id,
+                    shard=effect.call.shard,
+                    server=effect.server,
+                    step=outcome.step.value,
+                    peer=outcome.peer,
+                    reason=outcome.reason.value,
+                    n_attempts=effect.n_attempts,
+                )
+        finish(effect, self._versions.get(effect.server, ()))
+
+    def _launch(self, effect: StartAttempt) -> None:
+        """Start an attempt.
+
+        Before anything of it runs, other settings may take its server away, and its
+        call may end. So it is given the connections here, and can be cancelled from
+        here on: looked up later, the one would be missing and end the whole process,
+        and the other would let a server work for nobody.
+        """
+        started = trio.current_time()
+        match self._clients[effect.server]:
+            case ForwardClient() as client:
+                self._running[effect.attempt_id] = client.begin(
+                    effect.call,
+                    fresh=effect.fresh_connection,
+                    end=partial(self._end_attempt, effect, started),
+                )
+            case client:
+                scope = trio.CancelScope()
+                self._running[effect.attempt_id] = scope
+                self._nursery.start_soon(self._attempt, effect, client, scope)
+
+    async def _attempt(
+        self, effect: StartAttempt, client: Client, scope: trio.CancelScope
+    ) -> None:
+        started = trio.current_time()
+        attempt = f"{self._prefix}-{self.group.name}-{effect.attempt_id}".encode()
+        verdict = Verdict(outcome=_judge_cancelled(effect.server), report=None)
+        with scope:
+            verdict = await self._call(client, effect, attempt)
+        self._end_attempt(effect, started, verdict)
+
+    def _end_attempt(
+        self, effect: StartAttempt, started: float, verdict: Verdict
+    ) -> None:
+        del self._running[effect.attempt_id]
+        now = trio.current_time()
+        self._count_end(verdict.outcome)
+        self._tell_server_end(effect, verdict.outcome, now - started)
+        if verdict.report is not None:
+            self._versions[effect.server] = verdict.report.versions
+        self.apply(
+            self.scheduler.end_attempt(
+                AttemptEnded(
+                    attempt_id=effect.attempt_id,
+                    outcome=verdict.outcome,
+                    report=verdict.report,
+                    elapsed=now - started,
+                ),
+                now=now,
+            )
+        )
+
+    async def _call(
+        self, client: Client, effect: StartAttempt, attempt: bytes
+    ) -> Verdict:
+        """Make the call; an error of this program costs the attempt and no more.
+
+        Raised further it would end the process, and with it every request of every
+        caller that the host serves.
+        """
+        try:
+            return await client.call(
+                effect.call, attempt=attempt, fresh=effect.fresh_connection
+            )
+        except Exception:
+            logger.exception("attempt at %s failed", effect.server)
+            outcome = Unknown(
+                step=Step.SEND, peer=effect.server, reason=Reason.SERVER_ERROR
+            )
+            return Verdict(outcome=outcome, report=None)
+
+    def _count_end(self, outcome: Outcome) -> None:
+        match outcome:
+            case NotRun(reason=reason) | Unknown(reason=reason):
+                metrics.attempt_ends.labels(self.service.name, reason.value).inc()
+                if reason is Reason.WRONG_ANSWER:
+                    metrics.dropped_answers.labels("wrong answer of a server").inc()
+
+    def _tell_server_end(
+        self, effect: StartAttempt, outcome: Outcome, elapsed: float
+    ) -> None:
+        """Say under which request a server ended, and what it asked for."""
+        call = effect.call
+        if call.forward is None or not is_server_end(outcome):
+            return
+        log_decision(
+            logger,
+            "server ended",
+            request_id=call.request_id,
+            content=identify_content(call.forward, call.body),
+            shard=call.shard,
+            server=effect.server,
+            cause=effect.cause,
+            after_ms=round(elapsed * 1_000, 1),
+        )
+
+    async def _live(self) -> None:
+        """Probe until closed; then close the idle connections."""
+        with self._life:
+            await self._keep_probing()
+        self._clock.clear(self._alarm)
+        with trio.CancelScope(shield=True):
+            for client in self._clients.values():
+                await client.close()
+
+    def _advance(self) -> None:
+        self.apply(self.scheduler.advance(now=trio.current_time()))
+
+    async def _keep_probing(self) -> None:
+        """Ask each server's health endpoint now and then, one after the other."""
+        while True:
+            for server in self.group.servers:
+                client = self._clients.get(server.name)
+                if client is None:
+                    continue  # An edit took it away while another was probed.
+                report = await client.probe()
+                now = trio.current_time()
+                self.apply(self.scheduler.observe(server.name, report, now=now))
+                await client.close_idle(now=now)
+            await trio.sleep(self._settings.control.server_probe_interval_ms / 1_000)
+
+
+def _judge_cancelled(server: str) -> Outcome:
+    return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.CANCELLED)
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -29,7 +29,8 @@
 )
 from ..state.outcome import Answered, is_server_end
 from ..transport.channel import Channel
-from .owner import Owner, Wanted
+from .batch import Wanted
+from .owner import Owner
 
 # One result is at most as large as this, so no frame comes near the peer's limit.
 MAX_BATCH_BYTES = 1024 * 1024
--- a/src/lavendergap/entry/runs.py
+++ b/src/lavendergap/entry/runs.py
@@ -8,8 +8,9 @@
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Group, Service, Settings
 from ..state.ticket import Ticket
+from .batch import Wanted
 from .fleet import Fleet
-from .owner import Owner, Wanted
+from .owner import Owner
 from .ticketclient import TicketClient
 
 # Of the time left to the deadline, what reaching one owner may take; the rest is for
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -33,8 +33,9 @@
 from ..state.snapshot import Shard, Snapshot
 from ..transport.channel import Channel, Exchange, Loss
 from ..transport.dialer import Dialer
+from .batch import Wanted
 from .fleet import Fleet
-from .owner import Owner, Wanted
+from .owner import Owner
 
 logger = logging.getLogger("lavendergap.route")
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -11,7 +11,8 @@
 from trio.testing import MockClock
 
 from lavendergap.coordination.calls import Call, FinishCall, ServerReport
-from lavendergap.entry.owner import Owner, Wanted
+from lavendergap.entry.batch import Wanted
+from lavendergap.entry.owner import Owner
 from lavendergap.state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from lavendergap.state.settings import Address, Host, Server, Settings
 from lavendergap.transport.backend import MAX_ANSWER_BYTES, BackendClient
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -8,8 +8,8 @@
 
 from lavendergap.coordination.calls import Call, FinishCall
 from lavendergap.coordination.feeds import FeedCopy
+from lavendergap.entry.batch import Wanted
 from lavendergap.entry.owner import Owner as CallOwner
-from lavendergap.entry.owner import Wanted
 from lavendergap.protocol.leaf import Verdict
 from lavendergap.state.feeds import FeedChange, FeedChanges, FeedEntry, FeedListing
 from lavendergap.state.outcome import NotRun, Reason, Step, Unknown
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -10,7 +10,8 @@
 
 from lab.processes import find_free_ports
 from lavendergap.coordination.calls import Call, FinishCall
-from lavendergap.entry.owner import Owner, Wanted
+from lavendergap.entry.batch import Wanted
+from lavendergap.entry.owner import Owner
 from lavendergap.state.outcome import Answered, Outcome
 from lavendergap.state.settings import Group, Settings, WaitForCoverage
 from lavendergap.transport.backend import BackendClient
