Go on at once when a suspect's first shard is refused at once

A search that has a strike is sent to one server first. Where its owner refused that call before anything was sent (no such group, no server left), the refusal came while the search was not yet waiting: it waited for it until its deadline, 400 ms of a goal of 90, and was refused then, with servers free.

What is parked is now looked at before each wait, until something is under way or nothing is left.

--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -216,7 +216,11 @@
         await self._wait()
 
     async def _wait(self) -> None:
-        while not self._join.is_done and not self._join.needs_newer_snapshot:
+        while True:
+            # What is asked for now may be refused at once, with nothing to wait for.
+            self._check_parked()
+            if self._join.is_done or self._join.needs_newer_snapshot:
+                break
             limit = self._query.deadline
             wake_at = self._join.next_wake()
             if wake_at is not None:
@@ -229,7 +233,6 @@
             now = trio.current_time()
             self._advance_join(now)
             self._check_parts(now)
-            self._check_parked()
             if now >= self._query.deadline:
                 break
 
@@ -473,13 +476,13 @@
         server within milliseconds of the first, and leave no caller any. What one
         server answers does not end servers, and is asked for elsewhere.
         """
-        if not self._parked:
-            return
-        if self._proofs:
-            parked, self._parked = self._parked, []
-            self._unpark(parked)
-        elif not any(part.open_shards for part in self._parts):
-            if self.ended_servers:
+        while self._parked:
+            if self._proofs:
+                parked, self._parked = self._parked, []
+                self._unpark(parked)
+            elif any(part.open_shards for part in self._parts):
+                return
+            elif self.ended_servers:
                 parked, self._parked = self._parked, []
                 for each in parked:
                     self._miss_ended(each.shard)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -470,6 +470,21 @@
             forwarding.groups[:1]
         )
 
+    async def test_a_suspect_whose_first_shard_is_refused_at_once_is_not_held_up(
+        self, autojump_clock, nursery
+    ):
+        # Nobody has the first shard's group, which is known before anything is sent.
+        # The search waited for it until its deadline, and no other server was asked.
+        alone = Forwarding(nursery, n_hosts=1)
+        alone.quarantine.note_ends(_make_request(), b"", servers=("x",), is_trial=False)
+        target = GreatestOfAll(
+            groups=("none", *alone.groups), n_records=4, min_share=0.8
+        )
+        asked_at = trio.current_time()
+        result = await alone.ask(alone.cluster.nodes[0], target)
+        assert isinstance(result, JoinedRecords)
+        assert trio.current_time() - asked_at < GOAL_MS / 1_000
+
     async def test_a_booking_takes_two_servers_in_its_life(
         self, forwarding, autojump_clock
     ):
