Compress copies and news of feeds for neighbours, too

Cause: weak hosts have links of 7 Mbit/s.

Entries from 1 KB on are compressed on all ways. What goes to several neighbours is compressed once.

--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -5,6 +5,8 @@
 """
 
 import zlib
+from functools import lru_cache
+from typing import Any
 
 import msgspec
 
@@ -106,6 +108,8 @@
     feed: str
     revision: int
     entries: list[tuple[str, bytes]]
+    # All entries, compressed; then `entries` is empty.
+    deflated: bytes = b""
 
 
 class _PackedStruck(msgspec.Struct, array_like=True, tag=6):
@@ -129,17 +133,20 @@
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(_Packed).decode
 _decode_changes = msgspec.msgpack.Decoder(list[tuple[str, bytes | None]]).decode
+_decode_entries = msgspec.msgpack.Decoder(list[tuple[str, bytes]]).decode
 
 DEFLATE_FROM = 1_024
-"""Bytes of changes in news that cross between data centres, from which they are packed.
+"""Bytes of entries from which they are compressed.
 
 An operator's document shrinks to an eighth or less within two milliseconds; what a
-server says of itself, 200 bytes, hardly does. Neighbours are sent plain bytes: their
-relay would pack them once for each.
+server says of itself, 200 bytes, hardly does.
 """
 
-MAX_CHANGES_BYTES = 4_000_000
-"""What packed changes may come to, the length of the longest frame."""
+DEFLATED_KEPT = 4
+"""Compressed entries that are kept, as the same go to all hosts of a data centre."""
+
+MAX_INFLATED_BYTES = 4_000_000
+"""What compressed entries may come to, the length of the longest frame."""
 
 
 def pack_search(frame_id: int, search: Search) -> bytes:
@@ -204,12 +211,7 @@
 
 def pack_news(frame_id: int, news: FeedNews) -> bytes:
     """Return the bytes of FeedNews, without their length."""
-    changes = [(change.name, change.body) for change in news.changes]
-    deflated = b""
-    n_bytes = sum(len(body) for _, body in changes if body)
-    if news.passes_on and n_bytes >= DEFLATE_FROM:
-        deflated = zlib.compress(_encode(changes), 1)
-        changes = []
+    changes, deflated = _deflate(news.changes)
     return _encode(
         _PackedNews(
             frame_id,
@@ -231,8 +233,27 @@
 
 def pack_state(frame_id: int, state: FeedState) -> bytes:
     """Return the bytes of a FeedState, without their length."""
-    entries = [(entry.name, entry.body) for entry in state.entries]
-    return _encode(_PackedState(frame_id, state.feed, state.revision, entries))
+    entries, deflated = _deflate(state.entries)
+    return _encode(
+        _PackedState(frame_id, state.feed, state.revision, entries, deflated)
+    )
+
+
+def _deflate(
+    entries: tuple[FeedChange, ...] | tuple[FeedEntry, ...],
+) -> tuple[list[Any], bytes]:
+    """Return entries as they go on the wire, and their bytes if these are compressed.
+
+    Of the two one is empty.
+    """
+    if sum(len(entry.body or b"") for entry in entries) < DEFLATE_FROM:
+        return [(entry.name, entry.body) for entry in entries], b""
+    return [], _compress(entries)
+
+
+@lru_cache(maxsize=DEFLATED_KEPT)
+def _compress(entries: tuple[FeedChange, ...] | tuple[FeedEntry, ...]) -> bytes:
+    return zlib.compress(_encode([(entry.name, entry.body) for entry in entries]), 1)
 
 
 def pack_struck(frame_id: int, struck: Struck) -> bytes:
@@ -257,6 +278,8 @@
         packed = _decode(body)
         if isinstance(packed, _PackedNews) and packed.deflated:
             packed.changes = _decode_changes(_inflate(packed.deflated))
+        elif isinstance(packed, _PackedState) and packed.deflated:
+            packed.entries = _decode_entries(_inflate(packed.deflated))
     except (msgspec.MsgspecError, UnicodeDecodeError, zlib.error) as error:
         raise BadFrameError(problem=str(error)) from error
     match packed:
@@ -277,9 +300,9 @@
 def _inflate(deflated: bytes) -> bytes:
     """Return the plain bytes; raises zlib.error where there are too many of them."""
     inflater = zlib.decompressobj()
-    plain = inflater.decompress(deflated, MAX_CHANGES_BYTES)
+    plain = inflater.decompress(deflated, MAX_INFLATED_BYTES)
     if not inflater.eof:
-        raise zlib.error("changes cut short or too long")
+        raise zlib.error("entries cut short or too long")
     return plain
 
 
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -1,6 +1,7 @@
 """The second codec between hosts: what is sent is what arrives, whatever comes in."""
 
 import contextlib
+from random import Random
 
 import pytest
 from hypothesis import given
@@ -20,7 +21,12 @@
     ShardRef,
     Struck,
 )
-from lavendergap.protocol.packing import MAX_CHANGES_BYTES, pack_news, unpack
+from lavendergap.protocol.packing import (
+    MAX_INFLATED_BYTES,
+    pack_news,
+    pack_state,
+    unpack,
+)
 from lavendergap.protocol.peer import (
     LENGTH,
     decode_frame,
@@ -100,6 +106,23 @@
 ]
 
 
+def make_servers(n_servers: int) -> FeedState:
+    """Return the feed of so many servers; what differs is drawn at random."""
+    dice = Random(1)
+    entries = []
+    for n in range(n_servers):
+        address = f"10.4.{dice.randrange(256)}.{dice.randrange(256)}:8360"
+        body = (
+            f'{{"service":"dele{dice.randrange(100)}a","address":"{address}",'
+            f'"zone":"ptl-a","version":"v1","slots":2,"state":"ready",'
+            f'"warmup_left_ms":0,"born":{1_700_000_000_000 + n},"seq_no":{n}}}'
+        )
+        entries.append(
+            FeedEntry(name=f"i-{dice.randbytes(5).hex()}", body=body.encode())
+        )
+    return FeedState(feed="servers", revision=5, entries=tuple(entries))
+
+
 def pass_through(message: Message) -> Message:
     data = encode_frame(Frame(id=9, message=message))
     length, is_packed = read_length(data, 0)
@@ -152,7 +175,21 @@
         packed = pack_news(1, self.make_news(body, passes_on=True))
         assert len(packed) < len(body) / 8
 
+    def test_neighbours_get_them_packed(self):
+        """Guards against a relay whose link is full of copies for its neighbours."""
+        body = b'{"name": "r1", "timeout_ms": 400},' * 3_000
+        packed = pack_news(1, self.make_news(body, passes_on=False))
+        assert len(packed) < len(body) / 8
+
+    def test_a_whole_copy_is_packed(self):
+        """Guards against the same of a host whose copy all neighbours ask for."""
+        state = make_servers(405)
+        plain = sum(len(entry.body) for entry in state.entries)
+        packed = pack_state(1, state)
+        assert len(packed) < plain / 4
+        assert unpack(packed).message == state
+
     def test_a_frame_that_swells_is_refused(self):
-        news = self.make_news(b"0" * (MAX_CHANGES_BYTES + 1), passes_on=True)
+        news = self.make_news(b"0" * (MAX_INFLATED_BYTES + 1), passes_on=True)
         with pytest.raises(BadFrameError):
             unpack(pack_news(1, news))
