Send a peer only the buckets of a feed in which its copy differs

A copy handed over entries that its host keeps after a lapse, too, which changed the receiver's fingerprint and had it ask again.

Entries are dealt into 64 buckets by name. Who asks sends the hash of each, and gets the entries of those that differ, without the kept ones; whoever has nothing yet gets all. A host that names no buckets, or another number of them, gets all: hosts of the release before are served.

Ruled out: news with all changes, which hosts that were away do not have.

--- a/src/lavendergap/coordination/feeds.py
+++ b/src/lavendergap/coordination/feeds.py
@@ -1,10 +1,17 @@
 """One host's copy of a feed, and what it makes of entries that vanish."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from xxhash import xxh3_64_intdigest
 
-from ..state.feeds import FeedChange, FeedChanges, FeedListing
+from ..state.feeds import FeedChange, FeedChanges, FeedEntry, FeedListing
+
+N_BUCKETS = 64
+"""Into how many buckets entries are dealt by name, for hosts to compare their copies.
+
+Their hashes take some 600 bytes. Where one server of some hundred has changed, a
+sixty-fourth of the entries is sent.
+"""
 
 # Returns what of an entry matters here; entries alike in that are as good as the same.
 Summarize = Callable[[str, bytes], object]
@@ -42,6 +49,7 @@
         self._lapse_grace = lapse_grace
         self._summarize = summarize
         self._hashes: dict[str, int] = {}
+        self._buckets = [0] * N_BUCKETS
         self._combined = 0
         self._entries: dict[str, bytes] = {}
         self._returned_at = float("-inf")
@@ -61,6 +69,24 @@
         """
         return self._combined
 
+    @property
+    def bucket_hashes(self) -> tuple[int, ...]:
+        """The fingerprint of each bucket by itself."""
+        return tuple(self._buckets)
+
+    def find_differing(self, hashes: Sequence[int]) -> frozenset[int]:
+        """Return the buckets that differ from those of another copy."""
+        pairs = enumerate(zip(self._buckets, hashes, strict=True))
+        return frozenset(index for index, (own, other) in pairs if own != other)
+
+    def select(self, buckets: Collection[int]) -> tuple[FeedEntry, ...]:
+        """Return the entries of some buckets; kept lapsed ones are left out."""
+        return tuple(
+            FeedEntry(name=name, body=body)
+            for name, body in self._entries.items()
+            if name not in self._lapsed and get_bucket(name) in buckets
+        )
+
     def foresee(self, changes: Iterable[FeedChange]) -> int:
         """Return the fingerprint that the copy would have with `changes`."""
         hashes = self._hashes
@@ -82,15 +108,25 @@
         """Note that the store answers again after it did not."""
         self._returned_at = now
 
-    def take_listing(self, listing: FeedListing, *, now: float) -> bool:
-        """Take all entries at a revision; tell whether anything changed."""
+    def take_listing(
+        self,
+        listing: FeedListing,
+        *,
+        now: float,
+        buckets: Collection[int] | None = None,
+    ) -> bool:
+        """Take all entries at a revision; tell whether anything changed.
+
+        With `buckets` the listing holds all entries of these, and the others stay.
+        """
         if listing.revision < self.revision:
             return False
         self.revision = listing.revision
         listed = {entry.name: entry.body for entry in listing.entries}
         has_changed = False
         for name in list(self._entries):
-            if name not in listed:
+            is_covered = buckets is None or get_bucket(name) in buckets
+            if is_covered and name not in listed:
                 has_changed |= self._remove(name, now)
         for name, body in listed.items():
             has_changed |= self._put(name, body)
@@ -168,4 +204,10 @@
         after = 0
         if body is not None:
             after = self._hashes[name] = self._hash(name, body)
+        self._buckets[get_bucket(name)] ^= before ^ after
         self._combined ^= before ^ after
+
+
+def get_bucket(name: str) -> int:
+    """Return the bucket of the entry called `name`."""
+    return xxh3_64_intdigest(name.encode()) % N_BUCKETS
--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -130,10 +130,12 @@
         if not isinstance(channel, Loss):
             channel.send(Frame(id=0, message=told))
 
-    async def fetch(self, feed: str, host: str | None) -> FeedState | None:
+    async def fetch(
+        self, feed: str, host: str | None, *, hashes: tuple[int, ...] = ()
+    ) -> FeedState | None:
         """Return a feed as `host` has it, or any live one; None without an answer.
 
-        One of this data centre, if there is one: a whole copy is some 90 KB.
+        One of this data centre, if there is one: bytes between them are paid for.
         """
         others = self._list_others()
         if host is None and others:
@@ -145,7 +147,9 @@
         channel = await self._dialer.dial(host, address)
         if isinstance(channel, Loss):
             return None
-        reply = await channel.ask(FeedFetch(feed=feed), limit=FETCH_LIMIT)
+        reply = await channel.ask(
+            FeedFetch(feed=feed, hashes=hashes), limit=FETCH_LIMIT
+        )
         if isinstance(reply, FeedState) and reply.feed == feed:
             return reply
         return None
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -14,7 +14,7 @@
 import trio
 
 from .. import metrics
-from ..coordination.feeds import FeedCopy, Summarize
+from ..coordination.feeds import N_BUCKETS, FeedCopy, Summarize
 from ..logs import Category, get_logger, log_decision
 from ..protocol.messages import FeedNews, FeedState
 from ..state.feeds import (
@@ -96,8 +96,13 @@
     def tell(self, news: FeedNews) -> None:
         """Send news to all live hosts, or to those that this host watches for."""
 
-    async def fetch(self, feed: str, host: str | None) -> FeedState | None:
-        """Return a feed as `host` has it, or any live one; None without an answer."""
+    async def fetch(
+        self, feed: str, host: str | None, *, hashes: tuple[int, ...] = ()
+    ) -> FeedState | None:
+        """Return a feed as `host` has it, or any live one; None without an answer.
+
+        With `hashes`, those of this host's buckets, only what differs.
+        """
 
 
 class FeedReader:
@@ -159,7 +164,7 @@
                     await self._note_loss(lost)
                     if not self.is_listed:
                         await self._fetch(None)
-                    if self.is_listed and not self._is_stale():
+                    if self.is_listed and not self.is_stale:
                         return
 
     async def _follow(self) -> None:
@@ -173,7 +178,7 @@
             # each watching for itself, 195 hosts made 1,900 calls.
             is_leading = rank is None and is_settling and self._peers.leads_place()
             is_watching = rank is not None or is_leading
-            if not is_watching and not self._is_stale():
+            if not is_watching and not self.is_stale:
                 await self._wait_for_news(is_settling)
                 continue
             base = self.copy.revision
@@ -223,7 +228,9 @@
             if change.name in removed or self.copy.is_news(change)
         )
 
-    def _is_stale(self) -> bool:
+    @property
+    def is_stale(self) -> bool:
+        """Whether nobody has confirmed the copy for longer than is usual."""
         return trio.current_time() - self._confirmed_at >= self._pace.stale_after
 
     def _draw_patience(self) -> float:
@@ -300,7 +307,7 @@
             return False
         now = trio.current_time()
         copy = self.copy
-        if self._is_stale():
+        if self.is_stale:
             # Nobody had an answer of the store for a while: what vanishes now may
             # have lapsed meanwhile.
             copy.note_return(now=now)
@@ -360,28 +367,46 @@
         return copy.revision > news.revision or copy.fingerprint == news.fingerprint
 
     async def _fetch(self, host: str | None) -> None:
-        state = await self._peers.fetch(self.feed, host)
+        hashes = self.copy.bucket_hashes if self.is_listed else ()
+        state = await self._peers.fetch(self.feed, host, hashes=hashes)
         if state is None or state.revision <= self.copy.revision:
             return
+        if state.buckets is not None and not self.is_listed:
+            return
         self._confirmed_at = trio.current_time()
         listing = FeedListing(revision=state.revision, entries=state.entries)
-        self._take_listing(listing, host or "a peer")
+        self._take_listing(listing, host or "a peer", buckets=state.buckets)
 
-    def describe(self) -> FeedState:
-        """Return the copy for a peer that asks for it."""
+    def describe(self, hashes: tuple[int, ...] = ()) -> FeedState:
+        """Return the copy for a peer, or what differs from that of `hashes`.
+
+        A peer that has nothing yet also gets the lapsed entries that are still kept:
+        without them it would have no server for a while after an outage.
+        """
+        copy = self.copy
+        if len(hashes) != N_BUCKETS:
+            entries = tuple(
+                FeedEntry(name=name, body=body) for name, body in copy.entries.items()
+            )
+            return FeedState(feed=self.feed, revision=copy.revision, entries=entries)
+        buckets = copy.find_differing(hashes)
         return FeedState(
             feed=self.feed,
-            revision=self.copy.revision,
-            entries=tuple(
-                FeedEntry(name=name, body=body)
-                for name, body in self.copy.entries.items()
-            ),
+            revision=copy.revision,
+            entries=copy.select(buckets),
+            buckets=tuple(sorted(buckets)),
         )
 
     # In force.
 
-    def _take_listing(self, listing: FeedListing, source: str) -> bool:
-        has_changed = self.copy.take_listing(listing, now=trio.current_time())
+    def _take_listing(
+        self,
+        listing: FeedListing,
+        source: str,
+        buckets: tuple[int, ...] | None = None,
+    ) -> bool:
+        now = trio.current_time()
+        has_changed = self.copy.take_listing(listing, now=now, buckets=buckets)
         if has_changed or not self.is_listed:
             self.is_listed = True
             self._put_in_force(source)
--- a/src/lavendergap/entry/hostfeeds.py
+++ b/src/lavendergap/entry/hostfeeds.py
@@ -6,7 +6,7 @@
 import trio
 
 from ..coordination.feeds import use_whole
-from ..protocol.messages import FeedNews, FeedState, Struck
+from ..protocol.messages import FeedFetch, FeedNews, FeedState, Struck
 from .adapter import (
     EVACUATIONS_FEED,
     ROUTES_FEED,
@@ -117,9 +117,9 @@
         if struck.passes_on:
             self._channels.pass_on_strike(struck.strike)
 
-    def describe(self, feed: str) -> FeedState:
+    def describe(self, fetch: FeedFetch) -> FeedState:
         """Return this host's copy of a feed; empty for one that it does not have."""
-        reader = self._readers.get(feed)
+        reader = self._readers.get(fetch.feed)
         if reader is None:
-            return FeedState(feed=feed, revision=0, entries=())
-        return reader.describe()
+            return FeedState(feed=fetch.feed, revision=0, entries=())
+        return reader.describe(fetch.hashes)
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -59,8 +59,8 @@
     def receive(self, news: FeedNews, *, host: str) -> None:
         """Take a peer's news."""
 
-    def describe(self, feed: str) -> FeedState:
-        """Return this host's copy of a feed."""
+    def describe(self, fetch: FeedFetch) -> FeedState:
+        """Return this host's copy of a feed, or what of it differs."""
 
     def receive_strike(self, struck: Struck) -> None:
         """Take a peer's strike."""
@@ -101,8 +101,8 @@
             case FeedNews() as news if self._feeds is not None:
                 if channel.peer is not None:
                     self._feeds.receive(news, host=channel.peer.host)
-            case FeedFetch(feed=feed) if self._feeds is not None:
-                state = self._feeds.describe(feed)
+            case FeedFetch() as fetch if self._feeds is not None:
+                state = self._feeds.describe(fetch)
                 channel.send(Frame(id=frame.id, message=state))
             case Struck() as struck if self._feeds is not None:
                 self._feeds.receive_strike(struck)
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -191,18 +191,26 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FeedFetch:
-    """Asks for all entries of a feed as the receiver has them."""
+    """Asks for a feed as the receiver has it.
+
+    With `hashes`, those of the sender's buckets, only for the buckets that differ.
+    """
 
     feed: str
+    hashes: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FeedState:
-    """All entries of a feed at a revision; 0 when the sender has none."""
+    """All entries of a feed at a revision; 0 when the sender has none.
+
+    With `buckets` all entries of these, the others being as the receiver has them.
+    """
 
     feed: str
     revision: int
     entries: tuple[FeedEntry, ...]
+    buckets: tuple[int, ...] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -101,6 +101,7 @@
 class _PackedFetch(msgspec.Struct, array_like=True, tag=4):
     id: int
     feed: str
+    hashes: tuple[int, ...] = ()
 
 
 class _PackedState(msgspec.Struct, array_like=True, tag=5):
@@ -110,6 +111,7 @@
     entries: list[tuple[str, bytes]]
     # All entries, compressed; then `entries` is empty.
     deflated: bytes = b""
+    buckets: tuple[int, ...] | None = None
 
 
 class _PackedStruck(msgspec.Struct, array_like=True, tag=6):
@@ -228,14 +230,16 @@
 
 def pack_fetch(frame_id: int, fetch: FeedFetch) -> bytes:
     """Return the bytes of a FeedFetch, without their length."""
-    return _encode(_PackedFetch(frame_id, fetch.feed))
+    return _encode(_PackedFetch(frame_id, fetch.feed, fetch.hashes))
 
 
 def pack_state(frame_id: int, state: FeedState) -> bytes:
     """Return the bytes of a FeedState, without their length."""
     entries, deflated = _deflate(state.entries)
     return _encode(
-        _PackedState(frame_id, state.feed, state.revision, entries, deflated)
+        _PackedState(
+            frame_id, state.feed, state.revision, entries, deflated, state.buckets
+        )
     )
 
 
@@ -289,8 +293,8 @@
             return Frame(id=packed.id, message=_unpack_answers(packed))
         case _PackedNews():
             return Frame(id=packed.id, message=_unpack_news(packed))
-        case _PackedFetch(id=frame_id, feed=feed):
-            return Frame(id=frame_id, message=FeedFetch(feed=feed))
+        case _PackedFetch(id=frame_id, feed=feed, hashes=hashes):
+            return Frame(id=frame_id, message=FeedFetch(feed=feed, hashes=hashes))
         case _PackedState():
             return Frame(id=packed.id, message=_unpack_state(packed))
         case _PackedStruck():
@@ -324,6 +328,7 @@
         feed=packed.feed,
         revision=packed.revision,
         entries=tuple(FeedEntry(name=name, body=body) for name, body in packed.entries),
+        buckets=packed.buckets,
     )
 
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -5,8 +5,10 @@
 import pytest
 import trio
 import trio.testing
+from hypothesis import given
+from hypothesis import strategies as st
 
-from lavendergap.coordination.feeds import FeedCopy
+from lavendergap.coordination.feeds import N_BUCKETS, FeedCopy
 from lavendergap.entry.feeds import LAPSE_GRACE, FeedReader
 from lavendergap.protocol.messages import FeedNews, FeedState
 from lavendergap.state.feeds import (
@@ -177,7 +179,9 @@
         for other in self.others:
             other.receive(news, host="teller")
 
-    async def fetch(self, feed: str, host: str | None) -> FeedState | None:
+    async def fetch(
+        self, feed: str, host: str | None, *, hashes: tuple[int, ...] = ()
+    ) -> FeedState | None:
         self.fetches.append(host)
         return self.state
 
@@ -609,6 +613,63 @@
         assert copy.fingerprint == before
 
 
+class TestCopiesThatDiffer:
+    def fill(self, n_servers: int, revision: int, **changed: str) -> FeedCopy:
+        copy = FeedCopy(lapse_grace=2.0, summarize=summarize)
+        entries = {f"i-{n}": "ready" for n in range(n_servers)} | changed
+        copy.take_listing(make_listing(revision, **entries), now=0.0)
+        return copy
+
+    def send_difference(self, one: FeedCopy, other: FeedCopy) -> int:
+        """Bring `other` to what `one` has; return how many entries that takes."""
+        buckets = one.find_differing(other.bucket_hashes)
+        entries = one.select(buckets)
+        listing = FeedListing(revision=one.revision, entries=entries)
+        other.take_listing(listing, now=1.0, buckets=buckets)
+        return len(entries)
+
+    def test_one_change_takes_a_small_part_of_the_entries(self):
+        """Guards against hosts that fill a weak link with their neighbours' copies."""
+        one = self.fill(675, 2, **{"i-3": "leaving", "i-new": "ready"})
+        other = self.fill(675, 1)
+        assert self.send_difference(one, other) < 675 / 16
+        assert other.fingerprint == one.fingerprint
+        assert dict(other.entries) == dict(one.entries)
+
+    @given(st.data())
+    def test_any_two_copies_become_one(self, data):
+        names = st.sampled_from([f"i-{n}" for n in range(30)])
+        bodies = st.sampled_from(["ready", "leaving"])
+        one, other = (FeedCopy(lapse_grace=2.0, summarize=summarize) for _ in range(2))
+        for revision, copy in ((7, one), (3, other)):
+            entries = data.draw(st.dictionaries(names, bodies))
+            copy.take_listing(make_listing(revision, **entries), now=0.0)
+        self.send_difference(one, other)
+        assert dict(other.entries) == dict(one.entries)
+        assert other.bucket_hashes == one.bucket_hashes
+
+    async def test_whoever_compares_no_or_other_buckets_gets_all(self):
+        """Guards against releases side by side that compare unlike buckets."""
+        async with trio.open_nursery() as nursery:
+            reader, _ = read(Script(make_listing(2, a="1", b="2")), nursery)
+            await trio.testing.wait_all_tasks_blocked()
+            for hashes in ((), (1, 2)):
+                state = reader.describe(hashes)
+                assert (state.buckets, len(state.entries)) == (None, 2)
+            assert reader.describe((0,) * N_BUCKETS).buckets is not None
+            nursery.cancel_scope.cancel()
+
+    def test_lapsed_entries_are_kept_by_each_host_for_itself(self):
+        """Guards against copies that differ for as long as one of them keeps any."""
+        one, other = self.fill(9, 1), self.fill(9, 1)
+        one.note_return(now=10.0)
+        one.take_changes(change(2, **{"i-3": None}), now=10.0)
+        assert "i-3" in one.entries
+        self.send_difference(one, other)
+        assert "i-3" not in other.entries
+        assert other.fingerprint == one.fingerprint
+
+
 class SlowScript:
     """A script whose watches take a time, as a waiting watch does."""
 
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -102,6 +102,8 @@
         passes_on=True,
     ),
     FeedFetch(feed="routes"),
+    FeedFetch(feed="servers", hashes=(0, 2**64 - 1)),
+    FeedState(feed="servers", revision=5, entries=(), buckets=(3, 63)),
     FeedState(feed="routes", revision=5, entries=(FeedEntry(name="main", body=b"x"),)),
 ]
 
