Keep requests of routes with home regions in these regions

Routes may name the regions in which their requests run.

A call names the data centres in which servers may run it, and so does what a coordinator sends to owners; owners of such a search stand there, or are the host that the caller reached. Replicas, hedges and retries are chosen among these servers. Regions of data centres are a setting.

Tests: two regions, as processes; on the code before, the servers abroad get the requests of hosts beside them. With one region nothing changes.

--- a/lab/gateways.py
+++ b/lab/gateways.py
@@ -25,7 +25,7 @@
 DRAIN_MS = 3_000
 GRACE_S = 6
 EVACUATE_MS = 3_000
-DATA_CENTRES = ("ptl-a", "ptl-b", "sea-a", "sea-b")
+REGIONS = dict.fromkeys(("ptl-a", "ptl-b", "sea-a", "sea-b"), "cascadia")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -57,6 +57,7 @@
     store_port: int
     seeds: list[str]
     directory: Path
+    regions: dict[str, str]
     process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -79,7 +80,7 @@
             "peer_port": peers,
             "store": f"127.0.0.1:{self.store_port}",
             "seeds": self.seeds,
-            "regions": dict.fromkeys(DATA_CENTRES, "cascadia"),
+            "regions": self.regions,
             "bounds": {
                 "drain_ms": DRAIN_MS,
                 "stop_within_ms": GRACE_S * 1_000,
@@ -130,6 +131,7 @@
     directory: Path
     store: ObjectStore
     store_port: int
+    regions: dict[str, str]
     gateways: list[Gateway] = field(default_factory=list)
     leafs: list[Leaf] = field(default_factory=list)
     n_asked: int = 0
@@ -151,6 +153,7 @@
             store_port=self.store_port,
             seeds=[],
             directory=self.directory,
+            regions=self.regions,
         )
         gateway.write_settings()
         gateway.start()
@@ -277,13 +280,19 @@
 
 
 @asynccontextmanager
-async def open_platform(directory: Path) -> AsyncIterator[Platform]:
+async def open_platform(
+    directory: Path, *, regions: dict[str, str] = REGIONS
+) -> AsyncIterator[Platform]:
     """Yield a platform without servers; ends every process that was started."""
     async with trio.open_nursery() as nursery:
         store = ObjectStore()
         port = await nursery.start(store.make_server(ip="127.0.0.1", port=0).run)
         platform = Platform(
-            nursery=nursery, directory=directory, store=store, store_port=port
+            nursery=nursery,
+            directory=directory,
+            store=store,
+            store_port=port,
+            regions=regions,
         )
         try:
             yield platform
--- a/src/lavendergap/coordination/calls.py
+++ b/src/lavendergap/coordination/calls.py
@@ -30,7 +30,8 @@
     of other groups; where it is empty, the group's own calls are the measure. Of
     calls that wait, those of the lowest `priority` go first. With `ends_with_server` a
     call under which a server has ended is finished: whoever made it sees all shards of
-    its query, and decides whether another server gets it.
+    its query, and decides whether another server gets it. Only servers in
+    `data_centres` may run it; None where all may.
     """
 
     call_id: int
@@ -49,6 +50,7 @@
     priority: int = 0
     kind: str = ""
     ends_with_server: bool = False
+    data_centres: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -51,15 +51,19 @@
     now: float,
     dice: Random,
     data_centre: str = "",
+    allowed: frozenset[str] | None = None,
 ) -> Choice:
     """Choose the replica for one attempt.
 
     Servers in `excluded` refused this very call; those in `tried` failed it and are
     taken only if no other has a free slot. With `data_centre`, servers there are
-    preferred. When failures have ejected every server
-    that could serve, all of them are candidates again: the fault may be on this
-    host's side, and an attempt tells more than waiting does. `why` then says so.
+    preferred; with `allowed`, only those in these data centres are taken. When
+    failures have ejected every server that could serve, all of them are candidates
+    again: the fault may be on this host's side, and an attempt tells more than waiting
+    does. `why` then says so.
     """
+    if allowed is not None:
+        replicas = [r for r in replicas if r.server.data_centre in allowed]
     able = [r for r in replicas if version in r.versions or r.may_serve(version)]
     serving = [r for r in able if r not in excluded]
     possible = [r for r in serving if r.state != "draining"]
--- a/src/lavendergap/coordination/placement.py
+++ b/src/lavendergap/coordination/placement.py
@@ -49,6 +49,7 @@
     def __init__(self, *, own_data_centre: str) -> None:
         self._own = own_data_centre
         self._all = Ranking(hosts=frozenset())
+        self._hosts: Mapping[str, str] = {}
         self._places: dict[str, Ranking] = {}
         self._servers: Mapping[str, frozenset[str]] = {}
         self._sets: tuple[tuple[str, ...], ...] = ()
@@ -58,6 +59,7 @@
 
     def replace_hosts(self, hosts: Mapping[str, str]) -> None:
         """Take the live hosts and the data centre of each."""
+        self._hosts = hosts
         by_place: dict[str, set[str]] = {}
         for host, data_centre in hosts.items():
             by_place.setdefault(data_centre, set()).add(host)
@@ -109,6 +111,19 @@
             ranked = self._ranked[group] = self._rank(group)
         return ranked
 
+    def get_data_centre(self, host: str) -> str | None:
+        """Return the data centre of a live host; None for another one."""
+        return self._hosts.get(host)
+
+    def get_host_beside(self, group: str) -> str | None:
+        """Return the host of the own data centre that is first ranked for `group`.
+
+        Whether or not the group has servers there; None without a live host.
+        """
+        ranking = self._places.get(self._own)
+        ranked = ranking.rank(self._buckets.get(group, group)) if ranking else ()
+        return ranked[0] if ranked else None
+
     def _rank(self, group: str) -> tuple[str, ...]:
         found: list[str] = []
         key = self._buckets.get(group, group)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -380,6 +380,7 @@
             now=now,
             dice=self.random,
             data_centre=self.data_centre,
+            allowed=progress.call.data_centres,
         )
 
     def _find_typical(self) -> float:
--- a/src/lavendergap/entry/fleet.py
+++ b/src/lavendergap/entry/fleet.py
@@ -1,5 +1,7 @@
 """Which entry hosts are live, where they are, and how they rank for a group."""
 
+from collections.abc import Collection
+
 from ..coordination.placement import Placement
 from ..coordination.ranking import Ranking
 from ..state.settings import Address, Settings
@@ -37,6 +39,12 @@
             return ranked
         return tuple(sorted(ranked, key=self._shunned.__contains__))
 
+    def stands_in(self, host: str, data_centres: Collection[str]) -> bool:
+        """Tell whether a host is known to stand in one of some data centres."""
+        if self._placement is None:
+            return False
+        return self._placement.get_data_centre(host) in data_centres
+
     def shun(self, host: str, *, now: float) -> None:
         """Pass over a host that was found silent or refused a channel.
 
--- a/src/lavendergap/entry/forwarding.py
+++ b/src/lavendergap/entry/forwarding.py
@@ -1,6 +1,6 @@
 """What this host does with a caller's request that goes on unchanged."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from contextlib import ExitStack
 from random import Random
 
@@ -23,7 +23,10 @@
 
 
 class Forwarder:
-    """Sends each request to the servers of its route and returns what came of it."""
+    """Sends each request to the servers of its route and returns what came of it.
+
+    `regions` holds the region of each data centre, for routes with home regions.
+    """
 
     def __init__(
         self,
@@ -34,7 +37,9 @@
         nursery: trio.Nursery,
         random: Random,
         quarantine: QuarantineKeeper,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
+        self._regions = regions or {}
         self._quarantine = quarantine
         self._fleet = fleet
         self._owner = owner
@@ -81,6 +86,16 @@
     def _note_answer(self, request: GatewayRequest) -> None:
         self._quarantine.note_answer(request.forward, request.body)
 
+    def _list_home(self, route: Route) -> frozenset[str] | None:
+        """Return the data centres in which a route's requests may run; None for all."""
+        if not route.home_regions:
+            return None
+        return frozenset(
+            data_centre
+            for data_centre, region in self._regions.items()
+            if region in route.home_regions
+        )
+
     async def _ask_one(
         self, request: GatewayRequest, group: str, is_suspect: bool, after: ExitStack
     ) -> Outcome:
@@ -106,6 +121,7 @@
             priority=request.route.priority,
             kind=request.route.name,
             wanted_by=request.goal,
+            data_centres=self._list_home(request.route),
         )
         self._owner.submit([Wanted(call=call, finish=finish)])
         try:
@@ -144,6 +160,7 @@
                     priority=request.route.priority,
                     goal=request.goal,
                     is_suspect=is_suspect,
+                    data_centres=self._list_home(request.route),
                 ),
             ),
             snapshot=Snapshot(
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -252,6 +252,7 @@
             nursery=nursery,
             random=self._random,
             quarantine=self._quarantine,
+            regions=host.regions,
         )
 
     def _make_client(self, server: Server, idle_limit: float) -> ForwardClient:
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -19,6 +19,7 @@
     FeedState,
     Fetch,
     Frame,
+    Greatest,
     Ran,
     Run,
     Search,
@@ -154,6 +155,7 @@
                 priority=greatest.priority if greatest else 0,
                 kind=search.service if greatest else "",
                 ends_with_server=greatest is not None,
+                data_centres=_read_places(greatest),
             )
             served.calls[ref.shard] = call
             wanted.append(Wanted(call=call, finish=finish))
@@ -230,6 +232,12 @@
         channel.send(Frame(id=frame_id, message=reply))
 
 
+def _read_places(greatest: Greatest | None) -> frozenset[str] | None:
+    if greatest is None or not greatest.data_centres:
+        return None
+    return frozenset(greatest.data_centres)
+
+
 def part_answers(answers: list[ShardAnswer]) -> list[tuple[ShardAnswer, ...]]:
     """Return the answers in batches of at most about `MAX_BATCH_BYTES` each.
 
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -71,7 +71,8 @@
     `goal` is the time on the loop's clock by which an answer is wanted; `request`
     goes to one server of each shard, and to `max_attempts` at most. One that
     `is_suspect` goes to a server of one shard first, and to the others once one has
-    answered: a server may have ended under it.
+    answered: a server may have ended under it. With `data_centres` only servers there
+    may run it, and only hosts there may own its shards, beside this one.
     """
 
     request: ForwardedRequest
@@ -80,6 +81,7 @@
     priority: int
     goal: float
     is_suspect: bool = False
+    data_centres: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -295,11 +297,18 @@
         if len(tried) >= MAX_OWNERS_TRIED:
             return None
         for host in self._fleet.rank(shard.group):
-            if host not in tried:
+            if host not in tried and self._may_own(host):
                 tried.append(host)
                 return host
         return None
 
+    def _may_own(self, host: str) -> bool:
+        greatest = self._query.greatest
+        if greatest is None or greatest.data_centres is None:
+            return True
+        is_own = host == self._fleet.own_name
+        return is_own or self._fleet.stands_in(host, greatest.data_centres)
+
     def _send_part(self, host: str, shards: list[Shard], *, is_repeat: bool) -> None:
         now = trio.current_time()
         part = Part(
@@ -342,6 +351,7 @@
                 priority=greatest.priority if greatest else 0,
                 kind=query.service.name if greatest else "",
                 ends_with_server=greatest is not None,
+                data_centres=greatest.data_centres if greatest else None,
             )
             part.calls.append(call)
             wanted.append(
@@ -412,6 +422,7 @@
             max_attempts=min(map(self._count_attempts_left, part.open_shards)),
             priority=greatest.priority,
             is_repeat=part.is_repeat,
+            data_centres=tuple(sorted(greatest.data_centres or ())),
         )
 
     def _take_message(self, part: Part, message: Message) -> None:
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -59,7 +59,8 @@
     answer is wanted; for a part of it the receiver holds back what it has, so that
     most of its shards share one message. `max_attempts` is for each shard,
     `priority` ranks the query among others (0 is the most urgent);
-    `is_repeat` says that another host was asked for these shards before.
+    `is_repeat` says that another host was asked for these shards before. Only servers
+    in `data_centres` may run it; an empty tuple allows all.
     """
 
     request: ForwardedRequest
@@ -68,6 +69,7 @@
     max_attempts: int
     priority: int
     is_repeat: bool
+    data_centres: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -39,6 +39,7 @@
     max_attempts: int
     priority: int
     is_repeat: bool
+    data_centres: tuple[str, ...] = ()
 
 
 class _PackedSearch(msgspec.Struct, array_like=True, tag=1):
@@ -190,6 +191,7 @@
         greatest.max_attempts,
         greatest.priority,
         greatest.is_repeat,
+        greatest.data_centres,
     )
 
 
@@ -208,6 +210,7 @@
         max_attempts=packed.max_attempts,
         priority=packed.priority,
         is_repeat=packed.is_repeat,
+        data_centres=packed.data_centres,
     )
 
 
--- a/src/lavendergap/state/routes.py
+++ b/src/lavendergap/state/routes.py
@@ -39,7 +39,8 @@
 
     `prefix` begins and ends with a slash. `max_attempts` is the number of servers (of
     each group) that one request may be sent to. An answer is wanted within `goal_ms`
-    and final after `timeout_ms`. `priority` 0 is the most urgent.
+    and final after `timeout_ms`. `priority` 0 is the most urgent. Requests run in
+    `home_regions` only, or anywhere where these are empty.
     """
 
     name: str
@@ -51,6 +52,7 @@
     timeout_ms: int
     goal_ms: int
     priority: int
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
