Bound the requests that a cold server gets from all hosts together

A server that is cold tolerates a stated rate of requests and crashes well above it. What servers and services say of that was read and dropped: with a rate of ten a second and 78 hosts, each host sends by its own view.

One host sends to a cold server, the first ranked of its data centre with fresh news of the servers, at most a third of the bound in any second; so a host that was lost, the one that takes over and one more are within it together. What is not let through goes to warm replicas, or is refused at once as not run, with when to come back.

Ruled out: an equal part for each host, none of which comes to one request.

Not covered: more than three hosts of one data centre, each out of sight of the others, that still reach the store.

--- a/src/lavendergap/coordination/admission.py
+++ b/src/lavendergap/coordination/admission.py
@@ -83,11 +83,13 @@
 class Capacity:
     """The slots that can be used now, or the time until the first one can be.
 
-    `opens_in` is in seconds and 0 while `n_slots` is not.
+    `opens_in` is in seconds and 0 while `n_slots` is not. With `is_cold` all servers
+    are cold and bear a few requests a second, however soon the next may be sent.
     """
 
     n_slots: int
     opens_in: float
+    is_cold: bool = False
 
 
 class Arrivals:
--- a/src/lavendergap/coordination/catalog.py
+++ b/src/lavendergap/coordination/catalog.py
@@ -6,6 +6,7 @@
 from ..state.registry import RegisteredServer
 from ..state.routes import GreatestOfAll, OneOf, RouteTable
 from ..state.settings import ExtraCalls, Group, Server, Service, WaitForCoverage
+from .warmup import WarmupBound
 
 # What a group's servers accept where no route's document says it.
 DEFAULT_CONNECTIONS = 16
@@ -57,6 +58,7 @@
     budget: ExtraCallBudget
     n_owners: int
     n_connections: int
+    cold_limit: int | None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,6 +85,7 @@
     budget: ExtraCallBudget,
     n_hosts: int,
     evacuated: Collection[str] = (),
+    warmup: WarmupBound | None = None,
     before: Catalog | None = None,
 ) -> Catalog:
     """Return the groups that the routes name, or that have servers.
@@ -121,6 +124,11 @@
             budget=budget,
             n_owners=n_owners,
             n_connections=max(1, connections // n_owners),
+            cold_limit=(
+                warmup.divide(table.cold_rates[group])
+                if warmup is not None and group in table.cold_rates
+                else None
+            ),
         )
         is_same = before is not None and before.terms.get(group) == terms
         services.append(made[group] if is_same else _make_service(group, terms))
@@ -145,6 +153,7 @@
             slots=member.slots,
             connections=terms.n_connections,
             incarnation=member.started_at_ms,
+            cold_limit=terms.cold_limit if member.is_cold else None,
         )
         for member in terms.members
     )
--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -138,4 +138,8 @@
         return Capacity(n_slots=0, opens_in=opens_at - now)
     healthy = [r for r in welcome if r.ejected_until <= now]
     n_slots = sum(r.limit(now) for r in healthy or welcome)
+    if n_slots == 0:
+        opens_at = min(r.get_opening(now) for r in healthy or welcome)
+        opens_in = max(0.0, opens_at - now)
+        return Capacity(n_slots=0, opens_in=opens_in, is_cold=True)
     return Capacity(n_slots=n_slots, opens_in=0.0)
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -1,11 +1,13 @@
 """What an owner knows of each replica of a group, and for how long it believes it."""
 
+from collections.abc import Callable
 from math import exp2
 from random import Random
 
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from ..state.settings import Server
 from .calls import ServerReport
+from .warmup import WarmupLimit
 
 # A backend server that was just started, or is back after failures, has cold caches:
 # with all its slots filled at once, its first answers would all be late together.
@@ -96,10 +98,18 @@
         "slowness_at",
         "foreign",
         "foreign_at",
+        "_warmup",
     )
 
-    def __init__(self, *, server: Server, ramp_from: float = -NEVER) -> None:
+    def __init__(
+        self,
+        *,
+        server: Server,
+        ramp_from: float = -NEVER,
+        may_warm: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.server = server
+        self._warmup = WarmupLimit(may_warm)
         self.in_flight = 0
         self.state = "serving"
         self.state_at = -NEVER
@@ -120,7 +130,13 @@
         self.foreign_at = -NEVER
 
     def limit(self, now: float) -> int:
-        """Count the slots that may be in use now: few in slow start, then all."""
+        """Count the slots that may be in use now: few in slow start, then all.
+
+        None while the server is cold and this host has sent it what it may.
+        """
+        cold_limit = self.server.cold_limit
+        if cold_limit is not None and self._warmup.count_left(cold_limit, now) <= 0:
+            return 0
         if self.is_on_trial or self.state == "starting":
             return 1
         since = now - self.ramp_from
@@ -129,6 +145,12 @@
             return slots
         return 1 + int((slots - 1) * since / SLOW_START)
 
+    def note_start(self, now: float) -> None:
+        """Count an attempt that starts."""
+        self.in_flight += 1
+        if self.server.cold_limit is not None:
+            self._warmup.note_sent(now)
+
     def may_serve(self, version: int) -> bool:
         """Tell whether the server may serve an index version.
 
@@ -318,6 +340,9 @@
         closed_until = max(self.backoff_until, self.ejected_until)
         if closed_until > now:
             return closed_until
+        cold_limit = self.server.cold_limit
+        if cold_limit is not None and self._warmup.count_left(cold_limit, now) <= 0:
+            return self._warmup.get_opening(cold_limit, now)
         ramp_ends = self.ramp_from + SLOW_START
         return ramp_ends if ramp_ends > now else NEVER
 
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -13,7 +13,7 @@
     Unknown,
     is_server_end,
 )
-from ..state.settings import Control, Group, Service
+from ..state.settings import Control, Group, Server, Service
 from .admission import Admission, Capacity, WaitingCalls, suggest_retry_after
 from .budget import Budget
 from .calls import (
@@ -66,6 +66,10 @@
     return True
 
 
+def _never() -> bool:
+    return False
+
+
 class GroupScheduler:
     """Runs the calls to one group on its replicas, within their slots.
 
@@ -111,13 +115,15 @@
         random: Random,
         data_centre: str = "",
         kinds: KindLatencies | None = None,
+        may_warm: Callable[[], bool] = _always,
     ) -> None:
         self.group = group
         self.service = service
         self.control = control
         self.random = random
         self.data_centre = data_centre
-        self._replicas = [Replica(server=server) for server in group.servers]
+        self._may_warm = may_warm
+        self._replicas = [self._make_replica(server) for server in group.servers]
         self._leaving: list[Replica] = []
         self._calls: dict[int, Progress] = {}
         self._attempts: dict[int, Attempt] = {}
@@ -147,6 +153,12 @@
         self._n_hedges = 0
         self._n_budget_denials = 0
 
+    def _make_replica(self, server: Server, ramp_from: float = -NEVER) -> Replica:
+        # One host warms a server up, and it stands in the server's data centre.
+        is_near = server.data_centre == self.data_centre
+        may_warm = self._may_warm if is_near else _never
+        return Replica(server=server, ramp_from=ramp_from, may_warm=may_warm)
+
     # What happens.
 
     def submit(
@@ -252,7 +264,7 @@
         for server in group.servers:
             replica = known.pop((server.address, server.incarnation), None)
             if replica is None:
-                replica = Replica(server=server, ramp_from=now)
+                replica = self._make_replica(server, ramp_from=now)
             elif server.address not in staying or server.name != replica.server.name:
                 # Another process at the address: what is known is of the one before.
                 replica.rejoin(now)
@@ -319,6 +331,7 @@
         )
         time_left = call.deadline - now
         may_wait = len(self._waiting) < self.service.queue_limit
+        may_wait = may_wait and not capacity.is_cold
         if may_wait:
             may_wait = self._admission.may_wait(
                 call.request_id, n_ahead=n_ahead, time_left=time_left, capacity=capacity
@@ -415,7 +428,7 @@
         self, progress: Progress, chosen: Chosen, cause: Cause, now: float
     ) -> StartAttempt:
         replica = chosen.replica
-        replica.in_flight += 1
+        replica.note_start(now)
         attempt = Attempt(
             attempt_id=next(self._attempt_ids),
             progress=progress,
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -16,6 +16,7 @@
 from ..coordination.documents import Documents
 from ..coordination.membership import Membership
 from ..coordination.placement import Placement
+from ..coordination.warmup import WarmupBound
 from ..errors import SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
 from ..protocol.messages import (
@@ -200,6 +201,7 @@
             make_client=self._make_client,
             data_centre=host.data_centre,
             quarantine=self._quarantine,
+            may_warm=self._may_warm,
         )
         self._dialer = Dialer(own=hello, nursery=nursery)
         self._membership = Membership(
@@ -319,6 +321,9 @@
             ),
             n_hosts=max(1, len(self._membership.live())),
             evacuated=self._in_force.evacuated,
+            warmup=WarmupBound(
+                factor=bounds.cold_rate_factor, slack=bounds.cold_rate_slack
+            ),
             before=self._catalog,
         )
         self._settings = Settings(
@@ -332,6 +337,15 @@
         self._owner.replace(self._settings)
         self._placement.replace_servers(catalog.places, catalog.sets)
 
+    def _may_warm(self, group: str) -> bool:
+        """Tell whether this host sends to the cold servers of a group here.
+
+        One that has no fresh news of the servers may not: it may have been cut off,
+        and another host have taken over.
+        """
+        is_first = self._placement.get_host_beside(group) == self._host.name
+        return is_first and self._feeds.has_fresh_servers
+
     # What others are told.
 
     def _get_unready(self) -> str:
--- a/src/lavendergap/entry/grouprunner.py
+++ b/src/lavendergap/entry/grouprunner.py
@@ -84,6 +84,7 @@
         data_centre: str,
         kinds: KindLatencies,
         clock: AlarmClock,
+        may_warm: Callable[[], bool],
     ) -> None:
         self.group = group
         self.service = service
@@ -95,6 +96,7 @@
             random=random,
             data_centre=data_centre,
             kinds=kinds,
+            may_warm=may_warm,
         )
         self._settings = settings
         self._nursery = nursery
--- a/src/lavendergap/entry/hostfeeds.py
+++ b/src/lavendergap/entry/hostfeeds.py
@@ -89,6 +89,11 @@
         """
         return self._evacuations is None or self._evacuations.is_listed
 
+    @property
+    def has_fresh_servers(self) -> bool:
+        """Whether the servers were confirmed lately, by the store or a peer."""
+        return self._servers.is_listed and not self._servers.is_stale
+
     def get_unread(self) -> str:
         """Return what has not been read yet and a host cannot serve without, or ""."""
         if not self._servers.is_listed:
--- a/src/lavendergap/entry/owner.py
+++ b/src/lavendergap/entry/owner.py
@@ -2,6 +2,8 @@
 
 import itertools
 import logging
+from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import trio
@@ -25,7 +27,8 @@
 
     Runners are made when a group is first asked for, and go once the group has not
     been asked for during `idle_connection_ms`, so that a group that moved to another
-    host leaves no connections behind.
+    host leaves no connections behind. `may_warm` tells whether this host sends to the
+    cold servers of a group.
     """
 
     def __init__(
@@ -38,6 +41,7 @@
         make_client: MakeClient = make_backend_client,
         data_centre: str = "",
         quarantine: QuarantineKeeper | None = None,
+        may_warm: Callable[[str], bool] = lambda group: True,
     ) -> None:
         self._settings = settings
         self._nursery = nursery
@@ -46,6 +50,7 @@
         self._make_client = make_client
         self._data_centre = data_centre
         self._quarantine = quarantine
+        self._may_warm = may_warm
         self._kinds = KindLatencies()
         self._clock = AlarmClock()
         nursery.start_soon(self._clock.run)
@@ -99,6 +104,7 @@
             data_centre=self._data_centre,
             kinds=self._kinds,
             clock=self._clock,
+            may_warm=partial(self._may_warm, call.group),
         )
         self._runners[call.group] = runner
         return runner
--- a/src/lavendergap/state/hostfile.py
+++ b/src/lavendergap/state/hostfile.py
@@ -30,6 +30,8 @@
     extra_call_slack: float
     extra_call_window_s: float
     evacuate_ms: int | None = None
+    cold_rate_factor: float = 1.0
+    cold_rate_slack: float = 0.0
 
 
 class _HostFile(msgspec.Struct, forbid_unknown_fields=True):
@@ -60,6 +62,8 @@
 
     Nothing is sent to an evacuated data centre later than `evacuate` seconds after the
     store has acknowledged the evacuation; None where the platform has no evacuations.
+    In each second all hosts together may send a cold server `cold_rate_factor` times
+    the rate that its service tolerates, and `cold_rate_slack` requests more.
     """
 
     drain: float
@@ -68,6 +72,8 @@
     extra_call_slack: float
     extra_call_window: float
     evacuate: float | None = None
+    cold_rate_factor: float = 1.0
+    cold_rate_slack: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -139,6 +145,8 @@
             extra_call_share=bounds.extra_call_share,
             extra_call_slack=bounds.extra_call_slack,
             extra_call_window=bounds.extra_call_window_s,
+            cold_rate_factor=bounds.cold_rate_factor,
+            cold_rate_slack=bounds.cold_rate_slack,
             evacuate=None if bounds.evacuate_ms is None else bounds.evacuate_ms / 1_000,
         ),
         regions=read.regions,
--- a/src/lavendergap/state/registry.py
+++ b/src/lavendergap/state/registry.py
@@ -14,7 +14,8 @@
 
     A server may start again under the id that it had. `started_at_ms` is then another
     one, in Unix milliseconds by the server's own clock: it tells incarnations apart,
-    and not which of them came first. It is 0 where servers do not tell it.
+    and not which of them came first. It is 0 where servers do not tell it. A server
+    that `is_cold` is slow and bears few requests; it may turn cold at any time.
     """
 
     server_id: str
@@ -24,6 +25,7 @@
     slots: int
     is_draining: bool
     started_at_ms: int = 0
+    is_cold: bool = False
 
     def __post_init__(self) -> None:
         """Raise ValueError for an id that cannot stand in a header.
--- a/src/lavendergap/state/routes.py
+++ b/src/lavendergap/state/routes.py
@@ -70,10 +70,12 @@
     """All routes at one version of the operators' document.
 
     `connections` holds, by group, how many connections one of its servers accepts
-    from all callers together.
+    from all callers together, and `cold_rates` how many requests a second one of them
+    tolerates while it is cold. A group that is not in it has no bound.
     """
 
     version: int
     routes: tuple[Route, ...]
     connections: dict[str, int] = field(default_factory=dict)
+    cold_rates: dict[str, float] = field(default_factory=dict)
     limits: RequestLimits = field(default_factory=RequestLimits)
--- a/src/lavendergap/state/settings.py
+++ b/src/lavendergap/state/settings.py
@@ -36,6 +36,8 @@
 
     `incarnation` tells a start of the server from others under the same name. What is
     known of one says nothing of the next. It is 0 where starts are not told apart.
+    While the server is cold it gets at most `cold_limit` requests a second of the host
+    that warms it up, and none of the others; None where there is no bound.
     """
 
     name: str
@@ -44,6 +46,7 @@
     slots: int
     connections: int
     incarnation: int = 0
+    cold_limit: int | None = None
 
     def is_same_process(self, other: "Server") -> bool:
         """Tell whether both are one process, as far as names and addresses tell."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -58,6 +58,16 @@
         assert isinstance(route.target, OneOf)
         assert [each.weight for each in route.target.groups] == [3, 1]
 
+    def test_a_cold_server_s_rate_is_unbounded_where_none_is_named(self):
+        services = [
+            {"name": "s1", "warmup_s": 3.0, "warmup_per_s": 10.0},
+            {"name": "s2", "warmup_s": 3.0, "warmup_per_s": 0.0},
+            {"name": "s3"},
+        ]
+        body = {"version": 7, "routes": [], "services": services}
+        routes = manifest.read_routes(json.dumps(body).encode())
+        assert routes.cold_rates == {"s1": 10.0}
+
     def test_whatever_is_not_idempotent_runs_at_most_once(self):
         assert not read(service="s1", type="non_idempotent").routes[0].idempotent
         assert not read(service="s1", type="something new").routes[0].idempotent
@@ -95,8 +105,22 @@
         }
         server = entries.read_server("i-1", json.dumps(entry).encode())
         assert server.is_draining
+        assert not server.is_cold
         assert (server.server_id, server.data_centre) == ("i-1", "ptl-a")
 
+    def test_a_server_that_is_cold(self):
+        entry = {
+            "service": "s",
+            "address": "10.0.0.1:80",
+            "zone": "ptl-a",
+            "version": "v1",
+            "slots": 2,
+            "state": "ready",
+            "warmup_left_ms": 1.5,
+            "seq_no": 4,
+        }
+        assert entries.read_server("i-1", json.dumps(entry).encode()).is_cold
+
 
 class TestHeaders:
     def test_names_are_in_lower_case_as_they_are_compared(self):
--- a/tests/test_hostfile.py
+++ b/tests/test_hostfile.py
@@ -45,6 +45,15 @@
         bounds = parse().bounds
         assert (bounds.drain, bounds.stop_within) == (3.0, 6.0)
 
+    def test_what_a_platform_without_evacuations_leaves_out(self):
+        bounds = parse().bounds
+        assert bounds.evacuate is None
+        assert (bounds.cold_rate_factor, bounds.cold_rate_slack) == (1.0, 0.0)
+        named = {"evacuate_ms": 5000, "cold_rate_factor": 1.5, "cold_rate_slack": 5}
+        bounds = parse(bounds=BOUNDS | named).bounds
+        assert bounds.evacuate == 5.0
+        assert (bounds.cold_rate_factor, bounds.cold_rate_slack) == (1.5, 5.0)
+
     def test_a_host_s_strength_is_its_share_of_a_fast_processor(self):
         assert parse(cpu_share=0.7, cpu_speed=3).cores == pytest.approx(2.1)
         assert parse().cores == DEFAULT_CORES
