Name announcements, relays and the member table by the field's terms

Modules spoke of hosts that tell, hear and believe: `Tellers`, `telling`, `Hearer`, `Beliefs`, `told_by`.

--- a/src/lavendergap/coordination/hedging.py
+++ b/src/lavendergap/coordination/hedging.py
@@ -26,8 +26,7 @@
 STRAGGLER_RATIO = 2.0
 # Before this share of the time to its goal has passed, a call with one is not hedged:
 # most of those that are merely slow answer by themselves by then, and from then on a
-# second call has twice the time that it needs. Without it 1,516 of 18,512 calls were
-# hedged on a calm day, 1,386 of them to another data centre.
+# second call has twice the time that it needs.
 HEDGE_GOAL_SHARE = 0.35
 # By this share of it a call is hedged, if that is ever to help: a second call has as
 # long as the first has had. With a sixth of the servers slow and hosts busy, the
--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -22,8 +22,8 @@
 )
 from ..state.member import DocumentsDigest, Member, MemberState
 from ..state.settings import Address, Control
-from .belief import Beliefs
 from .dissemination import estimate_bytes
+from .membertable import MemberTable
 from .probing import Probe, Probes
 
 N_INDIRECT = 3
@@ -78,8 +78,8 @@
         self._random = random
         self._interval = control.probe_interval_ms / 1000
         self._suspect = control.suspect_ms / 1000
-        self._beliefs = Beliefs(own=own, suspect_s=self._suspect)
-        self._roster = self._beliefs.roster
+        self._table = MemberTable(own=own, suspect_s=self._suspect)
+        self._roster = self._table.roster
         self._probes = Probes(
             interval_s=self._interval, timeout_s=control.probe_timeout_ms / 1000
         )
@@ -99,17 +99,17 @@
     @property
     def own(self) -> Member:
         """This process's own record."""
-        return self._beliefs.own
+        return self._table.own
 
     @property
     def superseded(self) -> bool:
         """Whether another process took this one's name; then it says no more."""
-        return self._beliefs.superseded
+        return self._table.superseded
 
     @property
     def changes(self) -> int:
         """How often what is believed of a member has changed."""
-        return self._beliefs.n_changes
+        return self._table.n_changes
 
     def live(self) -> frozenset[str]:
         """Return the names of the hosts to which new work may go, this one included.
@@ -132,18 +132,18 @@
 
     def get(self, name: str) -> Member | None:
         """Return what is known of a member, also of a dead one, or None."""
-        return self._beliefs.get(name)
+        return self._table.get(name)
 
     def take_events(self) -> list[Event]:
         """Return what happened since the last call, the oldest first."""
-        return self._beliefs.take_events()
+        return self._table.take_events()
 
     def next_wake(self) -> float:
         """Return the time by which `advance` is to be called."""
         times = [self._probe_at, self._retry_at, self._sync_at]
         if self._spread_at is not None:
             times.append(self._spread_at)
-        times += [self._probes.next_due(), self._beliefs.next_due()]
+        times += [self._probes.next_due(), self._table.next_due()]
         return min(times)
 
     # What the rest of the process does.
@@ -165,7 +165,7 @@
         """Take the timing of new settings; what is under way keeps its own."""
         self._interval = control.probe_interval_ms / 1000
         self._suspect = control.suspect_ms / 1000
-        self._beliefs.suspect_s = self._suspect
+        self._table.suspect_s = self._suspect
         self._probes.replace_timing(
             interval_s=self._interval, timeout_s=control.probe_timeout_ms / 1000
         )
@@ -175,17 +175,17 @@
     ) -> list[Send]:
         """Tell a few members at once which documents this host holds now."""
         self.documents = documents
-        self._beliefs.own = replace(self.own, settings_version=settings_version)
+        self._table.own = replace(self.own, settings_version=settings_version)
         return self._spread(now)
 
     def leave(self, *, now: float) -> list[Send]:
         """Tell that this host takes no new work; go on answering probes."""
-        self._beliefs.declare(MemberState.LEAVING, told_by=self.own.name)
+        self._table.declare(MemberState.LEAVING, reported_by=self.own.name)
         return self._spread(now)
 
     def depart(self, *, now: float) -> list[Send]:
         """Tell that this process ends now, so that nobody needs to detect it."""
-        self._beliefs.declare(MemberState.DEAD, told_by=self.own.name)
+        self._table.declare(MemberState.DEAD, reported_by=self.own.name)
         return self._spread(now)
 
     def receive(self, message: Message, *, sender: Address, now: float) -> list[Send]:
@@ -196,7 +196,7 @@
         source = message.source
         known = self._roster.get(source.name)
         if source.name == self.own.name:
-            self._beliefs.hear_of_self(source, told_by=source.name)
+            self._table.merge_own(source, reported_by=source.name)
             return []
         if known is not None and source.incarnation < known.incarnation:
             # The process was replaced: what it says is out of date, and it is told
@@ -204,7 +204,7 @@
             self.n_old_incarnations += 1
             return [self._tell(sender, known)]
         self._wake_up(message)
-        self._beliefs.hear(source, told_by=source.name, now=now)
+        self._table.merge(source, reported_by=source.name, now=now)
         sends = self._handle(message, sender, now)
         self._follow_news(now)
         return sends
@@ -215,7 +215,7 @@
             return []
         self._note_time(now)
         sends = self._check_probes(now)
-        self._beliefs.confirm_suspicions(now=now)
+        self._table.confirm_suspicions(now=now)
         self._join_alone(now)
         if now >= self._probe_at:
             self._probe_at = now + self._interval
@@ -234,44 +234,44 @@
     def _handle(self, message: Message, sender: Address, now: float) -> list[Send]:
         match message:
             case Ping():
-                self._hear_news(message, now)
+                self._merge_news(message, now)
                 return [self._answer(message, sender), *self._call_back(sender, now)]
             case Ack():
-                self._hear_news(message, now)
+                self._merge_news(message, now)
                 sends = self._accept(message, now)
                 return [*sends, *self._correct(message.source, sender)]
             case Gossip():
                 order = self.own.order
-                self._hear_news(message, now)
+                self._merge_news(message, now)
                 refuted = [] if self.own.order == order else [self._tell(sender)]
                 return [*refuted, *self._correct(message.source, sender)]
             case ProbeRequest():
                 return self._relay(message, sender, now)
-            case Summary() if self._beliefs.is_deaf and message.is_answer:
+            case Summary() if self._table.is_deaf and message.is_answer:
                 return []
             case Summary():
                 return self._compare(message, sender, now)
             case Table(source=source, members=members):
-                self._beliefs.hear_table(members, told_by=source.name, now=now)
+                self._table.merge_table(members, reported_by=source.name, now=now)
                 return []
 
-    def _hear_news(self, message: Ping | Ack | Gossip, now: float) -> None:
+    def _merge_news(self, message: Ping | Ack | Gossip, now: float) -> None:
         source = message.source
-        self._beliefs.hear_all(message.updates, told_by=source.name, now=now)
+        self._table.merge_all(message.updates, reported_by=source.name, now=now)
         if message.documents.fingerprint != self.documents.fingerprint:
-            self._beliefs.hear_documents(source, message.documents)
+            self._table.note_documents(source, message.documents)
 
     def _follow_news(self, now: float) -> None:
         """Give newcomers their turn and plan to pass on what is new."""
-        for name in self._beliefs.newcomers:
+        for name in self._table.newcomers:
             self._probes.add_turn(name, self._random)
-        self._beliefs.newcomers.clear()
-        if self._beliefs.has_refuted:
+        self._table.newcomers.clear()
+        if self._table.has_refuted:
             self._spread_at = now
-        elif self._beliefs.has_fresh_news:
+        elif self._table.has_fresh_news:
             self._plan_spread(now)
-        self._beliefs.has_refuted = False
-        self._beliefs.has_fresh_news = False
+        self._table.has_refuted = False
+        self._table.has_fresh_news = False
 
     # Time.
 
@@ -287,15 +287,15 @@
             self._probe_at = now
             self._retry_at = now
             self._sync_at = now + self._interval * _SYNC_SOON
-        self._beliefs.may_restamp = now - self._started_at < JOIN_S
+        self._table.may_restamp = now - self._started_at < JOIN_S
         gap = now - self._last_seen
         self._last_seen = now
         if gap <= 2 * self._interval:
             return
         self._probes.clear()
-        self._beliefs.restart_suspicions(now=now)
+        self._table.restart_suspicions(now=now)
         if gap > self._suspect:
-            self._beliefs.doubt_all()
+            self._table.doubt_all()
             self._n_syncs_in_a_row = 0
             self._probe_at = now
             self._retry_at = now
@@ -309,14 +309,14 @@
         gives datagrams in their order, so all of these come before that answer.
         """
         if isinstance(message, Ack) and message.sequence in self._probes:
-            self._beliefs.is_deaf = False
+            self._table.is_deaf = False
 
     def _call_back(self, sender: Address, now: float) -> list[Send]:
         """After a pause, ping whoever pings us, to hear something fresh.
 
         All whom this host knew may have been replaced while it slept.
         """
-        if not self._beliefs.is_deaf or self._probes.is_trying(sender):
+        if not self._table.is_deaf or self._probes.is_trying(sender):
             return []
         return [self._ping("", sender, now)]
 
@@ -359,7 +359,7 @@
     def _check_probes(self, now: float) -> list[Send]:
         sends: list[Send] = []
         for probe in self._probes.take_failed(now):
-            suspect = self._beliefs.suspect(probe.name, probe.incarnation, now=now)
+            suspect = self._table.suspect(probe.name, probe.incarnation, now=now)
             if suspect is not None:
                 # Told first, so that its refutation overtakes the suspicion.
                 sends.append(self._tell(suspect.peers, suspect))
@@ -407,20 +407,20 @@
             return [Send(to=relay.requester, message=passed_on)]
         subject = ack.subject or ack.source
         if ack.subject is not None:
-            self._beliefs.hear(ack.subject, told_by=ack.source.name, now=now)
+            self._table.merge(ack.subject, reported_by=ack.source.name, now=now)
         probe = self._probes.finish(ack.sequence, subject.name)
         if probe is None:
             return []
         if probe.name == "":
             return [] if self.joined else self._sync(now)
-        self._beliefs.withdraw(subject.name)
+        self._table.withdraw(subject.name)
         return []
 
     # Telling.
 
     def _take_news(self, receiver: str) -> tuple[Member, ...]:
-        first = self._beliefs.get_accusation(receiver)
-        return self._beliefs.news.take(len(self.live()), first)
+        first = self._table.get_accusation(receiver)
+        return self._table.news.take(len(self.live()), first)
 
     def _tell(self, to: Address, *members: Member) -> Send:
         gossip = Gossip(source=self.own, documents=self.documents, updates=members)
@@ -428,7 +428,7 @@
 
     def _correct(self, source: Member, sender: Address) -> list[Send]:
         """Tell a member that is held dead or suspect so, for it to refute."""
-        known = self._beliefs.get_accusation(source.name)
+        known = self._table.get_accusation(source.name)
         if known is None:
             return []
         return [self._tell(sender, known)]
@@ -521,7 +521,7 @@
         if not truncated:
             self.joined = True
             if not differing:
-                self._beliefs.bury_unconfirmed(now=now)
+                self._table.bury_unconfirmed(now=now)
         self._n_syncs_in_a_row += 1
         if not differing:
             self._n_syncs_in_a_row = 0
--- a/src/lavendergap/coordination/belief.py
+++ b/src/lavendergap/coordination/membertable.py
@@ -1,9 +1,9 @@
-"""What a host believes of itself and of others, and what it passes on."""
+"""The table of members with suspicions and refutations, and what is gossiped on."""
 
 from collections.abc import Iterable
 from dataclasses import replace
 
-from ..state.gossip import DocumentsHeard, Event, MemberChanged
+from ..state.gossip import DocumentsAdvertised, Event, MemberChanged
 from ..state.member import DocumentsDigest, Member, MemberState
 from .dissemination import Dissemination
 from .roster import Roster
@@ -14,11 +14,11 @@
 _ACCUSED = (MemberState.SUSPECT, MemberState.DEAD)
 
 
-class Beliefs:
+class MemberTable:
     """The member table with suspicions, refutations and news.
 
     `is_deaf` is set after a pause: hearsay is then not taken in. `may_restamp` is
-    set while the process is young; see `_hear_of_successor`.
+    set while the process is young; see `_note_successor`.
     """
 
     def __init__(self, *, own: Member, suspect_s: float) -> None:
@@ -50,49 +50,51 @@
         """Return when the next suspicion is confirmed, infinity without one."""
         return min(self._suspicions.values(), default=float("inf"))
 
-    def declare(self, state: MemberState, *, told_by: str) -> None:
+    def declare(self, state: MemberState, *, reported_by: str) -> None:
         """Say something new of this process itself, above all that was said."""
         previous = self.own
         self.own = replace(previous, state=state, refutations=previous.refutations + 1)
         self.news.add(self.own)
-        self._note_change(self.own, previous, told_by)
+        self._note_change(self.own, previous, reported_by)
 
-    def hear_all(self, members: Iterable[Member], *, told_by: str, now: float) -> None:
+    def merge_all(
+        self, members: Iterable[Member], *, reported_by: str, now: float
+    ) -> None:
         """Take in records that another host passes on."""
         for member in members:
-            self.hear(member, told_by=told_by, now=now)
+            self.merge(member, reported_by=reported_by, now=now)
 
-    def hear_table(
-        self, members: Iterable[Member], *, told_by: str, now: float
+    def merge_table(
+        self, members: Iterable[Member], *, reported_by: str, now: float
     ) -> None:
         """Take in a part of another host's table.
 
         Its dead are doubted here, not buried. After a cut between regions each
         side's table holds the whole other side dead; believed at once it would
         take the work away from half of the fleet until each had refuted. And the
-        dead that were never heard of here stay unknown, or tombstones would go
+        dead that were never known here stay unknown, or tombstones would go
         from host to host and never be forgotten.
         """
         for member in members:
             known = self.roster.get(member.name)
             if known is None and member.state is not MemberState.DEAD:
-                self._meet(member, told_by=told_by, now=now)
+                self._meet(member, reported_by=reported_by, now=now)
             elif member.state is not MemberState.DEAD or member.name == self.own.name:
-                self.hear(member, told_by=told_by, now=now)
+                self.merge(member, reported_by=reported_by, now=now)
             elif known is not None and member.order > known.order:
-                self._doubt(member, known, told_by=told_by, now=now)
+                self._doubt(member, known, reported_by=reported_by, now=now)
 
-    def hear(self, member: Member, *, told_by: str, now: float) -> None:
+    def merge(self, member: Member, *, reported_by: str, now: float) -> None:
         """Take a record in if it is newer than what is known of its member."""
         if member.name == self.own.name:
-            self.hear_of_self(member, told_by=told_by)
+            self.merge_own(member, reported_by=reported_by)
             return
         if self.is_deaf:
             return
         previous = self.roster.get(member.name)
         if not self.roster.merge(member, now=now):
             return
-        self._note_change(member, previous, told_by)
+        self._note_change(member, previous, reported_by)
         self.news.add(member)
         self.has_fresh_news = True
         self._suspicions.pop(member.name, None)
@@ -101,41 +103,41 @@
         if previous is None and member.state is not MemberState.DEAD:
             self.newcomers.append(member.name)
 
-    def hear_of_self(self, member: Member, *, told_by: str) -> None:
+    def merge_own(self, member: Member, *, reported_by: str) -> None:
         """Refute what is falsely said of this process, or learn of a successor.
 
         A process that was paused or cut off finds itself suspect or dead. Only a
         record with a higher order undoes that, and only this process makes one.
         """
         if member.incarnation > self.own.incarnation:
-            self._hear_of_successor(member)
+            self._note_successor(member)
         elif member.incarnation == self.own.incarnation:
             is_false = member.state in _ACCUSED
             if is_false and member.order > self.own.order:
                 refutations = max(member.refutations, self.own.refutations)
                 self.own = replace(self.own, refutations=refutations)
-                self.declare(self.own.state, told_by=told_by)
+                self.declare(self.own.state, reported_by=reported_by)
                 self.has_refuted = True
 
-    def hear_documents(self, source: Member, documents: DocumentsDigest) -> None:
+    def note_documents(self, source: Member, documents: DocumentsDigest) -> None:
         """Note that a member holds documents other than ours."""
         if len(self._events) < MAX_EVENTS:
-            heard = DocumentsHeard(member=source, documents=documents)
-            self._events.append(heard)
+            advertised = DocumentsAdvertised(member=source, documents=documents)
+            self._events.append(advertised)
 
     def suspect(self, name: str, incarnation: int, *, now: float) -> Member | None:
-        """Doubt a member that did not answer; return the suspicion if it is told."""
+        """Doubt a member that did not answer; return what is to be gossiped."""
         member = self.roster.get(name)
         if member is None or member.incarnation != incarnation:
             return None
         match member.state:
             case MemberState.LIVE if not self.roster.is_stale(name):
                 suspect = replace(member, state=MemberState.SUSPECT)
-                self.hear(suspect, told_by=self.own.name, now=now)
+                self.merge(suspect, reported_by=self.own.name, now=now)
                 return suspect
             case MemberState.LIVE | MemberState.LEAVING:
-                # Kept to ourselves. Of a member that was not heard of since a
-                # pause, a suspicion told to all might bring back one long dead; of
+                # Kept to ourselves. Of a member without news since a pause, a
+                # suspicion gossiped to all might bring back one long dead; of
                 # one that leaves, it would hide that, and it would be given work
                 # again until it refutes.
                 self._suspicions.setdefault(name, now + self.suspect_s)
@@ -148,14 +150,14 @@
             self._suspicions.pop(name, None)
 
     def confirm_suspicions(self, *, now: float) -> None:
-        """Bury those that nothing was heard of while they were suspected."""
+        """Declare those dead that did not refute their suspicion in time."""
         due = [name for name, at in self._suspicions.items() if now >= at]
         for name in due:
             del self._suspicions[name]
             member = self.roster.get(name)
             if member is not None and member.state is not MemberState.DEAD:
                 dead = replace(member, state=MemberState.DEAD)
-                self.hear(dead, told_by=self.own.name, now=now)
+                self.merge(dead, reported_by=self.own.name, now=now)
 
     def restart_suspicions(self, *, now: float) -> None:
         """Give all suspects their whole time again: we slept while they answered."""
@@ -186,30 +188,32 @@
         is_accused = known is not None and known.state in _ACCUSED
         return known if is_accused else None
 
-    def _meet(self, member: Member, *, told_by: str, now: float) -> None:
-        """Take in from a table a member that was not known, and tell nobody.
+    def _meet(self, member: Member, *, reported_by: str, now: float) -> None:
+        """Take in from a table a member that was not known, without gossiping it on.
 
         The others know it by its own word. A newcomer that passed on the whole
         table that it had just been given would bury fresh news under it: in a
         fleet of 200 a host that joined was unknown to some for half a minute.
         """
         is_told = self.has_fresh_news
-        self.hear(member, told_by=told_by, now=now)
+        self.merge(member, reported_by=reported_by, now=now)
         if member.name != self.own.name:
             self.news.drop(member.name)
             self.has_fresh_news = is_told
 
-    def _doubt(self, dead: Member, known: Member, *, told_by: str, now: float) -> None:
+    def _doubt(
+        self, dead: Member, known: Member, *, reported_by: str, now: float
+    ) -> None:
         match known.state:
             case MemberState.LEAVING if dead.incarnation == known.incarnation:
                 self._suspicions.setdefault(known.name, now + self.suspect_s)
             case MemberState.DEAD:
-                self.hear(dead, told_by=told_by, now=now)
+                self.merge(dead, reported_by=reported_by, now=now)
             case _:
                 suspect = replace(dead, state=MemberState.SUSPECT)
-                self.hear(suspect, told_by=told_by, now=now)
+                self.merge(suspect, reported_by=reported_by, now=now)
 
-    def _hear_of_successor(self, member: Member) -> None:
+    def _note_successor(self, member: Member) -> None:
         """Tell a clock that was set back from a process that took our place.
 
         After a restart with a clock set back, the old process looks newer than
@@ -224,9 +228,11 @@
         self.news.add(self.own)
 
     def _note_change(
-        self, member: Member, previous: Member | None, told_by: str
+        self, member: Member, previous: Member | None, reported_by: str
     ) -> None:
         self.n_changes += 1
         if len(self._events) < MAX_EVENTS:
-            event = MemberChanged(member=member, previous=previous, told_by=told_by)
+            event = MemberChanged(
+                member=member, previous=previous, reported_by=reported_by
+            )
             self._events.append(event)
--- a/src/lavendergap/coordination/placement.py
+++ b/src/lavendergap/coordination/placement.py
@@ -31,8 +31,7 @@
 of them took a weak host 10 ms, a quarter of the time of a quick query, and each sent a
 list of records back. With buckets there are 8. Where servers stand in pairs of six data
 centres a bucket has three shards, and a slow or lost owner costs a query less than it
-may miss; with parts of 18 of 87 shards, one such owner made it late or failed (0.643 of
-worth to 0.607, one play each of a day with many faults, 195 hosts).
+may miss; with parts of 18 of 87 shards, one such owner makes it late or failed.
 """
 
 
--- a/src/lavendergap/coordination/registration.py
+++ b/src/lavendergap/coordination/registration.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from .ranking import rank_hosts
-from .telling import list_neighbours
+from .relaying import list_neighbours
 
 REGISTERED_A_PLACE = 3
 """How many hosts of each data centre are to be found in the store.
--- a/src/lavendergap/coordination/telling.py
+++ b/src/lavendergap/coordination/relaying.py
@@ -1,4 +1,4 @@
-"""Who hears news of the store from whom: one host of a data centre tells the others."""
+"""Who gets announcements of the store's changes: all hosts, through relays afar."""
 
 import zlib
 from collections.abc import Collection, Iterable, Mapping
@@ -9,13 +9,12 @@
 from .watchers import WATCH_KEY
 
 RELAY_FROM = 5
-"""How many hosts of another data centre are told through one of them.
+"""With so many hosts or more, another data centre is reached through one of them.
 
-Told one by one, 77 hosts in four data centres have 58 copies of each message cross
-between these, which is paid for, and the teller's own link carries 76; at 550 hosts in
-ten the word that nothing has changed alone is 44 KB a second. Through relays 3 and 9
-copies cross. With fewer hosts there is little to save, and a relay that is frozen keeps
-its neighbours waiting until they ask the store themselves, some 2 s.
+Sent to each host, 58 of 77 copies of a message cross between four data centres, and at
+550 hosts the announcement that nothing has changed takes 44 KB a second of the sender's
+link. A relay that is frozen keeps its neighbours waiting until they ask the store, some
+2 s, which is not worth it for a few hosts.
 """
 
 MAX_CROSSING_BYTES = 4_096
@@ -28,22 +27,17 @@
 MAX_RELAYED_BYTES = 16_384
 """As compressed; longer news cross without what changed, and relays read the store.
 
-Such a document is about 10 KB then and crosses once for each data centre, where all of
-its hosts would read it from the store: 195 calls for each change of the routes, against
-five copies.
+An operator's document of some hundred routes is about 10 KB then, and would else be
+read from the store by each host.
 """
 
 MAX_NEAR_BYTES = 131_072
-"""No news are longer. Within a data centre only the sender's link is used.
-
-To 33 neighbours that takes a link of 35 Mbit/s one second, of the six or so within
-which a change has to be in force.
-"""
+"""No news are longer, to bound what a relay sends to its neighbours."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Hearer:
-    """A host to tell; `passes_on` has it tell all others of its data centre."""
+class Receiver:
+    """A host to send to; with `passes_on` it relays to its whole data centre."""
 
     host: str
     passes_on: bool
@@ -74,40 +68,40 @@
     return sum(len(change.body or b"") for change in changes)
 
 
-def choose_hearers(
+def choose_receivers(
     own: str, places: Mapping[str, str], *, is_relayed: bool = False
-) -> tuple[Hearer, ...]:
-    """Return whom the host `own` tells directly; `places` holds all live hosts.
+) -> tuple[Receiver, ...]:
+    """Return to whom `own` sends directly; `places` holds all live hosts.
 
-    Tellers differ in whom they choose, so that two of them seldom rely on one relay.
-    With `is_relayed` all other data centres are told through a relay, as long news
-    are. A relay that is frozen then costs its neighbours a call: the next word, that
-    nothing has changed since, tells them that they lack something.
+    Senders differ in the relays that they choose, so that two seldom rely on one. With
+    `is_relayed` all other data centres are reached through a relay, as for long news.
+    A relay that is frozen then costs its neighbours a call: the next announcement shows
+    them that they lack something.
 
     >>> places = {"a-1": "a", "a-2": "a", "b-1": "b"}
-    >>> [hearer.host for hearer in choose_hearers("a-1", places)]
+    >>> [receiver.host for receiver in choose_receivers("a-1", places)]
     ['a-2', 'b-1']
     """
     by_place: dict[str, list[str]] = {}
     for host, place in places.items():
         if host != own:
             by_place.setdefault(place, []).append(host)
-    hearers: list[Hearer] = []
+    receivers: list[Receiver] = []
     for place, hosts in sorted(by_place.items()):
         is_near = place == places.get(own)
         if is_near or (len(hosts) < RELAY_FROM and not is_relayed):
-            hearers += [
-                Hearer(host=host, passes_on=False, is_near=is_near)
+            receivers += [
+                Receiver(host=host, passes_on=False, is_near=is_near)
                 for host in sorted(hosts)
             ]
         else:
             relay = rank_hosts(own, hosts)[0]
-            hearers.append(Hearer(host=relay, passes_on=True, is_near=False))
-    return tuple(hearers)
+            receivers.append(Receiver(host=relay, passes_on=True, is_near=False))
+    return tuple(receivers)
 
 
 def list_neighbours(own: str, places: Mapping[str, str]) -> tuple[str, ...]:
-    """Return the other hosts of `own`'s data centre, whom a relay tells."""
+    """Return the other hosts of `own`'s data centre, to whom a relay sends."""
     place = places.get(own)
     return tuple(sorted(h for h, p in places.items() if p == place and h != own))
 
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -36,8 +36,7 @@
 LATENCY_GAIN = 0.125
 # What was known this many seconds ago weighs as much as a new answer. A group of many
 # gets a call a second: at an eighth for each answer it took eight calls to turn from a
-# server that is slow, and 16 in 100 of its calls were late meanwhile; with this, 1 in
-# 100 (simulated in tests/test_slow_servers.py, which holds the figures).
+# server that is slow.
 GAIN_HALF_LIFE = 0.5
 # Beyond so many half-lives it is worth nothing. However faint, it would else decide
 # between idle replicas for ever, and one that was slow once would never be tried.
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -20,7 +20,7 @@
 from ..logs import LineHandler, flush_logs, log_decision
 from ..protocol.answers import Refusal, SearchResult
 from ..protocol.messages import Frame, Hello
-from ..state.gossip import DocumentsHeard, Event, MemberChanged
+from ..state.gossip import DocumentsAdvertised, Event, MemberChanged
 from ..state.member import Member
 from ..state.settings import Host, Settings
 from ..state.snapshot import Published
@@ -161,9 +161,9 @@
                     }
                 )
                 self._keeper.note_members()
-            case DocumentsHeard(member=member, documents=digest):
+            case DocumentsAdvertised(member=member, documents=digest):
                 comparison = self._documents.compare(digest)
-                self._keeper.hear(member.name, comparison.wanted)
+                self._keeper.note_advertised(member.name, comparison.wanted)
 
     def _build(self, nursery: trio.Nursery) -> None:
         hello = Hello(
@@ -298,9 +298,9 @@
         for published in self._keeper.get_published(settings):
             self._use_index(published)
         self._membership.join(host.peers for host in settings.hosts)
-        self._tell_peers()
+        self._announce()
 
-    def _tell_peers(self) -> None:
+    def _announce(self) -> None:
         sends = self._membership.announce(
             documents=self._documents.digest(),
             settings_version=self._settings.version,
@@ -314,7 +314,7 @@
             self._pinnings[published.service] = Pinning(published=published)
         else:
             pinning.replace(published, now=trio.current_time())
-        self._tell_peers()
+        self._announce()
 
     # What others are told.
 
--- a/src/lavendergap/entry/documents.py
+++ b/src/lavendergap/entry/documents.py
@@ -13,6 +13,7 @@
 import trio
 
 from .. import metrics
+from ..coordination.advertisers import Advertisers
 from ..coordination.documents import (
     Accepted,
     Documents,
@@ -21,7 +22,6 @@
     IgnoredReason,
     Source,
 )
-from ..coordination.tellers import Tellers
 from ..errors import ObjectError, SettingsError
 from ..logs import log_decision
 from ..protocol.messages import Document, Fetch
@@ -100,7 +100,7 @@
         self._random = random
         self._use_settings = use_settings
         self._use_index = use_index
-        self._tellers = Tellers()
+        self._advertisers = Advertisers()
         self._fetching: set[str] = set()
         self._spoilt: dict[str, Spoilt] = {}
         self._has_answer = False
@@ -190,12 +190,12 @@
 
     # From peers.
 
-    def hear(self, host: str, wanted: tuple[FetchDocument, ...]) -> None:
+    def note_advertised(self, host: str, wanted: tuple[FetchDocument, ...]) -> None:
         """Fetch from a peer what it has newer than ours."""
         for want in wanted:
             if not self._concerns_us(want.name) or self._is_spoilt(want):
                 continue
-            self._tellers.hear(host, want)
+            self._advertisers.note(host, want)
             if want.name not in self._fetching:
                 self._fetching.add(want.name)
                 self._nursery.start_soon(self._fetch, want.name)
@@ -218,7 +218,7 @@
         that went silent would hold the newest version up for seconds.
         """
         try:
-            while want := self._tellers.take(name, self._get_newest_seen(name)):
+            while want := self._advertisers.take(name, self._get_newest_seen(name)):
                 document = await self._ask(want.host, name, want.at_least)
                 if document is not None:
                     await self._take_from_peer(document)
@@ -247,7 +247,7 @@
             _decode(name, document.body, version)
         except ObjectError as error:
             self._spoil(name, version, Source.PEER, error.problem)
-            self._tellers.forget(name)
+            self._advertisers.forget(name)
             # Perhaps the form of a newer release; the platform has the text.
             await trio.sleep(self._random.uniform(0.0, MAX_RETRY_DELAY))
             await self._reader.read_all()
--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -6,9 +6,9 @@
 import trio
 
 from ..coordination.membership import Membership
-from ..coordination.telling import (
+from ..coordination.relaying import (
     are_long,
-    choose_hearers,
+    choose_receivers,
     leads_place,
     list_neighbours,
     may_cross,
@@ -71,10 +71,10 @@
             return False
         return leads_place(self._own_name, self._membership.places())
 
-    def tell(self, news: FeedNews) -> None:
-        """Send news to all live hosts; who is missed hears the next, or asks.
+    def announce(self, news: FeedNews) -> None:
+        """Send news to all live hosts; who is missed gets the next, or asks.
 
-        A host that has just started tells its own data centre, if it leads it.
+        A host that has just started sends to its own data centre, if it leads it.
         """
         if not self.is_settled():
             if self.leads_place():
@@ -82,20 +82,20 @@
             return
         near = _shorten(news, is_whole=may_stay(news.changes))
         far = _shorten(news, is_whole=may_cross(news.changes))
-        for hearer in choose_hearers(
+        for receiver in choose_receivers(
             self._own_name,
             self._membership.places(),
             is_relayed=are_long(news.changes),
         ):
-            told = near if hearer.is_near else far
-            self._send(hearer.host, replace(told, passes_on=hearer.passes_on))
+            message = near if receiver.is_near else far
+            self._send(receiver.host, replace(message, passes_on=receiver.passes_on))
 
     def pass_on(self, news: FeedNews) -> None:
-        """Tell the other hosts of this data centre what this one was told for them."""
-        told = _shorten(news, is_whole=may_stay(news.changes))
-        told = replace(told, passes_on=False)
+        """Relay news to the other hosts of this data centre."""
+        message = _shorten(news, is_whole=may_stay(news.changes))
+        message = replace(message, passes_on=False)
         for host in list_neighbours(self._own_name, self._membership.places()):
-            self._send(host, told)
+            self._send(host, message)
 
     def is_near(self, host: str) -> bool:
         """Tell whether `host` is in the data centre of this one."""
@@ -103,32 +103,32 @@
         own = self._membership.own
         return member is not None and member.data_centre == own.data_centre
 
-    def tell_strike(self, strike: Strike) -> None:
+    def announce_strike(self, strike: Strike) -> None:
         """Tell all live hosts of a strike, ahead of the store."""
         places = self._membership.places()
-        for hearer in choose_hearers(self._own_name, places):
-            struck = Struck(strike=strike, passes_on=hearer.passes_on)
-            self._send(hearer.host, struck)
+        for receiver in choose_receivers(self._own_name, places):
+            struck = Struck(strike=strike, passes_on=receiver.passes_on)
+            self._send(receiver.host, struck)
 
     def pass_on_strike(self, strike: Strike) -> None:
         """Tell the other hosts of this data centre of another host's strike."""
         for host in list_neighbours(self._own_name, self._membership.places()):
             self._send(host, Struck(strike=strike, passes_on=False))
 
-    def _send(self, host: str, told: FeedNews | Struck) -> None:
+    def _send(self, host: str, message: FeedNews | Struck) -> None:
         channel = self._dialer.get_open(host)
         if channel is not None:
-            channel.send(Frame(id=0, message=told))
+            channel.send(Frame(id=0, message=message))
         else:
-            self._nursery.start_soon(self._dial_and_tell, host, told)
+            self._nursery.start_soon(self._dial_and_send, host, message)
 
-    async def _dial_and_tell(self, host: str, told: FeedNews | Struck) -> None:
+    async def _dial_and_send(self, host: str, message: FeedNews | Struck) -> None:
         address = self._fleet.get_address(host)
         if address is None:
             return
         channel = await self._dialer.dial(host, address)
         if not isinstance(channel, Loss):
-            channel.send(Frame(id=0, message=told))
+            channel.send(Frame(id=0, message=message))
 
     async def fetch(
         self, feed: str, host: str | None, *, hashes: tuple[int, ...] = ()
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -1,8 +1,8 @@
 """Keeps this host's copy of the store's feeds up to date, from the store or a peer.
 
 Two hosts, the holders, watch the store for all. Whoever has an answer of the store
-tells all others what changed, or that nothing did. A host that has heard nothing for
-a while asks the store itself, and tells the others what it said: so the feeds go on
+announces to all others what changed, or that nothing did. A host without announcements
+for a while asks the store itself, and announces its answer: so the feeds go on
 when both holders are gone, and reach a host that the store turns away.
 """
 
@@ -34,9 +34,9 @@
 class FeedPace:
     """How soon a feed's changes have to be known everywhere, in seconds.
 
-    `watch_wait` is how long a holder's watch waits: how often the others hear that
+    `watch_wait` is how long a holder's watch waits: how often it is announced that
     nothing has changed, and how long a connection gone silent hides what has. A host
-    that has heard nothing for `stale_after`, which is more, asks the store itself.
+    without news for `stale_after`, which is more, asks the store itself.
     """
 
     watch_wait: float
@@ -45,7 +45,7 @@
 
 # Soon enough to act on a change within the 3 s that a leaving server goes on serving.
 PROMPT = FeedPace(watch_wait=1.5, stale_after=2.1)
-# Changes are told as soon as they come at any pace; this is for feeds of which a host
+# Changes are announced as they come at any pace; this is for feeds of which a host
 # may lack the last for some seconds, when its news were lost.
 EASY = FeedPace(watch_wait=4.0, stale_after=5.6)
 # Not all at once: the first one's answer saves the others theirs.
@@ -65,8 +65,8 @@
 # the platform says two, and a heartbeat may be under way.
 LAPSE_GRACE = 2.2
 
-# The second holder tells this much later, in seconds, and only that there is something
-# newer: who has it from the first one by then needs nothing more.
+# The second holder announces so much later, in seconds, and only that there is
+# something newer: who has it from the first one by then needs nothing more.
 SECOND_DELAY = 0.3
 
 UseEntries = Callable[[Mapping[str, bytes], int], None]
@@ -93,7 +93,7 @@
     def is_near(self, host: str) -> bool:
         """Tell whether `host` is in the data centre of this one."""
 
-    def tell(self, news: FeedNews) -> None:
+    def announce(self, news: FeedNews) -> None:
         """Send news to all live hosts, or to those that this host watches for."""
 
     async def fetch(
@@ -137,7 +137,7 @@
         """Read until cancelled."""
         self._nursery.start_soon(self._settle)
         # All hosts may start together: a copy that lags costs the store a tenth, and
-        # the first news, or else a watch after some 2 s, tell what it lacks. After a
+        # the first news, or else a watch after some 2 s, show what it lacks. After a
         # history was lost it may be older than what the store still remembers.
         may_lag = True
         while True:
@@ -158,7 +158,7 @@
                     if not may_lag:
                         # The others fetch what the lost history kept from this host.
                         base = self.copy.revision if has_changed else before
-                        self._tell_peers(base=base, changes=())
+                        self._announce(base=base, changes=())
                     return
                 case StoreLost() as lost:
                     await self._note_loss(lost)
@@ -168,7 +168,7 @@
                         return
 
     async def _follow(self) -> None:
-        """Watch, or hear of the others, until the history is gone."""
+        """Watch, or wait for announcements, until the history is gone."""
         while True:
             rank = self._peers.get_holder_rank()
             is_settling = not self._peers.is_settled()
@@ -192,7 +192,7 @@
                     if news and rank == 1:
                         await trio.sleep(SECOND_DELAY)
                         base, news = self.copy.revision, ()
-                    self._tell_peers(base=base, changes=news)
+                    self._announce(base=base, changes=news)
                     if changes.changes:
                         await trio.sleep(SETTLING_PAUSE if is_leading else GATHER_PAUSE)
                 case HistoryGone():
@@ -219,7 +219,7 @@
         """Leave out what changes nothing that matters.
 
         Servers write how much longer they are slow with each heartbeat after their
-        start: told of that, a fleet of 77 hosts hears some thousand times of nothing.
+        start, which would be some thousand announcements of nothing in a large fleet.
         """
         removed = {change.name for change in changes if change.body is None}
         return tuple(
@@ -237,8 +237,8 @@
         jitter = STALE_JITTER * self._random.random()
         return self._pace.stale_after * (1.0 + jitter)
 
-    def _tell_peers(self, *, base: int, changes: tuple[FeedChange, ...]) -> None:
-        self._peers.tell(
+    def _announce(self, *, base: int, changes: tuple[FeedChange, ...]) -> None:
+        self._peers.announce(
             FeedNews(
                 feed=self.feed,
                 base=base,
@@ -302,7 +302,7 @@
             self._nursery.start_soon(self._catch_up, news, host, then)
 
     def _take_news(self, news: FeedNews, host: str) -> bool:
-        """Take what news hold; tell whether nothing of it is lacking now."""
+        """Apply what news hold; return whether nothing of it is lacking now."""
         if not self.is_listed:
             return False
         now = trio.current_time()
@@ -317,8 +317,8 @@
         if is_older and not is_equal:
             return True  # Its host lags behind this one, and confirms nothing.
         if is_equal or copy.revision >= news.base:
-            told = FeedChanges(revision=news.revision, changes=changes)
-            if copy.take_changes(told, now=now):
+            announced = FeedChanges(revision=news.revision, changes=changes)
+            if copy.take_changes(announced, now=now):
                 self._put_in_force(host)
         if is_equal:
             # By revisions alone every host that had read the feed before or after
@@ -330,8 +330,8 @@
     async def _catch_up(
         self, news: FeedNews, host: str, then: Callable[[], None]
     ) -> None:
-        """Take what news did not hold: from their teller if it is near, which costs
-        nothing, else from the store, and from a far teller last.
+        """Take what news did not hold: from their sender if it is near, which costs
+        nothing, else from the store, and from a far sender last.
 
         Were it the store first, each change of the routes was a call of each host.
         """
@@ -339,12 +339,12 @@
             is_near = self._peers.is_near(host)
             if is_near:
                 await self._fetch(host)
-                if self._is_as_told(news):
+                if self._matches(news):
                     return
             if self.is_listed and await self._ask_store(news):
                 return
             # Away, its history gone, or about to be: then it says that nothing has
-            # changed, though the teller knows better.
+            # changed, though the sender knows better.
             if not is_near:
                 await self._fetch(host)
         finally:
@@ -352,17 +352,17 @@
             then()
 
     async def _ask_store(self, news: FeedNews) -> bool:
-        """Take what the store has newer; tell whether it is what was told."""
+        """Take what the store has newer; return whether it is what was announced."""
         base = self.copy.revision
-        told = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
-        if not isinstance(told, FeedChanges):
+        answer = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
+        if not isinstance(answer, FeedChanges):
             return False
         self._confirmed_at = trio.current_time()
-        if self.copy.take_changes(told, now=self._confirmed_at):
+        if self.copy.take_changes(answer, now=self._confirmed_at):
             self._put_in_force("store")
-        return self._is_as_told(news)
+        return self._matches(news)
 
-    def _is_as_told(self, news: FeedNews) -> bool:
+    def _matches(self, news: FeedNews) -> bool:
         copy = self.copy
         return copy.revision > news.revision or copy.fingerprint == news.fingerprint
 
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -190,7 +190,7 @@
         self._quarantine = QuarantineKeeper(
             own_name=host.name,
             store=self._adapter,
-            tell=lambda strike: feed_peers.tell_strike(strike),
+            announce=lambda strike: feed_peers.announce_strike(strike),
             sweeps=lambda: feed_peers.get_holder_rank() == 0,
         )
         self._owner = Owner(
--- a/src/lavendergap/entry/livehosts.py
+++ b/src/lavendergap/entry/livehosts.py
@@ -6,7 +6,7 @@
 
 from ..coordination.membership import Membership
 from ..coordination.placement import Placement
-from ..state.gossip import DocumentsHeard, Event, MemberChanged
+from ..state.gossip import DocumentsAdvertised, Event, MemberChanged
 from .fleet import Fleet
 
 # Seconds between two times that changed members are put in force. Who ranks owners
@@ -45,7 +45,7 @@
         match event:
             case MemberChanged():
                 self._has_changed.set()
-            case DocumentsHeard():
+            case DocumentsAdvertised():
                 pass
 
     async def run(self) -> None:
--- a/src/lavendergap/entry/quarantine.py
+++ b/src/lavendergap/entry/quarantine.py
@@ -35,10 +35,9 @@
 class QuarantineKeeper:
     """The fleet's strikes, as the store holds them, and what this host does with them.
 
-    `tell` takes a strike to the other hosts; `sweeps` says whether this host is the one
-    that drops old strikes from the store. The content of a request is worked out only
-    while there are strikes, or when a server has ended under it: on a usual day it
-    costs nothing.
+    `announce` takes a strike to the other hosts; `sweeps` says whether this host is the
+    one that drops old strikes from the store. The content of a request is worked out
+    only while there are strikes, or when a server has ended under it.
     """
 
     def __init__(
@@ -46,12 +45,12 @@
         *,
         own_name: str,
         store: StrikeStore,
-        tell: Callable[[Strike], None],
+        announce: Callable[[Strike], None],
         sweeps: Callable[[], bool],
     ) -> None:
         self._own_name = own_name
         self._store = store
-        self._tell = tell
+        self._announce = announce
         self._sweeps = sweeps
         self._quarantine = Quarantine()
         self._to_write, self._unwritten = trio.open_memory_channel[Strike | str](
@@ -59,11 +58,11 @@
         )
 
     async def run(self) -> None:
-        """Write to the store what this host has to tell, until cancelled."""
+        """Write to the store what this host has to record, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sweep)
-            async for told in self._unwritten:
-                await self._write(told)
+            async for write in self._unwritten:
+                await self._write(write)
 
     # What may be done with a request.
 
@@ -142,7 +141,7 @@
         self._count()
         if is_taken:
             metrics.strikes.inc()
-            self._tell(strike)
+            self._announce(strike)
             self._enqueue(strike)
 
     def receive(self, strike: Strike) -> None:
@@ -152,7 +151,7 @@
             return
         log_decision(
             logger,
-            "strike heard",
+            "strike received",
             request_id=None,
             content=strike.content,
             seen_by=strike.host,
@@ -190,27 +189,27 @@
             n_held=self._quarantine.count_held(now=now),
         )
 
-    def _enqueue(self, told: Strike | str) -> None:
+    def _enqueue(self, write: Strike | str) -> None:
         try:
-            self._to_write.send_nowait(told)
+            self._to_write.send_nowait(write)
         except trio.WouldBlock:
             log_decision(
                 logger, "strike not stored", request_id=None, why="too many at once"
             )
 
-    async def _write(self, told: Strike | str) -> None:
+    async def _write(self, write: Strike | str) -> None:
         """Write until the store has taken it, for all hosts and for those to come."""
-        while not await self._try_to_write(told):
+        while not await self._try_to_write(write):
             await trio.sleep(WRITE_RETRY)
 
-    async def _try_to_write(self, told: Strike | str) -> bool:
-        match told:
+    async def _try_to_write(self, write: Strike | str) -> bool:
+        match write:
             case Strike(name=name) if not self._quarantine.is_unstored(name):
                 return True  # Cleared meanwhile, or another write of it was taken.
             case Strike():
-                return await self._store.write_strike(told)
+                return await self._store.write_strike(write)
             case str():
-                return await self._store.remove_strike(told)
+                return await self._store.remove_strike(write)
 
     async def _sweep(self) -> None:
         while True:
--- a/src/lavendergap/state/gossip.py
+++ b/src/lavendergap/state/gossip.py
@@ -79,19 +79,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MemberChanged:
-    """A member is now believed to be what `member` says, because `told_by` said so."""
+    """A member is now taken to be as `member` says, by the word of `reported_by`."""
 
     member: Member
     previous: Member | None
-    told_by: str
+    reported_by: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class DocumentsHeard:
+class DocumentsAdvertised:
     """A member holds documents other than ours."""
 
     member: Member
     documents: DocumentsDigest
 
 
-Event = MemberChanged | DocumentsHeard
+Event = MemberChanged | DocumentsAdvertised
--- a/src/lavendergap/transport/gossip.py
+++ b/src/lavendergap/transport/gossip.py
@@ -210,16 +210,16 @@
 def _log_change(event: MemberChanged) -> None:
     member = event.member
     logger.info(
-        "member %s is %s (was %s), told by %s",
+        "member %s is %s (was %s), reported by %s",
         member.name,
         member.state.value,
         event.previous.state.value if event.previous else "unknown",
-        event.told_by,
+        event.reported_by,
         extra={
             "member": member.name,
             "state": member.state.value,
             "incarnation": member.incarnation,
             "refutations": member.refutations,
-            "told_by": event.told_by,
+            "reported_by": event.reported_by,
         },
     )
