--- a/lab/soak.py
+++ b/lab/soak.py
@@ -26,6 +26,7 @@
 
 from .gateways import (
     DRAIN_MS,
+    EVACUATE_MS,
     HOST,
     Answer,
     Gateway,
@@ -92,6 +93,7 @@
         self.retired: list[Leaf] = []
         self.n_host_harms = 0
         self.n_deadly = 0
+        self.evacuated: set[str] = set()
 
     def break_promise(self, text: str) -> None:
         """Note a broken promise with all that leads back to it."""
@@ -258,6 +260,7 @@
             self.harm_leaf,
             self.harm_leaf,
             self.replace_leaf,
+            self.evacuate,
             self.change_routes,
             self.signal_reload,
         ]
@@ -380,6 +383,30 @@
         if late and is_calm:
             self.break_promise(f"{late} calls to {leaf.server_id}, which was leaving")
 
+    async def evacuate(self) -> None:
+        """Evacuate a data centre for a while, and hold the bound."""
+        zone = self.dice.choice(ZONES)
+        if zone in self.evacuated:
+            return
+        self.evacuated.add(zone)
+        self.platform.evacuate(zone)
+        accepted_at = trio.current_time()
+        await trio.sleep(EVACUATE_MS / 1_000 + 0.5)
+        n_before = self.count_arrivals(zone)
+        await trio.sleep(1.0)
+        late = self.count_arrivals(zone) - n_before
+        is_calm = all(at < accepted_at - QUIET for at in self.disturbed_at.values())
+        if late and is_calm:
+            self.break_promise(f"{late} calls to {zone}, which was evacuated")
+        self.platform.end_evacuation(zone)
+        self.evacuated.discard(zone)
+
+    def count_arrivals(self, zone: str) -> int:
+        """Count what came to the servers of a data centre, of all that ever were."""
+        return sum(
+            leaf.arrivals.total() for leaf in self.all_leafs() if leaf.zone == zone
+        )
+
     async def change_routes(self) -> None:
         self.write_routes()
 
@@ -397,6 +424,7 @@
             await self.check_routes(gateway, started)
         # In the middle of faults most drains are near one, and prove nothing.
         await self.replace_leaf()
+        await self.evacuate()
         for attempt in self.bookings:
             n_runs = sum(leaf.runs[attempt] for leaf in self.all_leafs())
             if n_runs > 1:
