Have an owner's part of the extra calls follow what it learns of the group

Calls of some shards were late or left out for as long as an owner had them: "hedge withheld, no budget" 17 times for six hedges in twelve seconds, where 20 tokens come in that time.

Cause: a search reaches owners before the routes that name its shards do, after a cut of the index. Such a group looks like one that all hosts call, and the owner's part of its allowance is a seventy-eighth: one token, and one in twelve seconds. Once the routes are there the settings of the group change, but of its budgets only the shares followed.

Burst and rate follow, too. What a larger burst adds may be spent; a part that grows and shrinks by turns adds up to its largest value, and shrinking caps what is left.

Ruled out: the reserve for stragglers, and the allowance itself, of which hedges use a tenth.

--- a/src/lavendergap/coordination/budget.py
+++ b/src/lavendergap/coordination/budget.py
@@ -19,15 +19,35 @@
     True
     """
 
-    __slots__ = ("share", "burst", "per_second", "tokens", "_filled_at")
+    __slots__ = (
+        "share",
+        "burst",
+        "per_second",
+        "tokens",
+        "_filled_at",
+        "_largest_burst",
+    )
 
     def __init__(self, *, share: float, burst: float, per_second: float) -> None:
         self.share = share
         self.burst = burst
+        self._largest_burst = burst
         self.per_second = per_second
         self.tokens = burst if share > 0.0 else 0.0
         self._filled_at: float | None = None
 
+    def replace(self, *, share: float, burst: float, per_second: float) -> None:
+        """Act on other terms; what a larger burst adds may be spent at once.
+
+        What was spent under the smaller one is within the larger. A burst that grows
+        and shrinks by turns adds no more than its largest value.
+        """
+        self.share = share
+        self.tokens = min(burst, self.tokens + max(0.0, burst - self._largest_burst))
+        self._largest_burst = max(self._largest_burst, burst)
+        self.burst = burst
+        self.per_second = per_second
+
     def earn(self) -> None:
         """Count one call."""
         tokens = self.tokens + self.share
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -277,8 +277,16 @@
         self.service = service
         self.control = control
         self._recent.quantile = choose_quantile(service)
-        self._retries.share = service.retry_budget
-        self._hedges.share = service.hedge_budget
+        self._retries.replace(
+            share=service.retry_budget,
+            burst=service.extra.retry_burst,
+            per_second=service.extra.retries_per_second,
+        )
+        self._hedges.replace(
+            share=service.hedge_budget,
+            burst=service.extra.hedge_burst,
+            per_second=service.extra.hedges_per_second,
+        )
         return self.advance(now=now)
 
     def stop(self, *, now: float) -> list[Effect]:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from random import Random
 
+from lavendergap.coordination.budget import Budget
 from lavendergap.coordination.calls import CancelAttempt, WithholdHedge
 from lavendergap.coordination.hedging import (
     MAX_KINDS,
@@ -12,7 +13,7 @@
     RecentLatencies,
 )
 from lavendergap.state.outcome import Answered, Reason
-from lavendergap.state.settings import Group
+from lavendergap.state.settings import ExtraCalls, Group
 
 from .groups import lose, make_group, make_owner, refuse
 
@@ -337,6 +338,53 @@
         assert (owner.scheduler._recent.delay or 0.0) > 0.010
 
 
+class TestShareOfTheAllowance:
+    """An owner that is asked for a group's calls before it knows the route.
+
+    It takes the group for one that all hosts call, and its part of the allowance for a
+    seventy-eighth. Once it knows, its part is that of one owner of a few.
+    """
+
+    def test_a_part_that_grows_is_spent(self):
+        """Guards against groups that hardly hedge for as long as an owner has them."""
+        owner = make_owner(extra=ExtraCalls(hedge_burst=1.0, hedges_per_second=0.08))
+        owner.warm_up()
+        scheduler = owner.scheduler
+        extra = ExtraCalls(hedge_burst=16.0, hedges_per_second=1.6)
+        service = replace(scheduler.service, extra=extra)
+        owner.take(
+            scheduler.replace(
+                group=scheduler.group,
+                service=service,
+                control=scheduler.control,
+                now=owner.now,
+            )
+        )
+        for _ in range(10):
+            owner.submit()
+            owner.move(0.030)
+            for attempt_id in list(owner.open):
+                owner.end(attempt_id, elapsed=0.030)
+        hedges = [start for start in owner.started if start.cause == "hedge"]
+        assert len(hedges) >= 10
+
+    def test_a_part_that_shrinks_is_not_spent_twice(self):
+        """Guards against an owner that goes on with the part of one of a few."""
+        budget = Budget(share=0.1, burst=16.0, per_second=1.0)
+        budget.replace(share=0.1, burst=2.0, per_second=0.1)
+        assert [budget.spend(now=0.0) for _ in range(3)] == [True, True, False]
+
+    def test_a_part_that_grows_and_shrinks_by_turns_adds_up_to_the_largest(self):
+        """Guards against tokens that each lost and regained data centre would bring."""
+        budget = Budget(share=0.1, burst=2.0, per_second=0.0)
+        n_spent = 0
+        for burst in (8.0, 2.0) * 20:
+            budget.replace(share=0.1, burst=burst, per_second=0.0)
+            while budget.spend(now=0.0):
+                n_spent += 1
+        assert n_spent == 8
+
+
 class TestWithheld:
     def test_it_is_told_once_why_a_slow_call_is_not_hedged(self):
         # A caller's answer came late. Its log shows the slow server; without this line
