--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -131,7 +131,7 @@
     def limit(self, now: float) -> int:
         """Count the slots that may be in use now: few in slow start, then all.
 
-        None while the server is cold and this host has sent it what it may.
+        0 while the server is cold and this host has sent it all that it may.
         """
         cold_limit = self.server.cold_limit
         if cold_limit is not None and self._warmup.count_left(cold_limit, now) <= 0:
--- a/src/lavendergap/state/gossip.py
+++ b/src/lavendergap/state/gossip.py
@@ -1,4 +1,4 @@
-"""The messages by which hosts watch over each other and pass on what they hear."""
+"""The messages by which hosts probe each other and gossip what they know."""
 
 from dataclasses import dataclass
 
