--- a/lab/gateways.py
+++ b/lab/gateways.py
@@ -160,6 +160,17 @@
         self.gateways.append(gateway)
         return gateway
 
+    async def start(self, *zones: str) -> list[Gateway]:
+        """Start a gateway in each of these data centres; return once all are ready."""
+        gateways = [self.add_gateway(zone) for zone in zones]
+        for gateway in gateways:
+            await self.wait_ready(gateway)
+        return gateways
+
+    def count_arrivals(self, zone: str) -> int:
+        """Count the requests that came to the servers of a data centre."""
+        return sum(leaf.arrivals.total() for leaf in self.leafs if leaf.zone == zone)
+
     def write_routes(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write a manifest."""
         manifest = {"version": version, "routes": routes, "services": [], "limits": {}}
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -32,17 +32,6 @@
         yield platform
 
 
-async def start(platform: Platform, *places: str) -> list[Gateway]:
-    gateways = [platform.add_gateway(place) for place in places]
-    for gateway in gateways:
-        await platform.wait_ready(gateway)
-    return gateways
-
-
-def count_arrivals(platform: Platform, place: str) -> int:
-    return sum(leaf.arrivals.total() for leaf in platform.leafs if leaf.zone == place)
-
-
 async def ask_all(platform: Platform, gateways: list[Gateway]) -> None:
     """Make a search and a lookup at each host; all are answered, and in full."""
     for gateway in gateways:
@@ -62,23 +51,23 @@
 class TestEvacuation:
     async def test_no_host_sends_to_an_evacuated_data_centre(self, platform):
         """Guards against hosts near the servers that go on calling them."""
-        gateways = await start(platform, "ptl-a", "ptl-b", "sea-a")
+        gateways = await platform.start("ptl-a", "ptl-b", "sea-a")
         await ask_all(platform, gateways)
         platform.evacuate(EVACUATED)
         await ask_for(platform, gateways, EVACUATE_MS / 1_000)
-        before = count_arrivals(platform, EVACUATED)
+        before = platform.count_arrivals(EVACUATED)
         await ask_for(platform, gateways, 1.0)
-        assert count_arrivals(platform, EVACUATED) == before
+        assert platform.count_arrivals(EVACUATED) == before
 
     async def test_work_returns_once_the_evacuation_is_taken_back(self, platform):
         """Guards against a data centre that stays out of use for good."""
-        gateways = await start(platform, "ptl-a", "ptl-b")
+        gateways = await platform.start("ptl-a", "ptl-b")
         platform.evacuate(EVACUATED)
         await ask_for(platform, gateways, EVACUATE_MS / 1_000)
-        before = count_arrivals(platform, EVACUATED)
+        before = platform.count_arrivals(EVACUATED)
         platform.end_evacuation(EVACUATED)
         with trio.fail_after(EVACUATE_MS / 1_000 + 3.0):
-            while count_arrivals(platform, EVACUATED) == before:
+            while platform.count_arrivals(EVACUATED) == before:
                 await ask_all(platform, gateways)
         events = [
             event
@@ -91,7 +80,7 @@
     async def test_hosts_that_start_meanwhile_send_nothing_there(self, platform):
         """Guards against hosts that serve before they have read the evacuations."""
         platform.evacuate(EVACUATED)
-        gateways = await start(platform, "ptl-a", "ptl-b")
+        gateways = await platform.start("ptl-a", "ptl-b")
         await ask_for(platform, gateways, 0.5)
         for gateway in gateways:
             gateway.kill()
@@ -99,23 +88,23 @@
         for gateway in gateways:
             await platform.wait_ready(gateway)
         await ask_for(platform, gateways, 0.5)
-        assert count_arrivals(platform, EVACUATED) == 0
+        assert platform.count_arrivals(EVACUATED) == 0
 
     async def test_it_holds_while_the_store_is_away(self, platform):
         """Guards against an outage of the store that ends an evacuation."""
-        gateways = await start(platform, "ptl-a", "ptl-b")
+        gateways = await platform.start("ptl-a", "ptl-b")
         platform.evacuate(EVACUATED)
         await ask_for(platform, gateways, EVACUATE_MS / 1_000)
         platform.store.mode = "busy"
-        before = count_arrivals(platform, EVACUATED)
+        before = platform.count_arrivals(EVACUATED)
         await ask_for(platform, gateways, 3.0)
         platform.store.mode = "up"
         await ask_for(platform, gateways, 3.0)
-        assert count_arrivals(platform, EVACUATED) == before
+        assert platform.count_arrivals(EVACUATED) == before
 
     async def test_calls_under_way_are_finished(self, platform):
         """Guards against an evacuation that cuts answers which servers work on."""
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         for leaf in platform.leafs:
             leaf.faults.work = 0.6 if leaf.zone == EVACUATED else 0.01
         answers = []
@@ -134,9 +123,9 @@
         """Guards against a stray entry that takes every server out of use."""
         platform.store.put("evacuations", "ptl-z", {})
         platform.store.put("evacuations", "ptl-b", "ptl-b")
-        gateways = await start(platform, "ptl-a", "ptl-b")
+        gateways = await platform.start("ptl-a", "ptl-b")
         await ask_all(platform, gateways)
-        assert count_arrivals(platform, "ptl-b") > 0
+        assert platform.count_arrivals("ptl-b") > 0
         for gateway in gateways:
             assert not gateway.read_events("evacuation started")
             refused = gateway.read_events("evacuation entry refused")
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -42,13 +42,6 @@
         yield platform
 
 
-async def start(platform: Platform, *zones: str) -> list[Gateway]:
-    gateways = [platform.add_gateway(zone) for zone in zones]
-    for gateway in gateways:
-        await platform.wait_ready(gateway)
-    return gateways
-
-
 async def wait_until(check, *, limit: float = 10.0) -> None:
     with trio.fail_after(limit):
         while not await check():
@@ -60,7 +53,7 @@
         # Three hosts, one of them far from all servers. Whichever a caller reaches,
         # the joined answer holds the greatest records of all shards and names each
         # part once; a single server's answer comes unchanged.
-        for gateway in await start(platform, "ptl-a", "ptl-b", "sea-a"):
+        for gateway in await platform.start("ptl-a", "ptl-b", "sea-a"):
             attempt = f"all-{gateway.name}"
             answer = await platform.request(gateway, "/all/x", attempt=attempt)
             assert answer.status == 200
@@ -81,7 +74,7 @@
             assert max(leaf.runs.values(), default=0) <= 3
 
     async def test_what_no_route_names_and_what_is_no_request(self, platform):
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         assert (await platform.request(gateway, "/none/")).status == 404
         assert (
             await platform.request(gateway, "/one/", attempt="x" * 300)
@@ -106,7 +99,7 @@
     async def test_a_booking_whose_answer_is_lost_runs_once(self, platform):
         # The server books and its connection is reset. The caller is not told that
         # it has not run, and no other server gets it.
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         desks = [leaf for leaf in platform.leafs if leaf.service == "desk"]
         for leaf in desks:
             leaf.faults.loses = True
@@ -117,7 +110,7 @@
             assert sum(leaf.runs[f"b{n}"] for leaf in desks) == 1
 
     async def test_a_refusal_is_true_and_names_a_time(self, platform):
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         desks = [leaf for leaf in platform.leafs if leaf.service == "desk"]
         for leaf in desks:
             leaf.faults.refuses = True
@@ -129,7 +122,7 @@
 
 class TestLeavingCallers:
     async def test_servers_stop_working_for_a_caller_that_left(self, platform):
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         for leaf in platform.leafs:
             leaf.faults.work = 5.0
 
@@ -150,7 +143,7 @@
 
 class TestChanges:
     async def test_new_routes_are_in_force_soon_and_stay(self, platform):
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
 
         async def is_found() -> bool:
             answer = await platform.request(gateway, "/new/")
@@ -166,7 +159,7 @@
         assert (await platform.request(gateway, "/one/")).status == 404
 
     async def test_a_draining_server_gets_no_new_work(self, platform):
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         for _ in range(4):
             await platform.request(gateway, "/one/")
         leaving = next(leaf for leaf in platform.leafs if leaf.service == "desk")
@@ -178,7 +171,7 @@
         assert leaving.late_arrivals == 0
 
     async def test_a_store_that_forgets_its_history_hides_nothing(self, platform):
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         platform.store.forget_history()
         platform.write_routes(8, [make_one_route("/new/", "desk")])
         platform.store.forget_history()
@@ -196,7 +189,7 @@
         # The store goes away for longer than a watch waits, and all servers' entries
         # lapse meanwhile. They are back a second after its return. Callers notice
         # nothing of either.
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         platform.store.mode = mode
         with trio.move_on_after(3.5):
             while True:
@@ -238,7 +231,7 @@
         # the two owners is frozen, then the other one. It may have sent its calls to
         # both servers that the route allows, so nobody else is asked for them: the
         # query under way fails at once, and the caller's next one is whole.
-        first, second, far = await start(platform, "ptl-a", "ptl-a", "sea-a")
+        first, second, far = await platform.start("ptl-a", "ptl-a", "sea-a")
         await wait_until(lambda: _knows_all(platform, far))
         n_failed = 0
         for owner in (first, second):
@@ -249,7 +242,7 @@
         assert n_failed == 1  # One of the two owns all shards.
 
     async def test_a_killed_owner_costs_no_answer(self, platform):
-        first, second, far = await start(platform, "ptl-a", "ptl-a", "sea-a")
+        first, second, far = await platform.start("ptl-a", "ptl-a", "sea-a")
         await wait_until(lambda: _knows_all(platform, far))
         assert await _count_failed(platform, far) == 0
         first.kill()
@@ -284,7 +277,7 @@
     async def test_it_cuts_nobody_and_ends_in_time(self, platform):
         # A caller keeps its connection and asks on it while the host stops. Each
         # answer is whole; one of them tells the caller to leave, and it does.
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         for leaf in platform.leafs:
             leaf.faults.work = 0.05
         stream = await trio.open_tcp_stream("127.0.0.1", gateway.ports[0])
@@ -327,7 +320,7 @@
 
 class TestSettingsFile:
     async def test_a_damaged_file_is_refused_and_the_old_one_stays(self, platform):
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         gateway.settings_path.write_text('{"name": 3}')
         gateway.send(signal.SIGHUP)
 
@@ -340,7 +333,7 @@
         assert "name: " in first["error"]
 
     async def test_a_changed_file_is_read_without_a_signal(self, platform):
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         gateway.write_settings(heartbeat_ms=700)
 
         async def is_read() -> bool:
--- a/tests/test_homes_processes.py
+++ b/tests/test_homes_processes.py
@@ -3,8 +3,6 @@
 import pytest
 
 from lab.gateways import (
-    Gateway,
-    Platform,
     make_one_route,
     make_search_route,
     open_platform,
@@ -33,21 +31,10 @@
         yield platform
 
 
-async def start(platform: Platform, *places: str) -> list[Gateway]:
-    gateways = [platform.add_gateway(place) for place in places]
-    for gateway in gateways:
-        await platform.wait_ready(gateway)
-    return gateways
-
-
-def count_arrivals(platform: Platform, place: str) -> int:
-    return sum(leaf.arrivals.total() for leaf in platform.leafs if leaf.zone == place)
-
-
 class TestHomeRegions:
     async def test_no_server_abroad_runs_a_request(self, platform):
         """Guards against replicas, hedges and owners that are chosen for being near."""
-        gateways = await start(platform, *REGIONS)
+        gateways = await platform.start(*REGIONS)
         for leaf in platform.leafs:
             leaf.faults.work = 0.25 if leaf.zone == "ptl-a" else 0.005
         for gateway in gateways:
@@ -56,25 +43,25 @@
                 assert found.status == 200
                 assert found.get("lavendergap-missing-parts") == "0"
                 assert (await platform.request(gateway, "/one/y")).status == 200
-        assert count_arrivals(platform, "cle-a") == 0
+        assert platform.count_arrivals("cle-a") == 0
 
     async def test_no_host_abroad_owns_a_part_of_it(self, platform):
         """Guards against a body that is sent to a host of a third region."""
-        home, abroad = await start(platform, "ptl-a", "cle-a")
+        home, abroad = await platform.start("ptl-a", "cle-a")
         for _ in range(3):
             assert (await platform.request(home, "/home/x")).status == 200
         assert not abroad.read_events("plan")
 
     async def test_routes_without_a_home_use_all_regions(self, platform):
         """Guards against homes that bind what has none."""
-        gateways = await start(platform, *REGIONS)
+        gateways = await platform.start(*REGIONS)
         for gateway in gateways:
             assert (await platform.request(gateway, "/all/x")).status == 200
-        assert count_arrivals(platform, "cle-a") > 0
+        assert platform.count_arrivals("cle-a") > 0
 
     async def test_a_home_without_servers_is_refused_at_once(self, platform):
         """Guards against requests that are held, or run elsewhere, for want of one."""
-        [gateway] = await start(platform, "ptl-a")
+        [gateway] = await platform.start("ptl-a")
         answer = await platform.request(gateway, "/lost/x", attempt="lost")
         assert answer.status == 503
         assert all("lost" not in leaf.arrivals for leaf in platform.leafs)
--- a/tests/test_server_ends_processes.py
+++ b/tests/test_server_ends_processes.py
@@ -40,13 +40,6 @@
         yield platform
 
 
-async def start(platform: Platform, *places: str) -> list[Gateway]:
-    gateways = [platform.add_gateway(place) for place in places]
-    for gateway in gateways:
-        await platform.wait_ready(gateway)
-    return gateways
-
-
 async def wait_until_served(platform: Platform, gateway: Gateway, path: str) -> None:
     """Return once a harmless request is answered whole, all servers being back."""
     with trio.fail_after(LIMIT):
@@ -99,7 +92,7 @@
         # index ended together each time. One caller's search ends each server that
         # begins to run it. Each host that it came to sent it on, as often as it came,
         # since repeats have new ids and nobody remembered what servers had ended under.
-        gateways = await start(platform, "ptl-a", "ptl-b", "sea-a")
+        gateways = await platform.start("ptl-a", "ptl-b", "sea-a")
         answer = await repeat(platform, gateways, DEADLY, n_times=7)
         assert count_reached(platform) <= 1 + MAX_REPEATS
         assert answer.status == 503
@@ -108,7 +101,7 @@
     async def test_a_booking_is_kept_from_servers_by_every_host(self, platform):
         # The same with one server a request, and no second one: no host sees more than
         # one server end for each time that it comes.
-        gateways = await start(platform, "ptl-a", "ptl-b", "sea-a")
+        gateways = await platform.start("ptl-a", "ptl-b", "sea-a")
         answer = await repeat(platform, gateways, DEADLY_BOOKING, n_times=9)
         assert count_reached(platform) <= 3 + MAX_REPEATS
         assert answer.status == 503
@@ -116,12 +109,12 @@
     async def test_a_host_that_starts_later_knows(self, platform):
         # All hosts that saw servers end are gone. What has to outlast them lies in the
         # store, and a host that starts reads it before it takes callers.
-        gateways = await start(platform, "ptl-a", "ptl-b")
+        gateways = await platform.start("ptl-a", "ptl-b")
         await repeat(platform, gateways, DEADLY, n_times=4)
         n_ended = count_ended(platform)
         for gateway in gateways:
             gateway.kill()
-        [newcomer] = await start(platform, "sea-a")
+        [newcomer] = await platform.start("sea-a")
         answer = await platform.request(newcomer, DEADLY)
         assert answer.status == 503
         assert count_ended(platform) == n_ended
@@ -132,7 +125,7 @@
         # It goes to one server of each group. Each that was lost under it was made good
         # by asking the group's other server, so that within milliseconds none was left
         # and all callers' searches failed until servers were back.
-        gateways = await start(platform, "ptl-a", "ptl-b", "sea-a")
+        gateways = await platform.start("ptl-a", "ptl-b", "sea-a")
         await wait_until_served(platform, gateways[0], "/all/first")
         await platform.request(gateways[0], DEADLY)
         assert count_ended(platform) >= len(SHARDS) / 2
@@ -147,7 +140,7 @@
         # A caller that got 502 asks again at once, at another host. Did that host not
         # know yet, it would send the search to all groups' other servers. The host that
         # saw them end tells all others before its caller, also while the store is away.
-        gateways = await start(platform, "ptl-a", "ptl-b", "sea-a")
+        gateways = await platform.start("ptl-a", "ptl-b", "sea-a")
         for gateway in gateways:
             await wait_until_served(platform, gateway, f"/all/warm-{gateway.name}")
         platform.store.mode = store_mode
