Let the object store stand-in be restored from an older copy

The users' store may come back from a copy some seconds old: changes since are gone, revisions go back and are given out again, a watch from a revision that it does not have gets 410, and each answer states how often that has happened. The stand-in could do none of it, so no test or soak of ours had seen it.

--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -1,7 +1,7 @@
 """A stand-in for the users' platform's object store, with watches and faults."""
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Literal
 from urllib.parse import unquote
 
@@ -14,6 +14,7 @@
 PAGE_ITEMS = 50
 MAX_EVENTS = 10_000
 MAX_WAIT_MS = 30_000
+EPOCH_HEADER = "Store-Era"
 
 StoreMode = Literal["up", "busy", "silent", "lost"]
 
@@ -39,9 +40,20 @@
         return {"meta": meta, "spec": self.spec, "status": None}
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreCopy:
+    """A copy of the objects and the revision, to restore the store from."""
+
+    revision: int
+    kinds: dict[str, dict[str, StoredObject]]
+
+
 class ObjectStore:
     """Objects by kind and name, with one revision counter for all.
 
+    `epoch` counts restores from an older copy; each answer states it. After a restore
+    the revisions of lost changes are given out again.
+
     `mode` is the fault in force: with `busy`, each call is answered with 503 and has
     no effect; with `silent`, no call is answered or has an effect; with `lost`, writes
     take effect but are not answered.
@@ -50,6 +62,7 @@
     def __init__(self) -> None:
         self.mode: StoreMode = "up"
         self.n_calls = 0
+        self.epoch = 1
         self.revision = 1
         self._kinds: dict[str, dict[str, StoredObject]] = {}
         self._events: deque[tuple[int, str, dict[str, Any]]] = deque(maxlen=MAX_EVENTS)
@@ -86,6 +99,17 @@
         self._history_start = self.revision
         self._wake_watches()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy that `restore` can go back to."""
+        return StoreCopy(revision=self.revision, kinds=_copy_kinds(self._kinds))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, and lose all changes and the history since."""
+        self.epoch += 1
+        self.revision = copy.revision
+        self._kinds = _copy_kinds(copy.kinds)
+        self.forget_history()
+
     def list_names(self, kind: str) -> list[str]:
         """Return the names of a kind's objects, sorted."""
         return sorted(self._kinds.get(kind, {}))
@@ -104,8 +128,13 @@
         """Return an HTTP server for this store, not yet running."""
         return HttpServer(ip=ip, port=port, handle=self.handle)
 
-    async def handle(self, request: Request, connection: Connection) -> Reply | None:
+    async def handle(self, request: Request, connection: Connection) -> Reply:
         """Answer one call."""
+        reply = await self._handle(request)
+        header = (EPOCH_HEADER, str(self.epoch))
+        return replace(reply, headers=(*reply.headers, header))
+
+    async def _handle(self, request: Request) -> Reply:
         self.n_calls += 1
         if self.mode == "silent":
             await trio.sleep_forever()
@@ -153,10 +182,13 @@
         )
 
     async def _watch(self, kind: str, after: int, wait_ms: int) -> Reply:
+        epoch = self.epoch
         with trio.move_on_after(min(wait_ms, MAX_WAIT_MS) / 1_000):
-            while after >= self._history_start and not self._find_events(kind, after):
+            while self._has_history(after, epoch) and not self._find_events(
+                kind, after
+            ):
                 await self._changed.wait()
-        if after < self._history_start:
+        if not self._has_history(after, epoch):
             return make_json_reply({"error": "history is gone"}, status=410)
         return make_json_reply(
             {
@@ -165,6 +197,10 @@
             }
         )
 
+    def _has_history(self, after: int, epoch: int) -> bool:
+        is_known = self._history_start <= after <= self.revision
+        return is_known and epoch == self.epoch
+
     def _find_events(self, kind: str, after: int) -> list[dict[str, Any]]:
         return [
             event
@@ -186,3 +222,12 @@
             return make_json_reply(current.show(), status=409)
         self.put(kind, name, body.get("spec"))
         return make_json_reply(self._kinds[kind][name].show())
+
+
+def _copy_kinds(
+    kinds: dict[str, dict[str, StoredObject]],
+) -> dict[str, dict[str, StoredObject]]:
+    return {
+        kind: {name: replace(stored) for name, stored in objects.items()}
+        for kind, objects in kinds.items()
+    }
