Log listings of the store that a host ignores, with the store's epoch

What the incident's logs could not tell: whether the listings that watch holders dropped were outdated answers of a store that lags, or the newest of a store that was restored and whose revisions went back. No line named the revision of a dropped listing, and the header that counts restores was not read.

`feed listing ignored` names both revisions and the epoch, once for each revision of the copy, and a counter counts all. No decision changes.

--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -134,6 +134,7 @@
         self._n_failures = 0
         self._confirmed_at = trio.current_time()
         self._is_catching_up = False
+        self._ignored_at_revision: int | None = None
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -156,6 +157,8 @@
                 case FeedListing() as listing:
                     self._record_answer()
                     before = self.copy.revision
+                    if listing.revision < before:
+                        self._log_ignored(listing)
                     has_changed = self._apply_listing(listing, "store")
                     if not may_be_stale:
                         # The others fetch what this host missed with the history.
@@ -256,6 +259,23 @@
             )
         )
 
+    def _log_ignored(self, listing: FeedListing) -> None:
+        """Log a listing older than the copy, once for each revision of the copy."""
+        metrics.ignored_listings.labels(self.feed).inc()
+        if self._ignored_at_revision == self.copy.revision:
+            return
+        self._ignored_at_revision = self.copy.revision
+        log_decision(
+            logger,
+            "feed listing ignored",
+            request_id=None,
+            feed=self.feed,
+            revision=self.copy.revision,
+            listed_revision=listing.revision,
+            listed_epoch=listing.epoch,
+            unconfirmed_s=round(min(trio.current_time() - self._confirmed_at, 1e6), 2),
+        )
+
     def _record_answer(self) -> None:
         now = trio.current_time()
         if self._n_failures:
--- a/src/lavendergap/metrics.py
+++ b/src/lavendergap/metrics.py
@@ -53,6 +53,11 @@
     "Calls to the platform's store without an answer, by feed and reason.",
     ["feed", "reason"],
 )
+ignored_listings = Counter(
+    "lavendergap_ignored_listings",
+    "Listings of the store older than this host's copy, by feed.",
+    ["feed"],
+)
 settings_version = Gauge(
     "lavendergap_settings_version", "Version of the settings in force here."
 )
--- a/src/lavendergap/state/feeds.py
+++ b/src/lavendergap/state/feeds.py
@@ -16,10 +16,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FeedListing:
-    """All entries of a feed at one revision of the store."""
+    """All entries of a feed at one revision of the store.
+
+    `epoch` counts how often the store was restored from an older copy, as the store
+    states it; 0 if it does not.
+    """
 
     revision: int
     entries: tuple[FeedEntry, ...]
+    epoch: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -26,6 +26,7 @@
 from lavendergap.state.routes import GreatestOfAll, OneOf, WeightedGroup
 from lavendergap.state.settings import Address
 from standins import objectstore
+from standins.http import HttpServer, make_json_reply
 
 ROUTE = {
     "name": "r1",
@@ -191,6 +192,39 @@
         result = await client.watch_feed(SERVERS_FEED, after=base, wait_s=1.0)
         assert result == HistoryExpired()
 
+    async def test_a_listing_states_how_often_the_store_was_restored(self, store):
+        standin, client = store
+        copy = standin.take_copy()
+        for epoch in (1, 2):
+            listing = await client.list_feed(SERVERS_FEED, may_be_stale=False)
+            assert isinstance(listing, FeedListing)
+            assert listing.epoch == epoch
+            standin.restore(copy)
+
+    async def test_a_watch_from_a_revision_lost_in_a_restore(self, store):
+        standin, client = store
+        copy = standin.take_copy()
+        lost = standin.put("servers", "i-1", {"n": 1})
+        standin.restore(copy)
+        result = await client.watch_feed(SERVERS_FEED, after=lost, wait_s=1.0)
+        assert result == HistoryExpired()
+
+    @pytest.mark.parametrize("epoch", ["", "-1", "2.5", "²", "two"])
+    async def test_a_malformed_epoch_makes_an_answer_unusable(self, epoch):
+        async def handle(_request, _connection):
+            return make_json_reply(
+                {"items": [], "current_rev": 1}, headers=(("Store-Era", epoch),)
+            )
+
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(ip="127.0.0.1", port=0, handle=handle)
+            address = Address(ip="127.0.0.1", port=await nursery.start(server.run))
+            client = ObjectStore(address=address, kinds=KINDS)
+            result = await client.list_feed(SERVERS_FEED, may_be_stale=False)
+            nursery.cancel_scope.cancel()
+        assert isinstance(result, StoreUnavailable)
+        assert result.reason is Reason.WRONG_ANSWER
+
     async def test_a_busy_store_is_a_server_error(self, store):
         standin, client = store
         standin.mode = "busy"
