Let the stand-in's restore cut waiting watches with 503

A store that goes away cuts its watches before it comes back from a copy. The stand-in answered them with 410 at once, even while it refused all other calls, so that hosts found out about the restore before the store was back.

--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -184,11 +184,15 @@
     async def _watch(self, kind: str, after: int, wait_ms: int) -> Reply:
         epoch = self.epoch
         with trio.move_on_after(min(wait_ms, MAX_WAIT_MS) / 1_000):
-            while self._has_history(after, epoch) and not self._find_events(
-                kind, after
+            while (
+                epoch == self.epoch
+                and self._has_history(after)
+                and not self._find_events(kind, after)
             ):
                 await self._changed.wait()
-        if not self._has_history(after, epoch):
+        if epoch != self.epoch:
+            return make_json_reply({"error": "restarted"}, status=503)
+        if not self._has_history(after):
             return make_json_reply({"error": "history is gone"}, status=410)
         return make_json_reply(
             {
@@ -197,9 +201,8 @@
             }
         )
 
-    def _has_history(self, after: int, epoch: int) -> bool:
-        is_known = self._history_start <= after <= self.revision
-        return is_known and epoch == self.epoch
+    def _has_history(self, after: int) -> bool:
+        return self._history_start <= after <= self.revision
 
     def _find_events(self, kind: str, after: int) -> list[dict[str, Any]]:
         return [
