Order what hosts read from the store by epoch and revision

Cause: a revision was taken for a point in one history. A restored store gives the revisions after its copy out again. A listing at a lower revision was dropped as outdated, so that holders were refused and listed in turns; their announcements confirmed the old copy to all others, which therefore did not ask. Where the store's counter just reached the old revision, other content under the same number was taken for known and hosts differed for good; where it had passed it, the watch was answered, and all changes before it skipped.

Fix: `StorePosition`, the epoch that the store states and then the revision, as terms and log indexes in Raft or epochs in ZooKeeper's ids. It is the only thing that listings, changes, updates and copies carry and compare. Changes are applied within one epoch only; an answer of another one is followed by a listing. Entries that the restored store lacks are kept for the grace time of an outage, anew with each restore. Only an answer that proves something confirms a copy; histories that expire at once are asked with back-off; a difference that neither store nor sender explains is settled by a listing. A listing that may lag claims no revision, as it may show the store of before a restore. Hosts of other releases understand the messages: without an epoch they count as the first one.

--- a/src/lavendergap/coordination/feeds.py
+++ b/src/lavendergap/coordination/feeds.py
@@ -4,7 +4,13 @@
 
 from xxhash import xxh3_64_intdigest
 
-from ..state.feeds import FeedChange, FeedChanges, FeedEntry, FeedListing
+from ..state.feeds import (
+    FeedChange,
+    FeedChanges,
+    FeedEntry,
+    FeedListing,
+    StorePosition,
+)
 
 N_BUCKETS = 64
 """Into how many buckets entries are hashed by name, to compare the copies of hosts.
@@ -22,21 +28,24 @@
 
 
 class FeedCopy:
-    """The entries of a feed at a revision, which never decreases.
+    """The entries of a feed at a position of the store, which never decreases.
 
     Servers renew their entries in the store. During an outage of the store they cannot,
     so the entries of live servers lapse; these servers register again within
     `lapse_grace_s` of the store's return. So an entry that vanishes within that
     time is kept until its end. Removed at once, all servers would be out of use after
-    each outage, and all callers refused.
+    each outage, and all callers refused. The same holds for entries that a store which
+    was restored from an older copy has lost: their writers write them again.
 
-    >>> from lavendergap.state.feeds import FeedChange, FeedEntry
+    >>> def at(revision: int) -> StorePosition:
+    ...     return StorePosition(epoch=1, revision=revision)
     >>> copy = FeedCopy(lapse_grace_s=2.2)
-    >>> listing = FeedListing(revision=7, entries=(FeedEntry(name="a", body=b"1"),))
+    >>> listing = FeedListing(
+    ...     position=at(7), entries=(FeedEntry(name="a", body=b"1"),))
     >>> copy.apply_listing(listing, now=10.0)
     True
     >>> copy.record_store_return(now=20.0)
-    >>> gone = FeedChanges(revision=8, changes=(FeedChange(name="a", body=None),))
+    >>> gone = FeedChanges(position=at(8), changes=(FeedChange(name="a", body=None),))
     >>> copy.apply_changes(gone, now=20.5), copy.drop_lapsed(now=21.0)
     (False, False)
     >>> dict(copy.entries)
@@ -48,7 +57,7 @@
     def __init__(
         self, *, lapse_grace_s: float, summarize: Summarize = summarize_whole
     ) -> None:
-        self.revision = 0
+        self.position = StorePosition()
         self._lapse_grace_s = lapse_grace_s
         self._summarize = summarize
         self._hashes: dict[str, int] = {}
@@ -67,7 +76,7 @@
     def fingerprint(self) -> int:
         """A hash of what matters of all entries, except lapsed ones still kept.
 
-        Copies with equal fingerprints have equal content, even at different revisions:
+        Copies with equal fingerprints have equal content, even at different positions:
         any write to the store changes its revision.
         """
         return self._fingerprint
@@ -100,12 +109,12 @@
                 fingerprint ^= self._hash(change.name, change.body)
         return fingerprint
 
-    def advance_revision(self, revision: int) -> None:
-        """Set a newer revision at which the feed is known to equal this copy.
+    def advance(self, position: StorePosition) -> None:
+        """Set a newer position at which the feed is known to equal this copy.
 
         Equal fingerprints show that; an empty reply to a watch does not.
         """
-        self.revision = max(self.revision, revision)
+        self.position = max(self.position, position)
 
     def record_store_return(self, *, now: float) -> None:
         """Record the time at which the store answers again after an outage."""
@@ -120,11 +129,15 @@
     ) -> bool:
         """Apply a listing of all entries; return whether the entries in force changed.
 
-        With `buckets` the listing covers only these, and the entries of others stay.
+        A listing at an older position than the copy's is ignored. With `buckets` the
+        listing covers only these, and the entries of others stay.
         """
-        if listing.revision < self.revision:
+        if listing.position < self.position:
             return False
-        self.revision = listing.revision
+        is_first = self.position == StorePosition()
+        if listing.position.epoch != self.position.epoch and not is_first:
+            self._record_restore(now)
+        self.position = listing.position
         listed = {entry.name: entry.body for entry in listing.entries}
         has_changed = False
         for name in list(self._entries):
@@ -135,18 +148,31 @@
             has_changed |= self._put(name, body)
         return has_changed
 
+    def _record_restore(self, now: float) -> None:
+        """Start the grace period anew, also for entries that had lapsed before.
+
+        A second restore may lose what was registered again after the first.
+        """
+        self.record_store_return(now=now)
+        until = now + self._lapse_grace_s
+        self._lapse_ends = dict.fromkeys(self._lapse_ends, until)
+
     def apply_changes(self, changes: FeedChanges, *, now: float) -> bool:
         """Apply the changes reported by a watch; return whether the entries changed.
 
-        An empty reply does not advance the revision. While the store compacts its
+        Changes of another epoch are ignored: they do not follow this copy.
+
+        An empty reply does not advance the position. While the store compacts its
         history, watches may return empty replies although there were changes. Advancing
         would skip these for good, and a server that is leaving would get work until it
-        ends. From the older revision the next watch returns them or reports that the
+        ends. From the older position the next watch returns them or reports that the
         history is gone.
         """
-        if changes.revision < self.revision or not changes.changes:
+        position = changes.position
+        is_older = position < self.position or position.epoch != self.position.epoch
+        if is_older or not changes.changes:
             return False
-        self.revision = changes.revision
+        self.position = position
         has_changed = False
         for change in changes.changes:
             if change.body is None:
@@ -171,6 +197,11 @@
         """
         return self.compute_fingerprint_with((change,)) != self._fingerprint
 
+    @property
+    def n_lapsed(self) -> int:
+        """The number of entries that the store no longer has and that are kept."""
+        return len(self._lapse_ends)
+
     @property
     def next_lapse_at(self) -> float | None:
         """The time at which `drop_lapsed` has something to do, or None."""
--- a/src/lavendergap/entry/activeconfig.py
+++ b/src/lavendergap/entry/activeconfig.py
@@ -6,6 +6,7 @@
 from .. import metrics
 from ..coordination.routing import RouteIndex
 from ..logs import Category, get_logger, log_decision
+from ..state.feeds import StorePosition
 from ..state.registry import RefusedEntry, RegisteredServer
 from .adapter import Adapter
 
@@ -45,7 +46,7 @@
         self._adapter = adapter
         self._apply = apply
 
-    def use_routes(self, entries: Mapping[str, bytes], revision: int) -> None:
+    def use_routes(self, entries: Mapping[str, bytes], position: StorePosition) -> None:
         """Activate the routes in a feed's entries if their version is newer."""
         try:
             table = self._adapter.read_routes(entries)
@@ -54,7 +55,8 @@
                 logger,
                 "routes refused",
                 request_id=None,
-                revision=revision,
+                revision=position.revision,
+                epoch=position.epoch,
                 error=str(error),
             )
             return
@@ -69,12 +71,15 @@
             request_id=None,
             version=table.version,
             before=before,
-            revision=revision,
+            revision=position.revision,
+            epoch=position.epoch,
             n_routes=len(table.routes),
         )
         self._apply()
 
-    def use_servers(self, entries: Mapping[str, bytes], revision: int) -> None:
+    def use_servers(
+        self, entries: Mapping[str, bytes], position: StorePosition
+    ) -> None:
         """Activate the servers in a feed's entries."""
         servers = []
         refused = set()
@@ -85,12 +90,14 @@
                 case RefusedEntry(problem=problem):
                     refused.add(name)
                     if name not in self._refused:
-                        _log_refused("server entry refused", name, revision, problem)
+                        _log_refused("server entry refused", name, position, problem)
         self._refused = refused
         self.servers = tuple(servers)
         self._apply()
 
-    def use_evacuations(self, entries: Mapping[str, bytes], revision: int) -> None:
+    def use_evacuations(
+        self, entries: Mapping[str, bytes], position: StorePosition
+    ) -> None:
         """Activate the evacuations in a feed's entries."""
         evacuated = set()
         refused = set()
@@ -100,13 +107,13 @@
             except ValueError as error:
                 refused.add(name)
                 if name not in self._refused_evacuations:
-                    _log_refused("evacuation entry refused", name, revision, str(error))
+                    _log_refused("evacuation entry refused", name, position, str(error))
         self._refused_evacuations = refused
         before, self.evacuated = self.evacuated, frozenset(evacuated)
         for data_centre in sorted(self.evacuated - before):
-            self._log_evacuation("evacuation started", data_centre, revision)
+            self._log_evacuation("evacuation started", data_centre, position)
         for data_centre in sorted(before - self.evacuated):
-            self._log_evacuation("evacuation ended", data_centre, revision)
+            self._log_evacuation("evacuation ended", data_centre, position)
         metrics.evacuated_data_centres.set(len(self.evacuated))
         self._apply()
 
@@ -116,14 +123,17 @@
             raise ValueError("expected the name of a data centre")
         return data_centre
 
-    def _log_evacuation(self, event: str, data_centre: str, revision: int) -> None:
+    def _log_evacuation(
+        self, event: str, data_centre: str, position: StorePosition
+    ) -> None:
         n_servers = sum(each.data_centre == data_centre for each in self.servers)
         log_decision(
             logger,
             event,
             request_id=None,
             data_centre=data_centre,
-            revision=revision,
+            revision=position.revision,
+            epoch=position.epoch,
             n_servers=n_servers,
         )
 
@@ -146,7 +156,13 @@
             return RefusedEntry(problem=str(error))
 
 
-def _log_refused(event: str, entry: str, revision: int, problem: str) -> None:
+def _log_refused(event: str, entry: str, position: StorePosition, problem: str) -> None:
     log_decision(
-        logger, event, request_id=None, entry=entry, revision=revision, error=problem
+        logger,
+        event,
+        request_id=None,
+        entry=entry,
+        revision=position.revision,
+        epoch=position.epoch,
+        error=problem,
     )
--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -178,5 +178,5 @@
 
 
 def _strip_changes(update: FeedUpdate, *, is_whole: bool) -> FeedUpdate:
-    """Return the update, or one without changes that announces its revision only."""
-    return update if is_whole else replace(update, base=update.revision, changes=())
+    """Return the update, or one without changes that announces its position only."""
+    return update if is_whole else replace(update, base=update.position, changes=())
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -5,10 +5,14 @@
 that receives no announcements for a while asks the store itself and announces the
 answer, so updates continue when both holders are down, and also reach hosts that the
 store refuses.
+
+A store restored from an older copy issues revisions again. Everything is therefore
+compared by its position, and an answer that does not follow the copy's position is
+followed by a listing, which replaces the copy.
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Protocol
 
@@ -25,6 +29,7 @@
     FeedListing,
     FeedSource,
     HistoryExpired,
+    StorePosition,
     StoreUnavailable,
 )
 
@@ -70,7 +75,7 @@
 # them from the first holder by then needs nothing more.
 SECOND_HOLDER_DELAY_S = 0.3
 
-OnChange = Callable[[Mapping[str, bytes], int], None]
+OnChange = Callable[[Mapping[str, bytes], StorePosition], None]
 
 
 def _do_nothing() -> None:
@@ -107,7 +112,7 @@
 class FeedReader:
     """Keeps the copy of one feed.
 
-    `on_change` is called with the entries and their revision whenever they change.
+    `on_change` is called with the entries and their position whenever they change.
     """
 
     def __init__(
@@ -132,9 +137,9 @@
         self._random = random
         self._nursery = nursery
         self._n_failures = 0
+        self._n_expired = 0
         self._confirmed_at = trio.current_time()
         self._is_catching_up = False
-        self._ignored_at_revision: int | None = None
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -153,17 +158,15 @@
     async def _list(self, *, may_be_stale: bool) -> None:
         """List the feed, or fetch it from a peer while the store does not answer."""
         while True:
+            before = self.copy.position
             match await self._source.list_feed(self.feed, may_be_stale=may_be_stale):
                 case FeedListing() as listing:
-                    self._record_answer()
-                    before = self.copy.revision
-                    if listing.revision < before:
-                        self._log_ignored(listing)
-                    has_changed = self._apply_listing(listing, "store")
-                    if not may_be_stale:
+                    self._record_contact()
+                    if may_be_stale:
+                        self._apply_listing(_drop_revision(listing), "store")
+                    elif self._apply_listing(listing, "store"):
                         # The others fetch what this host missed with the history.
-                        base = self.copy.revision if has_changed else before
-                        self._announce(base=base, changes=())
+                        self._announce(base=before, changes=())
                     return
                 case StoreUnavailable() as lost:
                     await self._handle_loss(lost)
@@ -188,35 +191,52 @@
             if not is_watching and not self.is_stale:
                 await self._wait_for_update(is_starting)
                 continue
-            base = self.copy.revision
+            base = self.copy.position
+            if base.epoch and not base.revision:
+                return  # Only a listing tells where to watch from.
             wait = self._timing.watch_wait_s if is_watching else 0.0
             match await self._source.watch_feed(self.feed, after=base, wait_s=wait):
-                case FeedChanges() as changes:
-                    self._record_answer()
+                case FeedChanges() as changes if changes.position.epoch == base.epoch:
+                    self._record_contact()
+                    self._confirm()
+                    self._n_expired = 0
                     relevant = self._select_relevant(changes.changes)
                     if self.copy.apply_changes(changes, now=trio.current_time()):
                         self._report_change("store")
                     if relevant and rank == 1:
                         await trio.sleep(SECOND_HOLDER_DELAY_S)
-                        base, relevant = self.copy.revision, ()
+                        base, relevant = self.copy.position, ()
                     self._announce(base=base, changes=relevant)
                     if changes.changes:
                         await trio.sleep(
                             STARTUP_PAUSE_S if is_leading else BATCHING_PAUSE_S
                         )
-                case HistoryExpired():
-                    self._record_answer()
-                    log_decision(
-                        logger,
-                        "feed history expired",
-                        request_id=None,
-                        feed=self.feed,
-                        revision=base,
-                    )
+                case FeedChanges() | HistoryExpired():
+                    self._record_contact()
+                    if self.copy.position != base:
+                        continue  # An update has replaced the copy meanwhile.
+                    await self._handle_expiry()
                     return
                 case StoreUnavailable() as lost:
                     await self._handle_loss(lost)
 
+    async def _handle_expiry(self) -> None:
+        """Log that the copy cannot be continued; wait if that happens repeatedly.
+
+        A store that forgets at once what it has listed would be called without a pause.
+        """
+        log_decision(
+            logger,
+            "feed history expired",
+            request_id=None,
+            feed=self.feed,
+            revision=self.copy.position.revision,
+            epoch=self.copy.position.epoch,
+        )
+        self._n_expired += 1
+        if self._n_expired > 1:
+            await trio.sleep(self._draw_pause(self._n_expired - 1))
+
     async def _wait_for_update(self, is_starting: bool) -> None:
         """Wait until an update is overdue, or this host may have to watch itself."""
         until = self._confirmed_at + self._draw_stale_delay()
@@ -248,35 +268,22 @@
         jitter = STALE_JITTER_SHARE * self._random.random()
         return self._timing.stale_after_s * (1.0 + jitter)
 
-    def _announce(self, *, base: int, changes: tuple[FeedChange, ...]) -> None:
+    def _announce(
+        self, *, base: StorePosition, changes: tuple[FeedChange, ...]
+    ) -> None:
+        position = self.copy.position
         self._peers.announce(
             FeedUpdate(
                 feed=self.feed,
-                base=base,
-                revision=self.copy.revision,
-                changes=changes,
+                base=base if base.epoch == position.epoch else position,
+                position=position,
+                changes=changes if base.epoch == position.epoch else (),
                 fingerprint=self.copy.fingerprint,
             )
         )
 
-    def _log_ignored(self, listing: FeedListing) -> None:
-        """Log a listing older than the copy, once for each revision of the copy."""
-        metrics.ignored_listings.labels(self.feed).inc()
-        if self._ignored_at_revision == self.copy.revision:
-            return
-        self._ignored_at_revision = self.copy.revision
-        log_decision(
-            logger,
-            "feed listing ignored",
-            request_id=None,
-            feed=self.feed,
-            revision=self.copy.revision,
-            listed_revision=listing.revision,
-            listed_epoch=listing.epoch,
-            unconfirmed_s=round(min(trio.current_time() - self._confirmed_at, 1e6), 2),
-        )
-
-    def _record_answer(self) -> None:
+    def _record_contact(self) -> None:
+        """Record that the store has answered, whatever its answer proves."""
         now = trio.current_time()
         if self._n_failures:
             log_decision(
@@ -285,11 +292,17 @@
                 request_id=None,
                 feed=self.feed,
                 n_failures=self._n_failures,
-                unconfirmed_s=round(min(now - self._confirmed_at, 1e6), 2),
+                unconfirmed_s=self._get_unconfirmed_s(),
             )
             self.copy.record_store_return(now=now)
         self._n_failures = 0
-        self._confirmed_at = now
+
+    def _confirm(self) -> None:
+        """Record that the copy equals what the store or a peer has just sent."""
+        self._confirmed_at = trio.current_time()
+
+    def _get_unconfirmed_s(self) -> float:
+        return round(min(trio.current_time() - self._confirmed_at, 1e6), 2)
 
     async def _handle_loss(self, lost: StoreUnavailable) -> None:
         self._n_failures += 1
@@ -302,14 +315,17 @@
                 feed=self.feed,
                 step=lost.step.value,
                 reason=lost.reason.value,
-                revision=self.copy.revision,
+                revision=self.copy.position.revision,
+                epoch=self.copy.position.epoch,
             )
-        pause = min(
-            MAX_RETRY_DELAY_S, FIRST_RETRY_DELAY_S * 2.0 ** (self._n_failures - 1)
-        )
-        pause = max(pause * self._random.uniform(0.7, 1.3), lost.retry_after_s)
+        pause = max(self._draw_pause(self._n_failures), lost.retry_after_s)
         await trio.sleep(min(pause, MAX_RETRY_DELAY_S * 1.3))
 
+    def _draw_pause(self, n_failures: int) -> float:
+        """Return an exponential delay before the next call, with jitter."""
+        pause = FIRST_RETRY_DELAY_S * 2.0 ** min(n_failures - 1, 10)
+        return min(MAX_RETRY_DELAY_S, pause) * self._random.uniform(0.7, 1.3)
+
     # From peers.
 
     def receive(
@@ -337,28 +353,34 @@
 
     def _apply_update(self, update: FeedUpdate, host: str) -> bool:
         """Apply an update; return whether the copy needs nothing more from it."""
+        copy = self.copy
+        before = copy.position
         if not self.is_loaded:
             return False
+        if update.position.epoch < before.epoch:
+            return True  # The sender has not noticed yet that the store was restored.
         now = trio.current_time()
-        copy = self.copy
-        if self.is_stale:
+        if self.is_stale or update.position.epoch > before.epoch:
             # No host had an answer from the store for a while: entries removed now may
             # have lapsed during an outage.
             copy.record_store_return(now=now)
-        is_outdated = update.revision < copy.revision
+        is_outdated = update.position < before
         changes = () if is_outdated else update.changes
         is_equal = copy.compute_fingerprint_with(changes) == update.fingerprint
         if is_outdated and not is_equal:
             return True  # The sender lags behind this host and confirms nothing.
-        if is_equal or copy.revision >= update.base:
-            announced = FeedChanges(revision=update.revision, changes=changes)
+        if is_equal:
+            copy.advance(update.base)
+        if copy.position >= update.base:
+            announced = FeedChanges(position=update.position, changes=changes)
             if copy.apply_changes(announced, now=now):
                 self._report_change(host)
         if is_equal:
-            # Hosts that listed the feed at another revision than the holder have the
-            # same entries; comparing revisions, they would keep asking the store.
-            copy.advance_revision(update.revision)
-            self._confirmed_at = now
+            # Hosts that listed the feed at another position than the holder have the
+            # same entries; comparing positions, they would keep asking the store.
+            copy.advance(update.position)
+            self._confirm()
+        self._log_restore(before, host)
         return is_equal
 
     async def _catch_up(
@@ -368,6 +390,8 @@
 
         A near sender comes first, as traffic within a data centre is free and each
         change of the routes would otherwise cost a call to the store by every host.
+        After a restore of the store a far sender comes next: the copies differ in few
+        entries, while all hosts would list a store that has just returned.
         """
         try:
             is_near = self._peers.is_near(host)
@@ -375,40 +399,56 @@
                 await self._fetch(host)
                 if self._matches(update):
                     return
-            if self.is_loaded and await self._ask_store(update):
+            follows = update.position.epoch == self.copy.position.epoch
+            if self.is_loaded and follows and await self._ask_store(update):
                 return
             # This host has no copy yet, or the store is down, has dropped its history
             # or is about to: it may then report no change when there is one.
             if not is_near:
                 await self._fetch(host)
+            if self.is_loaded and not self._matches(update):
+                await self._settle_difference(update)
         finally:
             self._is_catching_up = False
             on_applied()
 
     async def _ask_store(self, update: FeedUpdate) -> bool:
         """Apply newer changes of the store; return whether they match the update."""
-        base = self.copy.revision
+        base = self.copy.position
         answer = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
-        if not isinstance(answer, FeedChanges):
+        if not isinstance(answer, FeedChanges) or answer.position.epoch != base.epoch:
             return False
-        self._confirmed_at = trio.current_time()
-        if self.copy.apply_changes(answer, now=self._confirmed_at):
+        self._confirm()
+        if self.copy.apply_changes(answer, now=trio.current_time()):
             self._report_change("store")
         return self._matches(update)
 
+    async def _settle_difference(self, update: FeedUpdate) -> None:
+        """List the feed, as neither this copy nor the sender's is known to be right.
+
+        If the sender is wrong, it learns so from this host's announcement.
+        """
+        answer = await self._source.list_feed(self.feed, may_be_stale=False)
+        match answer:
+            case FeedListing() as listing:
+                is_applied = self._apply_listing(listing, "store")
+                if is_applied and not self._matches(update):
+                    self._announce(base=self.copy.position, changes=())
+            case StoreUnavailable(reason=reason):
+                metrics.store_losses.labels(self.feed, reason.value).inc()
+
     def _matches(self, update: FeedUpdate) -> bool:
         copy = self.copy
-        return copy.revision > update.revision or copy.fingerprint == update.fingerprint
+        return copy.position > update.position or copy.fingerprint == update.fingerprint
 
     async def _fetch(self, host: str | None) -> None:
         hashes = self.copy.bucket_hashes if self.is_loaded else ()
         state = await self._peers.fetch(self.feed, host, hashes=hashes)
-        if state is None or state.revision <= self.copy.revision:
+        if state is None or state.position <= self.copy.position:
             return
         if state.buckets is not None and not self.is_loaded:
             return
-        self._confirmed_at = trio.current_time()
-        listing = FeedListing(revision=state.revision, entries=state.entries)
+        listing = FeedListing(position=state.position, entries=state.entries)
         self._apply_listing(listing, host or "a peer", buckets=state.buckets)
 
     def make_state(self, hashes: tuple[int, ...] = ()) -> FeedState:
@@ -422,11 +462,11 @@
             entries = tuple(
                 FeedEntry(name=name, body=body) for name, body in copy.entries.items()
             )
-            return FeedState(feed=self.feed, revision=copy.revision, entries=entries)
+            return FeedState(feed=self.feed, position=copy.position, entries=entries)
         buckets = copy.find_differing(hashes)
         return FeedState(
             feed=self.feed,
-            revision=copy.revision,
+            position=copy.position,
             entries=copy.select(buckets),
             buckets=tuple(sorted(buckets)),
         )
@@ -439,12 +479,53 @@
         source: str,
         buckets: tuple[int, ...] | None = None,
     ) -> bool:
+        """Apply a listing unless the copy is newer; return whether it was applied."""
+        before = self.copy.position
+        if listing.position < before:
+            self._log_ignored(listing, source)
+            return False
         now = trio.current_time()
         has_changed = self.copy.apply_listing(listing, now=now, buckets=buckets)
+        self._confirm()
+        self._log_restore(before, source)
         if has_changed or not self.is_loaded:
             self.is_loaded = True
             self._report_change(source)
-        return has_changed
+        return True
+
+    def _log_ignored(self, listing: FeedListing, source: str) -> None:
+        metrics.ignored_listings.labels(self.feed).inc()
+        log_decision(
+            logger,
+            "feed listing ignored",
+            request_id=None,
+            feed=self.feed,
+            revision=self.copy.position.revision,
+            epoch=self.copy.position.epoch,
+            listed_revision=listing.position.revision,
+            listed_epoch=listing.position.epoch,
+            source=source,
+            unconfirmed_s=self._get_unconfirmed_s(),
+        )
+
+    def _log_restore(self, before: StorePosition, source: str) -> None:
+        """Log if the copy now follows a restore of the store."""
+        position = self.copy.position
+        metrics.store_epoch.labels(self.feed).set(position.epoch)
+        if position.epoch == before.epoch or before == StorePosition():
+            return
+        log_decision(
+            logger,
+            "store restored",
+            request_id=None,
+            feed=self.feed,
+            before_epoch=before.epoch,
+            before_revision=before.revision,
+            epoch=position.epoch,
+            revision=position.revision,
+            n_kept=self.copy.n_lapsed,
+            source=source,
+        )
 
     async def _drop_lapsed(self) -> None:
         while True:
@@ -462,8 +543,19 @@
             "feed changed",
             request_id=None,
             feed=self.feed,
-            revision=self.copy.revision,
+            revision=self.copy.position.revision,
+            epoch=self.copy.position.epoch,
             n_entries=len(self.copy.entries),
             source=source,
         )
-        self._on_change(self.copy.entries, self.copy.revision)
+        self._on_change(self.copy.entries, self.copy.position)
+
+
+def _drop_revision(listing: FeedListing) -> FeedListing:
+    """Return a listing that may be outdated, without the revision that it states.
+
+    It may show a store of before a restore, with the epoch of after it. Its revision
+    would be too high, and the copy taken for newer than those of other hosts.
+    """
+    epoch = listing.position.epoch
+    return replace(listing, position=StorePosition(epoch=epoch)) if epoch else listing
--- a/src/lavendergap/entry/hostfeeds.py
+++ b/src/lavendergap/entry/hostfeeds.py
@@ -7,6 +7,7 @@
 
 from ..coordination.feeds import summarize_whole
 from ..protocol.messages import FeedFetch, FeedState, FeedUpdate, StrikeReport
+from ..state.feeds import StorePosition
 from .activeconfig import ActiveConfig
 from .adapter import (
     EVACUATIONS_FEED,
@@ -130,5 +131,5 @@
         """Return this host's copy of a feed; an empty state for an unknown feed."""
         reader = self._readers.get(fetch.feed)
         if reader is None:
-            return FeedState(feed=fetch.feed, revision=0, entries=())
+            return FeedState(feed=fetch.feed, position=StorePosition(), entries=())
         return reader.make_state(fetch.hashes)
--- a/src/lavendergap/entry/quarantine.py
+++ b/src/lavendergap/entry/quarantine.py
@@ -8,6 +8,7 @@
 from ..coordination.contentids import identify_attempt, identify_content
 from ..coordination.quarantine import Quarantine
 from ..logs import Category, get_logger, log_decision
+from ..state.feeds import StorePosition
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import NotRun, Reason, Step
 from ..state.quarantine import Standing, Strike
@@ -163,7 +164,9 @@
 
     # The store.
 
-    def apply_entries(self, entries: Mapping[str, bytes], revision: int) -> None:
+    def apply_entries(
+        self, entries: Mapping[str, bytes], position: StorePosition
+    ) -> None:
         """Apply the strikes in the store."""
         strikes = []
         for name, body in entries.items():
@@ -175,7 +178,8 @@
                     "strike entry refused",
                     request_id=None,
                     entry=name,
-                    revision=revision,
+                    revision=position.revision,
+                    epoch=position.epoch,
                     error=str(error),
                 )
         now = trio.current_time()
@@ -185,7 +189,8 @@
             logger,
             "strikes in force",
             request_id=None,
-            revision=revision,
+            revision=position.revision,
+            epoch=position.epoch,
             n_strikes=len(strikes),
             n_held=self._quarantine.count_held(now=now),
         )
--- a/src/lavendergap/metrics.py
+++ b/src/lavendergap/metrics.py
@@ -58,6 +58,11 @@
     "Listings of the store older than this host's copy, by feed.",
     ["feed"],
 )
+store_epoch = Gauge(
+    "lavendergap_store_epoch",
+    "How often the store was restored from an older copy, as known here, by feed.",
+    ["feed"],
+)
 settings_version = Gauge(
     "lavendergap_settings_version", "Version of the settings in force here."
 )
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..state.feeds import FeedChange, FeedEntry
+from ..state.feeds import FeedChange, FeedEntry, StorePosition
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Outcome
 from ..state.quarantine import Strike
@@ -176,17 +176,17 @@
 class FeedUpdate:
     """Changes of a feed that the sender has just read from the store; no reply.
 
-    `changes` are all changes between the revisions `base` and `revision`. If it is
-    empty, the message confirms that the store had nothing newer a moment ago.
+    `changes` are all changes from `base` to `position`, which are of one epoch. If it
+    is empty, the message confirms that the store had nothing newer a moment ago.
     `fingerprint` is that of the sender's copy after the changes; a receiver with the
-    same fingerprint is up to date, whatever revisions the two copies have. With
+    same fingerprint is up to date, whatever positions the two copies have. With
     `should_relay` the receiver relays the message to the other hosts of its data
     centre.
     """
 
     feed: str
-    base: int
-    revision: int
+    base: StorePosition
+    position: StorePosition
     changes: tuple[FeedChange, ...]
     fingerprint: int
     should_relay: bool = False
@@ -205,13 +205,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FeedState:
-    """All entries of a feed at a revision; revision 0 if the sender has no copy.
+    """All entries of a feed at a position; the first one if the sender has no copy.
 
     With `buckets` only the entries of these buckets; the others do not differ.
     """
 
     feed: str
-    revision: int
+    position: StorePosition
     entries: tuple[FeedEntry, ...]
     buckets: tuple[int, ...] | None = None
 
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..state.feeds import FeedChange, FeedEntry
+from ..state.feeds import FeedChange, FeedEntry, StorePosition
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from ..state.quarantine import Strike
@@ -97,6 +97,7 @@
     should_relay: bool
     # All changes, compressed; `changes` is then empty.
     deflated: bytes = b""
+    epoch: int = 0
 
 
 class _PackedFetch(msgspec.Struct, array_like=True, tag=4):
@@ -113,6 +114,7 @@
     # All entries, compressed; `entries` is then empty.
     deflated: bytes = b""
     buckets: tuple[int, ...] | None = None
+    epoch: int = 0
 
 
 class _PackedStrikeReport(msgspec.Struct, array_like=True, tag=6):
@@ -220,12 +222,13 @@
         _PackedFeedUpdate(
             frame_id,
             update.feed,
-            update.base,
-            update.revision,
+            update.base.revision,
+            update.position.revision,
             changes,
             update.fingerprint,
             update.should_relay,
             deflated,
+            update.position.epoch,
         )
     )
 
@@ -240,7 +243,13 @@
     entries, deflated = _deflate(state.entries)
     return _encode(
         _PackedState(
-            frame_id, state.feed, state.revision, entries, deflated, state.buckets
+            frame_id,
+            state.feed,
+            state.position.revision,
+            entries,
+            deflated,
+            state.buckets,
+            state.position.epoch,
         )
     )
 
@@ -312,8 +321,8 @@
 def _unpack_feed_update(packed: _PackedFeedUpdate) -> FeedUpdate:
     return FeedUpdate(
         feed=packed.feed,
-        base=packed.base,
-        revision=packed.revision,
+        base=StorePosition(epoch=packed.epoch, revision=packed.base),
+        position=StorePosition(epoch=packed.epoch, revision=packed.revision),
         changes=tuple(
             FeedChange(name=name, body=body) for name, body in packed.changes
         ),
@@ -325,7 +334,7 @@
 def _unpack_state(packed: _PackedState) -> FeedState:
     return FeedState(
         feed=packed.feed,
-        revision=packed.revision,
+        position=StorePosition(epoch=packed.epoch, revision=packed.revision),
         entries=tuple(FeedEntry(name=name, body=body) for name, body in packed.entries),
         buckets=packed.buckets,
     )
--- a/src/lavendergap/state/feeds.py
+++ b/src/lavendergap/state/feeds.py
@@ -6,6 +6,23 @@
 from .outcome import Reason, Step
 
 
+@dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class StorePosition:
+    """A point in the store's history; later points compare greater.
+
+    `epoch` counts how often the store was restored from an older copy, 0 if the store
+    does not state it. A restored store issues the revisions after its copy again, so
+    that revisions of different epochs must not be compared. Revision 0 comes before
+    all content of an epoch.
+
+    >>> StorePosition(epoch=1, revision=82) < StorePosition(epoch=2, revision=78)
+    True
+    """
+
+    epoch: int = 0
+    revision: int = 0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FeedEntry:
     """One entry of the store; only the platform's adapter interprets `body`."""
@@ -16,15 +33,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FeedListing:
-    """All entries of a feed at one revision of the store.
+    """All entries of a feed at one position of the store."""
 
-    `epoch` counts how often the store was restored from an older copy, as the store
-    states it; 0 if it does not.
-    """
-
-    revision: int
+    position: StorePosition
     entries: tuple[FeedEntry, ...]
-    epoch: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,9 +49,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FeedChanges:
-    """The changes up to a revision; none if a watch timed out."""
+    """The changes up to a position; none if a watch timed out.
 
-    revision: int
+    They follow the position that was watched from only if both are of one epoch.
+    """
+
+    position: StorePosition
     changes: tuple[FeedChange, ...]
 
 
@@ -66,10 +81,13 @@
         """Return all entries of a feed.
 
         With `may_be_stale` they may be some seconds old. Such a read is much cheaper
-        for the store; a watch from the returned revision yields the later changes.
+        for the store; a watch from the returned position yields the later changes.
         """
 
     async def watch_feed(
-        self, feed: str, *, after: int, wait_s: float
+        self, feed: str, *, after: StorePosition, wait_s: float
     ) -> FeedChanges | HistoryExpired | StoreUnavailable:
-        """Wait up to `wait_s` seconds for changes after a revision."""
+        """Wait up to `wait_s` seconds for changes after a position.
+
+        The store may have been restored since; the caller compares the epochs.
+        """
