Keep strikes that a restored store has lost, and write them again

What callers would see: a request that was held back since it ends servers reaches servers of each shard again once the store came back from a copy without its strikes, and again after a restart of all hosts. Not reported by the users; found by looking for what hosts write themselves, which nobody else writes again.

Cause: a strike that is no longer in the store counted as removed on purpose, on all hosts at once. Strikes that were cleared and are back in the copy are ignored and removed once more by the host that cleared them. The feed of strikes has no grace time for lapsed entries, as strikes do not expire by themselves.

--- a/src/lavendergap/coordination/quarantine.py
+++ b/src/lavendergap/coordination/quarantine.py
@@ -11,7 +11,7 @@
 too, the content is held.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from ..state.quarantine import Standing, Strike
 
@@ -49,6 +49,7 @@
     >>> trial = Strike(
     ...     name="c.2", content="c", host="b-1", servers=("i-3",), is_trial=True)
     >>> quarantine.replace_stored([trial], now=1.0)
+    ()
     >>> quarantine.get_standing("c", now=1.0)
     <Standing.HELD: 'held'>
     >>> quarantine.get_hold_left_s("c", now=101.0)
@@ -62,6 +63,8 @@
         self._unstored: dict[str, Strike] = {}
         self._stored: dict[str, Strike] = {}
         self._seen_at: dict[str, float] = {}
+        self._epoch = 0
+        self._removed_at: dict[str, float] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -105,15 +108,37 @@
         self._rebuild(now)
         return True
 
-    def replace_stored(self, strikes: Iterable[Strike], *, now: float) -> None:
+    def replace_stored(
+        self, strikes: Iterable[Strike], *, now: float, epoch: int = 0
+    ) -> tuple[str, ...]:
         """Replace the strikes read from the store before by those that it holds now.
 
-        A strike that was stored is removed once it is no longer in the store.
+        A strike that was stored is removed once it is no longer in the store, but not
+        if the store was restored from an older copy meanwhile, which `epoch` counts.
+        Return the names of strikes that the copy holds again although they were
+        removed here; they are to be removed from the store once more.
         """
-        self._stored = {strike.name: strike for strike in strikes}
+        stored = {strike.name: strike for strike in strikes}
+        undone = sorted(stored.keys() & self._removed_at.keys())
+        for name in undone:
+            del stored[name]
+        is_restored = epoch > self._epoch
+        self._epoch = epoch
+        if is_restored:
+            self._unstored = self._stored | self._unstored
+        self._stored = stored
         for name in self._stored:
             self._unstored.pop(name, None)
         self._rebuild(now)
+        return tuple(undone) if is_restored else ()
+
+    def list_unstored(self, *, now: float, min_age_s: float) -> tuple[Strike, ...]:
+        """Return strikes that have not been in the store for `min_age_s` or longer."""
+        return tuple(
+            strike
+            for name, strike in self._unstored.items()
+            if now - self._seen_at[name] >= min_age_s
+        )
 
     def clear(self, content: str, *, now: float) -> tuple[str, ...]:
         """Drop the strikes of a content; return the names of those still in the store.
@@ -121,24 +146,31 @@
         Called when a server has answered a request of this content.
         """
         names = {strike.name for strike in self._by_content.get(content, ())}
-        stored = tuple(sorted(names & self._stored.keys()))
-        self._drop(names, now)
-        return stored
+        return self._remove(names, now)
 
     def expire(self, *, now: float) -> tuple[str, ...]:
         """Drop expired strikes; return the names of those still in the store."""
         old = {
             name for name, at in self._seen_at.items() if now - at >= STRIKE_LIFETIME_S
         }
-        stored = tuple(sorted(old & self._stored.keys()))
-        self._drop(old, now)
-        return stored
+        self._removed_at = {
+            name: at
+            for name, at in self._removed_at.items()
+            if now - at < STRIKE_LIFETIME_S
+        }
+        return self._remove(old, now)
 
-    def _drop(self, names: Iterable[str], now: float) -> None:
+    def _remove(self, names: Collection[str], now: float) -> tuple[str, ...]:
+        """Remove strikes; return the names of those still in the store."""
+        stored = tuple(sorted(name for name in names if name in self._stored))
         for name in names:
             self._unstored.pop(name, None)
             self._stored.pop(name, None)
+            self._removed_at[name] = now
+        while len(self._removed_at) > MAX_STRIKES:
+            del self._removed_at[next(iter(self._removed_at))]
         self._rebuild(now)
+        return stored
 
     def _rebuild(self, now: float) -> None:
         strikes = self._unstored | self._stored
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -126,10 +126,11 @@
         random: Random,
         nursery: trio.Nursery,
         timing: FeedTiming = FAST_TIMING,
+        lapse_grace_s: float = LAPSE_GRACE_S,
     ) -> None:
         self.feed = feed
         self._timing = timing
-        self.copy = FeedCopy(lapse_grace_s=LAPSE_GRACE_S, summarize=summarize)
+        self.copy = FeedCopy(lapse_grace_s=lapse_grace_s, summarize=summarize)
         self.is_loaded = False
         self._source = source
         self._peers = peers
--- a/src/lavendergap/entry/hostfeeds.py
+++ b/src/lavendergap/entry/hostfeeds.py
@@ -63,6 +63,8 @@
             on_change=quarantine.apply_entries,
             summarize=summarize_whole,
             timing=RELAXED_TIMING,
+            # Strikes do not lapse in an outage, as servers' entries do.
+            lapse_grace_s=0.0,
         )
         self._readers = {
             reader.feed: reader
--- a/src/lavendergap/entry/quarantine.py
+++ b/src/lavendergap/entry/quarantine.py
@@ -30,7 +30,7 @@
 """Delay before a failed write to the store is retried."""
 
 SWEEP_INTERVAL_S = 5.0
-"""Interval at which expired strikes are dropped."""
+"""Interval at which expired strikes are dropped and lost ones written again."""
 
 
 class RequestQuarantine:
@@ -183,7 +183,9 @@
                     error=str(error),
                 )
         now = trio.current_time()
-        self._quarantine.replace_stored(strikes, now=now)
+        undone = self._quarantine.replace_stored(strikes, now=now, epoch=position.epoch)
+        for name in undone:
+            self._enqueue(name)
         self._update_gauge()
         log_decision(
             logger,
@@ -193,6 +195,8 @@
             epoch=position.epoch,
             n_strikes=len(strikes),
             n_held=self._quarantine.count_held(now=now),
+            n_unstored=len(self._quarantine.list_unstored(now=now, min_age_s=0.0)),
+            n_removed_again=len(undone),
         )
 
     def _enqueue(self, write: Strike | str) -> None:
@@ -227,6 +231,21 @@
             if self._is_sweeper():
                 for name in old:
                     self._enqueue(name)
+                self._write_unstored()
+
+    def _write_unstored(self) -> None:
+        """Write strikes that the store lacks, for hosts that start later.
+
+        The host that recorded one may have failed before it was written, and a store
+        that was restored from an older copy has lost it.
+        """
+        if self._to_write.statistics().current_buffer_used:
+            return
+        unstored = self._quarantine.list_unstored(
+            now=trio.current_time(), min_age_s=SWEEP_INTERVAL_S
+        )
+        for strike in unstored[: MAX_QUEUED_WRITES // 2]:
+            self._enqueue(strike)
 
     def _update_gauge(self) -> None:
         now = trio.current_time()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,7 +12,11 @@
     STRIKE_LIFETIME_S,
     Quarantine,
 )
-from lavendergap.entry.quarantine import MAX_QUEUED_WRITES, RequestQuarantine
+from lavendergap.entry.quarantine import (
+    MAX_QUEUED_WRITES,
+    SWEEP_INTERVAL_S,
+    RequestQuarantine,
+)
 from lavendergap.state.feeds import StorePosition
 from lavendergap.state.forwarding import ForwardedRequest
 from lavendergap.state.quarantine import Standing, Strike
@@ -106,6 +110,44 @@
         assert quarantine.get_standing("c", now=2.0) is Standing.CLEAR
 
 
+class TestRestoredStore:
+    """Guards against forgetting strikes that the store has lost in a restore."""
+
+    def test_lost_strikes_stay_and_are_to_be_written(self):
+        quarantine = Quarantine()
+        strike = make_strike("c.1", is_trial=True)
+        quarantine.replace_stored([strike], now=1.0, epoch=1)
+        quarantine.replace_stored([], now=9.0, epoch=2)
+        assert quarantine.get_standing("c", now=9.0) is Standing.HELD
+        assert quarantine.list_unstored(now=9.0, min_age_s=5.0) == (strike,)
+        quarantine.replace_stored([strike], now=10.0, epoch=2)
+        assert quarantine.list_unstored(now=10.0, min_age_s=5.0) == ()
+        assert quarantine.get_hold_left_s("c", now=11.0) == HOLD_S - 10.0
+
+    def test_strikes_removed_after_the_restore_are_gone(self):
+        quarantine = Quarantine()
+        for epoch in (1, 2):
+            quarantine.replace_stored([make_strike("c.1")], now=1.0, epoch=epoch)
+        quarantine.replace_stored([], now=2.0, epoch=2)
+        assert quarantine.get_standing("c", now=2.0) is Standing.CLEAR
+
+    def test_strikes_that_were_cleared_do_not_come_back(self):
+        """Guards against a copy that undoes the removal of a strike."""
+        quarantine = Quarantine()
+        strike = make_strike("c.1", is_trial=True)
+        quarantine.replace_stored([strike], now=1.0, epoch=1)
+        assert quarantine.clear("c", now=2.0) == ("c.1",)
+        quarantine.replace_stored([], now=3.0, epoch=1)
+        assert quarantine.replace_stored([strike], now=4.0, epoch=2) == ("c.1",)
+        assert quarantine.get_standing("c", now=4.0) is Standing.CLEAR
+
+    def test_young_strikes_are_left_to_the_host_that_recorded_them(self):
+        quarantine = Quarantine()
+        quarantine.add(make_strike("c.1"), now=1.0)
+        assert quarantine.list_unstored(now=2.0, min_age_s=5.0) == ()
+        assert len(quarantine.list_unstored(now=6.0, min_age_s=5.0)) == 1
+
+
 @pytest.fixture
 async def request_quarantine(autojump_clock, nursery):
     """A running `RequestQuarantine`, with its store."""
@@ -182,6 +224,25 @@
         assert request_quarantine._store.stored == {}
         assert request_quarantine.get_standing(make_request(), b"") is Standing.CLEAR
 
+    async def test_strikes_lost_in_a_restore_are_written_again(
+        self, request_quarantine, autojump_clock
+    ):
+        store = request_quarantine._store
+        strike(request_quarantine, is_trial=True)
+        await trio.sleep(0.1)
+        lost = dict(store.stored)
+        [(name, written)] = lost.items()
+        entries = {name: written.content.encode()}
+        position = StorePosition(epoch=1, revision=9)
+        request_quarantine.apply_entries(entries, position)
+        store.stored.clear()
+        request_quarantine.apply_entries({}, StorePosition(epoch=2, revision=4))
+        await trio.sleep(2 * SWEEP_INTERVAL_S)
+        assert list(store.stored) == list(lost)
+        assert request_quarantine.get_standing(make_request(), b"") is not (
+            Standing.CLEAR
+        )
+
     async def test_a_host_that_starts_reads_stored_strikes(self, autojump_clock):
         request_quarantine = make_request_quarantine(StoredStrikes())
         content = identify_content(make_request(), b"")
--- a/tests/test_server_ends_processes.py
+++ b/tests/test_server_ends_processes.py
@@ -72,6 +72,13 @@
             await trio.sleep(0.01)
 
 
+async def wait_until_stored(platform: Platform, *, n_strikes: int) -> None:
+    """Wait until the store holds this many strikes."""
+    with trio.fail_after(TIMEOUT_S):
+        while len(platform.store.list_names("lavendergap-strikes")) < n_strikes:
+            await trio.sleep(0.05)
+
+
 def _count_strikes(gateway: Gateway) -> int:
     stored = [
         int(line["n_strikes"]) for line in gateway.read_events("strikes in force")
@@ -119,6 +126,28 @@
         assert answer.status == 503
         assert count_crashes(platform) == n_ended
 
+    async def test_strikes_that_the_store_has_lost_are_written_again(self, platform):
+        # The store is restored from a copy that has no strikes. Guards against hosts
+        # that forget the strikes with it, and against a restart of all after that.
+        gateways = await platform.start("ptl-a", "ptl-b")
+        copy = platform.store.take_copy()
+        await repeat(platform, gateways, DEADLY, n_times=4)
+        await wait_until_stored(platform, n_strikes=2)
+        n_ended = count_crashes(platform)
+        platform.store.restore(copy)
+        for leaf in platform.leaves:
+            leaf.register(platform.store, "ready")
+        await wait_until_stored(platform, n_strikes=2)
+        for gateway in gateways:
+            answer = await platform.request(gateway, DEADLY)
+            assert answer.status == 503
+        for gateway in gateways:
+            gateway.kill()
+        [newcomer] = await platform.start("sea-a")
+        answer = await platform.request(newcomer, DEADLY)
+        assert answer.status == 503
+        assert count_crashes(platform) == n_ended
+
     async def test_one_search_leaves_the_other_callers_a_server_of_each_group(
         self, platform
     ):
