Register hosts again when the store was restored from an older copy

What users would see: after a restore, hosts whose entry the copy lacks could not be found through the store by hosts that start; with their seeds down these own all groups alone. Not reported; found by looking for what hosts write themselves.

Cause: a host that had registered remembered so for good. Fix: a rise of the epoch makes a registered host write its entry again, within two seconds, without trusting a lagging list that may show the entry of before. Three hosts of each data centre write, as at a start.

--- a/src/lavendergap/entry/discovery.py
+++ b/src/lavendergap/entry/discovery.py
@@ -36,7 +36,8 @@
     """Finds other hosts through the store, where some hosts register.
 
     Seeds are not enough: while they are down, a starting host would find no other host
-    and own all groups itself.
+    and own all groups itself. `get_epoch` returns how often the store was restored from
+    an older copy, 0 while that is not known.
     """
 
     def __init__(
@@ -46,12 +47,16 @@
         adapter: Adapter,
         membership: Membership,
         random: Random,
+        get_epoch: Callable[[], int],
     ) -> None:
         self._host = host
         self._adapter = adapter
         self._membership = membership
         self._random = random
+        self._get_epoch = get_epoch
+        self._epoch = 0
         self._is_registered = False
+        self._is_entry_lost = False
         self._started_at = trio.current_time()
 
     async def run(self) -> None:
@@ -59,6 +64,7 @@
         await self._list_hosts()
         await trio.sleep(SEEDS_WAIT_S)
         while True:
+            self._check_epoch()
             is_alone = self._is_alone()
             is_due = not self._is_registered and self._must_register()
             if is_alone or is_due:
@@ -70,6 +76,13 @@
             retry = HOSTS_RETRY_S * self._random.uniform(1.0, 3.0)
             await trio.sleep(retry if is_retrying else REGISTER_CHECK_INTERVAL_S)
 
+    def _check_epoch(self) -> None:
+        """Find out whether a restore of the store may have lost this host's entry."""
+        before, self._epoch = self._epoch, self._get_epoch()
+        if before and self._epoch > before and self._is_registered:
+            self._is_registered = False
+            self._is_entry_lost = True
+
     def _is_alone(self) -> bool:
         return len(self._membership.live()) < 2
 
@@ -83,6 +96,7 @@
     async def _register(self) -> None:
         host = self._host
         self._is_registered = await self._adapter.register_host(host.name, host.peers)
+        self._is_entry_lost &= not self._is_registered
         event = "host registered" if self._is_registered else "host not registered"
         log_decision(logger, event, request_id=None, host=host.name)
 
@@ -114,7 +128,8 @@
                 error=str(error),
             )
             return
-        if entry.name == self._host.name:
+        # A lagging listing may show the store as it was before a restore.
+        if entry.name == self._host.name and not self._is_entry_lost:
             self._is_registered = address == self._host.peers
         self._membership.join([address])
 
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -163,6 +163,7 @@
             adapter=self._adapter,
             membership=self._membership,
             random=self._random,
+            get_epoch=lambda: self._feeds.epoch,
         )
         nursery.start_soon(discovery.run)
         keep = functools.partial(
--- a/src/lavendergap/entry/hostfeeds.py
+++ b/src/lavendergap/entry/hostfeeds.py
@@ -99,6 +99,11 @@
         """Whether the store or a peer has confirmed the servers recently."""
         return self._servers.is_loaded and not self._servers.is_stale
 
+    @property
+    def epoch(self) -> int:
+        """The store's epoch as known here; 0 before any feed was read."""
+        return max(each.copy.position.epoch for each in self._readers.values())
+
     def get_missing_feed(self) -> str:
         """Return which feed this host still lacks to serve requests, or ""."""
         if not self._servers.is_loaded:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -104,13 +104,16 @@
         return frozenset(member.name for member in self.members())
 
 
-def start_discovery(number: int, store: FakeStore, nursery) -> FakeMembership:
+def start_discovery(
+    number: int, store: FakeStore, nursery, *, get_epoch=lambda: 1
+) -> FakeMembership:
     membership = FakeMembership(number)
     discovery = Discovery(
         host=make_host(number),
         adapter=cast(Any, store),
         membership=cast(Any, membership),
         random=Random(number),
+        get_epoch=get_epoch,
     )
     nursery.start_soon(discovery.run)
     return membership
@@ -200,3 +203,55 @@
             memberships[n].others = [make_member(other) for other in left]
         await trio.sleep(10.0)
         assert len(store.entries) == 2 * REGISTERED_PER_DATA_CENTRE
+
+
+class TestRestoredStore:
+    """Guards against hosts that cannot be found after the store has lost them."""
+
+    @pytest.mark.parametrize("n_hosts", [7, 550])
+    async def test_registered_hosts_register_again(
+        self, autojump_clock, nursery, n_hosts
+    ):
+        store = FakeStore()
+        epoch = 0
+        memberships = [
+            start_discovery(number, store, nursery, get_epoch=lambda: epoch)
+            for number in range(n_hosts)
+        ]
+        for membership in memberships:
+            membership.others = [make_member(n) for n in range(n_hosts)]
+        epoch = 1  # Hosts read the store's epoch some time after their start.
+        await trio.sleep(20.0)
+        registered = set(store.entries)
+        n_writes = store.n_writes
+        assert n_writes == len(registered)
+        epoch = 2
+        store.entries.clear()
+        await trio.sleep(4.0)
+        assert set(store.entries) == registered
+        assert store.n_writes == 2 * n_writes
+
+    async def test_a_lagging_list_of_before_the_restore_is_not_trusted(
+        self, autojump_clock, nursery
+    ):
+        store = FakeStore()
+        epoch = 1
+        start_discovery(1, store, nursery, get_epoch=lambda: epoch)
+        await trio.sleep(10.0)
+        assert store.n_writes == 1
+        epoch = 2
+        await trio.sleep(10.0)
+        assert store.n_writes == 2
+
+    async def test_a_refused_write_is_tried_again(self, autojump_clock, nursery):
+        store = FakeStore()
+        epoch = 1
+        start_discovery(1, store, nursery, get_epoch=lambda: epoch)
+        await trio.sleep(10.0)
+        epoch = 2
+        store.entries.clear()
+        store.is_down = True
+        await trio.sleep(10.0)
+        store.is_down = False
+        await trio.sleep(4.0)
+        assert "host-1" in store.entries
--- a/tests/test_store_restore_processes.py
+++ b/tests/test_store_restore_processes.py
@@ -15,6 +15,7 @@
 # An accepted change of the routes has to be in force everywhere within this time.
 APPLY_LIMIT_S = 3.0
 FIRST_VERSION = 10
+HOSTS_KIND = "lavendergap-hosts"
 
 
 @pytest.fixture
@@ -84,6 +85,22 @@
         await wait_for_version(platform, version)
 
 
+class TestHosts:
+    async def test_hosts_are_registered_again(self, platform):
+        """Guards against hosts that cannot be found after the store has lost them."""
+
+        async def wait_for_entries(n_entries: int) -> None:
+            with trio.fail_after(10.0):
+                while len(platform.store.list_names(HOSTS_KIND)) < n_entries:
+                    await trio.sleep(0.1)
+
+        await wait_for_entries(3)
+        copy = platform.store.take_copy()
+        del copy.kinds[HOSTS_KIND]
+        platform.store.restore(copy)
+        await wait_for_entries(3)
+
+
 class TestServers:
     async def test_a_server_that_drains_before_hosts_see_the_restore(self, platform):
         """Guards against a watch that skips changes whose revisions are reused."""
