Keep servers draining that a restored store shows as ready

What callers would see: requests sent to a server that leaves, beyond its drain time, as the store came back from a copy of before it said so. Not reported; found by asking what a copy takes back.

Cause: the entry of the store was the only memory of a drain. Fix: a process, by its id and its start, that was seen draining stays so in later epochs; within one epoch the entry holds, since servers without a start time may restart under their id. Routes that the copy shows in an older version were ignored before; that is logged now.

--- a/src/lavendergap/entry/activeconfig.py
+++ b/src/lavendergap/entry/activeconfig.py
@@ -4,6 +4,7 @@
 from functools import lru_cache
 
 from .. import metrics
+from ..coordination.drains import DrainMemory
 from ..coordination.routing import RouteIndex
 from ..logs import Category, get_logger, log_decision
 from ..state.feeds import StorePosition
@@ -25,8 +26,9 @@
     """The parsed contents of the feeds; `apply` is called after each change.
 
     Invalid or older routes are ignored and the current ones stay active, so that a
-    lagging copy never reverts an operator's edit. An invalid server or evacuation entry
-    is skipped. `data_centres` are those that may be evacuated; empty means any.
+    lagging copy or a restored store never reverts an operator's edit. An invalid server
+    or evacuation entry is skipped. `data_centres` are those that may be evacuated;
+    empty means any.
     """
 
     def __init__(
@@ -43,6 +45,8 @@
         self._refused_evacuations: set[str] = set()
         self.read_server = lru_cache(maxsize=MAX_CACHED_SERVERS)(self._read_server)
         self._refused: set[str] = set()
+        self._drains = DrainMemory()
+        self._kept_draining: set[str] = set()
         self._adapter = adapter
         self._apply = apply
 
@@ -61,7 +65,18 @@
             )
             return
         before = self.index.table.version if self.index else 0
-        if table is None or (self.index and table.version <= before):
+        if table is None or table.version == before:
+            return
+        if table.version < before:
+            log_decision(
+                logger,
+                "routes ignored",
+                request_id=None,
+                version=table.version,
+                active=before,
+                revision=position.revision,
+                epoch=position.epoch,
+            )
             return
         self.index = RouteIndex(table=table)
         metrics.settings_version.set(table.version)
@@ -92,9 +107,30 @@
                     if name not in self._refused:
                         _log_refused("server entry refused", name, position, problem)
         self._refused = refused
-        self.servers = tuple(servers)
+        self.servers = self._drains.apply(servers, epoch=position.epoch)
+        self._log_kept_draining(servers, position)
         self._apply()
 
+    def _log_kept_draining(
+        self, listed: list[RegisteredServer], position: StorePosition
+    ) -> None:
+        """Log once which servers the store shows as ready although they drained."""
+        kept = {
+            server.server_id
+            for server, entry in zip(self.servers, listed, strict=True)
+            if server.is_draining and not entry.is_draining
+        }
+        for server_id in sorted(kept - self._kept_draining):
+            log_decision(
+                logger,
+                "server kept draining",
+                request_id=None,
+                server=server_id,
+                revision=position.revision,
+                epoch=position.epoch,
+            )
+        self._kept_draining = kept
+
     def use_evacuations(
         self, entries: Mapping[str, bytes], position: StorePosition
     ) -> None:
--- a/tests/test_store_restore_processes.py
+++ b/tests/test_store_restore_processes.py
@@ -122,6 +122,21 @@
                 assert (await platform.request(gateway, path)).status == 200
         assert leaving.arrivals.total() == n_before
 
+    async def test_a_draining_server_that_the_copy_shows_as_ready(self, platform):
+        """Guards against calls to a leaving server after a restore."""
+        copy = platform.store.take_copy()
+        leaving, *_ = platform.leaves
+        leaving.register(platform.store, "draining")
+        await trio.sleep(1.0)
+        platform.store.restore(copy)
+        await trio.sleep(1.0)
+        n_before = leaving.arrivals.total()
+        for _ in range(3):
+            for gateway in platform.gateways:
+                path = f"/v{FIRST_VERSION}/"
+                assert (await platform.request(gateway, path)).status == 200
+        assert leaving.arrivals.total() == n_before
+
 
 class TestCalls:
     async def test_hosts_do_not_flood_a_restored_store(self, platform):
