Restore the store from older copies in the soak

The soak's store could be down, silent or forget its history, but kept what it had confirmed. Now it also comes back from a copy of up to three seconds ago, after versions of the routes that the copy lacks; operator and servers write again within two seconds. The hosts' calls in the two seconds after it are bounded.

--- a/lab/soak.py
+++ b/lab/soak.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -21,8 +21,8 @@
 import h11
 import trio
 
-from standins.leafservers import Leaf, LeafFaults, make_answer_body
-from standins.objectstore import StoreMode
+from standins.leafservers import SERVERS, Leaf, LeafFaults, make_answer_body
+from standins.objectstore import StoreCopy, StoreMode
 
 from .gateways import (
     DRAIN_MS,
@@ -53,6 +53,14 @@
 # Time without faults before the final checks. For as long after a fault of the store
 # or of a host, late calls are not counted as violations.
 QUIET_S = 4.5
+# The store is restored from copies that are up to three seconds old. Servers and the
+# operator write again what it has lost within two seconds.
+STORE_COPY_INTERVAL_S = 0.4
+N_STORE_COPIES = 8
+WRITE_AGAIN_LIMIT_S = 1.8
+MAX_LOST_VERSIONS = 4
+# Calls of all hosts to the store in the two seconds after a restore.
+MAX_CALLS_AFTER_RESTORE = 150
 # One caller repeats a search that crashes each server that starts to run it.
 CRASH_PATH = "/all/deadly"
 CRASH_PAUSE_S = (0.2, 1.5)
@@ -95,6 +103,7 @@
         self.n_host_faults = 0
         self.n_crash_requests = 0
         self.evacuated: set[str] = set()
+        self.store_copies: deque[StoreCopy] = deque(maxlen=N_STORE_COPIES)
 
     def report_violation(self, text: str) -> None:
         """Record and print a violated guarantee with its seed and time."""
@@ -129,6 +138,10 @@
         """Write a newer version of the routes, with a path that only it has."""
         self.version += self.rng.randint(1, 3)
         self.routes_at = trio.current_time()
+        self.put_routes()
+
+    def put_routes(self) -> None:
+        """Write the newest version of the routes, perhaps once more."""
         self.platform.write_routes(
             self.version,
             [
@@ -272,6 +285,7 @@
             self.pause_host,
             self.stop_host,
             self.harm_store,
+            self.restore_store,
             self.harm_proxy,
             self.harm_leaf,
             self.harm_leaf,
@@ -340,6 +354,64 @@
             store.mode = "up"
         self.mark_disturbed()
 
+    async def take_store_copies(self) -> None:
+        """Take copies of the store until cancelled."""
+        while True:
+            self.store_copies.append(self.platform.store.take_copy())
+            await trio.sleep(STORE_COPY_INTERVAL_S)
+
+    async def restore_store(self) -> None:
+        """Restore the store from a copy, and check how much the hosts call it.
+
+        The copy lacks some versions of the routes that hosts have.
+        """
+        store = self.platform.store
+        self.mark_disturbed()
+        if store.mode == "up":
+            for _ in range(self.rng.randint(0, MAX_LOST_VERSIONS)):
+                self.write_routes()
+                await trio.sleep(0.2)
+            store.mode = "busy"
+            await trio.sleep(self.rng.uniform(0.1, 1.5))
+            copy = self.rng.choice(self.store_copies)
+            self.store_copies.clear()
+            self.store_copies.append(copy)
+            store.restore(copy)
+            store.mode = "up"
+            n_before = store.n_calls
+            await self.write_again()
+            if store.n_calls - n_before > MAX_CALLS_AFTER_RESTORE:
+                self.report_violation(
+                    f"{store.n_calls - n_before} calls after a restore of the store"
+                )
+        self.mark_disturbed()
+
+    async def write_again(self) -> None:
+        """Write what a restored store lacks, and remove servers that are gone."""
+        store = self.platform.store
+
+        async def write_operator_s() -> None:
+            await trio.sleep(self.rng.uniform(0.0, WRITE_AGAIN_LIMIT_S / 2))
+            self.put_routes()
+            for zone in ZONES:
+                if zone in self.evacuated:
+                    self.platform.evacuate(zone)
+                else:
+                    self.platform.end_evacuation(zone)
+
+        async def write_server_s(leaf: Leaf) -> None:
+            await trio.sleep(self.rng.uniform(0.0, WRITE_AGAIN_LIMIT_S))
+            leaf.register_again(store)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(write_operator_s)
+            for leaf in self.all_leaves():
+                nursery.start_soon(write_server_s, leaf)
+            await trio.sleep(2.0)
+        current = {leaf.server_id for leaf in self.all_leaves()}
+        for name in set(store.list_names(SERVERS)) - current:
+            store.remove(SERVERS, name)
+
     async def harm_proxy(self) -> None:
         self.mark_disturbed()
         match self.rng.randrange(5):
@@ -501,6 +573,7 @@
                 for number in range(N_CALLERS):
                     callers.start_soon(soak.send_requests, number)
                 callers.start_soon(soak.repeat_crash_request)
+                callers.start_soon(soak.take_store_copies)
                 await soak.inject_faults()
                 await trio.sleep(QUIET_S)
                 await soak.check_end()
--- a/standins/leafservers.py
+++ b/standins/leafservers.py
@@ -53,6 +53,7 @@
     service: str
     zone: str
     slots: int = 2
+    state: str = "ready"
     server_id: str = field(default_factory=make_server_id)
     faults: LeafFaults = field(default_factory=LeafFaults)
     runs: Counter[str] = field(default_factory=Counter)
@@ -95,6 +96,7 @@
 
     def register(self, store: ObjectStore, state: str) -> None:
         """Write the server's entry to the store with `state`."""
+        self.state = state
         entry = {
             "service": self.service,
             "address": self.address,
@@ -107,6 +109,11 @@
         }
         store.put(SERVERS, self.server_id, entry)
 
+    def register_again(self, store: ObjectStore) -> None:
+        """Write the entry again, as after a restore of the store, if it serves."""
+        if not self.serve_scope.cancel_called:
+            self.register(store, self.state)
+
     async def handle(self, request: Request, connection: Connection) -> Reply | None:
         """Answer one request, with the faults in force."""
         attempt = request.headers.get("lavendergap-attempt-id", "")
