Split a feed's copy from the reader that keeps it up to date

entry/feeds.py had grown to some 560 lines: what is read from store and peers, and the copy with its age, its log lines and its reports of changes. The latter is entry/feedcopy.py now.

--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -11,7 +11,7 @@
 followed by a listing, which replaces the copy.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
 from typing import Protocol
@@ -19,19 +19,19 @@
 import trio
 
 from .. import metrics
-from ..coordination.feeds import N_BUCKETS, FeedCopy, Summarize
+from ..coordination.feeds import FeedCopy, Summarize
 from ..logs import Category, get_logger, log_decision
 from ..protocol.messages import FeedState, FeedUpdate
 from ..state.feeds import (
     FeedChange,
     FeedChanges,
-    FeedEntry,
     FeedListing,
     FeedSource,
     HistoryExpired,
     StorePosition,
     StoreUnavailable,
 )
+from .feedcopy import OnChange, TrackedCopy, format_age
 
 logger = get_logger(Category.SETTINGS)
 
@@ -75,8 +75,6 @@
 # them from the first holder by then needs nothing more.
 SECOND_HOLDER_DELAY_S = 0.3
 
-OnChange = Callable[[Mapping[str, bytes], StorePosition], None]
-
 
 def _do_nothing() -> None:
     pass
@@ -130,21 +128,33 @@
     ) -> None:
         self.feed = feed
         self._timing = timing
-        self.copy = FeedCopy(lapse_grace_s=lapse_grace_s, summarize=summarize)
-        self.is_loaded = False
+        self._tracked = TrackedCopy(
+            feed=feed,
+            on_change=on_change,
+            summarize=summarize,
+            lapse_grace_s=lapse_grace_s,
+        )
         self._source = source
         self._peers = peers
-        self._on_change = on_change
         self._random = random
         self._nursery = nursery
         self._n_failures = 0
         self._n_expired = 0
-        self._confirmed_at = trio.current_time()
         self._is_catching_up = False
 
+    @property
+    def copy(self) -> FeedCopy:
+        """This host's copy."""
+        return self._tracked.copy
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the feed has been read from the store or a peer."""
+        return self._tracked.is_loaded
+
     async def run(self) -> None:
         """Read until cancelled."""
-        self._nursery.start_soon(self._drop_lapsed)
+        self._nursery.start_soon(self._tracked.drop_lapsed)
         # When all hosts start together, reading a lagging replica is far cheaper for
         # the store, and the next update or watch shows what is missing. After the
         # history is gone, a replica may be older than the store's remaining history.
@@ -164,8 +174,8 @@
                 case FeedListing() as listing:
                     self._record_contact()
                     if may_be_stale:
-                        self._apply_listing(_drop_revision(listing), "store")
-                    elif self._apply_listing(listing, "store"):
+                        self._tracked.apply_listing(_drop_revision(listing), "store")
+                    elif self._tracked.apply_listing(listing, "store"):
                         # The others fetch what this host missed with the history.
                         self._announce(base=before, changes=())
                     return
@@ -199,11 +209,10 @@
             match await self._source.watch_feed(self.feed, after=base, wait_s=wait):
                 case FeedChanges() as changes if changes.position.epoch == base.epoch:
                     self._record_contact()
-                    self._confirm()
+                    self._tracked.confirm()
                     self._n_expired = 0
                     relevant = self._select_relevant(changes.changes)
-                    if self.copy.apply_changes(changes, now=trio.current_time()):
-                        self._report_change("store")
+                    self._tracked.apply_changes(changes, "store")
                     if relevant and rank == 1:
                         await trio.sleep(SECOND_HOLDER_DELAY_S)
                         base, relevant = self.copy.position, ()
@@ -240,7 +249,7 @@
 
     async def _wait_for_update(self, is_starting: bool) -> None:
         """Wait until an update is overdue, or this host may have to watch itself."""
-        until = self._confirmed_at + self._draw_stale_delay()
+        until = self._tracked.confirmed_at + self._draw_stale_delay()
         if is_starting:
             until = min(until, trio.current_time() + STARTUP_PAUSE_S)
         await trio.sleep_until(until)
@@ -263,7 +272,7 @@
     @property
     def is_stale(self) -> bool:
         """Whether the store or a peer last confirmed the copy too long ago."""
-        return trio.current_time() - self._confirmed_at >= self._timing.stale_after_s
+        return self._tracked.unconfirmed_s >= self._timing.stale_after_s
 
     def _draw_stale_delay(self) -> float:
         jitter = STALE_JITTER_SHARE * self._random.random()
@@ -293,18 +302,11 @@
                 request_id=None,
                 feed=self.feed,
                 n_failures=self._n_failures,
-                unconfirmed_s=self._get_unconfirmed_s(),
+                unconfirmed_s=format_age(self._tracked.unconfirmed_s),
             )
             self.copy.record_store_return(now=now)
         self._n_failures = 0
 
-    def _confirm(self) -> None:
-        """Record that the copy equals what the store or a peer has just sent."""
-        self._confirmed_at = trio.current_time()
-
-    def _get_unconfirmed_s(self) -> float:
-        return round(min(trio.current_time() - self._confirmed_at, 1e6), 2)
-
     async def _handle_loss(self, lost: StoreUnavailable) -> None:
         self._n_failures += 1
         metrics.store_losses.labels(self.feed, lost.reason.value).inc()
@@ -342,7 +344,7 @@
         once this copy has them or the attempt to get them has failed. A relay forwards
         the update then, so that its neighbours can fetch from it what is missing.
         """
-        if self._apply_update(update, host):
+        if self._tracked.apply_update(update, host, is_stale=self.is_stale):
             on_applied()
             return
         if update.changes or self._is_catching_up:
@@ -352,38 +354,6 @@
             self._is_catching_up = True
             self._nursery.start_soon(self._catch_up, update, host, on_applied)
 
-    def _apply_update(self, update: FeedUpdate, host: str) -> bool:
-        """Apply an update; return whether the copy needs nothing more from it."""
-        copy = self.copy
-        before = copy.position
-        if not self.is_loaded:
-            return False
-        if update.position.epoch < before.epoch:
-            return True  # The sender has not noticed yet that the store was restored.
-        now = trio.current_time()
-        if self.is_stale or update.position.epoch > before.epoch:
-            # No host had an answer from the store for a while: entries removed now may
-            # have lapsed during an outage.
-            copy.record_store_return(now=now)
-        is_outdated = update.position < before
-        changes = () if is_outdated else update.changes
-        is_equal = copy.compute_fingerprint_with(changes) == update.fingerprint
-        if is_outdated and not is_equal:
-            return True  # The sender lags behind this host and confirms nothing.
-        if is_equal:
-            copy.advance(update.base)
-        if copy.position >= update.base:
-            announced = FeedChanges(position=update.position, changes=changes)
-            if copy.apply_changes(announced, now=now):
-                self._report_change(host)
-        if is_equal:
-            # Hosts that listed the feed at another position than the holder have the
-            # same entries; comparing positions, they would keep asking the store.
-            copy.advance(update.position)
-            self._confirm()
-        self._log_restore(before, host)
-        return is_equal
-
     async def _catch_up(
         self, update: FeedUpdate, host: str, on_applied: Callable[[], None]
     ) -> None:
@@ -419,9 +389,8 @@
         answer = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
         if not isinstance(answer, FeedChanges) or answer.position.epoch != base.epoch:
             return False
-        self._confirm()
-        if self.copy.apply_changes(answer, now=trio.current_time()):
-            self._report_change("store")
+        self._tracked.confirm()
+        self._tracked.apply_changes(answer, "store")
         return self._matches(update)
 
     async def _settle_difference(self, update: FeedUpdate) -> None:
@@ -432,7 +401,7 @@
         answer = await self._source.list_feed(self.feed, may_be_stale=False)
         match answer:
             case FeedListing() as listing:
-                is_applied = self._apply_listing(listing, "store")
+                is_applied = self._tracked.apply_listing(listing, "store")
                 if is_applied and not self._matches(update):
                     self._announce(base=self.copy.position, changes=())
             case StoreUnavailable(reason=reason):
@@ -450,106 +419,11 @@
         if state.buckets is not None and not self.is_loaded:
             return
         listing = FeedListing(position=state.position, entries=state.entries)
-        self._apply_listing(listing, host or "a peer", buckets=state.buckets)
+        self._tracked.apply_listing(listing, host or "a peer", buckets=state.buckets)
 
     def make_state(self, hashes: tuple[int, ...] = ()) -> FeedState:
-        """Return the copy for a peer, or only the buckets that differ from `hashes`.
-
-        A peer that has no copy yet also gets the lapsed entries that are still kept;
-        without them it would have no servers for a while after an outage.
-        """
-        copy = self.copy
-        if len(hashes) != N_BUCKETS:
-            entries = tuple(
-                FeedEntry(name=name, body=body) for name, body in copy.entries.items()
-            )
-            return FeedState(feed=self.feed, position=copy.position, entries=entries)
-        buckets = copy.find_differing(hashes)
-        return FeedState(
-            feed=self.feed,
-            position=copy.position,
-            entries=copy.select(buckets),
-            buckets=tuple(sorted(buckets)),
-        )
-
-    # Changes of the copy.
-
-    def _apply_listing(
-        self,
-        listing: FeedListing,
-        source: str,
-        buckets: tuple[int, ...] | None = None,
-    ) -> bool:
-        """Apply a listing unless the copy is newer; return whether it was applied."""
-        before = self.copy.position
-        if listing.position < before:
-            self._log_ignored(listing, source)
-            return False
-        now = trio.current_time()
-        has_changed = self.copy.apply_listing(listing, now=now, buckets=buckets)
-        self._confirm()
-        self._log_restore(before, source)
-        if has_changed or not self.is_loaded:
-            self.is_loaded = True
-            self._report_change(source)
-        return True
-
-    def _log_ignored(self, listing: FeedListing, source: str) -> None:
-        metrics.ignored_listings.labels(self.feed).inc()
-        log_decision(
-            logger,
-            "feed listing ignored",
-            request_id=None,
-            feed=self.feed,
-            revision=self.copy.position.revision,
-            epoch=self.copy.position.epoch,
-            listed_revision=listing.position.revision,
-            listed_epoch=listing.position.epoch,
-            source=source,
-            unconfirmed_s=self._get_unconfirmed_s(),
-        )
-
-    def _log_restore(self, before: StorePosition, source: str) -> None:
-        """Log if the copy now follows a restore of the store."""
-        position = self.copy.position
-        metrics.store_epoch.labels(self.feed).set(position.epoch)
-        if position.epoch == before.epoch or before == StorePosition():
-            return
-        log_decision(
-            logger,
-            "store restored",
-            request_id=None,
-            feed=self.feed,
-            before_epoch=before.epoch,
-            before_revision=before.revision,
-            epoch=position.epoch,
-            revision=position.revision,
-            n_kept=self.copy.n_lapsed,
-            source=source,
-        )
-
-    async def _drop_lapsed(self) -> None:
-        while True:
-            due = self.copy.next_lapse_at
-            now = trio.current_time()
-            if due is not None and due <= now:
-                if self.copy.drop_lapsed(now=now):
-                    self._report_change("lapse")
-                continue
-            await trio.sleep(LAPSE_GRACE_S / 4 if due is None else due - now)
-
-    def _report_change(self, source: str) -> None:
-        log_decision(
-            logger,
-            "feed changed",
-            request_id=None,
-            feed=self.feed,
-            revision=self.copy.position.revision,
-            epoch=self.copy.position.epoch,
-            n_entries=len(self.copy.entries),
-            source=source,
-        )
-        self._on_change(self.copy.entries, self.copy.position)
+        """Return the copy for a peer, or only the buckets that differ from `hashes`."""
+        return self._tracked.make_state(hashes)
 
 
 def _drop_revision(listing: FeedListing) -> FeedListing:
