Announce no base that an answer does not prove, and log settled differences

Found on reading the diff. An announcement after a listing named the copy's earlier position as its base though it carried none of the changes since; receivers without them had to find out by the fingerprint. The answer to a watch confirmed a copy that a peer's update had meanwhile moved to another epoch. And a listing that settles a difference between two copies left no line where the store gave none.

--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -169,7 +169,6 @@
     async def _list(self, *, may_be_stale: bool) -> None:
         """List the feed, or fetch it from a peer while the store does not answer."""
         while True:
-            before = self.copy.position
             match await self._source.list_feed(self.feed, may_be_stale=may_be_stale):
                 case FeedListing() as listing:
                     self._record_contact()
@@ -177,7 +176,7 @@
                         self._tracked.apply_listing(_drop_revision(listing), "store")
                     elif self._tracked.apply_listing(listing, "store"):
                         # The others fetch what this host missed with the history.
-                        self._announce(base=before, changes=())
+                        self._announce(base=self.copy.position, changes=())
                     return
                 case StoreUnavailable() as lost:
                     await self._handle_loss(lost)
@@ -207,7 +206,7 @@
                 return  # Only a listing tells where to watch from.
             wait = self._timing.watch_wait_s if is_watching else 0.0
             match await self._source.watch_feed(self.feed, after=base, wait_s=wait):
-                case FeedChanges() as changes if changes.position.epoch == base.epoch:
+                case FeedChanges() as changes if self._follows_copy(changes, base):
                     self._record_contact()
                     self._tracked.confirm()
                     self._n_expired = 0
@@ -230,6 +229,13 @@
                 case StoreUnavailable() as lost:
                     await self._handle_loss(lost)
 
+    def _follows_copy(self, changes: FeedChanges, base: StorePosition) -> bool:
+        """Return whether the answer to a watch from `base` continues the copy.
+
+        The store, or an update of a peer that knows so, may show a restore meanwhile.
+        """
+        return changes.position.epoch == base.epoch == self.copy.position.epoch
+
     async def _handle_expiry(self) -> None:
         """Log that the copy cannot be continued; wait if that happens repeatedly.
 
@@ -281,13 +287,12 @@
     def _announce(
         self, *, base: StorePosition, changes: tuple[FeedChange, ...]
     ) -> None:
-        position = self.copy.position
         self._peers.announce(
             FeedUpdate(
                 feed=self.feed,
-                base=base if base.epoch == position.epoch else position,
-                position=position,
-                changes=changes if base.epoch == position.epoch else (),
+                base=base,
+                position=self.copy.position,
+                changes=changes,
                 fingerprint=self.copy.fingerprint,
             )
         )
@@ -378,7 +383,7 @@
             if not is_near:
                 await self._fetch(host)
             if self.is_loaded and not self._matches(update):
-                await self._settle_difference(update)
+                await self._settle_difference(update, host)
         finally:
             self._is_catching_up = False
             on_applied()
@@ -387,25 +392,41 @@
         """Apply newer changes of the store; return whether they match the update."""
         base = self.copy.position
         answer = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
-        if not isinstance(answer, FeedChanges) or answer.position.epoch != base.epoch:
+        if not isinstance(answer, FeedChanges):
+            return False
+        if not self._follows_copy(answer, base):
             return False
         self._tracked.confirm()
         self._tracked.apply_changes(answer, "store")
         return self._matches(update)
 
-    async def _settle_difference(self, update: FeedUpdate) -> None:
+    async def _settle_difference(self, update: FeedUpdate, host: str) -> None:
         """List the feed, as neither this copy nor the sender's is known to be right.
 
         If the sender is wrong, it learns so from this host's announcement.
         """
-        answer = await self._source.list_feed(self.feed, may_be_stale=False)
-        match answer:
+        before = self.copy.position
+        match await self._source.list_feed(self.feed, may_be_stale=False):
             case FeedListing() as listing:
                 is_applied = self._tracked.apply_listing(listing, "store")
-                if is_applied and not self._matches(update):
+                outcome = "matches" if self._matches(update) else "differs"
+                if is_applied and outcome == "differs":
                     self._announce(base=self.copy.position, changes=())
             case StoreUnavailable(reason=reason):
                 metrics.store_losses.labels(self.feed, reason.value).inc()
+                outcome = reason.value
+        log_decision(
+            logger,
+            "feed copies differ",
+            request_id=None,
+            feed=self.feed,
+            host=host,
+            revision=before.revision,
+            epoch=before.epoch,
+            host_revision=update.position.revision,
+            host_epoch=update.position.epoch,
+            outcome=outcome,
+        )
 
     def _matches(self, update: FeedUpdate) -> bool:
         copy = self.copy
