Keep evacuations for ten seconds that a restored store has lost

What callers would see: requests sent to servers of a data centre that an operator had just evacuated, once the grace time for servers is over and before the operator has written the evacuation again.

Fix: how long entries that a restored store lacks are kept is of its own for each feed. An entry that is removed after the restore is not kept for longer, so that an evacuation can be ended at once.

--- a/src/lavendergap/coordination/feeds.py
+++ b/src/lavendergap/coordination/feeds.py
@@ -34,8 +34,9 @@
     so the entries of live servers lapse; these servers register again within
     `lapse_grace_s` of the store's return. So an entry that vanishes within that
     time is kept until its end. Removed at once, all servers would be out of use after
-    each outage, and all callers refused. The same holds for entries that a store which
-    was restored from an older copy has lost: their writers write them again.
+    each outage, and all callers refused. Entries that a store has lost since it was
+    restored from an older copy are kept for `restore_grace_s`, the same by default:
+    their writers write them again.
 
     >>> def at(revision: int) -> StorePosition:
     ...     return StorePosition(epoch=1, revision=revision)
@@ -55,10 +56,17 @@
     """
 
     def __init__(
-        self, *, lapse_grace_s: float, summarize: Summarize = summarize_whole
+        self,
+        *,
+        lapse_grace_s: float,
+        restore_grace_s: float | None = None,
+        summarize: Summarize = summarize_whole,
     ) -> None:
         self.position = StorePosition()
         self._lapse_grace_s = lapse_grace_s
+        self._restore_grace_s = (
+            lapse_grace_s if restore_grace_s is None else restore_grace_s
+        )
         self._summarize = summarize
         self._hashes: dict[str, int] = {}
         self._buckets = [0] * N_BUCKETS
@@ -134,28 +142,31 @@
         """
         if listing.position < self.position:
             return False
+        keep_until = self._store_returned_at + self._lapse_grace_s
         is_first = self.position == StorePosition()
         if listing.position.epoch != self.position.epoch and not is_first:
-            self._record_restore(now)
+            keep_until = self._record_restore(now)
         self.position = listing.position
         listed = {entry.name: entry.body for entry in listing.entries}
         has_changed = False
         for name in list(self._entries):
             is_covered = buckets is None or get_bucket(name) in buckets
             if is_covered and name not in listed:
-                has_changed |= self._remove(name, now)
+                has_changed |= self._remove(name, now, keep_until)
         for name, body in listed.items():
             has_changed |= self._put(name, body)
         return has_changed
 
-    def _record_restore(self, now: float) -> None:
-        """Start the grace period anew, also for entries that had lapsed before.
+    def _record_restore(self, now: float) -> float:
+        """Return until when entries are kept that the store has lost.
 
-        A second restore may lose what was registered again after the first.
+        That holds anew for entries that had lapsed before: a second restore may lose
+        what was registered again after the first.
         """
         self.record_store_return(now=now)
-        until = now + self._lapse_grace_s
-        self._lapse_ends = dict.fromkeys(self._lapse_ends, until)
+        keep_until = now + self._restore_grace_s
+        self._lapse_ends = dict.fromkeys(self._lapse_ends, keep_until)
+        return keep_until
 
     def apply_changes(self, changes: FeedChanges, *, now: float) -> bool:
         """Apply the changes reported by a watch; return whether the entries changed.
@@ -173,10 +184,11 @@
         if is_older or not changes.changes:
             return False
         self.position = position
+        keep_until = self._store_returned_at + self._lapse_grace_s
         has_changed = False
         for change in changes.changes:
             if change.body is None:
-                has_changed |= self._remove(change.name, now)
+                has_changed |= self._remove(change.name, now, keep_until)
             else:
                 has_changed |= self._put(change.name, change.body)
         return has_changed
@@ -217,11 +229,10 @@
         self._entries[name] = body
         return True
 
-    def _remove(self, name: str, now: float) -> bool:
+    def _remove(self, name: str, now: float, keep_until: float) -> bool:
         self._update_hash(name, None)
-        until = self._store_returned_at + self._lapse_grace_s
-        if now < until:
-            self._lapse_ends.setdefault(name, until)
+        if now < keep_until:
+            self._lapse_ends.setdefault(name, keep_until)
             return False
         self._lapse_ends.pop(name, None)
         return self._entries.pop(name, None) is not None
--- a/src/lavendergap/entry/feedcopy.py
+++ b/src/lavendergap/entry/feedcopy.py
@@ -31,9 +31,14 @@
         on_change: OnChange,
         summarize: Summarize,
         lapse_grace_s: float,
+        restore_grace_s: float,
     ) -> None:
         self.feed = feed
-        self.copy = FeedCopy(lapse_grace_s=lapse_grace_s, summarize=summarize)
+        self.copy = FeedCopy(
+            lapse_grace_s=lapse_grace_s,
+            restore_grace_s=restore_grace_s,
+            summarize=summarize,
+        )
         self.is_loaded = False
         self.confirmed_at = trio.current_time()
         self._on_change = on_change
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -125,6 +125,7 @@
         nursery: trio.Nursery,
         timing: FeedTiming = FAST_TIMING,
         lapse_grace_s: float = LAPSE_GRACE_S,
+        restore_grace_s: float = LAPSE_GRACE_S,
     ) -> None:
         self.feed = feed
         self._timing = timing
@@ -133,6 +134,7 @@
             on_change=on_change,
             summarize=summarize,
             lapse_grace_s=lapse_grace_s,
+            restore_grace_s=restore_grace_s,
         )
         self._source = source
         self._peers = peers
@@ -201,9 +203,9 @@
             if not is_watching and not self.is_stale:
                 await self._wait_for_update(is_starting)
                 continue
+            if not self._can_be_continued:
+                return
             base = self.copy.position
-            if base.epoch and not base.revision:
-                return  # Only a listing tells where to watch from.
             wait = self._timing.watch_wait_s if is_watching else 0.0
             match await self._source.watch_feed(self.feed, after=base, wait_s=wait):
                 case FeedChanges() as changes if self._follows_copy(changes, base):
@@ -229,6 +231,11 @@
                 case StoreUnavailable() as lost:
                     await self._handle_loss(lost)
 
+    @property
+    def _can_be_continued(self) -> bool:
+        """Whether the copy's position is one to watch from, not only its epoch."""
+        return self.copy.position.revision > 0 or self.copy.position.epoch == 0
+
     def _follows_copy(self, changes: FeedChanges, base: StorePosition) -> bool:
         """Return whether the answer to a watch from `base` continues the copy.
 
@@ -376,7 +383,8 @@
                 if self._matches(update):
                     return
             follows = update.position.epoch == self.copy.position.epoch
-            if self.is_loaded and follows and await self._ask_store(update):
+            can_watch = self.is_loaded and follows and self._can_be_continued
+            if can_watch and await self._ask_store(update):
                 return
             # This host has no copy yet, or the store is down, has dropped its history
             # or is about to: it may then report no change when there is one.
--- a/src/lavendergap/entry/hostfeeds.py
+++ b/src/lavendergap/entry/hostfeeds.py
@@ -20,6 +20,11 @@
 from .feeds import RELAXED_TIMING, FeedReader
 from .quarantine import RequestQuarantine
 
+# How long an evacuation stays in force that a restored store has lost. An operator may
+# take longer than servers to write it again, and until then its servers must not be
+# called.
+EVACUATION_RESTORE_GRACE_S = 10.0
+
 
 class HostFeeds:
     """Reads routes, servers, evacuations and strikes, and exchanges them with peers.
@@ -65,6 +70,7 @@
             timing=RELAXED_TIMING,
             # Strikes do not lapse in an outage, as servers' entries do.
             lapse_grace_s=0.0,
+            restore_grace_s=0.0,
         )
         self._readers = {
             reader.feed: reader
@@ -76,6 +82,7 @@
                 feed=EVACUATIONS_FEED,
                 on_change=active_config.use_evacuations,
                 summarize=summarize_whole,
+                restore_grace_s=EVACUATION_RESTORE_GRACE_S,
             )
             self._readers[EVACUATIONS_FEED] = self._evacuations
 
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -92,6 +92,19 @@
         await request_for(platform, gateways, 0.5)
         assert platform.count_arrivals(EVACUATED) == 0
 
+    async def test_it_continues_when_a_restored_store_has_lost_it(self, platform):
+        """Guards against calls there until the operator has written it again."""
+        gateways = await platform.start("ptl-a", "ptl-b")
+        copy = platform.store.take_copy()
+        platform.evacuate(EVACUATED)
+        await request_for(platform, gateways, 1.0)
+        platform.store.restore(copy)
+        before = platform.count_arrivals(EVACUATED)
+        await request_for(platform, gateways, 5.0)
+        platform.evacuate(EVACUATED)
+        await request_for(platform, gateways, 8.0)
+        assert platform.count_arrivals(EVACUATED) == before
+
     async def test_it_continues_during_an_outage_of_the_store(self, platform):
         """Guards against an outage of the store that ends an evacuation."""
         gateways = await platform.start("ptl-a", "ptl-b")
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -64,6 +64,23 @@
         assert not copy.drop_lapsed(now=12.0)
         assert set(copy.entries) == {"a", "b"}
 
+    def test_the_grace_period_may_be_longer_than_after_an_outage(self):
+        """Guards against calls to servers whose evacuation a restore has lost."""
+        copy = FeedCopy(lapse_grace_s=2.0, restore_grace_s=10.0)
+        copy.apply_listing(make_listing(9, a="1", b="1"), now=0.0)
+        copy.apply_listing(make_listing(at(4, epoch=2), b="1"), now=10.0)
+        assert not copy.drop_lapsed(now=19.9)
+        assert copy.drop_lapsed(now=20.0)
+        assert dict(copy.entries) == {"b": b"1"}
+
+    def test_an_entry_removed_after_the_restore_is_not_kept_for_longer(self):
+        """Guards against an evacuation that an operator cannot end."""
+        copy = FeedCopy(lapse_grace_s=2.0, restore_grace_s=10.0)
+        copy.apply_listing(make_listing(9, a="1"), now=0.0)
+        copy.apply_listing(make_listing(at(4, epoch=2), a="1"), now=10.0)
+        assert copy.apply_changes(change(at(5, epoch=2), a=None), now=12.5)
+        assert copy.entries == {}
+
     def test_a_second_restore_extends_the_grace_period(self):
         """Guards against dropping servers whose new entries were lost, too."""
         copy = FeedCopy(lapse_grace_s=2.0)
