Spread the listings of hosts that differ from a peer at once

Found on reading the diff for what happens at hundreds of hosts in the second of a restore: a relay forwarded an update of a newer epoch before it had the copy itself, so that its neighbours, which could fetch nothing from it, would have listed the store together. A relay waits until it has caught up; a host asks its peer once more after a random delay before it lists.

--- a/src/lavendergap/entry/activeconfig.py
+++ b/src/lavendergap/entry/activeconfig.py
@@ -65,18 +65,19 @@
             )
             return
         before = self.index.table.version if self.index else 0
-        if table is None or table.version == before:
+        if table is None:
             return
-        if table.version < before:
-            log_decision(
-                logger,
-                "routes ignored",
-                request_id=None,
-                version=table.version,
-                active=before,
-                revision=position.revision,
-                epoch=position.epoch,
-            )
+        if self.index and table.version <= before:
+            if table.version < before:
+                log_decision(
+                    logger,
+                    "routes ignored",
+                    request_id=None,
+                    version=table.version,
+                    active=before,
+                    revision=position.revision,
+                    epoch=position.epoch,
+                )
             return
         self.index = RouteIndex(table=table)
         metrics.settings_version.set(table.version)
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -71,6 +71,10 @@
 # seconds by the platform's rules, and the delay of a heartbeat.
 LAPSE_GRACE_S = 2.2
 
+# Limit of the random delay before a host lists the feed to settle a difference. Where
+# all hosts differ at once, most have caught up with a peer's copy by then.
+SETTLE_DELAY_S = 0.5
+
 # The second holder announces this much later, and without the changes: a host that has
 # them from the first holder by then needs nothing more.
 SECOND_HOLDER_DELAY_S = 0.3
@@ -352,14 +356,15 @@
     ) -> None:
         """Apply an update that another host has announced.
 
-        `on_applied` is called at once when the update contains the changes, otherwise
-        once this copy has them or the attempt to get them has failed. A relay forwards
-        the update then, so that its neighbours can fetch from it what is missing.
+        `on_applied` is called at once when the update contains the changes since this
+        copy, otherwise once this copy has them or the attempt to get them has failed. A
+        relay forwards the update then, so that its neighbours can fetch from it what is
+        missing.
         """
         if self._tracked.apply_update(update, host, is_stale=self.is_stale):
             on_applied()
             return
-        if update.changes or self._is_catching_up:
+        if (update.changes and self._is_of_epoch(update)) or self._is_catching_up:
             on_applied()
             on_applied = _do_nothing
         if not self._is_catching_up:
@@ -382,14 +387,16 @@
                 await self._fetch(host)
                 if self._matches(update):
                     return
-            follows = update.position.epoch == self.copy.position.epoch
-            can_watch = self.is_loaded and follows and self._can_be_continued
-            if can_watch and await self._ask_store(update):
+            can_watch = self._is_of_epoch(update) and self._can_be_continued
+            if self.is_loaded and can_watch and await self._ask_store(update):
                 return
             # This host has no copy yet, or the store is down, has dropped its history
             # or is about to: it may then report no change when there is one.
             if not is_near:
                 await self._fetch(host)
+            if self.is_loaded and not self._matches(update):
+                await trio.sleep(self._random.uniform(0.0, SETTLE_DELAY_S))
+                await self._fetch(host)
             if self.is_loaded and not self._matches(update):
                 await self._settle_difference(update, host)
         finally:
@@ -436,6 +443,9 @@
             outcome=outcome,
         )
 
+    def _is_of_epoch(self, update: FeedUpdate) -> bool:
+        return update.position.epoch == self.copy.position.epoch
+
     def _matches(self, update: FeedUpdate) -> bool:
         copy = self.copy
         return copy.position > update.position or copy.fingerprint == update.fingerprint
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -220,7 +220,9 @@
         )
         assert result == HistoryExpired()
 
-    @pytest.mark.parametrize("epoch", ["", "-1", "2.5", "²", "two"])
+    @pytest.mark.parametrize(
+        "epoch", ["", "-1", "2.5", "²", "two", "9" * 19, "9" * 5_000]
+    )
     async def test_a_malformed_epoch_makes_an_answer_unusable(self, epoch):
         async def handle(_request, _connection):
             return make_json_reply(
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -307,17 +307,16 @@
 class Hosts:
     """Readers of one feed over one store, with the two first as watch holders."""
 
-    N_HOSTS = 4
-
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(self, nursery: trio.Nursery, *, n_hosts: int = 4) -> None:
+        self.n_hosts = n_hosts
         self.store = objectstore.ObjectStore()
         self.readers: list[FeedReader] = []
         self.clients: list[DirectClient] = []
-        self.is_cut = [False] * self.N_HOSTS
-        self.epochs = [0] * self.N_HOSTS
+        self.is_cut = [False] * self.n_hosts
+        self.epochs = [0] * self.n_hosts
         self.scopes: list[trio.CancelScope] = []
         self._nursery = nursery
-        for number in range(self.N_HOSTS):
+        for number in range(self.n_hosts):
             self.clients.append(DirectClient(self.store))
             self.readers.append(self.make_reader(number))
             self.scopes.append(self.start(self.readers[number]))
@@ -374,7 +373,7 @@
         self._number = number
 
     def announce(self, update: FeedUpdate) -> None:
-        for number in range(self._hosts.N_HOSTS):
+        for number in range(self._hosts.n_hosts):
             if number != self._number and not self._is_cut(number):
                 reader = self._hosts.readers[number]
                 reader.receive(update, host=str(self._number))
@@ -383,7 +382,7 @@
         self, feed: str, host: str | None, *, hashes: tuple[int, ...] = ()
     ) -> FeedState | None:
         await trio.sleep(0.002)
-        number = int(host) if host else (self._number + 1) % self._hosts.N_HOSTS
+        number = int(host) if host else (self._number + 1) % self._hosts.n_hosts
         if self._is_cut(number):
             return None
         return self._hosts.readers[number].make_state(hashes)
@@ -446,7 +445,7 @@
                     await trio.sleep(seconds)
         store.mode = "up"
         store.lagging_copy = None
-        for number in range(Hosts.N_HOSTS):
+        for number in range(hosts.n_hosts):
             hosts.is_cut[number] = hosts.clients[number].is_cut = False
         await trio.sleep(4.0 + LAPSE_GRACE_S)
         expected = {
@@ -475,3 +474,28 @@
         steps += [("restore", 1), ("write", "a", 3)]
         clock = trio.testing.MockClock(autojump_threshold=0.0)
         trio.run(lambda: play(steps), clock=clock)
+
+    @pytest.mark.parametrize("n_hosts", [7, 73, 195])
+    def test_calls_after_a_restore_do_not_grow_with_the_hosts(self, n_hosts):
+        """Guards against all hosts listing a store that has just returned."""
+        clock = trio.testing.MockClock(autojump_threshold=0.0)
+        trio.run(lambda: count_calls(n_hosts), clock=clock)
+
+
+async def count_calls(n_hosts: int) -> None:
+    async with trio.open_nursery() as nursery:
+        hosts = Hosts(nursery, n_hosts=n_hosts)
+        await trio.sleep(1.0)
+        hosts.store.put(KIND, "a", 1)
+        copy = hosts.store.take_copy()
+        hosts.store.put(KIND, "a", 2)
+        await trio.sleep(1.0)
+        n_before = hosts.store.n_calls
+        hosts.store.restore(copy)
+        await trio.sleep(0.2)
+        hosts.store.put(KIND, "b", 1)
+        await trio.sleep(2.8)
+        for reader in hosts.readers:
+            assert dict(reader.copy.entries) == {"a": b"1", "b": b"1"}
+        assert hosts.store.n_calls - n_before < 20
+        nursery.cancel_scope.cancel()
