--- a/lab/soak.py
+++ b/lab/soak.py
@@ -141,7 +141,7 @@
         self.put_routes()
 
     def put_routes(self) -> None:
-        """Write the newest version of the routes, perhaps once more."""
+        """Write the newest version of the routes, unless the store has it."""
         self.platform.write_routes(
             self.version,
             [
@@ -390,7 +390,7 @@
         """Write what a restored store lacks, and remove servers that are gone."""
         store = self.platform.store
 
-        async def write_operator_s() -> None:
+        async def write_operator_entries() -> None:
             await trio.sleep(self.rng.uniform(0.0, WRITE_AGAIN_LIMIT_S / 2))
             self.put_routes()
             for zone in ZONES:
@@ -399,14 +399,14 @@
                 else:
                     self.platform.end_evacuation(zone)
 
-        async def write_server_s(leaf: Leaf) -> None:
+        async def write_server_entry(leaf: Leaf) -> None:
             await trio.sleep(self.rng.uniform(0.0, WRITE_AGAIN_LIMIT_S))
             leaf.register_again(store)
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(write_operator_s)
+            nursery.start_soon(write_operator_entries)
             for leaf in self.all_leaves():
-                nursery.start_soon(write_server_s, leaf)
+                nursery.start_soon(write_server_entry, leaf)
             await trio.sleep(2.0)
         current = {leaf.server_id for leaf in self.all_leaves()}
         for name in set(store.list_names(SERVERS)) - current:
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -166,9 +166,8 @@
             case "GET":
                 may_be_stale = options.get("allow_stale") == "1"
                 copy = self.lagging_copy if may_be_stale else None
-                return self._list(
-                    copy or self.take_copy(), kind, options.get("after", "")
-                )
+                newest = StoreCopy(revision=self.revision, kinds=self._kinds)
+                return self._list(copy or newest, kind, options.get("after", ""))
             case "DELETE" if name:
                 self.remove(kind, name)
                 return make_json_reply({})
