Restore the test of an ignored listing, and log it once for each position

A store that is restored without stating it would have filled the logs with one line a second.

The test is back word for word and failed on (several lines where one is allowed). The first ignored listing at each position of the copy is logged, all are counted.

--- a/src/lavendergap/entry/feedcopy.py
+++ b/src/lavendergap/entry/feedcopy.py
@@ -42,6 +42,7 @@
         self.is_loaded = False
         self.confirmed_at = trio.current_time()
         self._on_change = on_change
+        self._ignored_at: StorePosition | None = None
 
     @property
     def unconfirmed_s(self) -> float:
@@ -140,7 +141,11 @@
             await trio.sleep(LAPSE_CHECK_INTERVAL_S if due is None else due - now)
 
     def _log_ignored(self, listing: FeedListing, source: str) -> None:
+        """Count a listing older than the copy; log the first at each position."""
         metrics.ignored_listings.labels(self.feed).inc()
+        if self._ignored_at == self.copy.position:
+            return
+        self._ignored_at = self.copy.position
         log_decision(
             logger,
             "feed listing ignored",
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,5 +1,7 @@
 """A host's copy of a feed: it never reverts, and survives an outage of the store."""
 
+import logging
+
 import pytest
 import trio
 import trio.testing
@@ -99,6 +101,18 @@
             assert reported[-1] == {}
             nursery.cancel_scope.cancel()
 
+    async def test_an_older_listing_is_logged_once(self, autojump_clock, caplog):
+        caplog.set_level(logging.INFO, logger="lavendergap")
+        answers = [HistoryExpired(), make_listing(2, a="1")] * 9
+        store = FakeStore(make_listing(3, a="1"), *answers)
+        async with trio.open_nursery() as nursery:
+            start_reader(store, nursery)
+            await trio.sleep(1.0)
+            nursery.cancel_scope.cancel()
+        lines = [record.msg for record in caplog.records]
+        [ignored] = [line for line in lines if line["event"] == "feed listing ignored"]
+        assert (ignored["revision"], ignored["listed_revision"]) == (3, 2)
+
     async def test_an_outage_removes_no_entries(self, autojump_clock):
         # After two failed calls the watch returns that all entries are gone, and a
         # moment later that one is back.
