Agree on the interfaces of customers, limits and their messages

Cause: manifests name customers with keys and limits, which no part reads.

Change: types and fields only; every default is today's behaviour.

Measured: tests of the gateway, forwarding, the settings file and the codec pass, as do the linter and the type check.

--- a/src/lavendergap/coordination/calls.py
+++ b/src/lavendergap/coordination/calls.py
@@ -32,7 +32,8 @@
     is empty, the call is compared with the group's own calls. Of waiting calls, those
     of the lowest `priority` go first. With `no_retry_after_server_end`, a call is not
     retried after its server ended: its sender sees all shards of the query and decides.
-    Only servers in `data_centres` may run the call; None means all.
+    Only servers in `data_centres` may run the call; None means all. Of waiting calls of
+    one priority, those of different `customer`s share the slots by `weight`.
     """
 
     call_id: int
@@ -52,6 +53,8 @@
     kind: str = ""
     no_retry_after_server_end: bool = False
     data_centres: frozenset[str] | None = None
+    customer: str = ""
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/entry/forwarding.py
+++ b/src/lavendergap/entry/forwarding.py
@@ -118,10 +118,12 @@
             idempotent=request.route.idempotent,
             forward=request.forward,
             max_attempts=1 if is_suspect else request.route.max_attempts,
-            priority=request.route.priority,
+            priority=request.priority,
             kind=request.route.name,
             goal_at=request.goal,
             data_centres=self._list_home_data_centres(request.route),
+            customer=_get_customer_name(request),
+            weight=_get_weight(request),
         )
         self._owner.submit([SubmittedCall(call=call, finish=finish)])
         try:
@@ -157,10 +159,12 @@
                     request=request.forward,
                     n_wanted=target.n_records,
                     max_attempts=request.route.max_attempts,
-                    priority=request.route.priority,
+                    priority=request.priority,
                     goal=request.goal,
                     is_suspect=is_suspect,
                     data_centres=self._list_home_data_centres(request.route),
+                    customer=_get_customer_name(request),
+                    weight=_get_weight(request),
                 ),
             ),
             snapshot=Snapshot(
@@ -187,6 +191,14 @@
                 self._add_strike(request, run.ended_servers, is_trial=is_suspect)
 
 
+def _get_customer_name(request: GatewayRequest) -> str:
+    return "" if request.customer is None else request.customer.name
+
+
+def _get_weight(request: GatewayRequest) -> float:
+    return 1.0 if request.customer is None else request.customer.weight
+
+
 def _make_service(route: Route, target: GreatestOfAll, goal_ms: float) -> Service:
     """Return a service with the route's settings, as a query needs one."""
     return Service(
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -27,13 +27,14 @@
 )
 from ..state.hostfile import GatewayHost, read_host_file
 from ..state.member import Member
+from ..state.outcome import NotRun
 from ..state.settings import Control, Server, Settings
 from ..transport.acceptor import Acceptor
 from ..transport.admin import AdminApp
 from ..transport.channel import Channel
 from ..transport.dialer import Dialer
 from ..transport.forward import ForwardClient
-from ..transport.gateway import GatewayApp, GatewayHandlers
+from ..transport.gateway import GatewayApp, GatewayHandlers, GatewayRequest
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
 from .activeconfig import ActiveConfig
 from .adapter import Adapter
@@ -83,6 +84,10 @@
     members: list[str]
 
 
+async def _admit_all(request: GatewayRequest) -> NotRun | None:
+    return None
+
+
 def run_gateway(path: Path, make_adapter: Callable[[GatewayHost], Adapter]) -> None:
     """Run the daemon until SIGTERM; raise SettingsError for a bad settings file."""
     host = read_host_file(path)
@@ -279,6 +284,8 @@
             get_routes=lambda: self._active_config.index,
             forward=self._forwarder.forward,
             is_leaving=lambda: self._is_leaving,
+            admit=_admit_all,
+            give_back=lambda request: None,
         )
         self._callers = GatewayApp(
             handlers=handlers, names=self._adapter.header_names, cores=self._host.cores
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -162,6 +162,8 @@
                 kind=search.service if greatest else "",
                 no_retry_after_server_end=greatest is not None,
                 data_centres=_read_data_centres(greatest),
+                customer=greatest.customer if greatest else "",
+                weight=greatest.weight if greatest else 1.0,
             )
             pending.calls[ref.shard] = call
             submitted.append(SubmittedCall(call=call, finish=finish))
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -67,7 +67,7 @@
     A request that `is_suspect` may have crashed a server: it goes to a server of one
     shard first, and to the other shards once a server has answered. If `data_centres`
     is set, only servers there may run it, and only this host and hosts there may own
-    its shards.
+    its shards. `customer` and `weight` are those of the calls.
     """
 
     request: ForwardedRequest
@@ -77,6 +77,8 @@
     goal: float
     is_suspect: bool = False
     data_centres: frozenset[str] | None = None
+    customer: str = ""
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -351,6 +353,8 @@
                 kind=query.service.name if greatest else "",
                 no_retry_after_server_end=greatest is not None,
                 data_centres=greatest.data_centres if greatest else None,
+                customer=greatest.customer if greatest else "",
+                weight=greatest.weight if greatest else 1.0,
             )
             sub_query.calls.append(call)
             submitted.append(
@@ -424,6 +428,8 @@
             priority=greatest.priority,
             is_repeat=sub_query.is_repeat,
             data_centres=tuple(sorted(greatest.data_centres or ())),
+            customer=greatest.customer,
+            weight=greatest.weight,
         )
 
     def _handle_message(self, sub_query: SubQuery, message: Message) -> None:
--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -48,7 +48,8 @@
     complete answer; `proofs` and `n_missing` are for a merged answer.
     `expected_server` is the id of the only server that may run the request, `server`
     that of the answering one. `not_run` marks a refused request. `load` holds the
-    numbers of running and waiting requests and of slots.
+    numbers of running and waiting requests and of slots. `key` is the caller's key,
+    which is never forwarded, and `customer` the name of its customer, set by this host.
     """
 
     attempt: bytes
@@ -60,6 +61,8 @@
     server: bytes
     not_run: bytes
     load: bytes
+    key: bytes
+    customer: bytes
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -60,7 +60,7 @@
     of its shards share one message. `max_attempts` is per shard. `priority` ranks the
     query among others; 0 is the most urgent. `is_repeat` is set if another host was
     asked for these shards before. Only servers in `data_centres` may run the query; an
-    empty tuple allows all.
+    empty tuple allows all. `customer` and `weight` are those of the calls.
     """
 
     request: ForwardedRequest
@@ -70,6 +70,8 @@
     priority: int
     is_repeat: bool
     data_centres: tuple[str, ...] = ()
+    customer: str = ""
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -40,6 +40,8 @@
     priority: int
     is_repeat: bool
     data_centres: tuple[str, ...] = ()
+    customer: str = ""
+    weight: float = 1.0
 
 
 class _PackedSearch(msgspec.Struct, array_like=True, tag=1):
@@ -193,6 +195,8 @@
         greatest.priority,
         greatest.is_repeat,
         greatest.data_centres,
+        greatest.customer,
+        greatest.weight,
     )
 
 
@@ -212,6 +216,8 @@
         priority=packed.priority,
         is_repeat=packed.is_repeat,
         data_centres=packed.data_centres,
+        customer=packed.customer,
+        weight=packed.weight,
     )
 
 
--- a/src/lavendergap/state/hostfile.py
+++ b/src/lavendergap/state/hostfile.py
@@ -32,6 +32,9 @@
     evacuate_ms: int | None = None
     cold_rate_factor: float = 1.0
     cold_rate_slack: float = 0.0
+    limit_window_s: _Positive | None = None
+    limit_overage: float = 0.0
+    limit_slack: float = 0.0
 
 
 class _HostFile(msgspec.Struct, forbid_unknown_fields=True):
@@ -56,6 +59,19 @@
     cpu_speed: _Positive = 1.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitBounds:
+    """How far all hosts together may exceed a customer's limit.
+
+    In each window of `window_s` seconds, `1 + overage` times what the limit allows,
+    plus `slack` requests.
+    """
+
+    window_s: float
+    overage: float
+    slack: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GatewayBounds:
     """The platform's bounds, with times in seconds, and its budget of extra calls.
@@ -63,7 +79,8 @@
     `evacuate_within_s` is how long after the store acknowledged an evacuation requests
     may still be sent to the data centre; None if the platform has no evacuations. Per
     second, all hosts together may send a cold server `cold_rate_factor` times the rate
-    that its service tolerates, plus `cold_rate_slack` requests.
+    that its service tolerates, plus `cold_rate_slack` requests. `limits` is None if the
+    platform states no bound on customers' limits.
     """
 
     drain_s: float
@@ -74,6 +91,7 @@
     evacuate_within_s: float | None = None
     cold_rate_factor: float = 1.0
     cold_rate_slack: float = 0.0
+    limits: LimitBounds | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -149,11 +167,22 @@
             evacuate_within_s=(
                 None if bounds.evacuate_ms is None else bounds.evacuate_ms / 1_000
             ),
+            limits=_read_limit_bounds(bounds),
         ),
         regions=read.regions,
     )
 
 
+def _read_limit_bounds(bounds: _Bounds) -> LimitBounds | None:
+    if bounds.limit_window_s is None:
+        return None
+    return LimitBounds(
+        window_s=bounds.limit_window_s,
+        overage=bounds.limit_overage,
+        slack=bounds.limit_slack,
+    )
+
+
 def _read_address(text: str, file: str, field: str) -> Address:
     ip, _, port = text.rpartition(":")
     if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
--- a/src/lavendergap/state/outcome.py
+++ b/src/lavendergap/state/outcome.py
@@ -46,6 +46,7 @@
     ISSUER_LOST = "issuer lost"
     VOID = "void"
     EXPIRED = "expired"
+    OVER_LIMIT = "over limit"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/state/routes.py
+++ b/src/lavendergap/state/routes.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from .customers import CustomerTable
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WeightedGroup:
@@ -40,7 +42,8 @@
     `prefix` begins and ends with a slash. `max_attempts` is the number of servers (of
     each group) that one request may be sent to. `goal_ms` is the target latency and
     `timeout_ms` the limit after which a request fails. `priority` 0 is the most
-    urgent. Requests run in `home_regions` only, or in any region if it is empty.
+    urgent. Requests run in `home_regions` only, or in any region if it is empty. A
+    route that `is_public` needs no key.
     """
 
     name: str
@@ -53,6 +56,7 @@
     goal_ms: int
     priority: int
     home_regions: frozenset[str] = frozenset()
+    is_public: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,7 +75,8 @@
 
     By group, `connections` holds how many connections one server accepts in total,
     and `cold_rates` how many requests per second one server tolerates while it is
-    cold. A group that is missing has no limit.
+    cold. A group that is missing has no limit. `customers` is None if the operators'
+    document names none; requests then need no key.
     """
 
     version: int
@@ -79,3 +84,4 @@
     connections: dict[str, int] = field(default_factory=dict)
     cold_rates: dict[str, float] = field(default_factory=dict)
     limits: RequestLimits = field(default_factory=RequestLimits)
+    customers: CustomerTable | None = None
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -17,6 +17,7 @@
 from ..logs import Category, get_logger, log_decision
 from ..protocol.answers import encode_error, name_outcome
 from ..protocol.forwarding import HeaderNames, MergedRecords, keep_end_to_end
+from ..state.customers import Customer
 from ..state.forwarding import ForwardedRequest, Headers
 from ..state.outcome import Answered, NotRun, Reason, Step, Unknown
 from ..state.routes import Route
@@ -36,6 +37,8 @@
 PORT = "gateway"
 MAX_TIME_LEFT_MS = 600_000
 MAX_ATTEMPT_ID_BYTES = 256
+# Priorities of routes that are told apart within one priority of a customer.
+ROUTE_PRIORITIES = 1_000
 # The Retry-After of a host without routes. A host that has just started receives them
 # within a second, and a retry may reach another host.
 NOT_READY_RETRY_MS = 300
@@ -51,6 +54,7 @@
     """A caller's request and its route; times are seconds on the event loop's clock.
 
     `goal` is when the answer has to leave this host to meet the route's latency goal.
+    `customer` is None if the request needs no key.
     """
 
     forward: ForwardedRequest
@@ -60,6 +64,15 @@
     started: float
     deadline: float
     goal: float
+    customer: Customer | None = None
+
+    @property
+    def priority(self) -> int:
+        """The rank among all requests: by the customer's priority, then the route's."""
+        if self.customer is None:
+            return self.route.priority
+        route = min(max(0, self.route.priority), ROUTE_PRIORITIES - 1)
+        return self.customer.priority * ROUTE_PRIORITIES + route
 
     @property
     def request_id(self) -> str:
@@ -74,12 +87,16 @@
 class GatewayHandlers:
     """The operations that the daemon provides; `forward` never raises for a failure.
 
-    `forward` pushes callbacks onto the stack that run after the answer is sent.
+    `forward` pushes callbacks onto the stack that run after the answer is sent. `admit`
+    takes a right of the request's customer, or returns why there is none; `give_back`
+    returns the right of a request that did not run.
     """
 
     get_routes: Callable[[], RouteIndex | None]
     forward: Callable[[GatewayRequest, ExitStack], Awaitable[GatewayResult]]
     is_leaving: Callable[[], bool]
+    admit: Callable[[GatewayRequest], Awaitable[NotRun | None]]
+    give_back: Callable[[GatewayRequest], None]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -138,7 +155,7 @@
             )
             return
         with ExitStack() as deferred:
-            result = await self._forward_until_disconnect(request, receive, deferred)
+            result = await self._handle_until_disconnect(request, receive, deferred)
             if result is None:
                 return
             ended = trio.current_time()
@@ -234,10 +251,10 @@
             now = trio.current_time()
             self._reserve.note(elapsed_ms=(now - result.wait_ends_at) * 1_000, now=now)
 
-    async def _forward_until_disconnect(
+    async def _handle_until_disconnect(
         self, request: GatewayRequest, receive: Receive, deferred: ExitStack
     ) -> GatewayResult | None:
-        """Forward, but cancel and return None when the caller's connection closes.
+        """Admit and forward, but cancel and return None when the caller disconnects.
 
         Servers would otherwise continue the work of a disconnected caller and hold
         slots that other requests need.
@@ -259,10 +276,21 @@
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(cancel_on_disconnect)
-            result = await self._handlers.forward(request, deferred)
+            result = await self._admit_and_forward(request, deferred)
             nursery.cancel_scope.cancel()
         return result
 
+    async def _admit_and_forward(
+        self, request: GatewayRequest, deferred: ExitStack
+    ) -> GatewayResult:
+        refusal = await self._handlers.admit(request)
+        if refusal is not None:
+            return refusal
+        result = await self._handlers.forward(request, deferred)
+        if isinstance(result, NotRun):
+            self._handlers.give_back(request)
+        return result
+
     def _record_done(
         self, request: GatewayRequest, result: GatewayResult, ended: float
     ) -> None:
@@ -359,8 +387,11 @@
 
 def _render_refusal(outcome: NotRun) -> _Reply:
     retry_after_s = max(MIN_RETRY_AFTER_MS, outcome.retry_after_ms) / 1_000
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    if outcome.reason is Reason.OVER_LIMIT:
+        status = HTTPStatus.TOO_MANY_REQUESTS
     return _Reply(
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        status=status,
         headers=((b"retry-after", b"%.3f" % retry_after_s),),
         body=encode_error(f"not run: {outcome.step.value}: {outcome.reason.value}"),
     )
--- a/tests/headers.py
+++ b/tests/headers.py
@@ -12,4 +12,6 @@
     server=b"x-server",
     not_run=b"x-not-run",
     load=b"x-load",
+    key=b"x-key",
+    customer=b"x-customer",
 )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -69,6 +69,9 @@
     was_cancelled: bool = False
     done: list[str] = field(default_factory=list)
 
+    async def _admit(self, request: GatewayRequest) -> NotRun | None:
+        return None
+
     async def ask(
         self,
         path: bytes = b"/a/x",
@@ -82,6 +85,8 @@
                 get_routes=lambda: self.index,
                 forward=self._forward,
                 is_leaving=lambda: self.is_leaving,
+                admit=self._admit,
+                give_back=lambda request: None,
             ),
             names=NAMES,
             cores=1.0,
