Count customers' limits over all hosts

Cause: a customer's rate and burst apply to all hosts together, and no host counted them.

Change: one host counts for each customer and grants permits to the others; a reserve above the limit covers the cases in which two hosts may count.

--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -88,6 +88,7 @@
             interval_s=self._interval_s, timeout_s=control.probe_timeout_ms / 1000
         )
         self._hints: dict[Address, None] = {}
+        self._is_own_hint = False
         self._live_cache: tuple[frozenset[str], bool, frozenset[str]] | None = None
         self._started_at: float | None = None
         self._last_call_at = 0.0
@@ -141,6 +142,12 @@
             if member.state is MemberState.SUSPECT
         )
 
+    def split_hints(self) -> tuple[int, list[Address]]:
+        """Return how many hints belong to members, and the addresses of the others."""
+        addresses = {member.peers for member in self.members()}
+        others = [hint for hint in self._hints if hint not in addresses]
+        return len(self._hints) - len(others) + self._is_own_hint, others
+
     def get_data_centres(self) -> dict[str, str]:
         """Return the data centre of each host to which new work may go."""
         return {m.name: m.data_centre for m in self.members() if m.may_own}
@@ -170,7 +177,9 @@
         still lists as live may be gone.
         """
         for address in hints:
-            if address != self.own.peers:
+            if address == self.own.peers:
+                self._is_own_hint = True
+            else:
                 self._hints.pop(address, None)
                 self._hints[address] = None
         while len(self._hints) > MAX_HINTS:
--- a/src/lavendergap/entry/fleet.py
+++ b/src/lavendergap/entry/fleet.py
@@ -44,9 +44,10 @@
             ranked = self._ranking.rank(group) or (self.own_name,)
         if not self._avoided_until and not self._suspects:
             return ranked
-        return tuple(sorted(ranked, key=self._is_doubtful))
+        return tuple(sorted(ranked, key=self.is_doubtful))
 
-    def _is_doubtful(self, host: str) -> bool:
+    def is_doubtful(self, host: str) -> bool:
+        """Return whether a host is avoided or suspected to be down."""
         return host in self._avoided_until or host in self._suspects
 
     def is_in_data_centre(self, host: str, data_centres: Collection[str]) -> bool:
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -25,16 +25,16 @@
     TicketReply,
     TicketRequest,
 )
+from ..state.customers import CustomerTable
 from ..state.hostfile import GatewayHost, read_host_file
 from ..state.member import Member
-from ..state.outcome import NotRun
 from ..state.settings import Control, Server, Settings
 from ..transport.acceptor import Acceptor
 from ..transport.admin import AdminApp
 from ..transport.channel import Channel
 from ..transport.dialer import Dialer
 from ..transport.forward import ForwardClient
-from ..transport.gateway import GatewayApp, GatewayHandlers, GatewayRequest
+from ..transport.gateway import GatewayApp, GatewayHandlers
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
 from .activeconfig import ActiveConfig
 from .adapter import Adapter
@@ -43,6 +43,8 @@
 from .fleet import Fleet
 from .forwarding import Forwarder
 from .hostfeeds import HostFeeds
+from .limitchannels import LimitChannels
+from .limits import LimitService
 from .livehosts import LiveHosts
 from .owner import Owner
 from .peers import PeerService
@@ -84,10 +86,6 @@
     members: list[str]
 
 
-async def _admit_all(request: GatewayRequest) -> NotRun | None:
-    return None
-
-
 def run_gateway(path: Path, make_adapter: Callable[[GatewayHost], Adapter]) -> None:
     """Run the daemon until SIGTERM; raise SettingsError for a bad settings file."""
     host = read_host_file(path)
@@ -163,6 +161,7 @@
         nursery.start_soon(self._live_hosts.run)
         nursery.start_soon(self._feeds.run)
         nursery.start_soon(self._quarantine.run)
+        nursery.start_soon(self._customer_limits.run)
         discovery = Discovery(
             host=self._host,
             adapter=self._adapter,
@@ -248,12 +247,25 @@
             random=self._random,
             nursery=nursery,
         )
+        self._customer_limits = LimitService(
+            own_name=host.name,
+            membership=self._membership,
+            fleet=self._fleet,
+            channels=LimitChannels(
+                fleet=self._fleet, dialer=self._dialer, nursery=nursery
+            ),
+            nursery=nursery,
+            random=self._random,
+            get_customers=self._get_customers,
+            bounds=host.bounds.limits,
+        )
         self._peers = PeerService(
             owner=self._owner,
             documents=Documents(check=lambda name, body: None),
             nursery=nursery,
             answer_ticket=_refuse_ticket,
             feeds=self._feeds,
+            limits=self._customer_limits,
         )
         self._acceptor = Acceptor(
             own=hello, on_frame=self._handle_peer, on_loss=self._peers.drop
@@ -276,6 +288,10 @@
             nursery=self._nursery,
         )
 
+    def _get_customers(self) -> CustomerTable | None:
+        index = self._active_config.index
+        return index.table.customers if index else None
+
     def _handle_peer(self, channel: Channel, frame: Frame) -> None:
         self._peers.handle(channel, frame)
 
@@ -284,8 +300,8 @@
             get_routes=lambda: self._active_config.index,
             forward=self._forwarder.forward,
             is_leaving=lambda: self._is_leaving,
-            admit=_admit_all,
-            give_back=lambda request: None,
+            admit=self._customer_limits.admit,
+            give_back=self._customer_limits.give_back,
         )
         self._callers = GatewayApp(
             handlers=handlers, names=self._adapter.header_names, cores=self._host.cores
@@ -424,6 +440,7 @@
         # Listening addresses stay for the life of the process; bounds and seeds change.
         self._host = host
         self._membership.join(host.seeds)
+        self._customer_limits.replace_bounds(host.bounds.limits)
         self._apply()
 
     async def _leave(self) -> None:
@@ -435,6 +452,7 @@
         stop_at = trio.current_time() + self._host.bounds.stop_within_s - STOP_RESERVE_S
         self._is_leaving = True
         log_decision(logger, "leaving", request_id=None, host=self._host.name)
+        self._customer_limits.leave()
         self._acceptor.send_going_away()
         await self._endpoint.send(self._membership.leave(now=trio.current_time()))
         await trio.sleep(min(LEAVE_NOTICE_S, self._host.bounds.stop_within_s / 2))
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -13,6 +13,7 @@
 from ..protocol.messages import (
     Answers,
     Cancel,
+    CountHandover,
     Document,
     FeedFetch,
     FeedState,
@@ -20,6 +21,9 @@
     Fetch,
     Frame,
     GreatestOptions,
+    HandoverRequest,
+    PermitRequest,
+    PermitReturn,
     Run,
     RunOutcome,
     Search,
@@ -71,6 +75,13 @@
         """Apply a peer's strike."""
 
 
+class LimitHandler(Protocol):
+    """The part of the limits' service that peers request."""
+
+    def handle(self, channel: Channel, frame: Frame) -> None:
+        """Serve a message about limits."""
+
+
 class PeerService:
     """Serves peers' requests; ticket requests are passed to `answer_ticket`."""
 
@@ -82,7 +93,9 @@
         nursery: trio.Nursery,
         answer_ticket: Callable[[TicketRequest], Awaitable[TicketReply]],
         feeds: FeedService | None = None,
+        limits: LimitHandler | None = None,
     ) -> None:
+        self._limits = limits
         self._feeds = feeds
         self._owner = owner
         self._documents = documents
@@ -113,6 +126,10 @@
                 channel.send(Frame(id=frame.id, message=state))
             case StrikeReport() as report if self._feeds is not None:
                 self._feeds.receive_strike(report)
+            case (
+                PermitRequest() | PermitReturn() | HandoverRequest() | CountHandover()
+            ) if self._limits is not None:
+                self._limits.handle(channel, frame)
             case _:
                 metrics.rejected_input.labels("peers", "unexpected message").inc()
 
--- a/src/lavendergap/metrics.py
+++ b/src/lavendergap/metrics.py
@@ -80,4 +80,41 @@
     "lavendergap_log_lines_dropped", "Log lines dropped because stderr was full."
 )
 
+limit_admitted = Counter(
+    "lavendergap_limit_admitted",
+    "Requests of customers with a limit that were admitted, by customer.",
+    ["customer"],
+)
+limit_refused = Counter(
+    "lavendergap_limit_refused",
+    "Requests of customers with a limit that were refused, by customer and reason.",
+    ["customer", "reason"],
+)
+permit_seconds = Histogram(
+    "lavendergap_permit_seconds",
+    "Time from asking another host for permits to its reply.",
+    buckets=(0.001, 0.002, 0.004, 0.008, 0.015, 0.025, 0.05),
+)
+limit_reserve = Counter(
+    "lavendergap_limit_reserve",
+    "Permits granted here from the reserve above customers' limits.",
+)
+
+MAX_CUSTOMER_LABELS = 100
+OTHER_CUSTOMERS = "other"
+_customer_labels: set[str] = set()
+
+
+def label_customer(name: str) -> str:
+    """Return the label of a customer: its name, or a common one beyond the first ones.
+
+    Each label costs memory here and in the operators' metrics store for good.
+    """
+    if name not in _customer_labels:
+        if len(_customer_labels) >= MAX_CUSTOMER_LABELS:
+            return OTHER_CUSTOMERS
+        _customer_labels.add(name)
+    return name
+
+
 __all__ = ["REGISTRY"]
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -231,6 +231,65 @@
     should_relay: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PermitRequest:
+    """Asks for up to `n` permits, each for one request of a customer."""
+
+    customer: str
+    n: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PermitGrant:
+    """The reply to a PermitRequest: `n` permits, valid for `valid_ms`.
+
+    If there are none, a permit is expected in `next_ms`, and the refused request may
+    come back in `retry_ms`. `is_counting` is set if the sender counts in full for the
+    customer, so that `n_used` in the last window is the use at all hosts.
+    """
+
+    n: int
+    valid_ms: int
+    next_ms: int
+    retry_ms: int
+    is_counting: bool
+    n_used: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PermitReturn:
+    """Returns `n` permits that were not used; no reply."""
+
+    customer: str
+    n: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandoverRequest:
+    """Asks the receiver to stop counting for a customer, as the sender is first."""
+
+    customer: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountHandover:
+    """The reply to a HandoverRequest, or unasked from a host that leaves.
+
+    `tokens` are those left if the sender `was_counting`. `rank` is the sender's if it
+    sees the receiver ranked first, else 0. `is_sure` is unset if the sender started too
+    recently to know who counted. `gone` are the hosts that went silently, with the
+    milliseconds since, out of `n_hosts`.
+    """
+
+    customer: str
+    tokens: float
+    was_counting: bool
+    rank: int
+    is_sure: bool
+    gone: tuple[tuple[str, int], ...] = ()
+    n_hosts: int = 0
+
+
 Message = (
     Hello
     | Ping
@@ -249,6 +308,11 @@
     | FeedFetch
     | FeedState
     | StrikeReport
+    | PermitRequest
+    | PermitGrant
+    | PermitReturn
+    | HandoverRequest
+    | CountHandover
 )
 
 
--- a/src/lavendergap/protocol/peer.py
+++ b/src/lavendergap/protocol/peer.py
@@ -17,6 +17,7 @@
     Answers,
     BadFrameError,
     Cancel,
+    CountHandover,
     Document,
     FeedFetch,
     FeedState,
@@ -24,8 +25,12 @@
     Fetch,
     Frame,
     GoingAway,
+    HandoverRequest,
     Hello,
     Message,
+    PermitGrant,
+    PermitRequest,
+    PermitReturn,
     Ping,
     Pong,
     Run,
@@ -39,6 +44,7 @@
     pack_answers,
     pack_feed_update,
     pack_fetch,
+    pack_limit_message,
     pack_search,
     pack_state,
     pack_strike_report,
@@ -213,6 +219,14 @@
             return pack_state(frame.id, state)
         case StrikeReport() as report:
             return pack_strike_report(frame.id, report)
+        case (
+            PermitRequest()
+            | PermitGrant()
+            | PermitReturn()
+            | HandoverRequest()
+            | CountHandover()
+        ) as message:
+            return pack_limit_message(frame.id, message)
     return None
 
 
