--- a/src/lavendergap/coordination/limits/counting.py
+++ b/src/lavendergap/coordination/limits/counting.py
@@ -6,12 +6,12 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 
 from ...state.customers import Customer
 from ...state.hostfile import LimitBounds
 from .bucket import Bucket, WindowCount, WindowReserve
+from .counts import Count, CountStatus, Grant, Handover, RoleChange
 from .hosts import HostView, Standing
 from .retries import RetryTimes, estimate_wait
 
@@ -33,89 +33,6 @@
 HANDOVER_RETRY_S = 0.5
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Grant:
-    """The decision on one request for permits.
-
-    `is_counting` is set if this host counts in full, so that a refusal means that the
-    limit is reached. `next_s` is the time to the next permit and `retry_s` the time
-    that the refused request is given. `n_reserve` of the permits are from the reserve.
-    """
-
-    n: int
-    valid_s: float
-    next_s: float
-    retry_s: float
-    is_counting: bool
-    n_used: int
-    n_reserve: int = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Handover:
-    """What a host hands to the one that counts from now on.
-
-    `rank` is that of the sender if it sees the receiver ranked first, else 0. `is_sure`
-    is set if the sender has run long enough to know who counted. `gone` are the hosts
-    that went silently, with the seconds since, of `n_hosts` before the first loss.
-    """
-
-    tokens: float
-    was_counting: bool
-    rank: int
-    is_sure: bool
-    gone: tuple[tuple[str, float], ...] = ()
-    n_hosts: int = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RoleChange:
-    """This host started or stopped to count for a customer, for the log."""
-
-    customer: str
-    is_counting: bool
-    why: str
-    source: str
-    tokens: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CountStatus:
-    """What this host counts for a customer: use in the window, and tokens left."""
-
-    customer: str
-    is_counting: bool
-    n_used: int
-    tokens: float
-
-
-@dataclass(kw_only=True, slots=True)
-class _Count:
-    """The state of one customer at this host.
-
-    `handed` are tokens and when they were handed over. `confirmed_at` is when other
-    hosts confirmed that none of them counts. `cleared` are silent hosts whose counting
-    host has handed over. `stopped_at` is set while the tokens are not handed over.
-    """
-
-    bucket: Bucket
-    reserve: WindowReserve
-    used: WindowCount
-    retries: RetryTimes
-    is_counting: bool = False
-    filled_at: float = 0.0
-    handed: tuple[float, float] | None = None
-    handed_by: str = ""
-    confirmed_at: float | None = None
-    stopped_at: float | None = None
-    cleared: frozenset[str] = frozenset()
-    cleared_at: float = 0.0
-    asked_at: float = 0.0
-    handover_due: float = 0.0
-    version: int = -1
-    standing: Standing | None = None
-
-
 class Counting:
     """Grants permits for the customers for which this host is asked.
 
@@ -127,7 +44,7 @@
         self._view = view
         self._bounds = bounds
         self._random = random
-        self._counts: dict[str, _Count] = {}
+        self._counts: dict[str, Count] = {}
         self._changes: list[RoleChange] = []
         self._is_leaving = False
 
@@ -159,7 +76,7 @@
 
     def _make_grant(
         self,
-        count: _Count,
+        count: Count,
         n: int,
         valid_s: float,
         next_s: float,
@@ -177,7 +94,7 @@
             n_reserve=n_reserve,
         )
 
-    def _get_reserve(self, customer: Customer, count: _Count, *, now: float) -> float:
+    def _get_reserve(self, customer: Customer, count: Count, *, now: float) -> float:
         """Return the part of the reserve that this host may use in each window."""
         standing = count.standing
         if standing is None:
@@ -221,7 +138,7 @@
         """Return whether this host counts in full for a customer."""
         return self._update(customer, now=now).is_counting
 
-    def _update(self, customer: Customer, *, now: float) -> _Count:
+    def _update(self, customer: Customer, *, now: float) -> Count:
         """Return the customer's state, with its role, limit and share at `now`."""
         self._view.touch(now=now)
         count = self._counts.get(customer.name)
@@ -253,8 +170,8 @@
             self._stop(customer.name, count, is_unsure=is_unsure, now=now)
         return count
 
-    def _make_count(self, customer: Customer, *, now: float) -> _Count:
-        return _Count(
+    def _make_count(self, customer: Customer, *, now: float) -> Count:
+        return Count(
             bucket=Bucket(rate=customer.rate_per_s, burst=customer.burst, now=now),
             reserve=WindowReserve(window_s=self._bounds.window_s),
             used=WindowCount(window_s=self._bounds.window_s),
@@ -262,7 +179,7 @@
             asked_at=now,
         )
 
-    def _needs_confirmation(self, count: _Count, *, now: float) -> bool:
+    def _needs_confirmation(self, count: Count, *, now: float) -> bool:
         """Return whether another host may count since this one started or stalled."""
         if not self._view.is_joined:
             return True
@@ -272,7 +189,7 @@
         return count.confirmed_at is None or count.confirmed_at < unsure_since
 
     def _start(
-        self, customer: Customer, count: _Count, standing: Standing, *, now: float
+        self, customer: Customer, count: Count, standing: Standing, *, now: float
     ) -> None:
         """Count in full, from the tokens handed over or else from an empty bucket.
 
@@ -306,7 +223,7 @@
         )
         count.handed = None
 
-    def _stop(self, name: str, count: _Count, *, is_unsure: bool, now: float) -> None:
+    def _stop(self, name: str, count: Count, *, is_unsure: bool, now: float) -> None:
         count.bucket.fill(now=now)
         count.is_counting = False
         count.stopped_at = now
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -38,6 +38,7 @@
 from ..transport.gossip import GossipMetrics, open_gossip, run_gossip
 from .activeconfig import ActiveConfig
 from .adapter import Adapter
+from .counting import CountingService
 from .discovery import Discovery, keep_channels
 from .feedpeers import FeedChannels
 from .fleet import Fleet
@@ -247,25 +248,32 @@
             random=self._random,
             nursery=nursery,
         )
-        self._customer_limits = LimitService(
+        channels = LimitChannels(
+            fleet=self._fleet, dialer=self._dialer, nursery=nursery
+        )
+        self._counting = CountingService(
             own_name=host.name,
             membership=self._membership,
-            fleet=self._fleet,
-            channels=LimitChannels(
-                fleet=self._fleet, dialer=self._dialer, nursery=nursery
-            ),
+            channels=channels,
             nursery=nursery,
             random=self._random,
             get_customers=self._get_customers,
             bounds=host.bounds.limits,
         )
+        self._customer_limits = LimitService(
+            counting=self._counting,
+            fleet=self._fleet,
+            channels=channels,
+            nursery=nursery,
+            random=self._random,
+        )
         self._peers = PeerService(
             owner=self._owner,
             documents=Documents(check=lambda name, body: None),
             nursery=nursery,
             answer_ticket=_refuse_ticket,
             feeds=self._feeds,
-            limits=self._customer_limits,
+            limits=self._counting,
         )
         self._acceptor = Acceptor(
             own=hello, on_frame=self._handle_peer, on_loss=self._peers.drop
@@ -440,7 +448,7 @@
         # Listening addresses stay for the life of the process; bounds and seeds change.
         self._host = host
         self._membership.join(host.seeds)
-        self._customer_limits.replace_bounds(host.bounds.limits)
+        self._counting.replace_bounds(host.bounds.limits)
         self._apply()
 
     async def _leave(self) -> None:
@@ -452,7 +460,7 @@
         stop_at = trio.current_time() + self._host.bounds.stop_within_s - STOP_RESERVE_S
         self._is_leaving = True
         log_decision(logger, "leaving", request_id=None, host=self._host.name)
-        self._customer_limits.leave()
+        self._counting.leave()
         self._acceptor.send_going_away()
         await self._endpoint.send(self._membership.leave(now=trio.current_time()))
         await trio.sleep(min(LEAVE_NOTICE_S, self._host.bounds.stop_within_s / 2))
--- a/src/lavendergap/entry/limitchannels.py
+++ b/src/lavendergap/entry/limitchannels.py
@@ -1,6 +1,7 @@
 """The messages about customers' limits on the channels to other hosts."""
 
 from collections.abc import Awaitable, Callable
+from enum import StrEnum
 
 import trio
 
@@ -25,6 +26,14 @@
 """How long after its time a grant is still returned; by then it has expired."""
 
 
+class PortState(StrEnum):
+    """What a host's port for peers answers to a connection."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class _Ask:
     """One PermitRequest and its reply, `None` if it was lost."""
 
@@ -132,10 +141,12 @@
     async def has_host_ended(self, host: str) -> bool:
         """Return whether the port of a host refuses connections."""
         address = self._fleet.get_address(host)
-        return address is not None and await self.is_port_refused(address)
+        if address is None:
+            return False
+        return await self.check_port(address) is PortState.REFUSED
 
-    async def is_port_refused(self, address: Address) -> bool:
-        """Return whether a port refuses connections: the process has ended.
+    async def check_port(self, address: Address) -> PortState:
+        """Return what a port answers; it is refused if the process has ended.
 
         No other error shows this: a host beyond a partition may be unreachable.
         """
@@ -143,11 +154,13 @@
             with trio.move_on_after(PORT_CHECK_TIMEOUT_S):
                 stream = await self._connect(address)
                 await trio.aclose_forcefully(stream)
+                return PortState.OPEN
         except ConnectionRefusedError:
-            return True
+            return PortState.REFUSED
         except OSError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        return False
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return PortState.REFUSED
+        return PortState.SILENT
 
     def forget_late(self, *, now: float) -> None:
         """Stop waiting for grants that are too late to be returned."""
--- a/src/lavendergap/protocol/peer.py
+++ b/src/lavendergap/protocol/peer.py
@@ -40,11 +40,11 @@
     TicketReply,
     TicketRequest,
 )
+from .packedlimits import pack_limit_message
 from .packing import (
     pack_answers,
     pack_feed_update,
     pack_fetch,
-    pack_limit_message,
     pack_search,
     pack_state,
     pack_strike_report,
--- a/tests/limitfakes.py
+++ b/tests/limitfakes.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from lavendergap.coordination.limits.counting import Counting, Grant
+from lavendergap.coordination.limits.counting import Counting
+from lavendergap.coordination.limits.counts import Grant
 from lavendergap.coordination.limits.hosts import HostView
 from lavendergap.coordination.limits.permits import Permits, Refused
 from lavendergap.state.customers import Customer
@@ -16,6 +17,8 @@
 NOTICE_S = (0.1, 0.8)
 """How long a start, a return or a departure takes to be seen."""
 STEP_S = 0.05
+REST_STEP_S = 0.9
+"""Shorter than what a host takes for a stall."""
 N_HINTS = 3
 """Hosts that the settings and the store name to one that starts."""
 
@@ -100,9 +103,14 @@
     def _refuses(self, a: FakeHost, b: FakeHost) -> bool:
         return b.state == "dead" and a.side == b.side
 
-    def step(self) -> None:
+    def rest(self, seconds: float) -> None:
+        """Advance without requests, in longer steps."""
+        for _ in range(round(seconds / REST_STEP_S)):
+            self.step(REST_STEP_S)
+
+    def step(self, seconds: float = STEP_S) -> None:
         """Advance the clock, and membership with its delays."""
-        self.now = round(self.now + STEP_S, 3)
+        self.now = round(self.now + seconds, 3)
         for host in self.hosts.values():
             if host.state != "up":
                 continue
@@ -123,7 +131,7 @@
                 host.view.merge_gone(gone, n_hosts, now=self.now)
                 host.view.is_blind = False
                 return
-        hints = [h for h in list(self.hosts.values())[:N_HINTS]]
+        hints = list(self.hosts.values())[:N_HINTS]
         n_answered = sum(h is host or h in reached for h in hints)
         n_refused = sum(self._refuses(host, h) for h in hints)
         host.view.note_hints(
--- /dev/null
+++ b/tests/test_limit_service.py
@@ -0,0 +1,296 @@
+"""Customers' limits on running hosts: what is sent, refused, returned and handed over.
+
+The hosts run in one process over memory streams, on a virtual clock.
+"""
+
+import gc
+import logging
+from random import Random
+
+import pytest
+import trio
+import trio.testing
+
+from lavendergap.coordination.membership import Membership
+from lavendergap.entry.counting import CountingService
+from lavendergap.entry.fleet import Fleet
+from lavendergap.entry.limitchannels import LimitChannels
+from lavendergap.entry.limits import NOT_COUNTED_RETRY_MS, LimitService
+from lavendergap.protocol.messages import Hello, PermitRequest, PermitReturn
+from lavendergap.state.customers import Customer, CustomerTable
+from lavendergap.state.forwarding import ForwardedRequest
+from lavendergap.state.gossip import Gossip
+from lavendergap.state.hostfile import LimitBounds
+from lavendergap.state.member import DocumentsDigest, Member, MemberState
+from lavendergap.state.outcome import Reason
+from lavendergap.state.routes import OneOf, Route
+from lavendergap.state.settings import Address, Control, Settings
+from lavendergap.transport.acceptor import Acceptor
+from lavendergap.transport.dialer import Dialer
+from lavendergap.transport.gateway import GatewayRequest
+
+from .nodes import Network
+
+CUSTOMER = Customer(name="c1", rate_per_s=10.0, burst=10.0)
+OTHER = Customer(name="c2")
+BOUNDS = LimitBounds(window_s=5.0, overage=0.1, slack=20.0)
+STARTED_S = 40.0
+"""After this time the bucket of a host that has started is full."""
+
+ROUTE = Route(
+    name="r1",
+    host="a.example",
+    prefix="/",
+    target=OneOf(groups=()),
+    idempotent=True,
+    max_attempts=1,
+    timeout_ms=1_000,
+    goal_ms=100,
+    priority=0,
+)
+
+
+class LimitHost:
+    """One host with the parts that count limits."""
+
+    def __init__(self, members, number, table, nursery, network) -> None:
+        own = members[number]
+        settings = Settings(
+            deployment="d", version=0, platform=own.peers, hosts=(), services=()
+        )
+        hello = Hello(deployment="d", host=own.name, incarnation=1)
+        self.name = own.name
+        self.table = table
+        self.frames: list[object] = []
+        self.fleet = Fleet(own_name=own.name, settings=settings)
+        self.fleet.replace_live({m.name: m.peers for m in members})
+        self.membership = Membership(own=own, control=Control(), random=Random(1))
+        self.membership.joined = True
+        for member in members:
+            self.receive_member(member)
+        channels = LimitChannels(
+            fleet=self.fleet,
+            dialer=Dialer(own=hello, nursery=nursery, connect=network.connect),
+            nursery=nursery,
+            connect=network.connect,
+        )
+        self.counting = CountingService(
+            own_name=own.name,
+            membership=self.membership,
+            channels=channels,
+            nursery=nursery,
+            random=Random(number),
+            get_customers=lambda: self.table,
+            bounds=BOUNDS,
+        )
+        self.limits = LimitService(
+            counting=self.counting,
+            fleet=self.fleet,
+            channels=channels,
+            nursery=nursery,
+            random=Random(number),
+        )
+        self.acceptor = Acceptor(
+            own=hello, on_frame=self._handle, on_loss=lambda channel: None
+        )
+        nursery.start_soon(self.limits.run)
+
+    def _handle(self, channel, frame) -> None:
+        self.frames.append(frame.message)
+        self.counting.handle(channel, frame)
+
+    def receive_member(self, member: Member) -> None:
+        gossip = Gossip(source=member, documents=DocumentsDigest(), updates=())
+        if member.name != self.membership.own.name:
+            now = trio.current_time()
+            self.membership.receive(gossip, sender=member.peers, now=now)
+
+    async def request(self, customer=CUSTOMER, goal_s=0.1):
+        """Ask to admit a request; return the refusal and the request."""
+        now = trio.current_time()
+        forward = ForwardedRequest(
+            method=b"GET", target=b"/", attempt=b"r1", headers=()
+        )
+        request = GatewayRequest(
+            forward=forward,
+            body=b"",
+            route=ROUTE,
+            version=1,
+            started=now,
+            deadline=now + 1.0,
+            goal=now + goal_s,
+            customer=customer,
+        )
+        return await self.limits.admit(request), request
+
+
+class LimitHosts:
+    """Hosts in the order in which they count for `CUSTOMER`."""
+
+    def __init__(self, nursery, *, n_hosts=4, customer=CUSTOMER) -> None:
+        self.network = Network(nursery=nursery)
+        table = CustomerTable(customers={customer.name: customer}, names_by_digest={})
+        members = [
+            Member(
+                name=f"h{number}",
+                data_centre="a",
+                incarnation=1,
+                peers=Address(ip="127.0.0.1", port=8_000 + number),
+            )
+            for number in range(n_hosts)
+        ]
+        hosts = []
+        for number, member in enumerate(members):
+            host = LimitHost(members, number, table, nursery, self.network)
+            self.network.nodes[member.peers] = host  # type: ignore[assignment]
+            hosts.append(host)
+        self.members = {member.name: member for member in members}
+        order = hosts[0].counting.view.sort(CUSTOMER.name, self.members)
+        self.ranked = sorted(hosts, key=lambda host: order.index(host.name))
+
+
+@pytest.fixture
+async def hosts(nursery, autojump_clock):
+    gc.collect()
+    built = LimitHosts(nursery)
+    await trio.sleep(STARTED_S)
+    return built
+
+
+async def send_all(host, n):
+    """Send `n` requests one after the other; return the refusals."""
+    refusals = [(await host.request())[0] for _ in range(n)]
+    return [refusal for refusal in refusals if refusal is not None]
+
+
+class TestAdmission:
+    async def test_the_counting_host_decides_without_waiting(self, hosts):
+        first = hosts.ranked[0]
+        with trio.testing.assert_no_checkpoints():
+            coroutine = first.request()
+            with pytest.raises(StopIteration) as stopped:
+                coroutine.send(None)
+        assert stopped.value.value[0] is None
+
+    async def test_beyond_the_limit_a_429_names_the_counting_host(self, hosts, caplog):
+        caplog.set_level(logging.INFO, logger="lavendergap")
+        first, last = hosts.ranked[0], hosts.ranked[-1]
+        refusals = await send_all(last, 30)
+        assert len(refusals) == 20
+        assert {(r.reason, r.peer) for r in refusals} == {
+            (Reason.OVER_LIMIT, first.name)
+        }
+        assert len({r.retry_after_ms for r in refusals}) == 20
+        assert sum("limit reached" in str(r.__dict__) for r in caplog.records) == 5
+
+    async def test_refusals_cost_no_messages(self, hosts):
+        await send_all(hosts.ranked[-1], 12)
+        n_frames = len(hosts.ranked[0].frames)
+        await send_all(hosts.ranked[-1], 50)
+        assert len(hosts.ranked[0].frames) == n_frames
+
+    async def test_requests_at_one_instant_share_messages(self, hosts):
+        async with trio.open_nursery() as nursery:
+            for _ in range(10):
+                nursery.start_soon(hosts.ranked[1].request)
+        asked = [f for f in hosts.ranked[0].frames if isinstance(f, PermitRequest)]
+        assert len(asked) <= 2
+
+    async def test_a_customer_without_a_limit_leaves_no_trace(self, hosts):
+        with trio.testing.assert_no_checkpoints():
+            coroutine = hosts.ranked[1].request(OTHER)
+            with pytest.raises(StopIteration):
+                coroutine.send(None)
+        assert [host.frames for host in hosts.ranked] == [[], [], [], []]
+
+    async def test_a_request_that_did_not_run_is_refunded(self, hosts):
+        """Guards against customers that pay for the overload of backend servers."""
+        for _ in range(30):
+            refusal, request = await hosts.ranked[1].request()
+            assert refusal is None
+            hosts.ranked[1].limits.give_back(request)
+            await trio.sleep(0.15)
+        assert any(isinstance(f, PermitReturn) for f in hosts.ranked[0].frames)
+
+    async def test_a_new_version_ends_local_refusals(self, hosts):
+        await send_all(hosts.ranked[1], 12)
+        raised = Customer(name="c1", rate_per_s=1_000.0, burst=1_000.0)
+        table = CustomerTable(customers={"c1": raised}, names_by_digest={})
+        for host in hosts.ranked:
+            host.table = table
+        await trio.sleep(0.05)
+        assert await send_all(hosts.ranked[1], 10) == []
+
+
+class TestFailures:
+    async def test_a_killed_counting_host(self, hosts):
+        """Guards against requests below the limit that are refused for seconds."""
+        hosts.network.refusing.add(hosts.ranked[0].name)
+        refusals = []
+        for _ in range(40):
+            refusals += await send_all(hosts.ranked[2], 1)
+            await trio.sleep(0.12)
+        assert refusals == []
+        [count] = hosts.ranked[1].counting.list_counts()
+        assert count.is_counting
+
+    async def test_a_silent_counting_host_costs_a_part_of_the_time(self, hosts):
+        hosts.network.silent.add(hosts.ranked[0].name)
+        started = trio.current_time()
+        refusal, _ = await hosts.ranked[2].request(goal_s=0.058)
+        assert refusal is None
+        assert trio.current_time() - started <= 0.058 / 4
+        [count] = hosts.ranked[1].counting.list_counts()
+        assert not count.is_counting
+
+    async def test_no_host_reached_is_not_the_customers_fault(self, hosts):
+        own = hosts.ranked[3]
+        hosts.network.silent.update({"h0", "h1", "h2", "h3"} - {own.name})
+        refusal, _ = await own.request()
+        assert refusal is not None
+        assert refusal.reason is Reason.NOT_READY
+        assert refusal.retry_after_ms == NOT_COUNTED_RETRY_MS
+
+    async def test_a_late_grant_is_returned(self, hosts):
+        first = hosts.ranked[0]
+        hosts.network.silent.update({first.name})
+        await hosts.ranked[2].request()
+        hosts.network.silent.clear()
+        await trio.sleep(0.5)
+        returned = [f for f in first.frames if isinstance(f, PermitReturn)]
+        assert len(returned) == 1
+
+    async def test_a_host_that_leaves_hands_its_tokens_over(self, hosts):
+        first, second = hosts.ranked[:2]
+        assert await send_all(first, 4) == []
+        first.counting.leave()
+        await trio.sleep(0.01)
+        assert len(await send_all(second, 10)) == 4
+        leaving = hosts.members[first.name]
+        leaving = Member(
+            name=leaving.name,
+            data_centre="a",
+            incarnation=1,
+            peers=leaving.peers,
+            refutations=1,
+            state=MemberState.LEAVING,
+        )
+        for host in hosts.ranked[1:]:
+            host.receive_member(leaving)
+        await trio.sleep(1.0)
+        assert await send_all(hosts.ranked[3], 5) == []
+
+    async def test_a_host_that_joins_takes_over_the_tokens(self, nursery, hosts):
+        """Guards against a new first host that counts beside the old one."""
+        first, second = hosts.ranked[:2]
+        assert await send_all(second, 6) == []
+        network = hosts.network
+        members = list(hosts.members.values())
+        number = members.index(hosts.members[first.name])
+        again = LimitHost(members, number, first.table, nursery, network)
+        network.nodes[hosts.members[first.name].peers] = again  # type: ignore
+        await again.request()
+        await trio.sleep(0.1)
+        [count] = again.counting.list_counts()
+        assert count.is_counting
+        assert count.tokens < 1.0
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -12,12 +12,17 @@
 from lavendergap.protocol.messages import (
     Answers,
     BadFrameError,
+    CountHandover,
     FeedFetch,
     FeedState,
     FeedUpdate,
     Frame,
     GreatestOptions,
+    HandoverRequest,
     Message,
+    PermitGrant,
+    PermitRequest,
+    PermitReturn,
     Search,
     ShardAnswer,
     ShardRef,
@@ -116,6 +121,21 @@
         position=StorePosition(epoch=3, revision=5),
         entries=(FeedEntry(name="main", body=b"x"),),
     ),
+    PermitRequest(customer="c1", n=3),
+    PermitGrant(
+        n=0, valid_ms=500, next_ms=70, retry_ms=210, is_counting=True, n_used=60
+    ),
+    PermitReturn(customer="c1", n=1),
+    HandoverRequest(customer="c1"),
+    CountHandover(
+        customer="c1",
+        tokens=2.5,
+        was_counting=True,
+        rank=1,
+        is_sure=True,
+        gone=(("a-1", 7_000_000),),
+        n_hosts=72,
+    ),
 ]
 
 
@@ -191,6 +211,22 @@
             decode_frame(whole[:cut], is_packed=True)
 
 
+class TestNumbersOutOfRange:
+    """Guards against a peer whose count would corrupt that of this host."""
+
+    @pytest.mark.parametrize("tokens", [-1.0, 1e12, float("inf"), float("nan")])
+    def test_tokens(self, tokens):
+        handover = replace(MESSAGES[-1], tokens=tokens)
+        with pytest.raises(BadFrameError):
+            send_and_receive(handover)
+
+    @pytest.mark.parametrize("n", [-1, 10_000_000])
+    @pytest.mark.parametrize("kind", [PermitRequest, PermitReturn])
+    def test_permits(self, kind, n):
+        with pytest.raises(BadFrameError):
+            send_and_receive(kind(customer="c1", n=n))
+
+
 class TestCompression:
     # Guards against sending long documents uncompressed between data centres, and
     # against frames that exhaust a host's memory when they are decompressed.
