--- a/src/lavendergap/coordination/limits/counting.py
+++ b/src/lavendergap/coordination/limits/counting.py
@@ -203,14 +203,16 @@
         if not is_confirmed and len(self._view.live) > 1:
             since = max(since, unsure_since + self._view.settle_s)
         tokens = 0.0
+        is_continued = False
         why = "first since others stopped"
         if count.handed is not None and now - count.handed[1] < self._view.settle_s:
-            tokens, since = count.handed
+            tokens, since, is_continued = count.handed
             why = "handed over"
         rate = count.bucket.rate
         count.bucket.start(level=tokens + rate * max(0.0, now - since), now=now)
         count.is_counting = True
-        count.filled_at = since
+        # A bucket that was handed over has been filling at the host before.
+        count.filled_at = since - MAX_FILL_S * is_continued
         count.stopped_at = None
         self._changes.append(
             RoleChange(
@@ -332,14 +334,14 @@
                 return False
             if not handover.is_sure and not is_last:
                 return True
-        count.handed = (handover.tokens, now)
+        count.handed = (handover.tokens, now, handover.was_counting)
         if not handover.was_counting and count.stopped_at is not None:
             # A stall that no other host noticed: this is still the only bucket.
             count.bucket.fill(now=now)
-            count.handed = (count.bucket.level, now)
+            count.handed = (count.bucket.level, now, True)
         elif not handover.was_counting and handover.is_sure:
             # Nobody has counted since this process started.
-            count.handed = (0.0, self._view.unsure_since)
+            count.handed = (0.0, self._view.unsure_since, False)
         count.handed_by = source
         count.confirmed_at = now
         self._update(customer, now=now)
@@ -349,15 +351,15 @@
         self, customer: Customer, tokens: float, source: str, *, now: float
     ) -> None:
         """Take over from a host that leaves, which sent its tokens unasked."""
-        self._view.note_stopped(source, now=now)
         count = self._update(customer, now=now)
-        if count.is_counting:
-            count.bucket.fill(now=now)
+        if not count.is_counting:
+            count.handed = (tokens, now, True)
+            count.handed_by = source
+            count.confirmed_at = now
+        else:
             level = min(count.bucket.burst, count.bucket.level + tokens)
             count.bucket.start(level=level, now=now)
-            return
-        count.handed = (tokens, now)
-        count.handed_by = source
+        self._view.note_stopped(source, now=now)
         self._update(customer, now=now)
 
     def leave(
--- a/src/lavendergap/coordination/limits/counts.py
+++ b/src/lavendergap/coordination/limits/counts.py
@@ -67,7 +67,7 @@
 class Count:
     """The state of one customer at this host.
 
-    `handed` are tokens and when they were handed over. `confirmed_at` is when other
+    `handed` are tokens, when they were handed over, and whether by a host that counted. `confirmed_at` is when other
     hosts confirmed that none of them counts. `cleared` are silent hosts whose counting
     host has handed over. `stopped_at` is set while the tokens are not handed over.
     """
@@ -78,7 +78,7 @@
     retries: RetryTimes
     is_counting: bool = False
     filled_at: float = 0.0
-    handed: tuple[float, float] | None = None
+    handed: tuple[float, float, bool] | None = None
     handed_by: str = ""
     confirmed_at: float | None = None
     stopped_at: float | None = None
