Keep the bound when hosts start again around a partition

Cause: the model and random schedules found two ways to count twice. A process that is proven to have ended before a cut may be started beyond it.

Change: a started host learns the silent hosts from others, or else takes its share from the hosts that settings and store name; hosts that ended up to 60 s before a silent loss count as gone; split modules by decision.

--- a/src/lavendergap/coordination/limits/counting.py
+++ b/src/lavendergap/coordination/limits/counting.py
@@ -12,8 +12,9 @@
 from ...state.hostfile import LimitBounds
 from .bucket import Bucket, WindowCount, WindowReserve
 from .counts import Count, CountStatus, Grant, Handover, RoleChange
-from .hosts import HostView, Standing
-from .retries import RetryTimes, estimate_wait
+from .hosts import HostView
+from .retries import MAX_RETRY_AFTER_S, RetryTimes
+from .standing import Standing
 
 MAX_VALIDITY_S = 0.5
 """How long a permit may be kept; short, as kept permits are missing elsewhere."""
@@ -62,31 +63,16 @@
             n_reserve = count.reserve.take(n_wanted - n, capacity=capacity, now=now)
         n += n_reserve
         count.used.add(n, now=now)
-        valid_s = self._get_validity(customer)
-        if n:
-            return self._make_grant(count, n, valid_s, 0.0, 0.0, n_reserve, now)
-        if count.is_counting:
-            next_s = estimate_wait(count.bucket, now=now)
-        else:
-            next_s = count.reserve.estimate_wait(now=now)
-        retry_s = count.retries.take(
-            wait_s=next_s, rate=count.bucket.rate, now=now, random=self._random
-        )
-        return self._make_grant(count, 0, valid_s, next_s, retry_s, 0, now)
-
-    def _make_grant(
-        self,
-        count: Count,
-        n: int,
-        valid_s: float,
-        next_s: float,
-        retry_s: float,
-        n_reserve: int,
-        now: float,
-    ) -> Grant:
+        next_s = retry_s = 0.0
+        if not n:
+            counted = count.bucket if count.is_counting else count.reserve
+            next_s = min(MAX_RETRY_AFTER_S, counted.estimate_wait(now=now))
+            retry_s = count.retries.take(
+                wait_s=next_s, rate=count.bucket.rate, now=now, random=self._random
+            )
         return Grant(
             n=n,
-            valid_s=valid_s,
+            valid_s=self._get_validity(customer),
             next_s=next_s,
             retry_s=retry_s,
             is_counting=count.is_counting,
@@ -104,7 +90,7 @@
             fill_s = customer.burst / customer.rate_per_s
             is_filling = now - count.filled_at < min(fill_s, MAX_FILL_S)
             fraction = min(fraction, FILL_FRACTION) if is_filling else 0.0
-        share = self._view.get_share(count.cleared, count.cleared_at, now=now)
+        share = self._view.get_reserve_share(count.cleared, count.cleared_at, now=now)
         return fraction * share * self._measure_reserve(customer)
 
     def _measure_reserve(self, customer: Customer) -> float:
--- a/src/lavendergap/coordination/limits/counts.py
+++ b/src/lavendergap/coordination/limits/counts.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from .bucket import Bucket, WindowCount, WindowReserve
-from .hosts import Standing
 from .retries import RetryTimes
+from .standing import Standing
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,9 +67,10 @@
 class Count:
     """The state of one customer at this host.
 
-    `handed` are tokens, when they were handed over, and whether by a host that counted. `confirmed_at` is when other
-    hosts confirmed that none of them counts. `cleared` are silent hosts whose counting
-    host has handed over. `stopped_at` is set while the tokens are not handed over.
+    `handed` are tokens, when they were handed over, and whether by a host that counted.
+    `confirmed_at` is when other hosts confirmed that none of them counts. `cleared` are
+    silent hosts whose counting host has handed over, at `cleared_at`. `stopped_at` is
+    set while the tokens are not handed over.
     """
 
     bucket: Bucket
--- a/src/lavendergap/coordination/limits/hosts.py
+++ b/src/lavendergap/coordination/limits/hosts.py
@@ -11,6 +11,7 @@
 from math import inf
 
 from ..ranking import rank_hosts, score_host
+from .standing import N_RANKED, Standing, get_fraction
 
 DETECTION_S = 4.0
 """How long after a partition both sides have found most lost hosts.
@@ -32,17 +33,14 @@
 Partitions of regions last up to an hour.
 """
 
-INTRODUCTION_S = 5.0
-"""How long a host known by its own message only is counted as live."""
-
-RANK_FRACTIONS = (1 / 4, 1 / 2, 1 / 8, 1 / 16, 0.0)
-"""The part of the reserve of a host that may not count in full, by rank.
+RESTART_S = 60.0
+"""A process that ended this long before a silent loss may run again beyond a cut."""
 
-The second host gets most, as it is the one asked when the first is silent. They add up
-to less than one: the rest covers permits used after the window of their grant.
-"""
+BLIND_RESERVE_SHARE = 0.5
+"""The part of its reserve for a host that has started on one side of a cut."""
 
-N_RANKED = len(RANK_FRACTIONS) - 1
+INTRODUCTION_S = 5.0
+"""How long a host known by its own message only is counted as live."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -59,22 +57,6 @@
     is_silent: bool = False
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Standing:
-    """What this host is for one customer, valid until `expires_at` or a change.
-
-    `is_sole` is set if it is first and no host before it may still count. `since` is
-    when it became so. `fraction` is its part of the reserve.
-    """
-
-    rank: int
-    is_first: bool
-    is_sole: bool
-    since: float
-    fraction: float
-    expires_at: float
-
-
 class HostView:
     """The hosts as this one knows them, for the counting of limits.
 
@@ -176,15 +158,17 @@
             )
             self._refresh(now=now)
 
-    def note_hints(self, *, n_answered: int, n_silent: int) -> None:
+    def note_hints(self, *, n_answered: int, n_silent: int, is_named: bool) -> None:
         """Record how many of the hosts named by settings and store have answered.
 
         If all hosts have started during a partition, no host knows of the other side.
         The named hosts answer on one side each, so that the shares add up to one. Those
-        whose port refuses connections are not silent.
+        whose port refuses connections are not silent. `is_named` is set if this host is
+        one of them. If no other answered, the others may count for this host too.
         """
-        n_named = n_answered + n_silent
-        self._hint_share = n_answered / n_named if n_named else 1.0
+        n_here = n_answered + is_named if n_answered or not n_silent else 0
+        n_named = n_here + n_silent
+        self._hint_share = n_here / n_named if n_named else 1.0
         if n_silent == 0:
             self.is_blind = False
 
@@ -243,7 +227,9 @@
         if not self._n_silent:
             self._n_before_loss = None
             return
-        n_known = 1 + sum(r.is_live or r.is_silent for r in kept.values())
+        n_live = sum(record.is_live for record in kept.values())
+        n_lost = sum(not kept[name].is_live for name in self.list_silent(now=now))
+        n_known = 1 + n_live + n_lost
         if self._n_before_loss is None:
             self._n_before_loss = n_known
         elif now - self.started_at < self.settle_s:
@@ -251,13 +237,30 @@
             self._n_before_loss = max(n_known, self._n_before_loss)
 
     def list_silent(self, *, now: float) -> list[str]:
-        """Return the hosts that went silently, until they are back and settled."""
-        return [
+        """Return the hosts that may count out of reach, until back and settled.
+
+        Besides those that went silently, these are hosts whose process had ended just
+        before: beyond a cut it may have been started again.
+        """
+        silent = [
             name
             for name, record in self._records.items()
             if record.is_silent
             and now - record.since < (self.settle_s if record.is_live else GONE_S)
         ]
+        losses = [
+            self._records[n].since for n in silent if not self._records[n].is_live
+        ]
+        if not losses:
+            return silent
+        latest, earliest = min(losses), min(losses) - RESTART_S
+        return silent + [
+            name
+            for name, record in self._records.items()
+            if not record.is_live
+            and not record.is_silent
+            and earliest < record.since <= latest
+        ]
 
     def list_gone(self, *, now: float) -> tuple[tuple[str, float], ...]:
         """Return the hosts that went silently and are not back, with their age."""
@@ -300,6 +303,15 @@
             n_gone += name not in cleared or is_later
         return max(0.0, 1.0 - n_gone / self._n_before_loss)
 
+    def get_reserve_share(
+        self, cleared: frozenset[str], cleared_at: float, *, now: float
+    ) -> float:
+        """Return the part of its reserve that this host may use."""
+        share = self.get_share(cleared, cleared_at, now=now)
+        if self.is_blind and share < 1.0:
+            return BLIND_RESERVE_SHARE
+        return share
+
     def rank(self, customer: str) -> tuple[str, ...]:
         """Return the first few live hosts for a customer, the counting one first."""
         ranked = self._ranked.get(customer)
@@ -352,10 +364,7 @@
             is_settled = not record.is_silent or age >= self.settle_s
             is_sole = is_sole and is_settled
             since = max(since, record.since + self.settle_s * record.is_silent)
-        low, high = min(n_lasting, N_RANKED), min(n_any, N_RANKED)
-        # The smallest fraction of the ranks held within the last window: whatever the
-        # order in which hosts come and go, no window has more than one of each rank.
-        fraction = min(RANK_FRACTIONS[min(low, high) : high + 1])
+        fraction = get_fraction(n_lasting, n_any)
         if now - self.started_at < self.window_s:
             # The process before this one may have used its part within this window.
             fraction /= 2
--- a/src/lavendergap/coordination/limits/retries.py
+++ b/src/lavendergap/coordination/limits/retries.py
@@ -6,8 +6,6 @@
 
 from random import Random
 
-from .bucket import Bucket
-
 MAX_RETRY_AFTER_S = 5.0
 """No caller is told to wait longer; beyond it the times are random."""
 
@@ -36,8 +34,3 @@
             return random.uniform(MAX_RETRY_AFTER_S / 2, MAX_RETRY_AFTER_S)
         self._free_at = at + 1.0 / rate
         return at - now
-
-
-def estimate_wait(bucket: Bucket, *, now: float) -> float:
-    """Return the seconds until a bucket has a token, at most the longest wait."""
-    return min(MAX_RETRY_AFTER_S, bucket.estimate_wait(now=now))
--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -142,11 +142,14 @@
             if member.state is MemberState.SUSPECT
         )
 
-    def split_hints(self) -> tuple[int, list[Address]]:
-        """Return how many hints belong to members, and the addresses of the others."""
+    def split_hints(self) -> tuple[int, bool, list[Address]]:
+        """Return how many hints are other members, whether one is this host, the rest.
+
+        The rest are the addresses that belong to no known member.
+        """
         addresses = {member.peers for member in self.members()}
         others = [hint for hint in self._hints if hint not in addresses]
-        return len(self._hints) - len(others) + self._is_own_hint, others
+        return len(self._hints) - len(others), self._is_own_hint, others
 
     def get_data_centres(self) -> dict[str, str]:
         """Return the data centre of each host to which new work may go."""
--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -244,7 +244,7 @@
         One of the hosts found may know. If all of them have started too, those that the
         settings and the store name show whether some are out of reach.
         """
-        n_answered, unknown = self._membership.split_hints()
+        n_answered, is_named, unknown = self._membership.split_hints()
         states: list[PortState] = []
 
         async def check(address: Address) -> None:
@@ -256,6 +256,7 @@
         self.view.note_hints(
             n_answered=n_answered + states.count(PortState.OPEN),
             n_silent=states.count(PortState.SILENT),
+            is_named=is_named,
         )
         others = sorted(self.view.live - {self.own_name})
         if not others or not self.view.is_blind:
--- a/src/lavendergap/entry/limits.py
+++ b/src/lavendergap/entry/limits.py
@@ -31,6 +31,9 @@
 MAX_ASKED_HOSTS = 3
 NOT_COUNTED_RETRY_MS = 50
 TICK_S = 0.1
+IDLE_TICK_S = 1.0
+"""While no customer has a limit; a request of one that has takes effect at once."""
+
 SLOW_S = 0.25
 """How long a host that did not reply in time is asked after the others."""
 
@@ -236,7 +239,7 @@
     async def run(self) -> None:
         """Keep the state up to date until cancelled."""
         while True:
-            await trio.sleep(TICK_S)
+            await trio.sleep(TICK_S if self._counting.has_limits else IDLE_TICK_S)
             now = trio.current_time()
             self._refresh(now)
             if not self._counting.has_limits:
--- a/tests/limitfakes.py
+++ b/tests/limitfakes.py
@@ -132,10 +132,13 @@
                 host.view.is_blind = False
                 return
         hints = list(self.hosts.values())[:N_HINTS]
-        n_answered = sum(h is host or h in reached for h in hints)
+        n_answered = sum(h is not host and h in reached for h in hints)
+        is_named = host in hints
         n_refused = sum(self._refuses(host, h) for h in hints)
         host.view.note_hints(
-            n_answered=n_answered, n_silent=len(hints) - n_answered - n_refused
+            n_answered=n_answered,
+            n_silent=len(hints) - n_answered - n_refused - is_named,
+            is_named=is_named,
         )
 
     def _update_members(self, host: FakeHost) -> bool:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from lavendergap.coordination.limits.bucket import Bucket, WindowReserve
-from lavendergap.coordination.limits.hosts import RANK_FRACTIONS, HostView
+from lavendergap.coordination.limits.hosts import HostView
 from lavendergap.coordination.limits.retries import MAX_RETRY_AFTER_S
+from lavendergap.coordination.limits.standing import RANK_FRACTIONS
 from lavendergap.state.customers import Customer
 
 from .limitfakes import BOUNDS, FakeHosts, find_most
