Learn of silent hosts as soon as limits appear, and round the reserve down

Cause: with the longer idle tick a started host stayed blind for up to 1 s, so it did not take over the count (test_a_host_that_joins_takes_over_the_tokens). Hypothesis found a reserve of just below 2 that granted 2, by the tolerance for rounding errors.

Change: the first version with limits starts the exchange at once; the reserve has no tolerance.

--- a/src/lavendergap/coordination/limits/bucket.py
+++ b/src/lavendergap/coordination/limits/bucket.py
@@ -107,7 +107,7 @@
 
     def take(self, n_wanted: int, *, capacity: float, now: float) -> int:
         """Take up to `n_wanted` and return how many fit into the window."""
-        n = max(0, min(n_wanted, int(capacity - self.count_used(now=now) + _EPSILON)))
+        n = max(0, min(n_wanted, int(capacity - self.count_used(now=now))))
         if n:
             self._grants.append((now, n))
             self._n_used += n
--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -223,6 +223,7 @@
             )
             if self.has_limits and not had_limits:
                 self.view.resume(now=now)
+                self._inform_if_due(now)
         seen = (self._membership.changes, self._membership.joined)
         if not self.has_limits or seen == self._seen:
             return
@@ -238,6 +239,11 @@
         for host in [*self._membership.suspects(), *lost]:
             self._check_port(host, now, delay=self._random.random())
 
+    def _inform_if_due(self, now: float) -> None:
+        if self.view.is_blind and now >= self._inform_at:
+            self._inform_at = now + INFORM_INTERVAL_S
+            self._nursery.start_soon(self._inform)
+
     async def _inform(self) -> None:
         """Learn which hosts went silently before this one started.
 
@@ -288,9 +294,7 @@
     def advance(self, *, now: float) -> None:
         """Do what is due; called several times a second while there are limits."""
         self.view.touch(now=now)
-        if self.view.is_blind and now >= self._inform_at:
-            self._inform_at = now + INFORM_INTERVAL_S
-            self._nursery.start_soon(self._inform)
+        self._inform_if_due(now)
         self._counting.prune(now=now)
         self._log_changes()
 
