Refuse requests without a customer's key, and forward the customer's name

Cause: the manifest names customers and their keys, which no part reads. Every caller was served, and a key would have reached the backend servers.

Change: the adapter reads `tenants` and a route's `public`; an invalid list refuses the whole manifest, with an error that names the entry by its position and quotes no value. A manifest without the field has no customers; null is refused, so that a list lost by mistake does not open every route. The gateway looks the key up in the active table on each request, after its body has arrived, and answers 401 for none, an unknown one or several. The caller's key and customer headers are removed at that one place, also with underscores for hyphens, and the customer's name is added; attempts, hedges, parts and other hosts use these headers. Refused keys are counted by reason and logged at most five times a second. Reading the id, the time left and the key of a request moves into a module of its own. Without `tenants` no header changes; the route of a request is now that of the version active when its body is complete.

--- a/src/lavendergap/metrics.py
+++ b/src/lavendergap/metrics.py
@@ -36,6 +36,11 @@
     "Malformed input refused, by port and problem.",
     ["port", "problem"],
 )
+refused_keys = Counter(
+    "lavendergap_refused_keys",
+    "Requests refused for their key, by reason (none, unknown, several).",
+    ["reason"],
+)
 dropped_answers = Counter(
     "lavendergap_dropped_answers",
     "Answers that failed a check and were not used, by check.",
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -1,6 +1,5 @@
 """The HTTP port for callers whose requests go to backend servers unchanged."""
 
-import math
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -17,10 +16,17 @@
 from ..logs import Category, get_logger, log_decision
 from ..protocol.answers import encode_error, name_outcome
 from ..protocol.forwarding import HeaderNames, MergedRecords, keep_end_to_end
+from ..protocol.keys import replace_customer
 from ..state.customers import Customer
 from ..state.forwarding import ForwardedRequest, Headers
 from ..state.outcome import Answered, NotRun, Reason, Step, Unknown
 from ..state.routes import Route
+from .callerheaders import (
+    MAX_TIME_LEFT_MS,
+    KeyReader,
+    read_attempt,
+    read_time_left,
+)
 from .web import (
     BadRequestError,
     Receive,
@@ -35,8 +41,6 @@
 logger = get_logger(Category.ROUTE)
 
 PORT = "gateway"
-MAX_TIME_LEFT_MS = 600_000
-MAX_ATTEMPT_ID_BYTES = 256
 # Priorities of routes that are told apart within one priority of a customer.
 ROUTE_PRIORITIES = 1_000
 # The Retry-After of a host without routes. A host that has just started receives them
@@ -117,6 +121,7 @@
         self._names = names
         self._caller_delays = CallerDelays()
         self._reserve = AnswerReserve(cores=cores)
+        self._keys = KeyReader(names=names)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -172,11 +177,13 @@
         self, scope: Scope, receive: Receive, index: RouteIndex, started: float
     ) -> GatewayRequest:
         headers = get_headers(scope)
+        limits = index.table.limits
+        body = await read_body(scope, receive, limit=limits.max_body_bytes)
+        # A version that was activated while the body arrived may have removed a key.
+        index = self._handlers.get_routes() or index
         path = scope["raw_path"].decode("latin-1")
         host = headers.get(b"host", b"").decode("latin-1")
         route = index.find(host, path)
-        limits = index.table.limits
-        body = await read_body(scope, receive, limit=limits.max_body_bytes)
         if route is None:
             log_decision(
                 logger,
@@ -191,7 +198,16 @@
                 problem="no route",
                 detail=f"no route begins this path in version {index.table.version}",
             )
-        stated = self._read_time_left(headers)
+        customer = None
+        forwarded = keep_end_to_end(scope["headers"])
+        customers = index.table.customers
+        if customers is not None:
+            if not route.is_public:
+                customer = self._keys.read(scope, customers, route=route.name)
+            forwarded = replace_customer(
+                forwarded, names=self._names, customer=customer
+            )
+        stated = read_time_left(headers, self._names)
         delay = self._caller_delays.note(
             route.name,
             left_ms=min(stated, MAX_TIME_LEFT_MS),
@@ -209,8 +225,8 @@
             forward=ForwardedRequest(
                 method=scope["method"].encode("latin-1"),
                 target=target,
-                attempt=self._read_attempt(headers),
-                headers=keep_end_to_end(scope["headers"]),
+                attempt=read_attempt(headers, self._names),
+                headers=forwarded,
             ),
             body=body,
             route=route,
@@ -218,34 +234,9 @@
             started=started,
             deadline=started + left / 1_000,
             goal=started + goal_ms / 1_000,
+            customer=customer,
         )
 
-    def _read_attempt(self, headers: dict[bytes, bytes]) -> bytes:
-        attempt = headers.get(self._names.attempt, b"")
-        if not attempt or len(attempt) > MAX_ATTEMPT_ID_BYTES:
-            raise BadRequestError(
-                status=HTTPStatus.BAD_REQUEST,
-                problem="no request id",
-                detail=f"send {self._names.attempt.decode()}, new for each request",
-            )
-        return attempt
-
-    def _read_time_left(self, headers: dict[bytes, bytes]) -> float:
-        stated = headers.get(self._names.time_left)
-        if stated is None:
-            return math.inf
-        try:
-            left = float(stated)
-        except ValueError:
-            left = math.nan
-        if not 0 <= left <= MAX_TIME_LEFT_MS:
-            raise BadRequestError(
-                status=HTTPStatus.BAD_REQUEST,
-                problem="impossible deadline",
-                detail=f"{self._names.time_left.decode()} is a number of milliseconds",
-            )
-        return left
-
     def _record_send_time(self, result: GatewayResult) -> None:
         if isinstance(result, MergedRecords) and result.wait_ends_at is not None:
             now = trio.current_time()
@@ -321,6 +312,8 @@
                     "peer": result.peer,
                     "content": identify_content(request.forward, request.body),
                 }
+        if request.customer is not None:
+            detail["customer"] = request.customer.name
         metrics.requests.labels(request.route.name, outcome).inc()
         metrics.request_seconds.labels(request.route.name).observe(elapsed)
         log_decision(
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,12 +1,17 @@
 """The platform adapter: the manifest, entries in the store, and the store's client."""
 
 import json
+import math
 
+import h11
 import pytest
 import trio
+from hypothesis import given
+from hypothesis import strategies as st
 
 from adapter import entries, manifest
 from adapter.store import ObjectStore
+from adapter.tenants import MAX_PRIORITY
 from adapter.translation import HEADER_NAMES, KINDS, PlatformAdapter
 from lavendergap.entry.adapter import (
     HOSTS_FEED,
@@ -14,6 +19,7 @@
     SERVERS_FEED,
     STRIKES_FEED,
 )
+from lavendergap.state.customers import Customer
 from lavendergap.state.feeds import (
     FeedChanges,
     FeedListing,
@@ -133,6 +139,83 @@
         assert entries.read_server("i-1", json.dumps(entry).encode()).is_cold
 
 
+def read_tenants(tenants):
+    body = {"version": 7, "routes": [ROUTE], "tenants": tenants}
+    return manifest.read_routes(json.dumps(body).encode()).customers
+
+
+KEY = "marked-key-1"
+OTHER = {"name": "c1", "api_keys": [KEY]}
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.just(KEY),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+FIELDS = dict.fromkeys(("priority", "rate_per_s", "burst"), JSON_VALUES)
+FIELDS["name"] = st.text() | st.sampled_from(["c1", "c2"]) | JSON_VALUES
+FIELDS["api_keys"] = st.lists(st.text() | st.just(KEY)) | JSON_VALUES
+TENANTS = st.lists(st.fixed_dictionaries({}, optional=FIELDS))
+INVALID = [
+    *({"name": name} for name in ("c1", "", 3, None, "c2\r\nx: 1", "c\u00e9")),
+    *({"name": name} for name in ("\ud800", " c2", "c" * 257)),
+    *({"api_keys": [key]} for key in (KEY, "", f"{KEY}\n", f"{KEY}\u00e9", f"{KEY} ")),
+    *({"api_keys": keys} for keys in (KEY, None, {KEY: 1}, [1])),
+    *({"priority": priority} for priority in ("0", 1.5, None, KEY)),
+    *({"rate_per_s": rate} for rate in (-1, KEY, True, math.nan, math.inf, 10**400)),
+    *({"burst": burst} for burst in (-0.5, [KEY])),
+]
+
+
+class TestTenants:
+    """The customers in the manifest."""
+
+    def test_customers_are_found_by_their_keys(self):
+        full = {"name": "c2", "api_keys": ["k2", "k3", "k2"], "new": 1}
+        full |= {"priority": 3, "rate_per_s": 0.5, "burst": 4}
+        table = read_tenants([OTHER, full])
+        c2 = Customer(name="c2", priority=3, rate_per_s=0.5, burst=4.0)
+        found = [table.find_by_key(k) for k in (KEY.encode(), b"k2", b"k3", b"k4")]
+        assert found == [Customer(name="c1"), c2, c2, None]
+        assert KEY not in repr(table)
+
+    def test_no_tenants_and_none_differ(self):
+        assert read_manifest().customers is None
+        assert read_tenants([]).customers == {}
+
+    def test_priorities_are_bounded_and_null_is_no_limit(self):
+        for stated, bounded in ((2**62, MAX_PRIORITY), (-1, 0)):
+            entry = {"priority": stated, "rate_per_s": None, "burst": None}
+            [customer] = read_tenants([OTHER | entry]).customers.values()
+            assert (customer.priority, customer.has_limit) == (bounded, False)
+
+    def test_a_route_is_public_only_if_stated(self):
+        assert not read_manifest().routes[0].is_public
+        assert read_manifest(public=True).routes[0].is_public
+
+    @pytest.mark.parametrize("entry", INVALID)
+    def test_invalid_tenants_are_refused_without_quoting_a_key(self, entry):
+        with pytest.raises(ValueError) as caught:
+            read_tenants([OTHER, {"name": "c2"} | entry])
+        assert KEY not in str(caught.value)
+
+    @pytest.mark.parametrize("tenants", [None, {}, KEY, [KEY], [[]], [{}], 0])
+    def test_anything_but_a_list_of_tenants_is_refused(self, tenants):
+        with pytest.raises(ValueError) as caught:
+            read_tenants(tenants)
+        assert KEY not in str(caught.value)
+
+    @given(TENANTS | JSON_VALUES)
+    def test_any_value_gives_a_table_or_a_value_error(self, tenants):
+        try:
+            table = read_tenants(tenants)
+        except ValueError as error:
+            assert KEY not in str(error)
+        else:
+            for name in table.customers:
+                # Raises an error if the name is not valid in a header.
+                h11.Request(method="GET", target="/", headers=[("host", name)])
+
+
 class TestHeaders:
     def test_names_are_in_lower_case_as_they_are_compared(self):
         for name in HEADER_NAMES.__slots__:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,15 +1,20 @@
 """The gateway's port for callers: invalid requests and the answer to each outcome."""
 
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
 import pytest
 import trio
+from hypothesis import example, given
+from hypothesis import strategies as st
 
+from lavendergap import logs, metrics
 from lavendergap.coordination.routing import RouteIndex, draw_group
 from lavendergap.protocol.forwarding import MergedRecords
+from lavendergap.protocol.keys import KeyProblem, find_customer
+from lavendergap.state.customers import Customer, CustomerTable, digest_key
 from lavendergap.state.outcome import (
     Answered,
     Coverage,
@@ -26,12 +31,14 @@
     RouteTable,
     WeightedGroup,
 )
+from lavendergap.transport.callerheaders import KeyReader
 from lavendergap.transport.gateway import (
     GatewayApp,
     GatewayHandlers,
     GatewayRequest,
     GatewayResult,
 )
+from lavendergap.transport.web import BadRequestError
 from tests.headers import NAMES
 
 HEADERS = {b"host": b"a.example", b"x-attempt": b"r1", b"x-time-left": b"250"}
@@ -69,6 +76,9 @@
     was_cancelled: bool = False
     done: list[str] = field(default_factory=list)
 
+    def get_index(self) -> RouteIndex | None:
+        return self.index
+
     async def _admit(self, request: GatewayRequest) -> NotRun | None:
         return None
 
@@ -76,13 +86,14 @@
         self,
         path: bytes = b"/a/x",
         *,
-        headers: dict[bytes, bytes] | None = None,
+        headers: dict[bytes, bytes] | list[tuple[bytes, bytes]] | None = None,
         body: bytes = b"",
         disconnect_after: float | None = None,
     ) -> tuple[int, dict[bytes, bytes], bytes]:
+        headers = HEADERS if headers is None else headers
         app = GatewayApp(
             handlers=GatewayHandlers(
-                get_routes=lambda: self.index,
+                get_routes=lambda: self.get_index(),
                 forward=self._forward,
                 is_leaving=lambda: self.is_leaving,
                 admit=self._admit,
@@ -113,7 +124,7 @@
             "raw_path": path,
             "path": path.decode(),
             "query_string": b"q=1",
-            "headers": list((HEADERS if headers is None else headers).items()),
+            "headers": list(headers.items()) if isinstance(headers, dict) else headers,
         }
         await app(scope, receive, send)
         assert app.n_running == 0
@@ -193,6 +204,127 @@
         assert bench.was_cancelled
 
 
+def make_index(version: int, **keys: str) -> RouteIndex:
+    """Return the routes with the customers of `keys`; those below /p/ are public."""
+    table = CustomerTable(
+        customers={name: Customer(name=name) for name in keys.values()},
+        names_by_digest={digest_key(k.encode()): name for k, name in keys.items()},
+    )
+    public = replace(make_route("r3", "/p/"), is_public=True)
+    routes = (*TABLE.routes, public)
+    changed = replace(TABLE, version=version, routes=routes, customers=table)
+    return RouteIndex(table=changed)
+
+
+INDEX = make_index(4, key1="c1", key2="c2", other1="c1")
+REFUSED = {
+    "none": [[], [b""], [b" , "]],
+    "unknown": [[b"key3"], [b"key"], [b"KEY1"], [b"Bearer key1"], [b"k" * 16_000]]
+    + [[b"key1" + b"," * 253]],
+    "several": [[b"key1", b"key2"], [b"key1,key2"], [b"key1, other1"]]
+    + [[b"key3", b"key1"]],
+}
+
+
+class TestKeys:
+    """Customers by the keys of their requests."""
+
+    @pytest.mark.parametrize(
+        ("values", "why"), [(v, why) for why, cases in REFUSED.items() for v in cases]
+    )
+    async def test_a_request_without_one_valid_key_is_refused(
+        self, values, why, caplog
+    ):
+        caplog.set_level("DEBUG", logger="lavendergap")
+        counter = metrics.refused_keys.labels(why)
+        before = counter._value.get()
+        bench = Bench(result=Answered(body=b"x"), index=INDEX)
+        headers = [*HEADERS.items(), *((b"x-key", value) for value in values)]
+        status, _, body = await bench.ask(headers=headers)
+        assert (status, bench.seen) == (401, [])
+        assert counter._value.get() == before + 1
+        [line] = [logs.JsonFormatter().format(record) for record in caplog.records]
+        assert f'"why":"{why}"' in line
+        # A refused key may be a valid one with a typing error.
+        shown = line + body.decode() + str(list(metrics.REGISTRY.collect()))
+        for key in ("key1", "key2", "key3", "other1", "KEY1", "kkkk"):
+            assert key not in shown
+
+    @pytest.mark.parametrize(
+        "values", [[b"key1"], [b" key1\t"], [b"key1", b"key1"], [b"key1, key1"]]
+    )
+    async def test_servers_get_the_customer_and_not_the_key(self, values, caplog):
+        caplog.set_level("DEBUG", logger="lavendergap")
+        bench = Bench(result=Answered(body=b"x"), index=INDEX)
+        headers = [*HEADERS.items(), *((b"x-key", value) for value in values)]
+        forged = {b"x-customer": b"c2", b"x_customer": b"c2"}
+        forged |= {b"connection": b"x-customer, x-key"}
+        headers += forged.items()
+        assert (await bench.ask(headers=headers))[0] == 200
+        [request] = bench.seen
+        assert request.customer == Customer(name="c1")
+        assert dict(request.forward.headers) == HEADERS | {b"x-customer": b"c1"}
+        assert len(request.forward.headers) == len(HEADERS) + 1
+        [line] = [logs.JsonFormatter().format(record) for record in caplog.records]
+        assert '"customer":"c1"' in line
+        assert "key1" not in line
+
+    async def test_public_routes_and_manifests_without_customers_need_no_key(self):
+        own = {b"x-key": b"key1", b"x-customer": b"c2"}
+        for index, path, kept in (
+            (INDEX, b"/p/", {}),
+            (RouteIndex(table=TABLE), b"/a/", own),
+        ):
+            bench = Bench(result=Answered(body=b"x"), index=index)
+            assert (await bench.ask(path, headers=HEADERS | own))[0] == 200
+            [request] = bench.seen
+            assert request.customer is None
+            assert dict(request.forward.headers) == HEADERS | kept
+
+    async def test_the_current_version_decides(self):
+        bench = Bench(result=Answered(body=b"x"), index=INDEX)
+        headers = HEADERS | {b"x-key": b"key1"}
+        statuses = []
+        for index in (INDEX, make_index(5, key2="c1"), make_index(6), INDEX, None):
+            bench.index = index
+            statuses.append((await bench.ask(headers=headers))[0])
+        assert statuses == [200, 401, 401, 200, 503]
+        bench.index = INDEX
+        assert (await bench.ask(b"/c/", headers=headers))[0] == 404
+
+    async def test_a_key_removed_while_the_body_arrives_is_refused(self, monkeypatch):
+        bench = Bench(result=Answered(body=b"x"))
+        indexes = iter([INDEX, make_index(5, key2="c1")])
+        monkeypatch.setattr(bench, "get_index", lambda: next(indexes))
+        assert (await bench.ask(headers=HEADERS | {b"x-key": b"key1"}))[0] == 401
+
+    async def test_lines_on_refused_keys_are_bounded(self, caplog, autojump_clock):
+        caplog.set_level("INFO", logger="lavendergap")
+        keys = KeyReader(names=NAMES)
+        table = INDEX.table.customers
+        assert table is not None
+        for n_requests in (100, 1):
+            for _ in range(n_requests):
+                with pytest.raises(BadRequestError):
+                    keys.read({"headers": []}, table, route="r1")
+            await trio.sleep(1.0)
+        numbers = [record.msg["n_dropped"] for record in caplog.records]
+        assert numbers == [0, 0, 0, 0, 0, 95]
+
+    @given(st.lists(st.binary(max_size=200) | st.sampled_from([b"key1", b"key2"])))
+    @example([b"key1,key2"])
+    def test_only_the_exact_key_is_valid(self, values):
+        headers = [(b"x-key", value) for value in values]
+        table = INDEX.table.customers
+        assert table is not None
+        found = find_customer(headers, name=b"x-key", table=table)
+        sent = {part.strip() for value in values for part in value.split(b",")}
+        if isinstance(found, KeyProblem):
+            assert len(sent - {b""}) != 1 or not sent & {b"key1", b"key2", b"other1"}
+        else:
+            assert sent - {b""} == {b"key1" if found.name == "c1" else b"key2"}
+
+
 class TestOutcomes:
     async def test_an_answer_is_returned_unchanged(self):
         headers = ((b"x-proof", b"p"), (b"content-type", b"t"))
