Queue calls while this host's connections to a server are in use

Cause: the scheduler counted slots only. An owner has a part of a server's connections (3 of 16 with four hosts), so calls beyond it were started, found the pool full and were refused although slots and time were left. Idle connections that a call may not reuse (older than a second for a call that must not run twice, or any after a lost connection) filled the limit as well, and so did the connection of a liveness check, which was returned only after the attempt had ended.

Change: a replica takes as many calls as it has slots and connections. An idle connection makes room for a new one. The liveness check returns its connection before it ends the attempt. An attempt that still finds the pool full goes back to the queue and is neither counted nor charged; the replica backs off for 5 ms. The queue of a group holds 256 calls in place of 64, as admission by time refuses what would be late.

--- a/src/lavendergap/coordination/catalog.py
+++ b/src/lavendergap/coordination/catalog.py
@@ -13,8 +13,9 @@
 # Added to the number of a group's owners: a host that takes over while the previous
 # owner finishes its calls.
 N_SPARE_OWNERS = 1
-# Calls further back in the queue would miss their deadline, however fast the servers.
-QUEUE_LIMIT = 64
+# More than a burst of all callers at one host. Admission refuses calls that would miss
+# their deadline; this limit holds while service times are not known.
+QUEUE_LIMIT = 256
 # A call is hedged once it takes longer than this quantile of the group's calls. It
 # leaves enough of the extra calls for the stragglers that pauses of servers cause.
 HEDGE_QUANTILE = 0.85
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -4,7 +4,7 @@
 from math import exp2
 from random import Random
 
-from ..state.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
 from .calls import ServerReport
 from .warmup import WarmupLimit
@@ -21,6 +21,9 @@
 MAX_BACKOFF_S = 5.0
 # For servers that shed load without a `Retry-After`.
 DEFAULT_BACKOFF_S = 0.05
+# After an attempt that found all connections in use. A health probe or a liveness check
+# holds one for about a round trip.
+FULL_POOL_BACKOFF_S = 0.005
 # A load report describes one moment and is ignored once it is older.
 REPORT_LIFETIME_S = 1.0
 # How long state from an answer takes precedence over the health endpoint.
@@ -127,8 +130,14 @@
         self.other_calls = 0
         self.other_calls_at = -NEVER
 
+    @property
+    def n_slots(self) -> int:
+        """The calls that may run at once: each takes a slot and a connection."""
+        server = self.server
+        return min(server.slots, server.connections)
+
     def limit(self, now: float) -> int:
-        """Return how many slots may be in use now; during slow start a part of them.
+        """Return how many calls may run now; during slow start a part of `n_slots`.
 
         Returns 0 while the server is cold and this host has sent all it may for now.
         """
@@ -138,10 +147,10 @@
         if self.is_half_open or self.state == "starting":
             return 1
         since = now - self.ramp_starts_at
-        slots = self.server.slots
         if since >= SLOW_START_S:
-            return slots
-        return 1 + int((slots - 1) * since / SLOW_START_S)
+            return self.n_slots
+        ramp = 1 + int((self.server.slots - 1) * since / SLOW_START_S)
+        return min(ramp, self.server.connections)
 
     def note_start(self, now: float) -> None:
         """Record that an attempt starts."""
@@ -210,6 +219,8 @@
             case NotRun(reason=Reason.SHED, retry_after_ms=ms):
                 wait = min(MAX_BACKOFF_S, ms / 1000) if ms > 0 else DEFAULT_BACKOFF_S
                 self.backoff_until = max(self.backoff_until, now + wait)
+            case NotRun(step=Step.CONNECT, reason=Reason.OVERLOADED):
+                self.backoff_until = max(self.backoff_until, now + FULL_POOL_BACKOFF_S)
             case NotRun(reason=Reason.NO_REPLICA):
                 # Another server has taken over the address, and the registry is not up
                 # to date yet. Further calls there would add load to the new server
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -547,6 +547,9 @@
                 progress.server = server
                 self._finish(progress, outcome, effects)
                 return
+            case NotRun(step=Step.CONNECT, reason=Reason.OVERLOADED):
+                self._wait_for_connection(progress, outcome, now, effects)
+                return
             case NotRun() | Unknown():
                 progress.note_failure(outcome, attempt.replica)
         if progress.attempts:
@@ -554,6 +557,23 @@
         if not self._retry(progress, now, effects):
             self._finish(progress, progress.get_failure() or outcome, effects)
 
+    def _wait_for_connection(
+        self, progress: Progress, outcome: Outcome, now: float, effects: list[Effect]
+    ) -> None:
+        """Queue a call whose attempt found all connections to its server in use.
+
+        Nothing was sent, so that it neither counts as an attempt nor as a retry. The
+        replica's backoff limits how often it is tried.
+        """
+        progress.n_attempts -= 1
+        if progress.attempts:
+            return
+        is_late = now + self._admission.needed_time >= progress.call.deadline
+        if is_late or self._is_stopping:
+            self._finish(progress, progress.get_failure() or outcome, effects)
+        else:
+            self._waiting.add(progress)
+
     def _retry(self, progress: Progress, now: float, effects: list[Effect]) -> bool:
         """Start or queue another attempt; return False if none is possible."""
         call = progress.call
@@ -681,7 +701,7 @@
         slot costs a waiting call. So it may go first, within the budget, unless the
         queue is longer than the number of slots, which is a sign of overload.
         """
-        n_slots = sum(replica.server.slots for replica in self._replicas)
+        n_slots = sum(replica.n_slots for replica in self._replicas)
         is_short = len(self._waiting) <= n_slots
         return is_short and self._is_straggling(progress, now)
 
--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -105,6 +105,9 @@
         if left <= 0:
             return self._make_refusal(Step.QUEUE, Reason.DEADLINE)
         connection = None if fresh else self._take_idle(call, now=now)
+        if connection is None and self._idle and not self._has_room:
+            # An idle connection that this call may not reuse must not keep it waiting.
+            self._close_all([self._idle.pop(0)])
         if connection is None and not self._reserve():
             return self._make_refusal(Step.CONNECT, Reason.OVERLOADED)
         headers = build_headers(
@@ -168,9 +171,13 @@
         outcome = NotRun(step=step, peer=self.server.name, reason=reason)
         return Verdict(outcome=outcome, report=None)
 
+    @property
+    def _has_room(self) -> bool:
+        return self.n_open < self.server.connections
+
     def _reserve(self) -> bool:
         """Reserve a connection; return False if the server's limit is reached."""
-        if self.n_open >= self.server.connections:
+        if not self._has_room:
             return False
         self.n_open += 1
         metrics.backend_connections.inc()
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -108,7 +108,7 @@
         connection = None if fresh else self._take_idle(call, now)
         if connection is not None:
             self._send(connection, exchange, now)
-        elif self._is_full:
+        elif not self._make_room():
             self._finish_unsent(exchange, Step.CONNECT, Reason.OVERLOADED)
         else:
             self._count_opened()
@@ -143,7 +143,7 @@
 
     def _end(self, call: Call, result: Result, end: EndCall) -> None:
         match result:
-            case Unknown(reason=Reason.LOST_CONNECTION) if not self._is_full:
+            case Unknown(reason=Reason.LOST_CONNECTION) if self._make_room():
                 self._nursery.start_soon(self._end_after_loss, call, result, end)
             case _:
                 end(self._make_verdict(call, result))
@@ -169,10 +169,13 @@
         finally:
             if connected is None:
                 self._count_closed()
-        end(Verdict(outcome=outcome, report=None))
+        connection = None
         if connected is not None:
+            # Kept before the attempt ends, as the next one may need this connection.
             connection = self._make_connection(connected)
             self._keep(connection)
+        end(Verdict(outcome=outcome, report=None))
+        if connection is not None:
             await connection.read()
 
     def _make_verdict(self, call: Call, result: Result) -> Verdict:
@@ -359,9 +362,14 @@
         self._idle.append(connection)
         return True
 
-    @property
-    def _is_full(self) -> bool:
-        return self.n_open >= self.server.connections
+    def _make_room(self) -> bool:
+        """Return whether a connection may be opened, closing idle ones if needed.
+
+        An idle connection that a call may not reuse must not keep it from the server.
+        """
+        while self.n_open >= self.server.connections and self._idle:
+            self._idle[0].drop(Reason.LOST_CONNECTION)
+        return self.n_open < self.server.connections
 
     def _count_opened(self) -> None:
         self.n_open += 1
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -29,14 +29,16 @@
 ANSWER = Answered(body=b"{}")
 
 
-def make_group(names: str = "ab", *, slots: int = 2, port: int = 20_000) -> Group:
+def make_group(
+    names: str = "ab", *, slots: int = 2, port: int = 20_000, connections: int = 25
+) -> Group:
     servers = tuple(
         Server(
             name=name,
             address=Address(ip="127.0.0.1", port=port + ord(name)),
             data_centre="ptl-a",
             slots=slots,
-            connections=25,
+            connections=connections,
         )
         for name in names
     )
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -307,6 +307,39 @@
             assert outcome.reason is Reason.OVERLOADED
             nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize("fresh", [True, False])
+    async def test_idle_connections_make_room_for_a_new_one(
+        self, fresh, autojump_clock
+    ):
+        # Guards against refusing a call because idle connections that it may not reuse
+        # fill the limit: they are too old for a call that must not run twice, or an
+        # earlier attempt lost its connection.
+        async with open_bench(*[answer()] * 4) as bench:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(bench.call)
+                nursery.start_soon(bench.call)
+            await trio.sleep(0.0 if fresh else forward.MAX_TRUSTED_IDLE_S + 0.5)
+            call = make_call(idempotent=fresh)
+            assert isinstance((await bench.call(call, fresh=fresh)).outcome, Answered)
+            assert (bench.n_connections, bench.client.n_open) == (3, 2)
+
+    async def test_the_connection_of_the_liveness_check_is_left_to_the_next_call(self):
+        # Guards against refusing a call because the check still holds a connection.
+        async with open_bench(answer(), answer(), None, answer()) as bench:
+            bench.client.server = replace(bench.client.server, connections=1)
+            await bench.call()
+            ended: list[Verdict] = []
+
+            def end(verdict: Verdict) -> None:
+                ended.append(verdict)
+                if len(ended) == 1:
+                    bench.client.begin(make_call(), fresh=False, end=end)
+
+            await bench.call()
+            bench.client.begin(make_call(), fresh=False, end=end)
+            await trio.sleep(0.1)
+            assert [type(v.outcome) for v in ended] == [Unknown, Answered]
+
 
 class TestDeadlineWhileConnecting:
     async def test_deadline_passes_while_connecting(self, monkeypatch, autojump_clock):
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+from collections import Counter
 from functools import partial
 
 import h11
@@ -247,9 +248,11 @@
         assert await _count_failed(platform, far) == 0
 
 
-async def _has_found_all_hosts(platform: Platform, gateway: Gateway) -> bool:
+async def _has_found_all_hosts(
+    platform: Platform, gateway: Gateway, n_hosts: int = 3
+) -> bool:
     is_started = bool(gateway.read_events("started"))
-    return is_started and len(await _get_members(platform, gateway)) == 3
+    return is_started and len(await _get_members(platform, gateway)) == n_hosts
 
 
 async def _count_failed(platform: Platform, gateway: Gateway) -> int:
@@ -271,6 +274,29 @@
     return members
 
 
+class TestBursts:
+    async def test_no_request_of_a_burst_is_refused(self, tmp_path):
+        # Guards against "connect: overloaded" while slots and time are left: a host's
+        # connections to a server are fewer than its slots.
+        async with open_platform(tmp_path) as platform:
+            for zone in ("ptl-a", "ptl-b"):
+                await platform.add_leaf("desk", zone, slots=16)
+            platform.write_routes(3, [make_one_route("/one/", "desk")])
+            gateways = await platform.start("ptl-a", "ptl-a", "ptl-b", "ptl-b")
+            for gateway in gateways:
+                await wait_until(partial(_has_found_all_hosts, platform, gateway, 4))
+            answers = []
+
+            async def request(gateway: Gateway) -> None:
+                answers.append(await platform.request(gateway, "/one/"))
+
+            for n_requests, n_hosts in [(20, 4)] * 10 + [(200, 4), (200, 1)]:
+                async with trio.open_nursery() as callers:
+                    for n in range(n_requests):
+                        callers.start_soon(request, gateways[n % n_hosts])
+            assert Counter(a.status for a in answers) == {200: 600}
+
+
 class TestPlannedStop:
     async def test_it_interrupts_no_request_and_ends_in_time(self, platform):
         # A caller repeats requests on one connection while the host stops. All answers
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lavendergap.coordination.calls import CancelAttempt, FinishCall, StartAttempt
+from lavendergap.coordination.catalog import QUEUE_LIMIT
 from lavendergap.coordination.timers import MAX_STALE_TIMERS
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
 from lavendergap.state.settings import Control, ExtraCalls, Group
@@ -19,6 +20,8 @@
     refuse,
 )
 
+FULL_POOL = NotRun(step=Step.CONNECT, peer="a", reason=Reason.OVERLOADED)
+
 
 class TestDispatch:
     def test_a_free_slot_starts_the_call_at_once(self):
@@ -307,6 +310,46 @@
         assert n_attempts == [2, 1, 1]
 
 
+class TestConnections:
+    def test_calls_of_a_burst_wait_for_a_connection(self):
+        # Guards against starting more attempts at a server than this host may have
+        # connections to it, which are then refused although slots are free.
+        group = make_group("ab", slots=16, connections=3)
+        owner = make_owner(group=group, queue_limit=QUEUE_LIMIT)
+        owner.warm_up(elapsed=0.005)
+        for _ in range(200):
+            owner.submit(in_ms=1_000)
+        while owner.open:
+            assert len(owner.open) <= 6
+            owner.now += 0.005
+            for attempt_id in list(owner.open):
+                owner.end(attempt_id, elapsed=0.005)
+        assert all(f.outcome == ANSWER for f in owner.finished.values())
+
+    def test_a_call_that_meets_a_full_pool_waits(self):
+        # Guards against refusing a call, or charging a retry for it, because a health
+        # probe or a liveness check holds the last connection.
+        owner = make_owner("a", retry_budget=0.0)
+        owner.submit(idempotent=False)
+        owner.end_last(FULL_POOL)
+        assert owner.finished == {} and len(owner.open) == 0
+        owner.move(0.01)
+        owner.end_last()
+        assert owner.finished[1].outcome == ANSWER
+        assert owner.finished[1].n_attempts == 1
+
+    def test_a_pool_that_stays_full_ends_the_call_in_time(self):
+        owner = make_owner("a")
+        owner.submit(in_ms=100)
+        owner.end_last(FULL_POOL)
+        while owner.now < 100.2:
+            owner.move(0.001)
+            if owner.open:
+                owner.end_last(FULL_POOL)
+        assert isinstance(owner.finished[1].outcome, NotRun)
+        assert len(owner.started) < 30
+
+
 class TestStalls:
     def test_a_server_that_pauses_gets_nothing_until_it_answers(self):
         # Guards against calls that wait for the end of a server's pause or cost a
