Limit the servers of a call, not its attempts

Cause: `attempts` of a route limits the different servers that a request is sent to, but the scheduler counted attempts. Where servers reject most calls, a call with two attempts was given up after two rejections, although they prove that it has not run. A coordinator counted a call whose server ended as sent to one server, also if another server had rejected it before, so that it could reach one more than the limit.

Change: coordination/attempts.py counts the different servers of all attempts, hedges included. At the limit only these servers are candidates, each after its backoff; retries that wait for one do not hold up the calls behind them. Attempts that may have run are limited as before. An owner reports the number of servers with each outcome; an older host that does not is taken to have used one. The budget of extra calls is unchanged.

--- a/src/lavendergap/coordination/calls.py
+++ b/src/lavendergap/coordination/calls.py
@@ -26,7 +26,8 @@
     `goal_at`; 0 means at any time up to the deadline.
 
     `forward` is set for a request that is forwarded unchanged. `max_attempts` limits
-    the servers that the call is sent to; 0 leaves that to the scheduler. `is_repeat` is
+    the different servers that the call is sent to, not the attempts at them that did
+    not run; 0 leaves that to the scheduler. `is_repeat` is
     set if another host may have sent the call already; it then counts as an extra call.
     Calls of one `kind` take about as long at every server, also of other groups; if it
     is empty, the call is compared with the group's own calls. Of waiting calls, those
@@ -113,13 +114,15 @@
     """The call has its final outcome.
 
     `server` is where the outcome is from, empty if no server was reached. `n_attempts`
-    counts all attempts that were started, hedges included.
+    counts all attempts that were started, hedges included, and `n_servers` the
+    different servers of these attempts.
     """
 
     call: Call
     outcome: Outcome
     server: str
     n_attempts: int
+    n_servers: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/coordination/progress.py
+++ b/src/lavendergap/coordination/progress.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from ..state.outcome import NotRun, Reason, Unknown
+from ..state.settings import Server
 from .calls import Call, Cause
 from .replicas import Replica
 
@@ -48,6 +49,8 @@
 class Progress:
     """A call that is queued or running.
 
+    `servers` has the server of each attempt that was started, those still running among
+    them; `n_not_run` counts the attempts with proof that they did not run.
     `unknown` is the first outcome with which the call may have run; once it is set, the
     call never ends as "not run". `refusal` is the last outcome that proves an attempt
     has not run. `may_hedge` is called before each hedge. With `fresh` the next attempt
@@ -58,7 +61,8 @@
     __slots__ = (
         "call",
         "attempts",
-        "n_attempts",
+        "servers",
+        "n_not_run",
         "cause",
         "fresh",
         "excluded",
@@ -76,7 +80,8 @@
         self.call = call
         self.may_hedge = may_hedge
         self.attempts: list[Attempt] = []
-        self.n_attempts = 0
+        self.servers: list[Server] = []
+        self.n_not_run = 0
         self.cause: Cause = "first"
         self.fresh = False
         self.excluded = NO_REPLICAS
@@ -88,11 +93,22 @@
         self.is_waiting = False
         self.is_hedge_withheld = False
 
+    def count_servers(self) -> int:
+        """Count the different servers of all attempts."""
+        servers = self.servers
+        if len(servers) < 2:
+            return len(servers)
+        return sum(
+            not any(server.is_same_process(other) for other in servers[:index])
+            for index, server in enumerate(servers)
+        )
+
     def note_failure(self, outcome: NotRun | Unknown, replica: Replica) -> None:
         """Record a failed attempt and the servers that the next should avoid."""
         self.server = replica.server.name
         match outcome:
             case NotRun():
+                self.n_not_run += 1
                 self._note_refusal(outcome, replica)
             case Unknown(reason=reason):
                 self.unknown = self.unknown or outcome
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -15,6 +15,7 @@
 )
 from ..state.settings import Control, Group, Server, Service
 from .admission import Admission, Capacity, WaitingCalls, compute_retry_after_ms
+from .attempts import is_bound, list_candidates, may_try
 from .budget import Budget
 from .calls import (
     AttemptEnded,
@@ -41,9 +42,6 @@
 from .summary import GroupSummary, summarize_server, to_ms
 from .timers import CallTimers
 
-# Bounds the attempts of one call whatever the budgets allow, so that a call that
-# crashes its server cannot crash the whole group.
-MAX_ATTEMPTS = 4
 MIN_HEDGE_DELAY_S = 0.001
 # Hedge tokens kept for stragglers. Where latencies hardly vary, the quantile is close
 # to the median, and ordinary calls just beyond it would spend every token.
@@ -59,6 +57,9 @@
 # How many waiting calls without a free replica are skipped per dispatch, so that a long
 # queue for one version costs a bounded time at each event.
 MAX_SKIPPED_CALLS = 8
+# How many retries that wait for the backoff of servers used before are skipped besides,
+# so that they do not keep calls behind them from free servers.
+MAX_SKIPPED_RETRIES = 32
 
 
 def _always() -> bool:
@@ -358,8 +359,10 @@
         waiting = self._waiting
         for late in waiting.pop_expiring(now=now, needed=self._admission.needed_time):
             self._end_late(late, now, effects)
-        index = 0
-        while index < min(len(waiting), MAX_SKIPPED_CALLS) and self._has_free_slot(now):
+        index = n_bound = 0
+        while index < min(
+            len(waiting), MAX_SKIPPED_CALLS + n_bound
+        ) and self._has_free_slot(now):
             progress = waiting[index]
             match self._choose(progress, now):
                 case Chosen() as chosen:
@@ -370,6 +373,8 @@
                     self._finish(progress, progress.get_failure() or outcome, effects)
                 case Busy():
                     index += 1
+                    if n_bound < MAX_SKIPPED_RETRIES and is_bound(progress):
+                        n_bound += 1
         self._capacity_opens_at = min(
             (replica.get_reopen_time(now) for replica in self._replicas), default=NEVER
         )
@@ -395,7 +400,7 @@
             else:
                 tried = tried | running
         return choose(
-            self._replicas,
+            list_candidates(progress, self._replicas),
             version=progress.call.version,
             excluded=excluded,
             tried=tried,
@@ -451,7 +456,7 @@
         )
         self._attempts[attempt.attempt_id] = attempt
         progress.attempts.append(attempt)
-        progress.n_attempts += 1
+        progress.servers.append(replica.server)
         self._set_timer(progress, now)
         return StartAttempt(
             attempt_id=attempt.attempt_id,
@@ -548,6 +553,7 @@
                 self._finish(progress, outcome, effects)
                 return
             case NotRun(step=Step.CONNECT, reason=Reason.OVERLOADED):
+                progress.servers.remove(attempt.replica.server)
                 self._wait_for_connection(progress, outcome, now, effects)
                 return
             case NotRun() | Unknown():
@@ -565,7 +571,6 @@
         Nothing was sent, so that it neither counts as an attempt nor as a retry. The
         replica's backoff limits how often it is tried.
         """
-        progress.n_attempts -= 1
         if progress.attempts:
             return
         is_late = now + self._admission.needed_time >= progress.call.deadline
@@ -582,7 +587,7 @@
         # allows one.
         if progress.unknown is not None and not call.idempotent:
             return False
-        if progress.n_attempts >= _limit_attempts(call):
+        if not may_try(progress):
             return False
         failure = progress.unknown
         if (
@@ -598,7 +603,8 @@
             case NoneLeft():
                 return False
             case Busy():
-                opens_in = measure_capacity(self._replicas, now).opens_in
+                candidates = list_candidates(progress, self._replicas)
+                opens_in = measure_capacity(candidates, now).opens_in
                 if self._is_stopping or now + opens_in >= call.deadline:
                     return False
         if not self._may_spend_retry(progress, now):
@@ -642,7 +648,7 @@
             return NEVER
         if progress.n_hedges >= MAX_HEDGES or self._hedges.share <= 0.0:
             return NEVER
-        if progress.n_attempts >= _limit_attempts(progress.call):
+        if not may_try(progress):
             return NEVER
         started = progress.attempts[-1].started
         delay = choose_hedge_delay(recent, left=call.goal_at - started)
@@ -781,7 +787,8 @@
                 call=call,
                 outcome=outcome,
                 server=progress.server,
-                n_attempts=progress.n_attempts,
+                n_attempts=len(progress.servers),
+                n_servers=progress.count_servers(),
             )
         )
         for attempt in progress.attempts:
@@ -792,8 +799,3 @@
 
 def _has_started(effects: list[Effect]) -> bool:
     return any(isinstance(effect, StartAttempt) for effect in effects)
-
-
-def _limit_attempts(call: Call) -> int:
-    """Return how many attempts a call may have, hedges included."""
-    return min(MAX_ATTEMPTS, call.max_attempts or MAX_ATTEMPTS)
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -139,6 +139,7 @@
                 server=end.server,
                 outcome=end.outcome,
                 versions=versions,
+                n_servers=end.n_servers,
             )
             self._collect(channel, frame_id, pending, answer)
 
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -373,6 +373,7 @@
             server=end.server,
             outcome=end.outcome,
             versions=versions,
+            n_servers=end.n_servers,
         )
         self._handle_answer(sub_query, answer)
 
@@ -471,7 +472,7 @@
                 self._refusals.append(refusal)
             case Unknown(reason=Reason.SERVER_ENDED) if self._query.greatest:
                 self._may_have_run = True
-                self._n_possible_attempts[shard.name] += 1
+                self._n_possible_attempts[shard.name] += answer.n_servers
                 self.ended_servers.append(answer.server)
                 self._deferred.append(DeferredShard(shard=shard, host=sub_query.host))
                 self._progress.set()
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -92,12 +92,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ShardAnswer:
-    """The outcome for one shard, and the index versions that its server now serves."""
+    """The outcome for one shard, and the index versions that its server now serves.
+
+    `n_servers` counts the servers that the owner sent the call to.
+    """
 
     shard: str
     server: str
     outcome: Outcome
     versions: tuple[int, ...] = ()
+    n_servers: int = 1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -81,6 +81,7 @@
     server: str
     outcome: _PackedOutcome
     versions: tuple[int, ...]
+    n_servers: int = 1
 
 
 class _PackedAnswers(msgspec.Struct, array_like=True, tag=2):
@@ -174,7 +175,9 @@
 def pack_answers(frame_id: int, answers: Answers) -> bytes:
     """Return the bytes of Answers, without the length prefix."""
     packed = [
-        _PackedAnswer(a.shard, a.server, _pack_outcome(a.outcome), a.versions)
+        _PackedAnswer(
+            a.shard, a.server, _pack_outcome(a.outcome), a.versions, a.n_servers
+        )
         for a in answers.answers
     ]
     return _encode(_PackedAnswers(frame_id, packed, answers.records))
@@ -364,6 +367,7 @@
             server=answer.server,
             outcome=_unpack_outcome(answer.outcome),
             versions=answer.versions,
+            n_servers=answer.n_servers,
         )
         for answer in packed.answers
     )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -405,6 +405,29 @@
             forwarding.quarantine.get_standing(_make_request(), b"") is Standing.CLEAR
         )
 
+    async def test_a_rejection_before_a_crash_counts_as_a_server(
+        self, forwarding, autojump_clock
+    ):
+        # Guards against sending a shard to the rest of the route's servers after its
+        # owner has sent it to two, one of which rejected it and one crashed.
+        first, second = forwarding.cluster.service.groups[0].servers
+        shed = NotRun(step=Step.RECEIVE, peer=first.name, reason=Reason.SHED)
+        forwarding.faults[first.name] = (0.001, shed)
+        forwarding.crashing.add(second.name)
+        orders = set()
+        for n in range(8):
+            forwarding.calls.clear()
+            await forwarding.ask_all(attempt=b"r%d" % n)
+            called = tuple(
+                server
+                for server, call in forwarding.calls
+                if call.group == forwarding.groups[0]
+            )
+            orders.add(called)
+            await trio.sleep(1.0)
+        both = (first.name, second.name)
+        assert {order for order in orders if order[:2] == both} == {both}
+
     async def test_a_harmless_suspect_is_tried_and_cleared(
         self, forwarding, autojump_clock
     ):
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -74,6 +74,7 @@
                 shard="s2",
                 server="",
                 outcome=NotRun(step=Step.ROUTE, peer="s2", reason=Reason.NO_REPLICA),
+                n_servers=2,
             ),
         ),
         records=b"r" * 32,
