Find running hosts from any list of hosts, and report a host without peers

A fourth host that reaches the store at an address of its own met none of three running ones. Cause: hosts drop datagrams of another deployment, and the deployment was the store's address in the host's own settings file. All pings were dropped without a log line.

- The settings file may state the deployment; the default is unchanged.
A dropped datagram of another deployment is logged once a minute.
- A host that had become ready alone tried one hint in 7 s, and did not request the table of the first host it found.
It now pings 64 hints at once for 5 s after its start, then 8 per probe interval, in turn, as soon as it is given them, and requests the table.
- A host that knows no other lists the hosts again after 1.5 s, not from a lagging replica.
Lists and writes of a start with working seeds are the same as before: 14 and 7 for 7 hosts, 213 and 18 for 195, 568 and 18 for 550, where hosts are found after 0.4 or 1.45 s.
- Until a host knows another, /ready, /status and the log say so.
It is not ready for up to 10 s if the store lists others; alone as before.

The tests with real processes and with late hints failed before.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -120,6 +120,10 @@
         while node.queue:
             self._receive(node, node.queue.popleft())
 
+    def wake(self, name: str) -> None:
+        """Let a process send what is due, as after it was given hints."""
+        self._advance(self.nodes[name])
+
     def cut_between(self, ones: Iterable[str], others: Iterable[str]) -> None:
         """Drop all datagrams between two sets of hosts, in both directions."""
         listed = list(others)
--- a/lab/gateways.py
+++ b/lab/gateways.py
@@ -82,6 +82,7 @@
             "peer_ip": "127.0.0.1",
             "peer_port": peers,
             "store": f"127.0.0.1:{self.store_port}",
+            "deployment": f"lab-{self.directory}",
             "seeds": self.seeds,
             "regions": self.regions,
             "bounds": {
--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -23,6 +23,7 @@
 from ..state.member import DocumentsDigest, Member, MemberState
 from ..state.settings import Address, Control
 from .dissemination import estimate_bytes
+from .hints import Hints, PingRound, plan_round
 from .membertable import MemberTable
 from .probing import Probe, Probes
 
@@ -36,7 +37,6 @@
 MAX_TABLE_DATAGRAMS = 8
 """Datagrams of table in one exchange; the rest waits for the next exchange."""
 
-MAX_HINTS = 2_048
 RAISE_INCARNATION_S = 60.0
 """How long after its start a process may raise its own incarnation."""
 
@@ -48,7 +48,6 @@
 _GOSSIP_SPACING = 0.25
 _SYNC_INTERVAL = 30
 _SYNC_SOON_DELAY = 0.2
-_RETRY_INTERVAL = 10
 _ALONE_TIMEOUT = 5
 
 _MAX_CONSECUTIVE_SYNCS = 40
@@ -78,6 +77,7 @@
     def __init__(self, *, own: Member, control: Control, random: Random) -> None:
         self.documents = DocumentsDigest()
         self.joined = False
+        self._has_no_table = True
         self.n_old_incarnations = 0
         self._random = random
         self._interval_s = control.probe_interval_ms / 1000
@@ -87,7 +87,7 @@
         self._probes = Probes(
             interval_s=self._interval_s, timeout_s=control.probe_timeout_ms / 1000
         )
-        self._hints: dict[Address, None] = {}
+        self._hints = Hints()
         self._live_cache: tuple[frozenset[str], bool, frozenset[str]] | None = None
         self._started_at: float | None = None
         self._last_call_at = 0.0
@@ -169,12 +169,9 @@
         A hint marks no host live or dead: the platform's list lags, and a host that it
         still lists as live may be gone.
         """
-        for address in hints:
-            if address != self.own.peers:
-                self._hints.pop(address, None)
-                self._hints[address] = None
-        while len(self._hints) > MAX_HINTS:
-            del self._hints[next(iter(self._hints))]
+        has_new = self._hints.add(each for each in hints if each != self.own.peers)
+        if has_new and self._is_alone():
+            self._retry_at = self._last_call_at
 
     def replace_control(self, control: Control) -> None:
         """Apply the timing of new settings; probes under way keep their deadlines."""
@@ -245,7 +242,6 @@
             self._probe_at = now + self._interval_s
             sends += self._probe_next(now)
         if now >= self._retry_at:
-            self._retry_at = now + self._retry_delay()
             self._roster.forget_dead(now=now)
             sends += self._ping_unknown(now)
         if now >= self._sync_at:
@@ -289,6 +285,9 @@
 
     def _process_updates(self, now: float) -> None:
         """Queue new members for probing and schedule gossip about updates."""
+        if self._table.newcomers and self.joined and self._has_no_table:
+            # A host that became ready alone has found another and needs its table.
+            self._sync_at = min(self._sync_at, now)
         for name in self._table.newcomers:
             self._probes.add_turn(name, self._random)
         self._table.newcomers.clear()
@@ -349,12 +348,19 @@
     def _join_without_peers(self, now: float) -> None:
         """Become ready alone when no hint answers, as the first host does."""
         waited = now - (now if self._started_at is None else self._started_at)
-        alone = next(self._roster.members(), None) is None
-        if not self.joined and alone and waited >= _ALONE_TIMEOUT * self._interval_s:
+        is_over = waited >= _ALONE_TIMEOUT * self._interval_s
+        if not self.joined and is_over and self._is_alone():
             self.joined = True
 
-    def _retry_delay(self) -> float:
-        return self._interval_s * (_RETRY_INTERVAL if self.joined else 1)
+    def _is_alone(self) -> bool:
+        return next(self._roster.members(), None) is None
+
+    def _plan_round(self, now: float) -> PingRound:
+        return plan_round(
+            is_alone=self._is_alone(),
+            has_joined=self.joined,
+            uptime_s=0.0 if self._started_at is None else now - self._started_at,
+        )
 
     # Probing.
 
@@ -499,23 +505,23 @@
         After a partition between regions each side has marked the other dead and sends
         it no probes; these pings reconnect the two.
         """
+        plan = self._plan_round(now)
+        self._retry_at = now + self._interval_s * plan.interval
         known = {member.peers for member in self._roster.members()}
         dead = self._roster.dead_since(now - RETRY_DEAD_S)
-        addresses = dict.fromkeys([*self._hints, *(member.peers for member in dead)])
-        unknown = [
-            address
-            for address in addresses
-            if address not in known and not self._probes.is_probing(address)
-        ]
-        n_tries = 1 if self.joined else N_INDIRECT_PROBES
-        chosen = self._random.sample(unknown, min(n_tries, len(unknown)))
+        chosen = self._hints.choose(
+            [member.peers for member in dead],
+            known | self._probes.list_addresses(),
+            plan.n_pings,
+            self._random,
+        )
         return [self._ping("", address, now) for address in chosen]
 
     def _sync(self, now: float) -> list[Send]:
         """Send a summary to one other host, and schedule the next one."""
         # A host that was pinged by others first may have received no table yet, and is
         # not ready before it has one.
-        is_urgent = not self.joined or self._roster.list_stale()
+        is_urgent = self._has_no_table or self._roster.list_stale()
         delay = 1.0 if is_urgent else _SYNC_INTERVAL
         self._sync_at = now + self._interval_s * delay * self._random.uniform(
             0.75, 1.25
@@ -555,6 +561,7 @@
     def _finish_sync(self, differing: set[int], truncated: bool, now: float) -> None:
         if not truncated:
             self.joined = True
+            self._has_no_table = False
             if not differing:
                 self._table.declare_stale_dead(now=now)
         self._n_consecutive_syncs += 1
--- a/src/lavendergap/coordination/probing.py
+++ b/src/lavendergap/coordination/probing.py
@@ -102,6 +102,10 @@
         """Return whether a probe to an address waits for its answer."""
         return any(probe.address == address for probe in self._waiting.values())
 
+    def list_addresses(self) -> set[Address]:
+        """Return the addresses to which probes wait for their answers."""
+        return {probe.address for probe in self._waiting.values()}
+
     def clear(self) -> None:
         """Drop all waiting probes and relays, as after a pause of the process."""
         self._waiting.clear()
--- a/src/lavendergap/entry/discovery.py
+++ b/src/lavendergap/entry/discovery.py
@@ -20,6 +20,15 @@
 # Minimum interval of reads of the host list while this host has found no other, or has
 # failed to register.
 HOSTS_RETRY_S = 1.0
+# A host that has found no other by then reads a list that is not stale, so that it
+# finds the running hosts within two seconds of its start. Later than the third probe of
+# the seeds, so that a start of all hosts takes no additional calls.
+FRESH_LIST_AFTER_S = 1.5
+# How long a host that finds none of the listed hosts stays unready. After that it takes
+# them for gone and serves alone.
+LISTED_HOSTS_WAIT_S = 10.0
+WARNING_INTERVAL_S = 60.0
+NO_PEER = "no peer found yet"
 # How long the seeds have to answer before a host registers because it found no other:
 # enough for three probes, since seeds that start at the same time miss the first one.
 SEEDS_WAIT_S = 2.0
@@ -37,7 +46,8 @@
 
     Seeds are not enough: while they are down, a starting host would find no other host
     and own all groups itself. `get_epoch` returns how often the store was restored from
-    an older copy, 0 while that is not known.
+    an older copy, 0 while that is not known. `wake` makes the membership ping new hints
+    at once.
     """
 
     def __init__(
@@ -48,34 +58,79 @@
         membership: Membership,
         random: Random,
         get_epoch: Callable[[], int],
+        wake: Callable[[], None],
     ) -> None:
         self._host = host
         self._adapter = adapter
         self._membership = membership
         self._random = random
         self._get_epoch = get_epoch
+        self._wake = wake
         self._epoch = 0
         self._is_registered = False
         self._is_entry_lost = False
         self._started_at = trio.current_time()
+        self._n_listed = 0
+        self._warned_at: float | None = None
 
     async def run(self) -> None:
         """List hosts until one has answered; register this host if it has to."""
-        await self._list_hosts()
-        await trio.sleep(SEEDS_WAIT_S)
+        await self._list_hosts(may_be_stale=True)
+        await trio.sleep_until(self._started_at + FRESH_LIST_AFTER_S)
+        was_alone = self._is_alone()
+        if was_alone:
+            await self._list_hosts(may_be_stale=False)
+        await trio.sleep_until(self._started_at + SEEDS_WAIT_S)
+        has_just_listed = was_alone
         while True:
             self._check_epoch()
+            self._log_warning()
             is_alone = self._is_alone()
             is_due = not self._is_registered and self._must_register()
-            if is_alone or is_due:
+            if (is_alone or is_due) and not has_just_listed:
                 # The entry of this host's previous process may still be valid.
-                await self._list_hosts()
+                await self._list_hosts(may_be_stale=not is_alone)
+            has_just_listed = False
             if is_due and not self._is_registered:
                 await self._register()
             is_retrying = is_alone or (is_due and not self._is_registered)
             retry = HOSTS_RETRY_S * self._random.uniform(1.0, 3.0)
             await trio.sleep(retry if is_retrying else REGISTER_CHECK_INTERVAL_S)
 
+    def must_find_peer(self) -> bool:
+        """Return whether this host has to wait until it finds one of the listed hosts.
+
+        Without others it would miss the changes that the store does not show it.
+        """
+        wait_until = self._started_at + LISTED_HOSTS_WAIT_S
+        is_waiting = self._n_listed > 0 and trio.current_time() < wait_until
+        return is_waiting and self._is_alone()
+
+    def get_warning(self) -> str:
+        """Return that this host knows no other host, or ""."""
+        return NO_PEER if self._is_alone() else ""
+
+    def _log_warning(self) -> None:
+        now = trio.current_time()
+        if not self._is_alone():
+            if self._warned_at is not None:
+                self._log("peer found")
+            self._warned_at = None
+        elif self._warned_at is None or now >= self._warned_at + WARNING_INTERVAL_S:
+            self._warned_at = now
+            self._log(NO_PEER)
+
+    def _log(self, event: str) -> None:
+        uptime_s = round(trio.current_time() - self._started_at, 1)
+        log_decision(
+            logger,
+            event,
+            request_id=None,
+            host=self._host.name,
+            n_listed=self._n_listed,
+            uptime_s=uptime_s,
+        )
+
     def _check_epoch(self) -> None:
         """Find out whether a restore of the store may have lost this host's entry."""
         before, self._epoch = self._epoch, self._get_epoch()
@@ -100,12 +155,17 @@
         event = "host registered" if self._is_registered else "host not registered"
         log_decision(logger, event, request_id=None, host=host.name)
 
-    async def _list_hosts(self) -> None:
+    async def _list_hosts(self, *, may_be_stale: bool) -> None:
         """List the registered hosts and contact them."""
-        match await self._adapter.feed_source.list_feed(HOSTS_FEED, may_be_stale=True):
+        match await self._adapter.feed_source.list_feed(
+            HOSTS_FEED, may_be_stale=may_be_stale
+        ):
             case FeedListing(entries=entries):
-                for entry in entries:
+                for entry in self._random.sample(entries, len(entries)):
                     self._join(entry)
+                others = {entry.name for entry in entries} - {self._host.name}
+                self._n_listed = len(others)
+                self._wake()
             case StoreUnavailable(step=step, reason=reason):
                 log_decision(
                     logger,
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -82,6 +82,7 @@
     routes_version: int
     n_servers: int
     members: list[str]
+    warning: str
 
 
 async def _admit_all(request: GatewayRequest) -> NotRun | None:
@@ -113,7 +114,7 @@
         )
         self._placement = Placement(own_data_centre=host.data_centre)
         self._settings = Settings(
-            deployment=str(host.store),
+            deployment=host.deployment,
             version=0,
             platform=host.store,
             hosts=(),
@@ -163,14 +164,15 @@
         nursery.start_soon(self._live_hosts.run)
         nursery.start_soon(self._feeds.run)
         nursery.start_soon(self._quarantine.run)
-        discovery = Discovery(
+        self._discovery = Discovery(
             host=self._host,
             adapter=self._adapter,
             membership=self._membership,
             random=self._random,
             get_epoch=lambda: self._feeds.epoch,
+            wake=self._endpoint.wake,
         )
-        nursery.start_soon(discovery.run)
+        nursery.start_soon(self._discovery.run)
         keep = functools.partial(
             keep_channels,
             fleet=self._fleet,
@@ -291,7 +293,9 @@
             handlers=handlers, names=self._adapter.header_names, cores=self._host.cores
         )
         admin = AdminApp(
-            get_not_ready_reason=self._get_not_ready_reason, get_status=self._get_status
+            get_not_ready_reason=self._get_not_ready_reason,
+            get_status=self._get_status,
+            get_warning=self._discovery.get_warning,
         )
         for app, address in (
             (self._callers, self._host.callers),
@@ -375,8 +379,10 @@
             return "no routes from the store or a peer yet"
         if missing := self._feeds.get_missing_feed():
             return missing
+        if self._discovery.must_find_peer():
+            return self._discovery.get_warning()
         if not self._membership.joined:
-            return "no peer has answered yet"
+            return self._discovery.get_warning() or "no peer has answered yet"
         return ""
 
     def _get_status(self) -> _Status:
@@ -388,6 +394,7 @@
             routes_version=index.table.version if index else 0,
             n_servers=len(self._active_config.servers),
             members=sorted(self._membership.live()),
+            warning=self._discovery.get_warning(),
         )
 
     # Housekeeping, reload and the planned stop.
--- a/src/lavendergap/state/hostfile.py
+++ b/src/lavendergap/state/hostfile.py
@@ -41,7 +41,8 @@
     """The settings file as written.
 
     The host gets `cpu_share` of a processor whose speed is `cpu_speed` times that of
-    the reference core. `regions` maps each data centre to its region.
+    the reference core. `regions` maps each data centre to its region. `deployment` is
+    the store's address if it is left out.
     """
 
     name: str
@@ -52,6 +53,7 @@
     peer_port: int
     store: str
     bounds: _Bounds
+    deployment: Annotated[str, msgspec.Meta(min_length=1)] | None = None
     seeds: list[str] = []
     regions: dict[str, str] = {}
     heartbeat_ms: int = 1_200
@@ -102,6 +104,7 @@
     file names none. `seeds` are the hosts contacted first to discover others; some may
     be down. All hosts accept peer channels on the same port. `cores` is the host's
     processing power in reference cores: with 0.5 an answer takes twice as long.
+    Hosts drop each other's messages unless their `deployment` is the same.
     """
 
     name: str
@@ -114,6 +117,7 @@
     heartbeat_s: float
     cores: float
     bounds: GatewayBounds
+    deployment: str
     regions: Mapping[str, str] = field(default_factory=dict)
 
 
@@ -169,6 +173,7 @@
             ),
             limits=_read_limit_bounds(bounds),
         ),
+        deployment=read.deployment or read.store,
         regions=read.regions,
     )
 
--- a/src/lavendergap/transport/admin.py
+++ b/src/lavendergap/transport/admin.py
@@ -9,11 +9,19 @@
 from .web import Receive, Response, Scope, Send, send_response, serve_lifespan
 
 
-class ReadyBody(msgspec.Struct):
-    """Whether the load balancer may send requests to this host, and if not, why."""
+class ReadyBody(msgspec.Struct, omit_defaults=True):
+    """Whether the load balancer may send requests to this host, and if not, why.
+
+    `warning` is for operators.
+    """
 
     ready: bool
     reason: str
+    warning: str = ""
+
+
+def _get_no_warning() -> str:
+    return ""
 
 
 class AdminApp:
@@ -27,9 +35,11 @@
         *,
         get_not_ready_reason: Callable[[], str],
         get_status: Callable[[], msgspec.Struct],
+        get_warning: Callable[[], str] = _get_no_warning,
     ) -> None:
         self._get_not_ready_reason = get_not_ready_reason
         self._get_status = get_status
+        self._get_warning = get_warning
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -53,7 +63,10 @@
             case "/ready":
                 reason = self._get_not_ready_reason()
                 status = HTTPStatus.SERVICE_UNAVAILABLE if reason else HTTPStatus.OK
-                return _answer(status, ReadyBody(ready=not reason, reason=reason))
+                body = ReadyBody(
+                    ready=not reason, reason=reason, warning=self._get_warning()
+                )
+                return _answer(status, body)
             case "/status":
                 return _answer(HTTPStatus.OK, self._get_status())
             case _:
--- a/src/lavendergap/transport/gossip.py
+++ b/src/lavendergap/transport/gossip.py
@@ -7,12 +7,22 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from ..coordination.membership import Membership
-from ..protocol.gossip import MAX_DATAGRAM_BYTES, GossipCodec, Refused
+from ..logs import log_decision
+from ..protocol.gossip import (
+    MAX_DATAGRAM_BYTES,
+    GossipCodec,
+    Refused,
+    RefusedReason,
+)
 from ..state.gossip import Event, MemberChanged, Message, Send
 from ..state.settings import Address
 
 logger = logging.getLogger("lavendergap.membership")
 
+# Minimum interval between log lines about datagrams of other deployments, which come
+# several a second from a host with a wrong setting.
+REFUSAL_LOG_INTERVAL_S = 60.0
+
 Clock = Callable[[], float]
 
 
@@ -65,6 +75,7 @@
         self._socket = socket
         self._codec = codec
         self._woken = trio.Event()
+        self._refusal_logged_at = -REFUSAL_LOG_INTERVAL_S
 
     @property
     def address(self) -> Address:
@@ -107,10 +118,20 @@
             message = self._codec.decode(data)
             if isinstance(message, Refused):
                 self.metrics.refused.labels("received", message.reason.value).inc()
+                if message.reason is RefusedReason.OTHER_DEPLOYMENT:
+                    self._log_other_deployment(sender[0])
                 continue
             self._count("received", message, data)
             return message, Address(ip=sender[0], port=sender[1])
 
+    def _log_other_deployment(self, sender: str) -> None:
+        now = trio.current_time()
+        if now >= self._refusal_logged_at + REFUSAL_LOG_INTERVAL_S:
+            self._refusal_logged_at = now
+            log_decision(
+                logger, "host of another deployment", request_id=None, sender=sender
+            )
+
     def wake(self) -> None:
         """Make the timer loop check its next deadline again."""
         self._woken.set()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -56,6 +56,7 @@
     """The registered hosts, shared by all adapters; counts reads and writes."""
 
     entries: dict[str, bytes] = field(default_factory=dict)
+    lagging: dict[str, bytes] | None = None
     is_down: bool = False
     n_lists: int = 0
     n_writes: int = 0
@@ -68,7 +69,10 @@
         self.n_lists += 1
         if self.is_down:
             return StoreUnavailable(step=Step.CONNECT, reason=Reason.REFUSED_CONNECTION)
-        entries = [FeedEntry(name=n, body=b) for n, b in self.entries.items()]
+        listed = self.entries
+        if may_be_stale and self.lagging is not None:
+            listed = self.lagging
+        entries = [FeedEntry(name=n, body=b) for n, b in listed.items()]
         return FeedListing(position=StorePosition(revision=1), entries=tuple(entries))
 
     async def register_host(self, name, address):
@@ -105,7 +109,7 @@
 
 
 def start_discovery(
-    number: int, store: FakeStore, nursery, *, get_epoch=lambda: 1
+    number: int, store: FakeStore, nursery, *, get_epoch=lambda: 1, started=None
 ) -> FakeMembership:
     membership = FakeMembership(number)
     discovery = Discovery(
@@ -114,8 +118,11 @@
         membership=cast(Any, membership),
         random=Random(number),
         get_epoch=get_epoch,
+        wake=lambda: None,
     )
     nursery.start_soon(discovery.run)
+    if started is not None:
+        started.append(discovery)
     return membership
 
 
@@ -124,19 +131,20 @@
     # by each of them: a new host needs only one entry to find the others.
 
     @pytest.mark.parametrize("n_hosts", [195, 550])
+    @pytest.mark.parametrize("found_after", [0.4, 1.45])
     async def test_three_hosts_of_each_data_centre_register(
-        self, autojump_clock, nursery, n_hosts
+        self, autojump_clock, nursery, n_hosts, found_after
     ):
         store = FakeStore()
         memberships = [
             start_discovery(number, store, nursery) for number in range(n_hosts)
         ]
-        await trio.sleep(0.4)
+        await trio.sleep(found_after)
         for membership in memberships:
             membership.others = [make_member(n) for n in range(n_hosts)]
         await trio.sleep(20.0)
         assert store.n_writes == REGISTERED_PER_DATA_CENTRE * N_DATA_CENTRES
-        assert store.n_lists <= n_hosts + 2 * store.n_writes
+        assert store.n_lists == n_hosts + store.n_writes
 
     async def test_hosts_with_valid_entries_write_nothing_after_a_restart(
         self, autojump_clock, nursery
@@ -161,6 +169,38 @@
 
 
 class TestAlone:
+    async def test_a_lagging_list_does_not_hide_the_running_hosts(
+        self, autojump_clock, nursery
+    ):
+        # Guards against a host that stays alone while a replica of the store lags.
+        store = FakeStore(entries={"host-1": str(make_address(1)).encode()}, lagging={})
+        late = start_discovery(2, store, nursery)
+        await trio.sleep(1.9)
+        assert make_address(1) in late.hints
+
+    @pytest.mark.parametrize(
+        ("listed", "is_found", "at", "expected"),
+        [
+            ((), False, 5.0, (False, "no peer found yet")),  # Truly alone.
+            ((2,), False, 5.0, (True, "no peer found yet")),
+            ((2,), False, 11.0, (False, "no peer found yet")),  # The other is gone.
+            ((2,), True, 5.0, (False, "")),
+        ],
+    )
+    async def test_a_host_without_peers_reports_it(
+        self, autojump_clock, nursery, listed, is_found, at, expected
+    ):
+        # Guards against a host that takes callers although it missed its peers, and
+        # against one that never serves because the others are gone for good.
+        entries = {f"host-{n}": str(make_address(n)).encode() for n in listed}
+        store = FakeStore(entries=entries)
+        started: list[Discovery] = []
+        membership = start_discovery(1, store, nursery, started=started)
+        membership.others = [make_member(2)] if is_found else []
+        await trio.sleep(at)
+        [discovery] = started
+        assert (discovery.must_find_peer(), discovery.get_warning()) == expected
+
     async def test_two_hosts_without_seeds_find_each_other(
         self, autojump_clock, nursery
     ):
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -18,6 +18,7 @@
     open_platform,
     read_answer,
 )
+from standins.http import Connection, HttpServer, Reply, Request, make_json_reply
 from standins.leafservers import make_answer_body
 
 SHARDS = [f"shard{n}" for n in range(6)]
@@ -265,6 +266,44 @@
     return n_failed
 
 
+class TestDiscovery:
+    async def test_a_host_with_its_own_way_to_the_store_finds_the_others(
+        self, platform
+    ):
+        # The store of one of four hosts is at another address, and starts to refuse it
+        # alone. Guards against hosts of one deployment that drop each other's
+        # datagrams, so that this one keeps the old routes for good.
+        await platform.start("ptl-a", "ptl-b", "sea-a")
+        refuses = False
+
+        async def handle(request: Request, connection: Connection) -> Reply:
+            if refuses:
+                return make_json_reply({"error": "busy"}, status=503)
+            reply: Reply = await platform.store.handle(request, connection)
+            return reply
+
+        server = HttpServer(ip="127.0.0.1", port=0, handle=handle)
+        platform.store_port = await platform.nursery.start(server.run)
+        late = platform.add_gateway("ptl-a")
+
+        async def has_started() -> bool:
+            return bool(late.read_events("started"))
+
+        async def has_met_all() -> bool:
+            return len(await _get_members(platform, late)) == 4
+
+        await wait_until(has_started)
+        await wait_until(has_met_all, limit=2.0)
+        refuses = True
+        platform.write_routes(9, [make_one_route("/new/", "desk")])
+
+        async def is_found() -> bool:
+            answer = await platform.request(late, "/new/")
+            return bool(answer.status == 200)
+
+        await wait_until(is_found, limit=3.0)
+
+
 async def _get_members(platform: Platform, gateway: Gateway) -> list[str]:
     answer = await ask(gateway.ports[1], "/status")
     members: list[str] = json.loads(answer.body)["members"]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -153,6 +153,21 @@
         fleet.run(6.0)
         assert all(node.membership.joined for node in fleet.nodes.values())
 
+    @pytest.mark.parametrize("late_s", [0.0, 4.9, 60.0])
+    def test_a_host_finds_the_others_among_hints_of_hosts_that_are_gone(self, late_s):
+        # The others do not know the host, which gets its hints late. Guards against one
+        # that is ready alone and then tries one hint in seven seconds.
+        fleet = build_fleet(HOSTS, seed=6)
+        fleet.run(10.0)
+        late = fleet.start("ptl-a-9")
+        fleet.run(late_s)
+        gone = [Address(ip="10.9.9.9", port=port) for port in range(1, 121)]
+        n_tried = 120 if late_s < 4.0 else 6
+        late.join([*gone[:n_tried], fleet.nodes[FIRST].address])
+        fleet.wake("ptl-a-9")
+        assert fleet.run_until(lambda: len(late.live()) == 8, 2.0)
+        assert fleet.run_until(fleet.agree, 8.0)
+
     def test_a_hint_changes_no_member(self):
         # The platform's list may contain a host that is gone and lack one that is live;
         # neither may change the owners.
