Ignore a late entry of a server's earlier start

A server that starts again under its id at another address writes its entry with a newer start time. When an entry of the earlier start reached the store after that, hosts sent the server's work to the old address until the next heartbeat: entries were used in the order of their writes.

StartMemory keeps the later start within an epoch of the store, for 10 s. Start times of 0 and entries at the same address are not compared, and the store's entry holds when its epoch has risen. Ids that are not listed are forgotten. On the code before, the sequence of starts 9 and 5 at ports 2 and 1 ended at port 1; now at port 2, and at port 1 after 10 s without the later start's own write.

--- a/src/lavendergap/entry/activeconfig.py
+++ b/src/lavendergap/entry/activeconfig.py
@@ -1,11 +1,13 @@
 """The active routes, servers and evacuations of a gateway host."""
 
-from collections.abc import Callable, Collection, Mapping
+import time
+from collections.abc import Callable, Collection, Mapping, Sequence
 from functools import lru_cache
 
 from .. import metrics
 from ..coordination.drains import DrainMemory
 from ..coordination.routing import RouteIndex
+from ..coordination.starts import StartMemory
 from ..logs import Category, get_logger, log_decision
 from ..state.feeds import StorePosition
 from ..state.registry import RefusedEntry, RegisteredServer
@@ -37,6 +39,7 @@
         adapter: Adapter,
         apply: Callable[[], None],
         data_centres: Collection[str] = (),
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.index: RouteIndex | None = None
         self.servers: tuple[RegisteredServer, ...] = ()
@@ -46,6 +49,11 @@
         self.read_server = lru_cache(maxsize=MAX_CACHED_SERVERS)(self._read_server)
         self._refused: set[str] = set()
         self._drains = DrainMemory()
+        self._starts = StartMemory()
+        self._listed: Sequence[RegisteredServer] = ()
+        self._position = StorePosition()
+        self._ignored_starts: set[str] = set()
+        self._clock = clock
         self._kept_draining: set[str] = set()
         self._adapter = adapter
         self._apply = apply
@@ -108,12 +116,49 @@
                     if name not in self._refused:
                         _log_refused("server entry refused", name, position, problem)
         self._refused = refused
-        self.servers = self._drains.apply(servers, epoch=position.epoch)
-        self._log_kept_draining(servers, position)
+        self._use_listed(servers, position)
+
+    def check_earlier_starts(self) -> None:
+        """Use entries of earlier starts that were ignored for long enough."""
+        if self._clock() >= self._starts.next_due():
+            self._use_listed(self._listed, self._position)
+
+    def _use_listed(
+        self, listed: Sequence[RegisteredServer], position: StorePosition
+    ) -> None:
+        self._listed, self._position = listed, position
+        epoch = position.epoch
+        current = self._starts.apply(listed, epoch=epoch, now=self._clock())
+        self._log_ignored_starts(current, position)
+        self.servers = self._drains.apply(current, epoch=epoch)
+        self._log_kept_draining(current, position)
         self._apply()
 
+    def _log_ignored_starts(
+        self, current: Sequence[RegisteredServer], position: StorePosition
+    ) -> None:
+        """Log once for which servers an entry of an earlier start is ignored."""
+        ignored = {
+            entry.server_id: (entry, server)
+            for server, entry in zip(current, self._listed, strict=True)
+            if server is not entry
+        }
+        for server_id in sorted(ignored.keys() - self._ignored_starts):
+            entry, server = ignored[server_id]
+            log_decision(
+                logger,
+                "earlier start ignored",
+                request_id=None,
+                server=server_id,
+                started_at_ms=entry.started_at_ms,
+                current_started_at_ms=server.started_at_ms,
+                revision=position.revision,
+                epoch=position.epoch,
+            )
+        self._ignored_starts = set(ignored)
+
     def _log_kept_draining(
-        self, listed: list[RegisteredServer], position: StorePosition
+        self, listed: Sequence[RegisteredServer], position: StorePosition
     ) -> None:
         """Log once which servers the store shows as ready although they drained."""
         kept = {
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -403,6 +403,7 @@
         while True:
             await trio.sleep(SWEEP_INTERVAL_S)
             self._owner.close_idle_runners()
+            self._active_config.check_earlier_starts()
             self._fleet.expire_avoided(now=trio.current_time())
 
     async def _poll_settings_file(self) -> None:
--- a/src/lavendergap/state/registry.py
+++ b/src/lavendergap/state/registry.py
@@ -13,9 +13,10 @@
     """One incarnation of a backend server, as the server registered it.
 
     A server may restart under the same id. `started_at_ms` distinguishes its
-    incarnations but does not order them: it is Unix milliseconds by the server's own
-    clock, or 0 if the server does not report it. A server that `is_cold` is slow and
-    tolerates only a low rate of requests; it may become cold at any time.
+    incarnations, and `StartMemory` orders those at different addresses. It is Unix
+    milliseconds by the server's own clock, or 0 if the server does not report it. A
+    server that `is_cold` is slow and tolerates only a low rate of requests; it may
+    become cold at any time.
     """
 
     server_id: str
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -14,6 +14,7 @@
 from adapter.store import ObjectStore
 from adapter.translation import KINDS, PlatformAdapter
 from lavendergap.coordination.feeds import FeedCopy
+from lavendergap.coordination.starts import HOLD_S
 from lavendergap.entry.activeconfig import ActiveConfig
 from lavendergap.entry.adapter import SERVERS_FEED
 from lavendergap.state.feeds import FeedChange, FeedChanges, FeedListing, StorePosition
@@ -131,10 +132,10 @@
         assert isinstance(server.started_at_ms, int)
 
 
-def make_active_config() -> ActiveConfig:
+def make_active_config(**options) -> ActiveConfig:
     # Only the adapter's reading of servers is used here.
     adapter = PlatformAdapter.__new__(PlatformAdapter)
-    return ActiveConfig(adapter=adapter, apply=lambda: None)
+    return ActiveConfig(adapter=adapter, apply=lambda: None, **options)
 
 
 class TestActiveConfig:
@@ -157,6 +158,22 @@
         config.use_servers({"i-2": b"x"}, StorePosition(revision=7))
         assert len(caplog.records) == 2
 
+    def test_a_late_entry_of_an_earlier_start_is_ignored_for_a_while(self, caplog):
+        # Guards against work that moves back to the address of an ended process.
+        caplog.set_level(logging.INFO, logger="lavendergap")
+        now = 0.0
+        config = make_active_config(clock=lambda: now)
+        for born, port in ((9, 2), (5, 1), (5, 1)):
+            body = encode(born=born, address=f"127.0.0.1:{port}")
+            config.use_servers({"i-1": body}, StorePosition(revision=1))
+        assert [server.address.port for server in config.servers] == [2]
+        assert len(caplog.records) == 1
+        config.check_earlier_starts()
+        assert [server.address.port for server in config.servers] == [2]
+        now = HOLD_S
+        config.check_earlier_starts()
+        assert [server.address.port for server in config.servers] == [1]
+
     def test_changes_between_invalid_entries_are_irrelevant(self):
         config = make_active_config()
         copy = FeedCopy(lapse_grace_s=2.0, summarize=config.summarize_server)
