--- a/src/lavendergap/coordination/hints.py
+++ b/src/lavendergap/coordination/hints.py
@@ -80,6 +80,10 @@
             del self._addresses[next(iter(self._addresses))]
         return bool(new)
 
+    def list_all(self) -> list[Address]:
+        """Return all addresses, the next to be pinged first."""
+        return list(self._addresses)
+
     def choose(
         self,
         others: Iterable[Address],
--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -88,6 +88,7 @@
             interval_s=self._interval_s, timeout_s=control.probe_timeout_ms / 1000
         )
         self._hints = Hints()
+        self._is_own_hint = False
         self._live_cache: tuple[frozenset[str], bool, frozenset[str]] | None = None
         self._started_at: float | None = None
         self._last_call_at = 0.0
@@ -141,6 +142,13 @@
             if member.state is MemberState.SUSPECT
         )
 
+    def split_hints(self) -> tuple[int, list[Address]]:
+        """Return how many hints belong to members, and the addresses of the others."""
+        addresses = {member.peers for member in self.members()}
+        hints = self._hints.list_all()
+        others = [hint for hint in hints if hint not in addresses]
+        return len(hints) - len(others) + self._is_own_hint, others
+
     def get_data_centres(self) -> dict[str, str]:
         """Return the data centre of each host to which new work may go."""
         return {m.name: m.data_centre for m in self.members() if m.may_own}
@@ -169,7 +177,9 @@
         A hint marks no host live or dead: the platform's list lags, and a host that it
         still lists as live may be gone.
         """
-        has_new = self._hints.add(each for each in hints if each != self.own.peers)
+        addresses = list(hints)
+        self._is_own_hint |= self.own.peers in addresses
+        has_new = self._hints.add(each for each in addresses if each != self.own.peers)
         if has_new and self._is_alone():
             self._retry_at = self._last_call_at
 
