--- a/lab/gateways.py
+++ b/lab/gateways.py
@@ -174,10 +174,12 @@
         """Count the requests received by the servers of a data centre."""
         return sum(leaf.arrivals.total() for leaf in self.leaves if leaf.zone == zone)
 
-    def write_routes(self, version: int, routes: list[dict[str, Any]]) -> None:
-        """Write a route manifest to the store."""
+    def write_routes(
+        self, version: int, routes: list[dict[str, Any]], **fields: Any
+    ) -> None:
+        """Write a route manifest with additional `fields` to the store."""
         manifest = {"version": version, "routes": routes, "services": [], "limits": {}}
-        self.store.put("config", "main", manifest)
+        self.store.put("config", "main", manifest | fields)
 
     def evacuate(self, zone: str) -> None:
         """Write an evacuation of a data centre: gateways stop calling its servers."""
@@ -303,11 +305,14 @@
 
 @asynccontextmanager
 async def open_platform(
-    directory: Path, *, regions: dict[str, str] = REGIONS
+    directory: Path,
+    *,
+    regions: dict[str, str] = REGIONS,
+    store: ObjectStore | None = None,
 ) -> AsyncIterator[Platform]:
     """Yield a platform without servers; kill its gateways when the block exits."""
     async with trio.open_nursery() as nursery:
-        store = ObjectStore()
+        store = store or ObjectStore()
         port = await nursery.start(store.make_server(ip="127.0.0.1", port=0).run)
         platform = Platform(
             nursery=nursery,
