Serve waiting calls by priority, fair share among customers, and deadline

Cause: waiting calls were served by priority and deadline only, and the level of admission is one for all. A customer that sends 7.5 times its usual rate delayed all others and had a part of their calls refused. A full queue refused urgent calls while less urgent ones waited in it.

Change: coordination/fairness.py orders the calls of one priority by start-time fair queueing among customers, and by deadline within a customer; coordination/waiting.py keeps the priorities and the deadlines. A customer's call that goes ahead of at least half of the waiting calls is not subject to the level. If the queue is full or the level refuses a call, it replaces the least urgent waiting call that has not run: of the customer with most waiting for its weight, by the rank of the request, so that groups give up the same queries. Within one priority only a full queue does so, for a customer with less waiting. A call that urgent ones make late is refused at once. Callers refused for load are asked to return one after the other. Without customers the order and all refusals are as before.

--- a/src/lavendergap/coordination/admission.py
+++ b/src/lavendergap/coordination/admission.py
@@ -1,16 +1,16 @@
-"""Admission of calls to a group's queue, and the order in which they wait."""
+"""Admission of calls to a group's queue."""
 
-from bisect import bisect_left, bisect_right, insort
 from dataclasses import dataclass
 from zlib import crc32
 
 from .hedging import RecentLatencies
-from .progress import Progress
 
 # Bounds on the delay suggested to a refused caller. It should return once the queue has
 # been served: an immediate return would repeat the same load.
 MIN_RETRY_AFTER_S = 0.02
 MAX_RETRY_AFTER_S = 5.0
+# Between the planned returns of two refused callers.
+MIN_RETURN_INTERVAL_S = 0.001
 # Longer than a deadline, as the queue absorbs shorter bursts, and short enough to
 # follow a rise in load.
 ARRIVAL_WINDOW_S = 0.5
@@ -20,64 +20,6 @@
 WAIT_SHARE_GAIN = 1.0
 
 
-_Entry = tuple[int, float, int, Progress]
-
-
-def _get_sort_key(entry: _Entry) -> tuple[int, float]:
-    return entry[0], entry[1]
-
-
-class WaitingCalls:
-    """Calls that wait for a slot, by priority and then by deadline.
-
-    With one priority and one deadline for all calls the order is first come, first
-    served. A retry is sorted by the deadline of its call. Priority comes first so that
-    under overload urgent calls are not refused in favour of those with a short
-    deadline. See docs/design/admission.md for the alternatives.
-    """
-
-    __slots__ = ("_entries",)
-
-    def __init__(self) -> None:
-        # Call ids are unique, so a comparison never reaches the `Progress`.
-        self._entries: list[_Entry] = []
-
-    def __len__(self) -> int:
-        return len(self._entries)
-
-    def __getitem__(self, index: int) -> Progress:
-        return self._entries[index][3]
-
-    def add(self, progress: Progress) -> None:
-        """Add a call at the place given by its priority and deadline."""
-        call = progress.call
-        insort(self._entries, (call.priority, call.deadline, call.call_id, progress))
-        progress.is_waiting = True
-
-    def discard(self, progress: Progress) -> None:
-        """Remove a waiting call."""
-        call = progress.call
-        key = (call.priority, call.deadline, call.call_id)
-        del self._entries[bisect_left(self._entries, key)]
-        progress.is_waiting = False
-
-    def count_ahead(self, *, priority: int, deadline: float) -> int:
-        """Count the waiting calls that would be served before a new one."""
-        return bisect_right(self._entries, (priority, deadline), key=_get_sort_key)
-
-    def pop_expiring(self, *, now: float, needed: float) -> list[Progress]:
-        """Remove and return the calls with at most `needed` seconds left."""
-        late = [entry[3] for entry in self._entries if entry[1] - needed <= now]
-        for progress in late:
-            self.discard(progress)
-        return late
-
-    @property
-    def first_deadline(self) -> float | None:
-        """The earliest deadline of the waiting calls, in seconds, or None."""
-        return min((entry[1] for entry in self._entries), default=None)
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Capacity:
     """The slots that can be used now, or the time until the first one can be.
@@ -193,30 +135,33 @@
     only if no slot opens before its deadline.
     """
 
-    __slots__ = ("latencies", "arrivals")
+    __slots__ = ("latencies", "arrivals", "_returns_at")
 
     def __init__(self, *, latencies: RecentLatencies) -> None:
         self.latencies = latencies
         self.arrivals = ArrivalRate()
+        # When the caller refused last was asked to come back.
+        self._returns_at = 0.0
 
     @property
     def needed_time(self) -> float:
         """The seconds that a call needs before its deadline to be worth starting."""
         return self.latencies.median or 0.0
 
-    def may_wait(
+    def can_finish(self, *, n_ahead: int, time_left: float, capacity: Capacity) -> bool:
+        """Return whether a call can finish within `time_left` s behind `n_ahead`."""
+        wait = self._estimate_wait(n_ahead, capacity)
+        return wait <= time_left - self.needed_time
+
+    def is_in_share(
         self, request_id: str, *, n_ahead: int, time_left: float, capacity: Capacity
     ) -> bool:
-        """Return whether a call may wait behind `n_ahead` others.
+        """Return whether a request is in the share that is admitted under overload.
 
-        It may if it can finish within `time_left` seconds and its request is in the
-        admitted share.
+        The call has to be one that can finish.
         """
         wait = self._estimate_wait(n_ahead, capacity)
-        time_to_wait = time_left - self.needed_time
-        if wait > time_to_wait:
-            return False
-        wait_share = wait / time_to_wait
+        wait_share = wait / max(time_left - self.needed_time, 1e-9)
         demand = self._measure_demand(capacity)
         admitted_share = compute_admitted_share(demand=demand, wait_share=wait_share)
         return admitted_share >= 1.0 or compute_rank(request_id) < admitted_share
@@ -229,6 +174,22 @@
         excess = max(0.0, self._measure_demand(capacity) - 1.0)
         return self._estimate_wait(n_waiting, capacity) + excess
 
+    def plan_return(
+        self, n_waiting: int, capacity: Capacity, *, spread: float, now: float
+    ) -> int:
+        """Return after how many milliseconds a refused caller should return.
+
+        Each comes back when another slot should be free, so that callers refused
+        together do not return together. `spread` is as in `compute_retry_after_ms`.
+        """
+        wait = self.estimate_retry_delay(n_waiting, capacity)
+        earliest = now + compute_retry_after_ms(wait, spread) / 1000
+        pause = (self.latencies.mean or 0.0) / max(1, capacity.n_slots)
+        next_at = self._returns_at + max(MIN_RETURN_INTERVAL_S, pause)
+        latest = now + MAX_RETRY_AFTER_S * (1.0 + spread / 2)
+        self._returns_at = max(earliest, next_at) if next_at <= latest else earliest
+        return round((self._returns_at - now) * 1000)
+
     def _measure_demand(self, capacity: Capacity) -> float:
         return (
             self.arrivals.rate * (self.latencies.mean or 0.0) / max(1, capacity.n_slots)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -14,7 +14,7 @@
     is_server_end,
 )
 from ..state.settings import Control, Group, Server, Service
-from .admission import Admission, Capacity, WaitingCalls, compute_retry_after_ms
+from .admission import Admission, Capacity, compute_retry_after_ms
 from .attempts import is_bound, list_candidates, may_try
 from .budget import Budget
 from .calls import (
@@ -41,6 +41,7 @@
 from .replicas import FAILURE_WEIGHTS, NEVER, Replica
 from .summary import GroupSummary, summarize_server, to_ms
 from .timers import CallTimers
+from .waiting import WaitingCalls
 
 MIN_HEDGE_DELAY_S = 0.001
 # Hedge tokens kept for stragglers. Where latencies hardly vary, the quantile is close
@@ -294,8 +295,7 @@
         """End the waiting calls as not run; running calls may finish."""
         self._is_stopping = True
         effects: list[Effect] = []
-        while self._waiting:
-            progress = self._waiting[0]
+        for progress in tuple(self._waiting):
             refusal = self._make_refusal(Step.QUEUE, Reason.STOPPING)
             self._finish(progress, progress.unknown or refusal, effects)
         return effects
@@ -335,44 +335,76 @@
     # Admission and dispatch.
 
     def _admit(self, progress: Progress, now: float) -> list[Effect]:
+        """Queue a call, in place of a less urgent one if need be, or refuse it."""
         call = progress.call
         capacity = measure_capacity(self._replicas, now)
-        n_ahead = self._waiting.count_ahead(
-            priority=call.priority, deadline=call.deadline
-        )
+        n_ahead = self._waiting.count_ahead(call)
         time_left = call.deadline - now
-        may_wait = len(self._waiting) < self.service.queue_limit
-        may_wait = may_wait and not capacity.is_cold
-        if may_wait:
-            may_wait = self._admission.may_wait(
+        if capacity.is_cold or not self._admission.can_finish(
+            n_ahead=n_ahead, time_left=time_left, capacity=capacity
+        ):
+            return [self._refuse_overload(progress, capacity, now)]
+        effects: list[Effect] = []
+        is_full = len(self._waiting) >= self.service.queue_limit
+        # What goes ahead of most waiting calls is not what makes the group overloaded.
+        is_ahead = bool(call.customer) and 2 * n_ahead <= len(self._waiting)
+        if is_full or not (
+            is_ahead
+            or self._admission.is_in_share(
                 call.request_id, n_ahead=n_ahead, time_left=time_left, capacity=capacity
             )
-        if not may_wait:
-            return [self._refuse_overload(progress, capacity)]
+        ):
+            replaced = self._waiting.find_replaceable(call, is_full=is_full)
+            if replaced is None:
+                return [self._refuse_overload(progress, capacity, now)]
+            self._displace(replaced, capacity, now, effects)
+        elif n_ahead < len(self._waiting):
+            self._displace_late(call, capacity, now, effects)
         self._calls[call.call_id] = progress
         self._waiting.add(progress)
-        effects: list[Effect] = []
         self._dispatch(now, effects)
         return effects
 
+    def _displace_late(
+        self, call: Call, capacity: Capacity, now: float, effects: list[Effect]
+    ) -> None:
+        """End a less urgent call that can no longer finish behind a new one."""
+        last = self._waiting.find_replaceable(call, is_full=False)
+        if last is None:
+            return
+        # The new call takes the place of the last one itself in the count.
+        n_ahead = self._waiting.count_ahead(last.call)
+        time_left = last.call.deadline - now
+        if not self._admission.can_finish(
+            n_ahead=n_ahead, time_left=time_left, capacity=capacity
+        ):
+            self._displace(last, capacity, now, effects)
+
+    def _displace(
+        self, progress: Progress, capacity: Capacity, now: float, effects: list[Effect]
+    ) -> None:
+        """End a waiting call as not run, for a more urgent one."""
+        self._n_refused += 1
+        outcome = self._make_overload_refusal(progress.call, capacity, now)
+        self._finish(progress, outcome, effects)
+
     def _dispatch(self, now: float, effects: list[Effect]) -> None:
         waiting = self._waiting
         for late in waiting.pop_expiring(now=now, needed=self._admission.needed_time):
             self._end_late(late, now, effects)
-        index = n_bound = 0
-        while index < min(
-            len(waiting), MAX_SKIPPED_CALLS + n_bound
-        ) and self._has_free_slot(now):
-            progress = waiting[index]
+        n_skipped = n_bound = 0
+        for progress in waiting:
+            if n_skipped >= MAX_SKIPPED_CALLS + n_bound or not self._has_free_slot(now):
+                break
             match self._choose(progress, now):
                 case Chosen() as chosen:
-                    waiting.discard(progress)
+                    waiting.take(progress)
                     effects.append(self._start(progress, chosen, progress.cause, now))
                 case NoneLeft(reason=reason):
                     outcome = self._make_refusal(Step.ROUTE, reason)
                     self._finish(progress, progress.get_failure() or outcome, effects)
                 case Busy():
-                    index += 1
+                    n_skipped += 1
                     if n_bound < MAX_SKIPPED_RETRIES and is_bound(progress):
                         n_bound += 1
         self._capacity_opens_at = min(
@@ -742,12 +774,30 @@
         refusal = self._make_refusal(step, reason)
         return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
 
-    def _refuse_overload(self, progress: Progress, capacity: Capacity) -> FinishCall:
+    def _refuse_overload(
+        self, progress: Progress, capacity: Capacity, now: float
+    ) -> FinishCall:
         self._n_refused += 1
-        wait = self._admission.estimate_retry_delay(len(self._waiting), capacity)
-        refusal = self._make_refusal(Step.QUEUE, Reason.OVERLOADED, wait)
+        refusal = self._make_overload_refusal(progress.call, capacity, now)
         return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
 
+    def _make_overload_refusal(
+        self, call: Call, capacity: Capacity, now: float
+    ) -> NotRun:
+        n_waiting = len(self._waiting)
+        if not call.customer:
+            wait = self._admission.estimate_retry_delay(n_waiting, capacity)
+            return self._make_refusal(Step.QUEUE, Reason.OVERLOADED, wait)
+        retry_after_ms = self._admission.plan_return(
+            n_waiting, capacity, spread=self.random.random(), now=now
+        )
+        return NotRun(
+            step=Step.QUEUE,
+            peer=self.group.name,
+            reason=Reason.OVERLOADED,
+            retry_after_ms=retry_after_ms,
+        )
+
     def _make_refusal(
         self, step: Step, reason: Reason, wait: float | None = None
     ) -> NotRun:
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -121,6 +121,8 @@
         goal_ms: float | None = None,
         priority: int = 0,
         kind: str = "",
+        customer: str = "",
+        weight: float = 1.0,
     ) -> Call:
         self.n_calls += 1
         call = Call(
@@ -137,6 +139,8 @@
             is_repeat=is_repeat,
             priority=priority,
             kind=kind,
+            customer=customer,
+            weight=weight,
             goal_at=0.0 if goal_ms is None else self.now + goal_ms / 1000,
         )
         self.take(self.scheduler.submit(call, now=self.now))
--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -142,14 +142,11 @@
         idempotent=st.sampled_from([True, True, False]),
         version=st.sampled_from([0, 6, 7, 8]),
         max_attempts=st.sampled_from([0, 1, 2]),
+        customer=st.sampled_from(["", "x", "y"]),
+        priority=st.sampled_from([0, 1]),
     )
-    def submit(self, in_ms, idempotent, version, max_attempts) -> None:
-        call = self.owner.submit(
-            in_ms=in_ms,
-            idempotent=idempotent,
-            version=version,
-            max_attempts=max_attempts,
-        )
+    def submit(self, **options) -> None:
+        call = self.owner.submit(**options)
         self.calls[call.call_id] = call
 
     @precondition(lambda self: self.owner.open)
