Choose owners by the capacity of hosts

Owners were chosen alike among hosts, so on 96 hosts of 0.361 of a core and 6 of 2.15 the small ones made 94 of 100 calls. Hosts now state their capacity in their member record, in eighths of a core, and owners are chosen by weighted rendezvous hashing. Where all are equal, or that of any live host is unknown, the ranking is unchanged. A record passed on by a host that does not know the field keeps the known capacity.

--- a/src/lavendergap/coordination/dissemination.py
+++ b/src/lavendergap/coordination/dissemination.py
@@ -12,7 +12,7 @@
 """Space for piggybacked records in one datagram."""
 
 # Encoded size of a record without its texts, and the most that a text is padded by.
-_RECORD_BYTES = 88
+_RECORD_BYTES = 92
 _PADDING_BYTES = 8
 
 
--- a/src/lavendergap/coordination/membership.py
+++ b/src/lavendergap/coordination/membership.py
@@ -145,6 +145,10 @@
         """Return the data centre of each host to which new work may go."""
         return {m.name: m.data_centre for m in self.members() if m.may_own}
 
+    def get_capacities(self) -> dict[str, int]:
+        """Return the capacity of each host to which new work may go, 0 if unknown."""
+        return {m.name: m.capacity for m in self.members() if m.may_own}
+
     def get(self, name: str) -> Member | None:
         """Return the record of a member, dead members included, or None."""
         return self._table.get(name)
--- a/src/lavendergap/coordination/placement.py
+++ b/src/lavendergap/coordination/placement.py
@@ -11,7 +11,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from .ranking import Ranking, rank_hosts
+from .ranking import Ranking, rank_hosts, select_weights
 
 HOSTS_PER_DATA_CENTRE = 2
 """How many hosts of one data centre are tried before those of another."""
@@ -53,17 +53,24 @@
         self._buckets: dict[str, str] = {}
         self._ranked: dict[str, tuple[str, ...]] = {}
 
-    def replace_hosts(self, hosts: Mapping[str, str]) -> None:
-        """Set the live hosts and the data centre of each."""
+    def replace_hosts(
+        self, hosts: Mapping[str, str], capacities: Mapping[str, int] | None = None
+    ) -> None:
+        """Set the live hosts and the data centre of each.
+
+        Each owns groups in proportion to its capacity. All count as equal if that of
+        any host is missing or 0.
+        """
         self._hosts = hosts
+        weights = select_weights(hosts, capacities or {})
         by_data_centre: dict[str, set[str]] = {}
         for host, data_centre in hosts.items():
             by_data_centre.setdefault(data_centre, set()).add(host)
-        self._all_hosts = self._all_hosts.replace_hosts(frozenset(hosts))
+        self._all_hosts = self._all_hosts.replace_hosts(frozenset(hosts), weights)
         self._rankings = {
             data_centre: self._rankings.get(
                 data_centre, Ranking(hosts=frozenset())
-            ).replace_hosts(frozenset(names))
+            ).replace_hosts(frozenset(names), weights)
             for data_centre, names in by_data_centre.items()
         }
         self._update_order()
--- a/src/lavendergap/coordination/roster.py
+++ b/src/lavendergap/coordination/roster.py
@@ -1,7 +1,7 @@
 """The records of the other members: merging, hashing and expiry of the dead."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from xxhash import xxh3_64_intdigest
 
@@ -76,7 +76,7 @@
         ]
 
     def merge(self, member: Member, *, now: float) -> bool:
-        """Merge `member` and return whether it is newer than the known record."""
+        """Merge `member` and return whether it changes the known record."""
         entry = self._entries.get(member.name)
         if entry is None:
             self._put(member, now=now)
@@ -87,7 +87,12 @@
         if entry.stale:
             entry.stale = False
             self._toggle(entry)
-        if member.order > known.order:
+        if member.capacity == 0 and member.incarnation == known.incarnation:
+            # A host of an earlier release leaves out the capacity when it passes on the
+            # record.
+            member = replace(member, capacity=known.capacity)
+        is_capacity_new = known.capacity == 0 and member.capacity > 0
+        if member.order > known.order or is_capacity_new:
             self._put(member, now=now)
             return True
         if member.settings_version > known.settings_version:
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -26,7 +26,7 @@
     TicketRequest,
 )
 from ..state.hostfile import GatewayHost, read_host_file
-from ..state.member import Member
+from ..state.member import Member, convert_to_capacity
 from ..state.outcome import NotRun
 from ..state.settings import Control, Server, Settings
 from ..transport.acceptor import Acceptor
@@ -223,6 +223,7 @@
                 data_centre=host.data_centre,
                 peers=host.peers,
                 incarnation=self._incarnation,
+                capacity=convert_to_capacity(host.cores),
             ),
             control=CONTROL,
             random=self._random,
--- a/src/lavendergap/entry/livehosts.py
+++ b/src/lavendergap/entry/livehosts.py
@@ -35,6 +35,7 @@
         self._placement = placement
         self._apply = apply
         self._data_centres: dict[str, str] = {}
+        self._capacities: dict[str, int] = {}
         self._has_changed = trio.Event()
 
     def handle_event(self, event: Event) -> None:
@@ -61,8 +62,9 @@
             {m.name: m.peers for m in members if m.name in data_centres}
         )
         self._fleet.replace_suspects(self._membership.suspects())
-        if data_centres == self._data_centres:
+        capacities = self._membership.get_capacities()
+        if data_centres == self._data_centres and capacities == self._capacities:
             return
-        self._data_centres = data_centres
-        self._placement.replace_hosts(data_centres)
+        self._data_centres, self._capacities = data_centres, capacities
+        self._placement.replace_hosts(data_centres, capacities)
         self._apply()
--- a/src/lavendergap/protocol/gossip.capnp
+++ b/src/lavendergap/protocol/gossip.capnp
@@ -18,6 +18,7 @@
   refutations @5 :UInt32;
   incarnation @6 :UInt64;    # Start time of the process, in Unix milliseconds.
   settingsVersion @7 :UInt64;
+  capacity @8 :UInt16;       # In eighths of a core; 0 if not stated.
 }
 
 struct DocumentVersion {
--- a/src/lavendergap/protocol/gossip.py
+++ b/src/lavendergap/protocol/gossip.py
@@ -166,6 +166,7 @@
     written.refutations = member.refutations
     written.incarnation = member.incarnation
     written.settingsVersion = member.settings_version
+    written.capacity = member.capacity
 
 
 def _read_message(datagram: Any) -> Message:
@@ -247,6 +248,7 @@
         refutations=read.refutations,
         state=_STATES[read.state.raw],
         settings_version=read.settingsVersion,
+        capacity=read.capacity,
     )
 
 
--- a/src/lavendergap/state/member.py
+++ b/src/lavendergap/state/member.py
@@ -15,9 +15,23 @@
     DEAD = "dead"
 
 
+CAPACITY_STEPS_PER_CORE = 8
+"""Whole steps, so that owners do not change with small differences of capacity."""
+
+MAX_CAPACITY = 65_535
+
 _PRECEDENCE = {state: rank for rank, state in enumerate(MemberState)}
 
 
+def convert_to_capacity(cores: float) -> int:
+    """Return a host's capacity in steps of an eighth of a core, at least one.
+
+    >>> [convert_to_capacity(cores) for cores in (0.01, 0.361, 0.5, 2.15)]
+    [1, 3, 4, 17]
+    """
+    return min(MAX_CAPACITY, max(1, round(cores * CAPACITY_STEPS_PER_CORE)))
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Member:
     """The last known record of one process of the fleet.
@@ -25,7 +39,8 @@
     `incarnation` is the start time of the process in Unix milliseconds, so that a
     restarted process supersedes its predecessor at the same address. `refutations` is
     incremented by the process itself when it refutes a false suspicion or announces a
-    change of its record.
+    change of its record. `capacity` is in steps of an eighth of a core, the same for
+    the life of the process; 0 is not stated, as by earlier releases.
     """
 
     name: str
@@ -35,6 +50,7 @@
     refutations: int = 0
     state: MemberState = MemberState.LIVE
     settings_version: int = 0
+    capacity: int = 0
 
     @property
     def order(self) -> tuple[int, int, int]:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -80,6 +80,7 @@
     refutations=st.integers(0, 2**32 - 1),
     state=st.sampled_from(MemberState),
     settings_version=u64,
+    capacity=st.integers(0, 65_535),
 )
 digests = st.builds(
     DocumentsDigest,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -179,6 +179,23 @@
         assert fleet.agree()
 
 
+class TestCapacity:
+    @pytest.mark.parametrize("has_relayed_first", [False, True])
+    def test_it_survives_hosts_that_leave_it_out(self, has_relayed_first):
+        # Guards against owners that move each time a host of an earlier release passes
+        # a record on without the capacity.
+        membership = build_membership(FIRST)
+        stated = build_member(SECOND, capacity=3)
+        left_out = replace(stated, capacity=0)
+        third = build_member(THIRD)
+        if has_relayed_first:
+            receive_gossip(membership, third, left_out)
+        receive_gossip(membership, stated)
+        receive_gossip(membership, third, left_out)
+        receive_gossip(membership, third, replace(left_out, refutations=1))
+        assert membership.get_capacities()[SECOND] == 3
+
+
 class TestDetection:
     @pytest.mark.parametrize("loss", [0.0, 0.05])
     def test_a_killed_host_is_dead_everywhere(self, loss):
--- a/tests/test_ranking.py
+++ b/tests/test_ranking.py
@@ -11,6 +11,7 @@
     Ranking,
     rank_hosts,
     rank_owner,
+    select_weights,
 )
 from lavendergap.coordination.watchers import (
     MAX_READS_PER_S,
@@ -58,17 +59,21 @@
     @STEADY
     @given(
         sets=st.lists(
-            st.frozensets(st.sampled_from(HOSTS), min_size=0), min_size=1, max_size=8
+            st.dictionaries(st.sampled_from(HOSTS), st.sampled_from([3, 3, 3, 17])),
+            min_size=1,
+            max_size=8,
         )
     )
     def test_changes_carried_over_give_what_a_fresh_ranking_gives(self, sets):
         ranking = Ranking(hosts=frozenset(HOSTS))
-        for hosts in sets:
+        for weights in sets:
+            hosts = frozenset(weights)
             for key in KEYS[:20]:
                 ranking.rank(key)
-            ranking = ranking.replace_hosts(hosts)
+            ranking = ranking.replace_hosts(hosts, weights)
             for key in KEYS[:20]:
-                expected = tuple(rank_hosts(key, hosts)[:RANKING_DEPTH])
+                known = select_weights(hosts, weights)
+                expected = tuple(rank_hosts(key, hosts, known)[:RANKING_DEPTH])
                 kept = ranking.rank(key)
                 assert kept == expected[: len(kept)]
                 assert len(kept) >= min(2, len(hosts))
@@ -86,6 +91,30 @@
         assert ranking.replace_hosts(frozenset(HOSTS)) is ranking
 
 
+class TestWeights:
+    def test_each_host_owns_keys_in_proportion_to_its_weight(self):
+        weights = dict(zip(HOSTS, (1, 1, 2, 3, 3, 6, 17), strict=True))
+        ranking = Ranking(hosts=frozenset(HOSTS), weights=weights)
+        owners = [ranking.rank(f"key-{n}")[0] for n in range(33_000)]
+        for host, weight in weights.items():
+            assert abs(owners.count(host) / 1_000 - weight) < 0.2 + 0.03 * weight
+
+    @pytest.mark.parametrize("weights", [dict.fromkeys(HOSTS, 3), {HOSTS[0]: 17}, {}])
+    def test_equal_or_unknown_weights_change_no_owner(self, weights):
+        # Guards against owners that move in fleets of like hosts, or with each host
+        # that is upgraded to a release that states its weight.
+        plain = Ranking(hosts=frozenset(HOSTS))
+        weighted = Ranking(hosts=frozenset(HOSTS), weights=weights)
+        for key in KEYS:
+            assert weighted.rank(key) == plain.rank(key)
+
+    def test_only_the_keys_of_a_lost_host_move_to_the_next(self):
+        weights = {host: 3 + 14 * (n % 3 == 0) for n, host in enumerate(HOSTS)}
+        for key in KEYS:
+            ranked = rank_hosts(key, HOSTS, weights)
+            assert rank_hosts(key, ranked[1:], weights) == ranked[1:]
+
+
 def build_members(n_hosts: int, n_data_centres: int) -> list[Member]:
     return [
         Member(
