Make buckets smaller where hosts have less than half a core

A host of 0.361 of a core owned whole buckets of 45 of 90 shards, and sent and read that many calls of one query at once. The size of buckets follows the median capacity of the live hosts below half a core, and is unchanged from half a core up or while a capacity is unknown.

--- a/lab/ownership.py
+++ b/lab/ownership.py
@@ -88,17 +88,20 @@
     return owners
 
 
-def measure(owners: Owners) -> tuple[float, float, float]:
+def measure(owners: Owners) -> tuple[float, float, float, float]:
     """Return the busiest host's calls per core, the large hosts' share, and owners.
 
-    The calls are relative to those per core of all hosts; owners are for each query.
+    The calls are relative to those per core of all hosts. Owners are for each query:
+    all, and those in other data centres.
     """
     loads = Counter(owners.values())
     average = len(owners) / sum(CORES.values())
     busiest = max(n / CORES[name] for name, n in loads.items()) / average
     large = sum(n for name, n in loads.items() if CORES[name] > 1)
-    n_owners = len({(key[0], owner) for key, owner in owners.items()})
-    return busiest, large / len(owners), n_owners / len(DATA_CENTRES)
+    asked = {(key[0], owner) for key, owner in owners.items()}
+    n_remote = sum(HOSTS[owner] != data_centre for data_centre, owner in asked)
+    n_queries = len(DATA_CENTRES)
+    return busiest, large / len(owners), len(asked) / n_queries, n_remote / n_queries
 
 
 def measure_moves(
@@ -124,7 +127,8 @@
 def main() -> None:
     """Print the tables."""
     print(f"{'shards':>6} {'owners':<24} {'busiest mean':>12} {'p95':>6} ", end="")
-    print(f"{'large hosts':>11} {'hosts a query':>13} {'moved by a loss':>15}")
+    print(f"{'large hosts':>11} {'hosts a query':>13} {'remote':>6} ", end="")
+    print(f"{'moved by a loss':>15}")
     for n_shards in (90, 135):
         draws = [make_shards(draw, n_shards) for draw in range(N_DRAWS)]
         equal = [rank_all(shards, HOSTS, {}) for shards in draws]
@@ -153,6 +157,7 @@
                 f"{quantiles(busiest, n=20)[-1]:>6.1f} "
                 f"{mean(row[1] for row in rows):>11.2f} "
                 f"{mean(row[2] for row in rows):>13.1f} "
+                f"{mean(row[3] for row in rows):>6.1f} "
                 f"{moved[name]:>15.4f}"
             )
 
--- a/src/lavendergap/coordination/placement.py
+++ b/src/lavendergap/coordination/placement.py
@@ -8,9 +8,11 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
+from statistics import median_low
 
 from xxhash import xxh3_64_intdigest
 
+from ..state.member import CAPACITY_STEPS_PER_CORE
 from .ranking import Ranking, rank_hosts, select_weights
 
 HOSTS_PER_DATA_CENTRE = 2
@@ -26,11 +28,33 @@
 SHARDS_PER_BUCKET = 32
 """Shards of one query for each bucket, if all have the same data centres.
 
+Fewer where hosts are weak: see `choose_bucket_size`.
+
 Shards with servers in the same data centres are owned together in buckets, so that a
 query goes to few owners. With larger buckets a query would lose more shards to a slow
 or lost owner.
 """
 
+FULL_BUCKET_CAPACITY = CAPACITY_STEPS_PER_CORE // 2
+"""The capacity from which a host takes full buckets: half a core."""
+
+MIN_SHARDS_PER_BUCKET = 8
+
+
+def choose_bucket_size(capacities: Collection[int]) -> int:
+    """Return the number of shards for each bucket by the hosts' median capacity.
+
+    A weak host sends and reads the calls of a full bucket too late for the goal. A
+    capacity of 0 is not known; buckets are full then.
+
+    >>> [choose_bucket_size([n]) for n in (17, 4, 3, 2, 1, 0)]
+    [32, 32, 24, 16, 8, 32]
+    """
+    if not capacities or 0 in capacities:
+        return SHARDS_PER_BUCKET
+    part = SHARDS_PER_BUCKET * median_low(capacities) // FULL_BUCKET_CAPACITY
+    return min(SHARDS_PER_BUCKET, max(MIN_SHARDS_PER_BUCKET, part))
+
 
 class Placement:
     """The owners of groups among the live hosts, as one host ranks them.
@@ -49,6 +73,7 @@
         self._rankings: dict[str, Ranking] = {}
         self._servers: Mapping[str, frozenset[str]] = {}
         self._shard_sets: tuple[tuple[str, ...], ...] = ()
+        self._bucket_size = SHARDS_PER_BUCKET
         self._data_centre_order: list[str] = []
         self._buckets: dict[str, str] = {}
         self._ranked: dict[str, tuple[str, ...]] = {}
@@ -58,8 +83,9 @@
     ) -> None:
         """Set the live hosts and the data centre of each.
 
-        Each owns groups in proportion to its capacity. All count as equal if that of
-        any host is missing or 0.
+        Each owns groups in proportion to its capacity, which is in steps of
+        `CAPACITY_STEPS_PER_CORE`. All count as equal if that of any host is missing
+        or 0.
         """
         self._hosts = hosts
         weights = select_weights(hosts, capacities or {})
@@ -73,6 +99,11 @@
             ).replace_hosts(frozenset(names), weights)
             for data_centre, names in by_data_centre.items()
         }
+        known = capacities or {}
+        size = choose_bucket_size([known.get(host, 0) for host in hosts])
+        if size != self._bucket_size:
+            self._bucket_size = size
+            self._assign_buckets()
         self._update_order()
 
     def replace_servers(
@@ -90,23 +121,23 @@
             return
         self._servers = servers
         self._shard_sets = shard_sets
-        self._buckets = {}
-        for groups in shard_sets:
-            self._assign_buckets(groups)
+        self._assign_buckets()
         self._update_order()
 
-    def _assign_buckets(self, groups: tuple[str, ...]) -> None:
+    def _assign_buckets(self) -> None:
         """Put groups of one set and the same data centres into buckets.
 
         The bucket of a group depends on its name and data centres and on the size of
         the set. If it depended on the group's position in a list, the loss of one
         server would move many groups.
         """
-        n_buckets = max(1, len(groups) // SHARDS_PER_BUCKET)
-        for group in groups:
-            data_centres = ",".join(sorted(self._servers.get(group, ())))
-            number = xxh3_64_intdigest(group.encode()) % n_buckets
-            self._buckets.setdefault(group, f"{groups[0]}/{data_centres}/{number}")
+        self._buckets = {}
+        for groups in self._shard_sets:
+            n_buckets = max(1, len(groups) // self._bucket_size)
+            for group in groups:
+                data_centres = ",".join(sorted(self._servers.get(group, ())))
+                number = xxh3_64_intdigest(group.encode()) % n_buckets
+                self._buckets.setdefault(group, f"{groups[0]}/{data_centres}/{number}")
 
     def rank(self, group: str) -> tuple[str, ...]:
         """Return the hosts that may own `group`, the best first; may be empty."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Owners are chosen near the servers that they call."""
 
+import pytest
+
 from lavendergap.coordination.placement import Placement
 
 HOSTS = {
@@ -106,6 +108,27 @@
             owners = {placement.rank(group)[0] for group in self.GROUPS}
             assert len(owners) <= 8
 
+    @pytest.mark.parametrize(
+        ("capacities", "n_shards", "n_buckets"),
+        [
+            ({}, 90, 2),
+            ({"ptl-a-0": 3}, 90, 2),  # The others are not known.
+            (dict.fromkeys(HOSTS, 4), 90, 2),
+            (dict.fromkeys(HOSTS, 17), 135, 4),
+            (dict.fromkeys(HOSTS, 3), 90, 3),
+            (dict.fromkeys(HOSTS, 3) | {"ptl-a-0": 17}, 135, 5),
+            (dict.fromkeys(HOSTS, 1), 90, 11),
+        ],
+    )
+    def test_weak_hosts_get_smaller_buckets(self, capacities, n_shards, n_buckets):
+        # Guards against a host of a third of a core that makes 45 calls of one query.
+        placement = Placement(own_data_centre="ptl-a")
+        groups = tuple(f"g{n:03}" for n in range(n_shards))
+        placement.replace_servers(dict.fromkeys(groups, frozenset({"ptl-a"})), [groups])
+        placement.replace_hosts(self.HOSTS, capacities)
+        # Rankings of 19 hosts: two buckets rarely have the same first four.
+        assert len({placement.rank(group) for group in groups}) == n_buckets
+
     def test_hosts_agree_on_the_owner_in_each_data_centre(self):
         first, second = self.build_placement("ptl-a"), self.build_placement("ptl-b")
         for group in self.GROUPS:
