--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -27,7 +27,7 @@
 )
 from ..state.customers import CustomerTable
 from ..state.hostfile import GatewayHost, read_host_file
-from ..state.member import Member
+from ..state.member import Member, convert_to_capacity
 from ..state.settings import Control, Server, Settings
 from ..transport.acceptor import Acceptor
 from ..transport.admin import AdminApp
@@ -222,6 +222,7 @@
                 data_centre=host.data_centre,
                 peers=host.peers,
                 incarnation=self._incarnation,
+                capacity=convert_to_capacity(host.cores),
             ),
             control=CONTROL,
             random=self._random,
