Soak-test customers, their keys and their limits

The stand-ins knew no customers, so no run checked that keys stay with the hosts and that limits hold.

Manifests of the stand-ins list customers with keys and limits, and servers record the customer header and whether any part of a request contained a key. What servers receive and callers get is checked while it runs.

--- a/lab/gateways.py
+++ b/lab/gateways.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from standins.customers import KEY_HEADER, CustomerEntry
 from standins.leafservers import Leaf
 from standins.objectstore import ObjectStore
 
@@ -51,7 +52,8 @@
 class Gateway:
     """One gateway process.
 
-    `ports` are those for callers, admin and peers.
+    `ports` are those for callers, admin and peers; `bounds` are added to the usual
+    bounds of the settings file.
     """
 
     name: str
@@ -61,6 +63,7 @@
     seeds: list[str]
     directory: Path
     regions: dict[str, str]
+    bounds: dict[str, float] = field(default_factory=dict)
     process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -91,6 +94,7 @@
                 "extra_call_slack": 54,
                 "extra_call_window_s": 10,
                 "evacuate_ms": EVACUATE_MS,
+                **self.bounds,
             },
         }
         self.settings_path.write_text(json.dumps(settings | changes))
@@ -128,13 +132,18 @@
 
 @dataclass(kw_only=True)
 class Platform:
-    """The store, the servers and the gateways of one deployment."""
+    """The store, the servers and the gateways of one deployment.
+
+    The manifest has `customers` unless it is None. `bounds` are those of the gateways.
+    """
 
     nursery: trio.Nursery
     directory: Path
     store: ObjectStore
     store_port: int
     regions: dict[str, str]
+    customers: list[CustomerEntry] | None = None
+    bounds: dict[str, float] = field(default_factory=dict)
     gateways: list[Gateway] = field(default_factory=list)
     leaves: list[Leaf] = field(default_factory=list)
     n_asked: int = 0
@@ -157,6 +166,7 @@
             seeds=[],
             directory=self.directory,
             regions=self.regions,
+            bounds=self.bounds,
         )
         gateway.write_settings()
         gateway.start()
@@ -177,6 +187,8 @@
     def write_routes(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write a route manifest to the store."""
         manifest = {"version": version, "routes": routes, "services": [], "limits": {}}
+        if self.customers is not None:
+            manifest["tenants"] = [customer.show() for customer in self.customers]
         self.store.put("config", "main", manifest)
 
     def evacuate(self, zone: str) -> None:
@@ -214,6 +226,7 @@
         attempt: str | None = None,
         deadline_ms: int = 1_000,
         body: bytes = b"",
+        key: str = "",
     ) -> Answer:
         """Send one caller's request over a new connection and return its answer."""
         self.n_asked += 1
@@ -221,6 +234,7 @@
             ("Host", HOST_HEADER),
             ("Lavendergap-Attempt-Id", attempt or f"a{self.n_asked}"),
             ("Lavendergap-Deadline-Ms", str(deadline_ms)),
+            *([(KEY_HEADER, key)] if key else []),
         ]
         return await ask(gateway.ports[0], path, headers=headers, body=body)
 
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -14,6 +14,7 @@
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from pathlib import Path
 from random import Random
@@ -37,6 +38,7 @@
     read_answer,
 )
 from .proxy import Proxy
+from .soakcustomers import PUBLIC_PATH, SoakCustomers, has_customers
 
 ZONES = ("ptl-a", "ptl-b", "sea-a")
 N_SHARDS = 5
@@ -70,6 +72,11 @@
 # such fault allows one more.
 MAX_CRASH_REQUESTS = 4
 HELD_BACK_TEXT = b"held back"
+NOT_RUN_STATUSES = (
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.UNAUTHORIZED,
+)
 
 
 @dataclass
@@ -104,6 +111,15 @@
         self.n_crash_requests = 0
         self.evacuated: set[str] = set()
         self.store_copies: deque[StoreCopy] = deque(maxlen=N_STORE_COPIES)
+        # Draws from its own generator, so that other seeds draw the same faults.
+        self.customers: SoakCustomers | None = None
+        if has_customers(seed):
+            self.customers = SoakCustomers(
+                platform=platform,
+                random=Random(-seed),
+                report=self.report_violation,
+                is_calm_since=self.is_calm_since,
+            )
 
     def report_violation(self, text: str) -> None:
         """Record and print a violated guarantee with its seed and time."""
@@ -115,6 +131,8 @@
 
     async def build(self) -> None:
         """Start servers, write routes, start hosts and wait for them."""
+        if self.customers:
+            await self.platform.nursery.start(self.customers.lone_proxy.run)
         for shard in [*self.shards, "desk"]:
             for zone in ZONES[:2]:
                 await self.add_leaf(shard, zone)
@@ -122,6 +140,8 @@
         for zone in ZONES:
             gateway = self.platform.add_gateway(zone)
             gateway.store_port = self.proxy.port
+            if self.customers and zone == ZONES[-1]:
+                gateway.store_port = self.customers.lone_proxy.port
             gateway.kill()
             gateway.write_settings()
             gateway.start()
@@ -142,15 +162,15 @@
 
     def put_routes(self) -> None:
         """Write the newest version of the routes, unless the store has it."""
-        self.platform.write_routes(
-            self.version,
-            [
-                make_search_route("/all/", self.shards, top_k=N_RECORDS),
-                make_one_route("/one/", "desk"),
-                make_one_route("/book/", "desk", type="non_idempotent"),
-                make_one_route(f"/v{self.version}/", "desk"),
-            ],
-        )
+        routes = [
+            make_search_route("/all/", self.shards, top_k=N_RECORDS),
+            make_one_route("/one/", "desk"),
+            make_one_route("/book/", "desk", type="non_idempotent"),
+            make_one_route(f"/v{self.version}/", "desk"),
+        ]
+        if self.customers:
+            routes.append(make_one_route(PUBLIC_PATH, "desk", public=True))
+        self.platform.write_routes(self.version, routes)
 
     # Callers.
 
@@ -164,6 +184,11 @@
             except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
                 await trio.sleep(CALLER_PAUSE_S)
 
+    @property
+    def key(self) -> str:
+        """The key that all requests have in a run with customers, else ""."""
+        return self.customers.regular.keys[0] if self.customers else ""
+
     async def repeat_crash_request(self) -> None:
         """Send the request that crashes servers to random hosts, until cancelled."""
         rng = Random(self.seed)
@@ -179,6 +204,7 @@
                         CRASH_PATH,
                         attempt=attempt,
                         deadline_ms=REQUEST_DEADLINE_MS,
+                        key=self.key,
                     )
                 except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
                     continue
@@ -191,7 +217,8 @@
         async with stream:
             http = h11.Connection(h11.CLIENT)
             for _ in range(rng.randint(1, 40)):
-                path = rng.choice(("/all/", "/all/", "/one/", "/book/"))
+                paths = ("/all/", "/all/", "/one/", "/book/")
+                path = rng.choice((*paths, PUBLIC_PATH) if self.customers else paths)
                 answer = await self.ask(stream, http, path)
                 if answer.get("connection") == "close":
                     return
@@ -211,6 +238,8 @@
             ("Lavendergap-Attempt-Id", attempt),
             ("Lavendergap-Deadline-Ms", str(REQUEST_DEADLINE_MS)),
         ]
+        if self.customers:
+            headers += self.customers.make_headers(attempt, path)
         request = h11.Request(method="GET", target=path, headers=headers)
         data = http.send(request) or b""
         await stream.send_all(data + (http.send(h11.EndOfMessage()) or b""))
@@ -222,7 +251,9 @@
 
     def check(self, path: str, attempt: str, answer: Answer) -> None:
         """Check one answer against what servers return for its request."""
-        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        if self.customers:
+            self.customers.check_answer(attempt, answer)
+        if answer.status in NOT_RUN_STATUSES:
             self.not_run.append(attempt)
             if HELD_BACK_TEXT in answer.body:
                 self.report_violation(
@@ -308,6 +339,10 @@
         for gateway in gateways or self.platform.gateways:
             self.disturbed_at[gateway.name] = trio.current_time()
 
+    def is_calm_since(self, at: float) -> bool:
+        """Return whether no fault has suspended checks of bounds since `at`."""
+        return all(disturbed < at for disturbed in self.disturbed_at.values())
+
     async def kill_host(self) -> None:
         self.n_host_faults += 1
         gateway = self.rng.choice(self.platform.gateways)
@@ -377,6 +412,8 @@
             self.store_copies.clear()
             self.store_copies.append(copy)
             store.restore(copy)
+            if self.customers:
+                self.customers.note_restore()
             store.mode = "up"
             n_before = store.n_calls
             await self.write_again()
@@ -468,10 +505,7 @@
         n_before = sum(leaf.arrivals.values())
         await trio.sleep(1.0)
         n_late_calls = sum(leaf.arrivals.values()) - n_before
-        is_undisturbed = all(
-            at < accepted_at - QUIET_S for at in self.disturbed_at.values()
-        )
-        if n_late_calls and is_undisturbed:
+        if n_late_calls and self.is_calm_since(accepted_at - QUIET_S):
             self.report_violation(
                 f"{n_late_calls} late calls to {leaf.server_id}, which was draining"
             )
@@ -488,10 +522,7 @@
         n_before = self.count_arrivals(zone)
         await trio.sleep(1.0)
         n_late_calls = self.count_arrivals(zone) - n_before
-        is_undisturbed = all(
-            at < accepted_at - QUIET_S for at in self.disturbed_at.values()
-        )
-        if n_late_calls and is_undisturbed:
+        if n_late_calls and self.is_calm_since(accepted_at - QUIET_S):
             self.report_violation(
                 f"{n_late_calls} late calls to {zone}, which was evacuated"
             )
@@ -523,6 +554,8 @@
         # checked.
         await self.replace_leaf()
         await self.evacuate()
+        if self.customers:
+            await self.customers.check_end(self.write_routes)
         for attempt in self.bookings:
             n_runs = sum(leaf.runs[attempt] for leaf in self.all_leaves())
             if n_runs > 1:
@@ -541,7 +574,7 @@
         path = f"/v{self.version}/"
         while trio.current_time() < started + APPLY_LIMIT_S + QUIET_S:
             try:
-                answer = await self.platform.request(gateway, path)
+                answer = await self.platform.request(gateway, path, key=self.key)
             except (OSError, trio.BrokenResourceError):
                 await trio.sleep(0.1)
                 continue
@@ -553,7 +586,7 @@
                 f"{gateway.name} did not apply version {self.version}"
             )
             return
-        again = await self.platform.request(gateway, path)
+        again = await self.platform.request(gateway, path, key=self.key)
         if again.status == HTTPStatus.NOT_FOUND:
             self.report_violation(
                 f"{gateway.name} reverted to a version before {self.version}"
@@ -574,6 +607,14 @@
                     callers.start_soon(soak.send_requests, number)
                 callers.start_soon(soak.repeat_crash_request)
                 callers.start_soon(soak.take_store_copies)
+                if soak.customers:
+                    run_customers = partial(
+                        soak.customers.run,
+                        list_leaves=soak.all_leaves,
+                        write=soak.write_routes,
+                        check=soak.check,
+                    )
+                    callers.start_soon(run_customers)
                 await soak.inject_faults()
                 await trio.sleep(QUIET_S)
                 await soak.check_end()
--- a/standins/http.py
+++ b/standins/http.py
@@ -28,7 +28,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Request:
-    """One complete request; header names are in lower case."""
+    """One complete request; header names are in lower case.
+
+    The values of a repeated header are joined by ", ".
+    """
 
     method: str
     path: str
@@ -196,11 +199,15 @@
 
 def _make_request(head: h11.Request, body: bytes) -> Request:
     path, _, query = head.target.decode("ascii").partition("?")
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
     return Request(
         method=head.method.decode("ascii"),
         path=path,
         query=query,
-        headers={n.decode("ascii"): v.decode("latin-1") for n, v in head.headers},
+        headers=headers,
         body=body,
     )
 
--- a/standins/leafservers.py
+++ b/standins/leafservers.py
@@ -2,17 +2,19 @@
 
 import itertools
 import secrets
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 import trio
 
+from .customers import CUSTOMER_HEADER, ReceivedRequest, contains_key
 from .http import Connection, HttpServer, Reply, Request
 from .objectstore import ObjectStore
 
 SERVERS = "servers"
 RECORD_BYTES = 16
 N_RECORDS = 60
+MAX_RECEIVED = 10_000
 
 
 def make_server_id() -> str:
@@ -42,7 +44,8 @@
 
     `arrivals` counts how often each attempt was received, `runs` how often each was
     started, and `n_abandoned` the requests whose connection closed while they ran.
-    `late_arrivals` counts the requests received after the time `drained_at`.
+    `late_arrivals` counts the requests received after the time `drained_at`. `received`
+    holds the last requests with their customers, and whether a key reached the server.
 
     A request for the path `crash_path` crashes the server `crash_delay_s` seconds after
     it was started; the server restarts with another id after `restart_delay_s`.
@@ -58,6 +61,9 @@
     faults: LeafFaults = field(default_factory=LeafFaults)
     runs: Counter[str] = field(default_factory=Counter)
     arrivals: Counter[str] = field(default_factory=Counter)
+    received: deque[ReceivedRequest] = field(
+        default_factory=lambda: deque(maxlen=MAX_RECEIVED)
+    )
     late_arrivals: int = 0
     n_abandoned: int = 0
     drained_at: float | None = None
@@ -122,13 +128,27 @@
             self.late_arrivals += 1
         expected = request.headers.get("lavendergap-expected-instance")
         if expected not in (None, self.server_id):
+            self._record(attempt, request, is_run=False)
             return Reply(
                 status=421, headers=(("Lavendergap-Instance-Id", self.server_id),)
             )
         if self.faults.refuses or self.n_running >= 2 * self.slots:
+            self._record(attempt, request, is_run=False)
             return Reply(status=503, headers=(("Lavendergap-Not-Executed", "1"),))
+        self._record(attempt, request, is_run=True)
         return await self._work(attempt, request, connection)
 
+    def _record(self, attempt: str, request: Request, *, is_run: bool) -> None:
+        self.received.append(
+            ReceivedRequest(
+                at=trio.current_time(),
+                attempt=attempt,
+                customer=request.headers.get(CUSTOMER_HEADER.lower(), ""),
+                has_key=contains_key(request),
+                is_run=is_run,
+            )
+        )
+
     async def _work(
         self, attempt: str, request: Request, connection: Connection
     ) -> Reply | None:
