Add the command lavendergap customers

Operators had no way to see which hosts count a customer's requests and how.

The status of gateway hosts lists up to 200 customers, the most used first, with their limit, use, refusals, and the counting host and its role; the list is empty until the hosts count. The command adds the lists of the given hosts up and names hosts that answer with an older manifest or not at all. Keys are not part of it. The body of /status moves from entry/gateway.py to entry/status.py, where the command reads it.

--- a/src/lavendergap/commands/hosts.py
+++ b/src/lavendergap/commands/hosts.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 import trio
 
-from ..entry.status import HostStatus
-from ..state.settings import Host
+from ..entry.status import GatewayStatus, HostStatus
+from ..state.settings import Address, Host
 from ..transport.httpclient import FailedCall, HttpClient
 
 STATUS_TIMEOUT_S = 1.0
@@ -24,9 +25,21 @@
 HostAnswer = HostStatus | Unreachable
 
 
+GatewayAnswer = GatewayStatus | Unreachable
+
+_Status = TypeVar("_Status", HostStatus, GatewayStatus)
+
+
 async def fetch_status(host: Host) -> HostAnswer:
     """Return the status of `host`, within `STATUS_TIMEOUT_S`."""
-    client = HttpClient(address=host.admin)
+    status = await _fetch(host.admin, HostStatus)
+    if isinstance(status, HostStatus) and status.host != host.name:
+        return Unreachable(reason=f"another host, {status.host}, answers there")
+    return status
+
+
+async def _fetch(address: Address, kind: type[_Status]) -> _Status | Unreachable:
+    client = HttpClient(address=address)
     try:
         reply = await client.call("GET", "/status", limit_s=STATUS_TIMEOUT_S)
     finally:
@@ -34,12 +47,9 @@
     if isinstance(reply, FailedCall):
         return Unreachable(reason=f"{reply.step}: {reply.reason}")
     try:
-        status = msgspec.json.decode(reply.body, type=HostStatus)
+        return msgspec.json.decode(reply.body, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Unreachable(reason=f"invalid status, HTTP {reply.status}: {error}")
-    if status.host != host.name:
-        return Unreachable(reason=f"another host, {status.host}, answers there")
-    return status
 
 
 async def fetch_all(hosts: Iterable[Host]) -> dict[str, HostAnswer]:
@@ -53,3 +63,16 @@
         for host in hosts:
             nursery.start_soon(fetch, host)
     return found
+
+
+async def fetch_gateways(addresses: Iterable[Address]) -> dict[str, GatewayAnswer]:
+    """Query gateway hosts concurrently; return their status by address."""
+    found: dict[str, GatewayAnswer] = {}
+
+    async def fetch(address: Address) -> None:
+        found[str(address)] = await _fetch(address, GatewayStatus)
+
+    async with trio.open_nursery() as nursery:
+        for address in addresses:
+            nursery.start_soon(fetch, address)
+    return found
--- a/src/lavendergap/commands/main.py
+++ b/src/lavendergap/commands/main.py
@@ -9,6 +9,7 @@
 from .. import __version__
 from ..errors import LavendergapError
 from ..logs import Category, LogFormat, configure_logs
+from .customers import customers
 from .entry import entry
 from .explain import explain
 from .options import parse_categories
@@ -32,8 +33,8 @@
     """Query a library that is split across very many shards.
 
     Operators control lavendergap by editing a tree of settings. `settings` checks
-    and applies them, `entry` is the daemon on each entry host, `query` and `status`
-    send requests to the hosts, and `explain` evaluates their logs.
+    and applies them, `entry` is the daemon on each entry host, `query`, `status`
+    and `customers` send requests to the hosts, and `explain` evaluates their logs.
 
     Exit codes: 0 done, 1 failed, 2 bad settings or usage, 3 nobody could be reached,
     4 another operator's edit came first, 5 not in force everywhere in time.
@@ -42,7 +43,7 @@
         configure_logs(level="warning", log_format=LogFormat.TEXT, debug=debug)
 
 
-for command in (entry, settings, query, status, explain):
+for command in (entry, settings, query, status, customers, explain):
     cli.add_command(command)
 
 
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from random import Random
 
-import msgspec
 import trio
 
 from .. import metrics
@@ -49,6 +48,7 @@
 from .ports import PortLimits, serve_port
 from .process import BACKLOG, tune_garbage_collector
 from .quarantine import RequestQuarantine
+from .status import CustomerStatus, GatewayStatus, list_most_used
 
 logger = logging.getLogger("lavendergap.entry")
 
@@ -73,17 +73,6 @@
 SETTINGS_FILE_CHECK_INTERVAL_S = 2.0
 
 
-class _Status(msgspec.Struct):
-    """The response body of /status."""
-
-    host: str
-    data_centre: str
-    unready: str
-    routes_version: int
-    n_servers: int
-    members: list[str]
-
-
 async def _admit_all(request: GatewayRequest) -> NotRun | None:
     return None
 
@@ -379,17 +368,25 @@
             return "no peer has answered yet"
         return ""
 
-    def _get_status(self) -> _Status:
+    def _get_status(self) -> GatewayStatus:
         index = self._active_config.index
-        return _Status(
+        customers = self._list_customers()
+        limits = self._host.bounds.limits
+        return GatewayStatus(
             host=self._host.name,
             data_centre=self._host.data_centre,
             unready=self._get_not_ready_reason(),
             routes_version=index.table.version if index else 0,
             n_servers=len(self._active_config.servers),
             members=sorted(self._membership.live()),
+            limit_window_s=limits.window_s if limits else 0.0,
+            n_customers=len(customers),
+            customers=list_most_used(customers),
         )
 
+    def _list_customers(self) -> list[CustomerStatus]:
+        return []
+
     # Housekeeping, reload and the planned stop.
 
     async def _sweep(self) -> None:
