Explain a 401 or a 429 from a request's log lines

The lines of a refused request named no cause that an operator can act on, and requests without a valid key were missing from the summary, since they have no "done" line.

The summary counts "key refused".

--- a/src/lavendergap/commands/explain.py
+++ b/src/lavendergap/commands/explain.py
@@ -11,6 +11,7 @@
 from ..protocol.requeststats import End, RequestStats
 from .console import print_json, print_note, print_table
 from .options import json_option
+from .refusals import explain_refusal
 
 MAX_LINES_SHOWN = 10_000
 """The limit for the lines shown; a large search logs a few hundred."""
@@ -40,7 +41,8 @@
     LOGS are the JSON lines of any number of hosts, in files or, as `-`, on standard
     input. The output lists, by route, how requests ended and why requests were lost,
     and the seconds with the most lost requests. With --request, it lists the lines of
-    one request on all hosts in order of time. With --content, an id from `done` lines,
+    one request on all hosts in order of time, and for a 401 or 429 the cause and what
+    to do. With --content, an id from `done` lines,
     it lists those of all requests of one content under which servers ended.
     """
     if not logs:
@@ -102,6 +104,9 @@
         for line in matching
     ]
     print_table(("TIME", "HOST", "EVENT", "INPUTS"), rows)
+    refusal = explain_refusal(matching) if field == "request_id" else None
+    if refusal is not None:
+        click.echo(f"\nCause: {refusal.cause}\nWhat to do: {refusal.remedy}")
 
 
 def _format_fields(line: LogLine, wanted_field: str) -> str:
--- a/src/lavendergap/protocol/requeststats.py
+++ b/src/lavendergap/protocol/requeststats.py
@@ -104,6 +104,8 @@
                 self._open_traces.pop(line.request_id, None)
                 self._get_route(line).ends[End.LEFT] += 1
                 self._get_second_counts(line).n_asked += 1
+            case "key refused":
+                self._count_key_refusal(line)
             case _:
                 self._update_trace(line)
 
@@ -137,6 +139,15 @@
         if end is not End.IN_TIME or is_partial:
             route.causes[f"{end}: {find_cause(line, trace)}"] += 1
 
+    def _count_key_refusal(self, line: LogLine) -> None:
+        # A request without a valid key ends here; it has no "done" line.
+        route = self._get_route(line)
+        route.ends[End.REFUSED] += 1
+        route.causes[f"{End.REFUSED}: {line.fields.get('why', 'unknown key')}"] += 1
+        second = self._get_second_counts(line)
+        second.n_asked += 1
+        second.n_lost += 1
+
     def _get_route(self, line: LogLine) -> RouteStats:
         return self.routes.setdefault(str(line.fields.get("route", "")), RouteStats())
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -139,6 +139,43 @@
         assert "no line matches" in capsys.readouterr().err
 
 
+LIMIT = {"customer": "c1", "limit": 28, "counted_by": "b-1", "age_ms": 12}
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("event", "fields", "cause", "remedy"),
+        [
+            ("key refused", {"route": "r", "why": "no key"}, "401 from", "has to send"),
+            ("key refused", {"why": "unknown key"}, "unknown key", "version removed"),
+            ("key refused", {"why": "two keys"}, "two keys", "has to send one key"),
+            ("limit reached", LIMIT | {"used": 28}, "c1 had used 28 of", "raises its"),
+            # A refusal below the limit is a fault of the service, not of the customer.
+            ("limit reached", LIMIT | {"used": 9}, "by b-1 12 ms", "counts in full"),
+            ("limit reached", {}, "as counted by no host", "raises its"),
+            ("done", {"reason": "over limit"}, "was left out", "`limit reached` lines"),
+        ],
+    )
+    def test_the_cause_is_told(self, tmp_path, capsys, event, fields, cause, remedy):
+        log = tmp_path / "a-1.log"
+        log.write_text(write(event, request_id="r1", **fields))
+        assert run(["explain", str(log), "--request", "r1"]) == 0
+        shown = capsys.readouterr().out.partition("Cause: ")[2]
+        told_cause, _, told_remedy = shown.partition("What to do: ")
+        assert "a-1" in told_cause
+        assert cause in told_cause
+        assert remedy in told_remedy
+
+    def test_requests_without_a_valid_key_are_counted(self, tmp_path, capsys):
+        # They have no "done" line, so that the summary would not show them otherwise.
+        log = tmp_path / "a-1.log"
+        log.write_text(
+            write("key refused", request_id="r1", route="search", why="no key")
+        )
+        route = explain_json([str(log)], capsys)["routes"]["search"]
+        assert (route["refused"], route["causes"]) == (1, {"refused: no key": 1})
+
+
 class TestMistakes:
     def test_missing_arguments_are_a_usage_error(self, capsys):
         assert run(["explain"]) == 2
