--- a/src/lavendergap/commands/refusals.py
+++ b/src/lavendergap/commands/refusals.py
@@ -42,22 +42,22 @@
 
 
 def _explain_key(line: LogLine) -> Refusal:
-    why = line.fields.get("why", "unknown key")
-    match str(why):
-        case "no key":
+    match str(line.fields.get("why", "")):
+        case "none":
+            problem = "the request had no key"
             remedy = "The caller has to send its key, or the route has to be `public`."
-        case "two keys" | "different keys":
-            remedy = (
-                "The caller, or a proxy in front of the hosts, has to send one key."
-            )
+        case "several":
+            problem = "the request had two different keys"
+            remedy = "The caller, or a proxy before the hosts, has to send one key."
         case _:
+            problem = "no customer has the key that the request had"
             remedy = (
                 f"If the key should be valid, see in {_PAGE} whether {line.host} has "
                 "the newest manifest and whether a version removed the key."
             )
     route = line.fields.get("route", "?")
     return Refusal(
-        cause=f"401 from {line.host} on route {route}: {why}.", remedy=remedy
+        cause=f"401 from {line.host}, route {route}: {problem}.", remedy=remedy
     )
 
 
--- a/src/lavendergap/protocol/requeststats.py
+++ b/src/lavendergap/protocol/requeststats.py
@@ -143,7 +143,8 @@
         # A request without a valid key ends here; it has no "done" line.
         route = self._get_route(line)
         route.ends[End.REFUSED] += 1
-        route.causes[f"{End.REFUSED}: {line.fields.get('why', 'unknown key')}"] += 1
+        why = line.fields.get("why", "?")
+        route.causes[f"{End.REFUSED}: key refused ({why})"] += 1
         second = self._get_second_counts(line)
         second.n_asked += 1
         second.n_lost += 1
