Explain a 429 by the nearest line of its customer

"limit reached" lines name no request and are limited in number, so that the lines of a request alone do not tell its customer's use. `lavendergap explain` takes the last such line of the request's host and customer before its end.

--- a/src/lavendergap/commands/explain.py
+++ b/src/lavendergap/commands/explain.py
@@ -1,5 +1,6 @@
 """`lavendergap explain`: evaluates the hosts' logs to explain how requests ended."""
 
+from collections import deque
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -11,7 +12,7 @@
 from ..protocol.requeststats import End, RequestStats
 from .console import print_json, print_note, print_table
 from .options import json_option
-from .refusals import explain_refusal
+from .refusals import LIMIT_EVENT, explain_refusal
 
 MAX_LINES_SHOWN = 10_000
 """The limit for the lines shown; a large search logs a few hundred."""
@@ -82,13 +83,20 @@
     logs: tuple[Any, ...], field: str, wanted: str, *, as_json: bool
 ) -> None:
     matching = []
+    limit_lines: deque[LogLine] = deque(maxlen=MAX_LINES_SHOWN)
     # Lines without the id are skipped before decoding, which is slow.
     for log in logs:
         host = Path(log.name).stem
-        found = (read_line(text, host=host) for text in log if wanted in text)
-        matching += [
-            line for line in found if line and line.fields.get(field) == wanted
-        ]
+        found = (
+            read_line(text, host=host)
+            for text in log
+            if wanted in text or LIMIT_EVENT in text
+        )
+        for line in found:
+            if line and line.fields.get(field) == wanted:
+                matching.append(line)
+            elif line and line.event == LIMIT_EVENT:
+                limit_lines.append(line)
         if len(matching) > MAX_LINES_SHOWN:
             raise LavendergapError(
                 f"more than {MAX_LINES_SHOWN} lines match {wanted!r}"
@@ -104,7 +112,7 @@
         for line in matching
     ]
     print_table(("TIME", "HOST", "EVENT", "INPUTS"), rows)
-    refusal = explain_refusal(matching) if field == "request_id" else None
+    refusal = explain_refusal(matching, limit_lines) if field == "request_id" else None
     if refusal is not None:
         click.echo(f"\nCause: {refusal.cause}\nWhat to do: {refusal.remedy}")
 
--- a/src/lavendergap/commands/refusals.py
+++ b/src/lavendergap/commands/refusals.py
@@ -1,13 +1,19 @@
 """Explains from the log lines of one request why it got a 401 or a 429."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from ..protocol.loglines import LogLine
 from ..state.outcome import Reason
 
+LIMIT_EVENT = "limit reached"
 _PAGE = "docs/operators/customers.md"
 
+FULL_USE_SHARE = 0.9
+"""The share of the rate from which use counts as full: the counts in lines are those of
+about one window, and a bucket that was empty at its start has no burst to add."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Refusal:
@@ -17,28 +23,45 @@
     remedy: str
 
 
-def explain_refusal(lines: Sequence[LogLine]) -> Refusal | None:
-    """Return the cause of a request's 401 or 429, or None if it got neither.
+def explain_refusal(
+    lines: Sequence[LogLine], limit_lines: Iterable[LogLine]
+) -> Refusal | None:
+    """Return the cause of a request's 401, 429 or 503 for its customer, or None if it got neither.
 
-    `lines` are the request's lines on all hosts.
+    `lines` are the request's lines on all hosts. `limit_lines` are "limit reached"
+    lines of any requests, since these do not name the request.
     """
-    over_limit = None
     for line in lines:
         match line.event:
             case "key refused":
                 return _explain_key(line)
-            case "limit reached":
-                return _explain_limit(line)
             case "done" if line.fields.get("reason") == Reason.OVER_LIMIT:
-                over_limit = line
-    if over_limit is None:
-        return None
-    host, second = over_limit.host, over_limit.time[:19]
-    return Refusal(
-        cause=f"429 from {host}: its customer was over the limit. The line that names "
-        "the customer was left out, as when many are refused in one second.",
-        remedy=f"Look for `limit reached` lines of {host} at about {second}.",
-    )
+                return _explain_limit(line, _find_nearest(line, limit_lines))
+            case "done" if line.fields.get("reason") == Reason.NOT_READY:
+                return Refusal(
+                    cause=f"503 from {line.host}: it reached no host that counts for "
+                    f"{line.fields.get('customer', '?')}.",
+                    remedy=f"Look at the `member` lines of {line.host} and its way to "
+                    "the other hosts.",
+                )
+    return None
+
+
+def _find_nearest(done: LogLine, limit_lines: Iterable[LogLine]) -> LogLine | None:
+    """Return the last line of the request's host and customer before its end.
+
+    Times are in one format, so that they sort as text. The line of the request itself
+    may have been left out, as only some are logged in each second.
+    """
+    customer = done.fields.get("customer")
+    found = [
+        line
+        for line in limit_lines
+        if line.host == done.host
+        and line.fields.get("customer") == customer
+        and line.time <= done.time
+    ]
+    return max(found, key=lambda line: line.time, default=None)
 
 
 def _explain_key(line: LogLine) -> Refusal:
@@ -61,24 +84,28 @@
     )
 
 
-def _explain_limit(line: LogLine) -> Refusal:
-    fields = line.fields
-    customer = fields.get("customer", "?")
-    limit, used = fields.get("limit"), fields.get("used")
-    counted_by = fields.get("counted_by") or "no host"
-    cause = (
-        f"429 from {line.host}: {customer} had used {used} of its limit of {limit}, "
-        f"as counted by {counted_by} {fields.get('age_ms', '?')} ms before."
-    )
-    is_below = (
-        isinstance(limit, int | float)
-        and isinstance(used, int | float)
-        and used < limit
+def _explain_limit(done: LogLine, limit: LogLine | None) -> Refusal:
+    customer = done.fields.get("customer", "?")
+    counted_by = done.fields.get("peer") or "?"
+    cause = f"429 from {done.host} at {done.time}: {customer} was over its limit"
+    if limit is None:
+        return Refusal(
+            cause=f"{cause}, as counted by {counted_by}.",
+            remedy=f"Compare its use with its limit: `lavendergap customers`, {_PAGE}.",
+        )
+    fields = limit.fields
+    rate, burst = _read(fields, "rate_per_s"), _read(fields, "burst")
+    window_s, n_used = _read(fields, "window_s"), _read(fields, "n_used")
+    age_ms = _read(fields, "age_ms")
+    cause += (
+        f" of {rate:g} per second and {burst:g} at once. At {limit.time}, "
+        f"{fields.get('host', counted_by)} had counted {n_used:g} requests in "
+        f"{window_s:g} s; {done.host} had known this for {age_ms:g} ms."
     )
-    if is_below:
+    if n_used < rate * window_s * FULL_USE_SHARE:
         remedy = (
-            f"It was refused below its limit: see with `lavendergap customers` whether "
-            f"{counted_by} counts in full, and {_PAGE}."
+            "That is below the limit: see with `lavendergap customers` whether "
+            f"{counted_by} counts in full and since when, and {_PAGE}."
         )
     else:
         remedy = (
@@ -86,3 +113,8 @@
             f"`rate_per_s` or `burst`; {_PAGE}."
         )
     return Refusal(cause=cause, remedy=remedy)
+
+
+def _read(fields: Mapping[str, Any], name: str) -> float:
+    value = fields.get(name)
+    return float(value) if isinstance(value, int | float) else 0.0
