--- a/src/lavendergap/commands/customers.py
+++ b/src/lavendergap/commands/customers.py
@@ -139,6 +139,9 @@
     )
     for status in sorted(old, key=lambda each: each.host):
         yield f"version {status.routes_version} on {status.host}"
+    for status in sorted(statuses, key=lambda each: each.host):
+        if problem := status.unready or status.warning:
+            yield f"{status.host}: {problem}"
     for address, answer in sorted(answers.items()):
         if isinstance(answer, Unreachable):
             yield f"{address} does not answer: {answer.reason}"
--- a/src/lavendergap/commands/refusals.py
+++ b/src/lavendergap/commands/refusals.py
@@ -26,7 +26,7 @@
 def explain_refusal(
     lines: Sequence[LogLine], limit_lines: Iterable[LogLine]
 ) -> Refusal | None:
-    """Return the cause of a request's 401, 429 or 503 for its customer, or None if it got neither.
+    """Return why a request got a 401, a 429 or no permit, or None if it did not.
 
     `lines` are the request's lines on all hosts. `limit_lines` are "limit reached"
     lines of any requests, since these do not name the request.
--- a/src/lavendergap/entry/status.py
+++ b/src/lavendergap/entry/status.py
@@ -75,6 +75,7 @@
 class GatewayStatus(msgspec.Struct, kw_only=True):
     """The response of a gateway host.
 
+    `warning` is a problem of a host that may be ready, "" without one.
     `limit_window_s` is 0 if the platform states no bound on customers' limits, and
     `n_customers` is the number of customers from which `customers` are taken.
     """
@@ -85,6 +86,7 @@
     routes_version: int
     n_servers: int
     members: list[str]
+    warning: str = ""
     limit_window_s: float = 0.0
     n_customers: int = 0
     customers: list[CustomerStatus] = []
