--- a/lab/gateways.py
+++ b/lab/gateways.py
@@ -19,6 +19,7 @@
 from standins.objectstore import ObjectStore
 
 from .processes import find_free_ports
+from .proxy import list_ports
 
 ROOT = Path(__file__).parents[1]
 HOST_HEADER = "app.example"
@@ -123,6 +124,10 @@
             self.process.kill()
             self.process.wait()
 
+    def has_port(self, port: int) -> bool:
+        """Return whether the process has a TCP socket with this local port."""
+        return self.process is not None and port in list_ports(self.process.pid)
+
     def read_events(self, event: str) -> list[dict[str, Any]]:
         """Return the log lines of one event, decoded."""
         lines = self.output_path.read_text().splitlines()
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -116,6 +116,7 @@
         if has_customers(seed):
             self.customers = SoakCustomers(
                 platform=platform,
+                proxy=proxy,
                 random=Random(-seed),
                 report=self.report_violation,
                 is_calm_since=self.is_calm_since,
@@ -131,8 +132,6 @@
 
     async def build(self) -> None:
         """Start servers, write routes, start hosts and wait for them."""
-        if self.customers:
-            await self.platform.nursery.start(self.customers.lone_proxy.run)
         for shard in [*self.shards, "desk"]:
             for zone in ZONES[:2]:
                 await self.add_leaf(shard, zone)
@@ -140,8 +139,6 @@
         for zone in ZONES:
             gateway = self.platform.add_gateway(zone)
             gateway.store_port = self.proxy.port
-            if self.customers and zone == ZONES[-1]:
-                gateway.store_port = self.customers.lone_proxy.port
             gateway.kill()
             gateway.write_settings()
             gateway.start()
--- a/lab/soakcustomers.py
+++ b/lab/soakcustomers.py
@@ -106,7 +106,7 @@
 class SoakCustomers:
     """The customers of one run, with the checks of their keys and limits.
 
-    `lone_proxy` is the way of one host to the store; it is cut when a key is removed.
+    `proxy` is the hosts' way to the store; it cuts off one host when a key is removed.
     `is_calm_since` returns whether no fault of a host or of the store came after a
     time, `write` writes a newer version of the manifest, and `check` checks an answer.
     """
@@ -115,6 +115,7 @@
         self,
         *,
         platform: Platform,
+        proxy: Proxy,
         random: Random,
         report: Callable[[str], None],
         is_calm_since: Callable[[float], bool],
@@ -130,9 +131,9 @@
         limited = [self.calm, self.greedy, self.lowered]
         platform.customers = [self.regular, self.leaver, *limited]
         platform.bounds = BOUNDS
-        self.lone_proxy = Proxy(target=platform.store_port)
         self.answers: Counter[tuple[str, int]] = Counter()
         self._platform = platform
+        self._proxy = proxy
         self._random = random
         self._report_violation = report
         self._n_reports: Counter[str] = Counter()
@@ -247,12 +248,12 @@
     async def _remove_key(self, write: Callable[[], None]) -> str:
         """Remove a key while one host loses the store; return the key."""
         key = self.leaver.keys.pop(0)
-        self.lone_proxy.is_cut = True
-        self.lone_proxy.reset()
+        gateway = self._platform.gateways[-1]
+        self._proxy.cut_off(gateway.has_port)
         self._removed_at[key] = trio.current_time()
         write()
         await trio.sleep(APPLY_LIMIT_S + APPLY_SLACK_S)
-        self.lone_proxy.is_cut = False
+        self._proxy.cut_off(lambda port: False)
         return key
 
     # Checks.
@@ -291,14 +292,15 @@
                     f"at most {bound:.0f} may run",
                 )
 
-    async def _ask_until_answered(self, gateway: Gateway, key: str) -> Answer:
-        """Return the first answer of a host that may still be starting."""
-        with trio.fail_after(READY_LIMIT_S):
+    async def _ask_until_answered(self, gateway: Gateway, key: str) -> Answer | None:
+        """Return the first answer of a host that may still be starting, else None."""
+        with trio.move_on_after(READY_LIMIT_S):
             while True:
                 try:
                     return await self._platform.request(gateway, "/one/", key=key)
                 except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
                     await trio.sleep(CHECK_INTERVAL_S)
+        return None
 
     async def check_end(self, write: Callable[[], None]) -> None:
         """Remove a key without other faults, and check it on every host."""
@@ -306,7 +308,9 @@
         for gateway in self._platform.gateways:
             for tried, is_valid in ((key, False), (self.leaver.keys[0], True)):
                 answer = await self._ask_until_answered(gateway, tried)
-                if (answer.status == HTTPStatus.UNAUTHORIZED) is is_valid:
+                if answer is None:
+                    self._report("no answer", f"from {gateway.name}")
+                elif (answer.status == HTTPStatus.UNAUTHORIZED) is is_valid:
                     kind = "401 for a valid key" if is_valid else "removed key accepted"
                     self._report(kind, f"{answer.status} from {gateway.name}")
         most = {name: history.most for name, history in self._limits.items()}
--- a/tests/test_standins_customers.py
+++ b/tests/test_standins_customers.py
@@ -1,8 +1,11 @@
 """The stand-ins' customers, and the soak test's bound on what they may run."""
 
+import os
+
 import pytest
 import trio
 
+from lab.proxy import Proxy, list_ports
 from lab.soakcustomers import (
     APPLY_LIMIT_S,
     DISTURBANCE_S,
@@ -11,7 +14,7 @@
     WINDOW_S,
     LimitHistory,
 )
-from standins.client import connect
+from standins.client import LostConnectionError, connect
 from standins.customers import CUSTOMER_HEADER, KEY_HEADER, CustomerEntry, make_key
 from standins.leafservers import Leaf
 from standins.objectstore import ObjectStore
@@ -64,3 +67,22 @@
         counted = [history.count_run(at)[0] for at in (0.0, 4.0, 4.9, 5.0, 12.0)]
         assert counted == [1, 2, 3, 3, 1]
         assert history.most == 3
+
+
+class TestProxy:
+    async def test_one_process_is_cut_off_from_the_store(self):
+        # Hosts with another address of the store would be another deployment, so that
+        # all reach it through one proxy.
+        async with trio.open_nursery() as nursery:
+            server = ObjectStore().make_server(ip="127.0.0.1", port=0)
+            proxy = Proxy(target=await nursery.start(server.run))
+            await nursery.start(proxy.run)
+            client = await connect("127.0.0.1", proxy.port)
+            assert (await client.request("GET", "/objects/a")).status == 200
+            proxy.cut_off(lambda port: port in list_ports(os.getpid()))
+            for cut_client in (client, await connect("127.0.0.1", proxy.port)):
+                with pytest.raises(LostConnectionError):
+                    await cut_client.request("GET", "/objects/a")
+                await cut_client.aclose()
+            nursery.cancel_scope.cancel()
+        assert list_ports(2**22 + 1) == set()
