Report customers' use and roles in the status

The list of customers in the status of gateway hosts was empty. A host lists the customers for which it was asked or that it refused in the last window, with its role: full, settling, share or substitute.

--- a/src/lavendergap/commands/refusals.py
+++ b/src/lavendergap/commands/refusals.py
@@ -105,7 +105,8 @@
     if n_used < rate * window_s * FULL_USE_SHARE:
         remedy = (
             "That is below the limit: see with `lavendergap customers` whether "
-            f"{counted_by} counts in full and since when, and {_PAGE}."
+            f"{counted_by} counts in full, in its `counting started` lines since when, "
+            f"and {_PAGE}."
         )
     else:
         remedy = (
--- a/src/lavendergap/coordination/limits/counting.py
+++ b/src/lavendergap/coordination/limits/counting.py
@@ -404,6 +404,8 @@
             CountStatus(
                 customer=name,
                 is_counting=count.is_counting,
+                is_first=self._view.rank(name)[0] == self._view.own,
+                share=self._view.get_share(count.cleared, count.cleared_at, now=now),
                 n_used=round(count.used.read(now=now)),
                 tokens=round(count.bucket.level, 1),
             )
--- a/src/lavendergap/coordination/limits/counts.py
+++ b/src/lavendergap/coordination/limits/counts.py
@@ -55,10 +55,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CountStatus:
-    """What this host counts for a customer: use in the window, and tokens left."""
+    """What this host counts for a customer: use in the window, and tokens left.
+
+    `is_first` is whether it ranks first, and `share` the part of the limit that the
+    hosts on its side may use.
+    """
 
     customer: str
     is_counting: bool
+    is_first: bool
+    share: float
     n_used: int
     tokens: float
 
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -38,6 +38,7 @@
 from .activeconfig import ActiveConfig
 from .adapter import Adapter
 from .counting import CountingService
+from .customeruse import CustomerUse
 from .discovery import Discovery, keep_channels
 from .feedpeers import FeedChannels
 from .fleet import Fleet
@@ -51,7 +52,7 @@
 from .ports import PortLimits, serve_port
 from .process import BACKLOG, tune_garbage_collector
 from .quarantine import RequestQuarantine
-from .status import CustomerStatus, GatewayStatus, list_most_used
+from .status import GatewayStatus, list_most_used
 
 logger = logging.getLogger("lavendergap.entry")
 
@@ -256,6 +257,9 @@
             nursery=nursery,
             random=self._random,
         )
+        self._customer_use = CustomerUse(
+            admit=self._customer_limits.admit, counting=self._counting
+        )
         self._peers = PeerService(
             owner=self._owner,
             documents=Documents(check=lambda name, body: None),
@@ -297,7 +301,7 @@
             get_routes=lambda: self._active_config.index,
             forward=self._forwarder.forward,
             is_leaving=lambda: self._is_leaving,
-            admit=self._customer_limits.admit,
+            admit=self._customer_use.admit,
             give_back=self._customer_limits.give_back,
         )
         self._callers = GatewayApp(
@@ -394,7 +398,6 @@
 
     def _get_status(self) -> GatewayStatus:
         index = self._active_config.index
-        customers = self._list_customers()
         limits = self._host.bounds.limits
         return GatewayStatus(
             host=self._host.name,
@@ -404,13 +407,10 @@
             n_servers=len(self._active_config.servers),
             members=sorted(self._membership.live()),
             limit_window_s=limits.window_s if limits else 0.0,
-            n_customers=len(customers),
-            customers=list_most_used(customers),
+            n_customers=self._customer_use.count_customers(),
+            customers=list_most_used(self._customer_use.list_customers()),
         )
 
-    def _list_customers(self) -> list[CustomerStatus]:
-        return []
-
     # Housekeeping, reload and the planned stop.
 
     async def _sweep(self) -> None:
--- a/src/lavendergap/entry/status.py
+++ b/src/lavendergap/entry/status.py
@@ -58,9 +58,9 @@
 class CustomerStatus(msgspec.Struct, kw_only=True):
     """A customer as one host sees it.
 
-    `n_used` requests passed this host's limit within the last window and `n_refused`
-    did not. `counted_by` is the host that this one asks for permits, and `role` how
-    this host counts itself.
+    Within the last window this host granted `n_used` permits, also to other hosts, and
+    refused `n_refused` requests of its callers. `counted_by` is the host that this one
+    asks for permits, and `role` how this host counts itself.
     """
 
     name: str
@@ -77,7 +77,8 @@
 
     `warning` is a problem of a host that may be ready, "" without one.
     `limit_window_s` is 0 if the platform states no bound on customers' limits, and
-    `n_customers` is the number of customers from which `customers` are taken.
+    `n_customers` is the number of customers with a limit, and `customers` lists those
+    that were counted or refused here.
     """
 
     host: str
