--- a/tests/test_customeruse.py
+++ b/tests/test_customeruse.py
@@ -1,6 +1,7 @@
 """What a host reports of its customers' use."""
 
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -38,7 +39,7 @@
             "c2": Customer(name="c2", rate_per_s=1.0, burst=1.0),
             "free": Customer(name="free"),
         }
-        counting = SimpleNamespace(
+        counting: Any = SimpleNamespace(
             table=CustomerTable(customers=customers, names_by_digest={}),
             view=SimpleNamespace(window_s=1e6, rank=lambda name: ("a-1", "b-1")),
             # A version removed "gone", or its limit.
@@ -51,7 +52,7 @@
 
         use = CustomerUse(admit=admit, counting=counting)
         for name in ("c1", "c2", "c2"):
-            request = SimpleNamespace(customer=customers[name])
+            request: Any = SimpleNamespace(customer=customers[name])
             assert await use.admit(request) is (None if name == "c1" else refusal)
         listed = [
             (each.name, each.n_used, each.n_refused, each.counted_by, each.role)
