--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -102,7 +102,7 @@
         )
         self._placement = Placement(own_data_centre=host.data_centre)
         self._settings = Settings(
-            deployment=str(host.store),
+            deployment=host.deployment,
             version=0,
             platform=host.store,
             hosts=(),
@@ -153,14 +153,15 @@
         nursery.start_soon(self._feeds.run)
         nursery.start_soon(self._quarantine.run)
         nursery.start_soon(self._customer_limits.run)
-        discovery = Discovery(
+        self._discovery = Discovery(
             host=self._host,
             adapter=self._adapter,
             membership=self._membership,
             random=self._random,
             get_epoch=lambda: self._feeds.epoch,
+            wake=self._endpoint.wake,
         )
-        nursery.start_soon(discovery.run)
+        nursery.start_soon(self._discovery.run)
         keep = functools.partial(
             keep_channels,
             fleet=self._fleet,
@@ -308,7 +309,9 @@
             handlers=handlers, names=self._adapter.header_names, cores=self._host.cores
         )
         admin = AdminApp(
-            get_not_ready_reason=self._get_not_ready_reason, get_status=self._get_status
+            get_not_ready_reason=self._get_not_ready_reason,
+            get_status=self._get_status,
+            get_warning=self._discovery.get_warning,
         )
         for app, address in (
             (self._callers, self._host.callers),
@@ -392,8 +395,10 @@
             return "no routes from the store or a peer yet"
         if missing := self._feeds.get_missing_feed():
             return missing
+        if self._discovery.must_find_peer():
+            return self._discovery.get_warning()
         if not self._membership.joined:
-            return "no peer has answered yet"
+            return self._discovery.get_warning() or "no peer has answered yet"
         return ""
 
     def _get_status(self) -> GatewayStatus:
@@ -406,6 +411,7 @@
             routes_version=index.table.version if index else 0,
             n_servers=len(self._active_config.servers),
             members=sorted(self._membership.live()),
+            warning=self._discovery.get_warning(),
             limit_window_s=limits.window_s if limits else 0.0,
             n_customers=self._customer_use.count_customers(),
             customers=list_most_used(self._customer_use.list_customers()),
@@ -417,6 +423,7 @@
         while True:
             await trio.sleep(SWEEP_INTERVAL_S)
             self._owner.close_idle_runners()
+            self._active_config.check_earlier_starts()
             self._fleet.expire_avoided(now=trio.current_time())
 
     async def _poll_settings_file(self) -> None:
