--- a/src/lavendergap/commands/explain.py
+++ b/src/lavendergap/commands/explain.py
@@ -1,5 +1,6 @@
 """`lavendergap explain`: evaluates the hosts' logs to explain how requests ended."""
 
+from collections import deque
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -11,6 +12,7 @@
 from ..protocol.requeststats import End, RequestStats
 from .console import print_json, print_note, print_table
 from .options import json_option
+from .refusals import LIMIT_EVENT, explain_refusal
 
 MAX_LINES_SHOWN = 10_000
 """The limit for the lines shown; a large search logs a few hundred."""
@@ -40,7 +42,8 @@
     LOGS are the JSON lines of any number of hosts, in files or, as `-`, on standard
     input. The output lists, by route, how requests ended and why requests were lost,
     and the seconds with the most lost requests. With --request, it lists the lines of
-    one request on all hosts in order of time. With --content, an id from `done` lines,
+    one request on all hosts in order of time, and for a 401 or 429 the cause and what
+    to do. With --content, an id from `done` lines,
     it lists those of all requests of one content under which servers ended.
     """
     if not logs:
@@ -80,13 +83,20 @@
     logs: tuple[Any, ...], field: str, wanted: str, *, as_json: bool
 ) -> None:
     matching = []
+    limit_lines: deque[LogLine] = deque(maxlen=MAX_LINES_SHOWN)
     # Lines without the id are skipped before decoding, which is slow.
     for log in logs:
         host = Path(log.name).stem
-        found = (read_line(text, host=host) for text in log if wanted in text)
-        matching += [
-            line for line in found if line and line.fields.get(field) == wanted
-        ]
+        found = (
+            read_line(text, host=host)
+            for text in log
+            if wanted in text or LIMIT_EVENT in text
+        )
+        for line in found:
+            if line and line.fields.get(field) == wanted:
+                matching.append(line)
+            elif line and line.event == LIMIT_EVENT:
+                limit_lines.append(line)
         if len(matching) > MAX_LINES_SHOWN:
             raise LavendergapError(
                 f"more than {MAX_LINES_SHOWN} lines match {wanted!r}"
@@ -102,6 +112,9 @@
         for line in matching
     ]
     print_table(("TIME", "HOST", "EVENT", "INPUTS"), rows)
+    refusal = explain_refusal(matching, limit_lines) if field == "request_id" else None
+    if refusal is not None:
+        click.echo(f"\nCause: {refusal.cause}\nWhat to do: {refusal.remedy}")
 
 
 def _format_fields(line: LogLine, wanted_field: str) -> str:
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from random import Random
 
-import msgspec
 import trio
 
 from .. import metrics
@@ -39,6 +38,7 @@
 from .activeconfig import ActiveConfig
 from .adapter import Adapter
 from .counting import CountingService
+from .customeruse import CustomerUse
 from .discovery import Discovery, keep_channels
 from .feedpeers import FeedChannels
 from .fleet import Fleet
@@ -52,6 +52,7 @@
 from .ports import PortLimits, serve_port
 from .process import BACKLOG, tune_garbage_collector
 from .quarantine import RequestQuarantine
+from .status import GatewayStatus, list_most_used
 
 logger = logging.getLogger("lavendergap.entry")
 
@@ -76,18 +77,6 @@
 SETTINGS_FILE_CHECK_INTERVAL_S = 2.0
 
 
-class _Status(msgspec.Struct):
-    """The response body of /status."""
-
-    host: str
-    data_centre: str
-    unready: str
-    routes_version: int
-    n_servers: int
-    members: list[str]
-    warning: str
-
-
 def run_gateway(path: Path, make_adapter: Callable[[GatewayHost], Adapter]) -> None:
     """Run the daemon until SIGTERM; raise SettingsError for a bad settings file."""
     host = read_host_file(path)
@@ -270,6 +259,9 @@
             nursery=nursery,
             random=self._random,
         )
+        self._customer_use = CustomerUse(
+            admit=self._customer_limits.admit, counting=self._counting
+        )
         self._peers = PeerService(
             owner=self._owner,
             documents=Documents(check=lambda name, body: None),
@@ -311,7 +303,7 @@
             get_routes=lambda: self._active_config.index,
             forward=self._forwarder.forward,
             is_leaving=lambda: self._is_leaving,
-            admit=self._customer_limits.admit,
+            admit=self._customer_use.admit,
             give_back=self._customer_limits.give_back,
         )
         self._callers = GatewayApp(
@@ -410,9 +402,10 @@
             return self._discovery.get_warning() or "no peer has answered yet"
         return ""
 
-    def _get_status(self) -> _Status:
+    def _get_status(self) -> GatewayStatus:
         index = self._active_config.index
-        return _Status(
+        limits = self._host.bounds.limits
+        return GatewayStatus(
             host=self._host.name,
             data_centre=self._host.data_centre,
             unready=self._get_not_ready_reason(),
@@ -420,6 +413,9 @@
             n_servers=len(self._active_config.servers),
             members=sorted(self._membership.live()),
             warning=self._discovery.get_warning(),
+            limit_window_s=limits.window_s if limits else 0.0,
+            n_customers=self._customer_use.count_customers(),
+            customers=list_most_used(self._customer_use.list_customers()),
         )
 
     # Housekeeping, reload and the planned stop.
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -139,6 +139,84 @@
         assert "no line matches" in capsys.readouterr().err
 
 
+DONE = {"outcome": "not run", "reason": "over limit", "customer": "c1", "peer": "b-1"}
+
+
+def write_limit(n_used, *, at="2026-03-01T10:00:00.050Z", customer="c1"):
+    limit = {"customer": customer, "rate_per_s": 4.0, "burst": 8.0, "window_s": 5.0}
+    used = {"n_used": n_used, "host": "b-1", "age_ms": 12}
+    return write("limit reached", request_id=None, at=at, **limit, **used)
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("lines", "cause", "remedy"),
+        [
+            (
+                [write("key refused", request_id="r1", route="r", why="none")],
+                "route r: the request had no key",
+                "has to be `public`",
+            ),
+            (
+                [write("key refused", request_id="r1", why="unknown")],
+                "no customer has the key",
+                "whether a version removed",
+            ),
+            (
+                [write("key refused", request_id="r1", why="several")],
+                "two different keys",
+                "has to send one key",
+            ),
+            (
+                # Lines of other customers and later ones say nothing about it.
+                [
+                    write_limit(1, customer="c2"),
+                    write_limit(1, at="2026-03-01T10:00:09.000Z"),
+                    write_limit(2, at="2026-03-01T09:59:00.000Z"),
+                    write_limit(28),
+                    write_done("r1", **DONE),
+                ],
+                "c1 was over its limit of 4 per second and 8 at once. At "
+                "2026-03-01T10:00:00.050Z, b-1 had counted 28 requests in 5 s; a-1 had",
+                "an operator raises its",
+            ),
+            (
+                # A refusal below the limit is a fault of the service.
+                [write_limit(9), write_done("r1", **DONE)],
+                "b-1 had counted 9 requests",
+                "b-1 counts in full",
+            ),
+            (
+                [write_done("r1", **(DONE | {"reason": "not ready"}))],
+                "a-1: it reached no host that counts for c1",
+                "way to the other hosts",
+            ),
+            ([write_done("r1", **DONE)], "as counted by b-1", "Compare its use"),
+        ],
+    )
+    def test_the_cause_is_told(self, tmp_path, capsys, lines, cause, remedy):
+        log = tmp_path / "a-1.log"
+        log.write_text("\n".join(lines))
+        assert run(["explain", str(log), "--request", "r1"]) == 0
+        shown = capsys.readouterr().out.partition("Cause: ")[2]
+        told_cause, _, told_remedy = shown.partition("What to do: ")
+        assert "a-1" in told_cause
+        assert cause in told_cause
+        assert remedy in told_remedy
+
+    def test_requests_without_a_valid_key_are_counted(self, tmp_path, capsys):
+        # They have no "done" line, so that the summary would not show them otherwise.
+        log = tmp_path / "a-1.log"
+        log.write_text(
+            write("key refused", request_id="r1", route="search", why="none")
+        )
+        route = explain_json([str(log)], capsys)["routes"]["search"]
+        assert (route["refused"], route["causes"]) == (
+            1,
+            {"refused: key refused (none)": 1},
+        )
+
+
 class TestMistakes:
     def test_missing_arguments_are_a_usage_error(self, capsys):
         assert run(["explain"]) == 2
