--- a/lab/gateways.py
+++ b/lab/gateways.py
@@ -14,10 +14,12 @@
 import h11
 import trio
 
+from standins.customers import KEY_HEADER, CustomerEntry
 from standins.leafservers import Leaf
 from standins.objectstore import ObjectStore
 
 from .processes import find_free_ports
+from .proxy import list_ports
 
 ROOT = Path(__file__).parents[1]
 HOST_HEADER = "app.example"
@@ -51,7 +53,8 @@
 class Gateway:
     """One gateway process.
 
-    `ports` are those for callers, admin and peers.
+    `ports` are those for callers, admin and peers; `bounds` are added to the usual
+    bounds of the settings file.
     """
 
     name: str
@@ -61,6 +64,7 @@
     seeds: list[str]
     directory: Path
     regions: dict[str, str]
+    bounds: dict[str, float] = field(default_factory=dict)
     process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -82,6 +86,7 @@
             "peer_ip": "127.0.0.1",
             "peer_port": peers,
             "store": f"127.0.0.1:{self.store_port}",
+            "deployment": f"lab-{self.directory}",
             "seeds": self.seeds,
             "regions": self.regions,
             "bounds": {
@@ -91,6 +96,7 @@
                 "extra_call_slack": 54,
                 "extra_call_window_s": 10,
                 "evacuate_ms": EVACUATE_MS,
+                **self.bounds,
             },
         }
         self.settings_path.write_text(json.dumps(settings | changes))
@@ -119,6 +125,10 @@
             self.process.kill()
             self.process.wait()
 
+    def has_port(self, port: int) -> bool:
+        """Return whether the process has a TCP socket with this local port."""
+        return self.process is not None and port in list_ports(self.process.pid)
+
     def read_events(self, event: str) -> list[dict[str, Any]]:
         """Return the log lines of one event, decoded."""
         lines = self.output_path.read_text().splitlines()
@@ -128,13 +138,18 @@
 
 @dataclass(kw_only=True)
 class Platform:
-    """The store, the servers and the gateways of one deployment."""
+    """The store, the servers and the gateways of one deployment.
+
+    The manifest has `customers` unless it is None. `bounds` are those of the gateways.
+    """
 
     nursery: trio.Nursery
     directory: Path
     store: ObjectStore
     store_port: int
     regions: dict[str, str]
+    customers: list[CustomerEntry] | None = None
+    bounds: dict[str, float] = field(default_factory=dict)
     gateways: list[Gateway] = field(default_factory=list)
     leaves: list[Leaf] = field(default_factory=list)
     n_asked: int = 0
@@ -157,6 +172,7 @@
             seeds=[],
             directory=self.directory,
             regions=self.regions,
+            bounds=self.bounds,
         )
         gateway.write_settings()
         gateway.start()
@@ -174,10 +190,14 @@
         """Count the requests received by the servers of a data centre."""
         return sum(leaf.arrivals.total() for leaf in self.leaves if leaf.zone == zone)
 
-    def write_routes(self, version: int, routes: list[dict[str, Any]]) -> None:
-        """Write a route manifest to the store."""
+    def write_routes(
+        self, version: int, routes: list[dict[str, Any]], **fields: Any
+    ) -> None:
+        """Write a route manifest with additional `fields` to the store."""
         manifest = {"version": version, "routes": routes, "services": [], "limits": {}}
-        self.store.put("config", "main", manifest)
+        if self.customers is not None:
+            manifest["tenants"] = [customer.show() for customer in self.customers]
+        self.store.put("config", "main", manifest | fields)
 
     def evacuate(self, zone: str) -> None:
         """Write an evacuation of a data centre: gateways stop calling its servers."""
@@ -214,6 +234,7 @@
         attempt: str | None = None,
         deadline_ms: int = 1_000,
         body: bytes = b"",
+        key: str = "",
     ) -> Answer:
         """Send one caller's request over a new connection and return its answer."""
         self.n_asked += 1
@@ -221,6 +242,7 @@
             ("Host", HOST_HEADER),
             ("Lavendergap-Attempt-Id", attempt or f"a{self.n_asked}"),
             ("Lavendergap-Deadline-Ms", str(deadline_ms)),
+            *([(KEY_HEADER, key)] if key else []),
         ]
         return await ask(gateway.ports[0], path, headers=headers, body=body)
 
@@ -303,11 +325,14 @@
 
 @asynccontextmanager
 async def open_platform(
-    directory: Path, *, regions: dict[str, str] = REGIONS
+    directory: Path,
+    *,
+    regions: dict[str, str] = REGIONS,
+    store: ObjectStore | None = None,
 ) -> AsyncIterator[Platform]:
     """Yield a platform without servers; kill its gateways when the block exits."""
     async with trio.open_nursery() as nursery:
-        store = ObjectStore()
+        store = store or ObjectStore()
         port = await nursery.start(store.make_server(ip="127.0.0.1", port=0).run)
         platform = Platform(
             nursery=nursery,
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -14,7 +14,8 @@
     is_server_end,
 )
 from ..state.settings import Control, Group, Server, Service
-from .admission import Admission, Capacity, WaitingCalls, compute_retry_after_ms
+from .admission import Admission, Capacity, compute_retry_after_ms
+from .attempts import is_bound, list_candidates, may_try
 from .budget import Budget
 from .calls import (
     AttemptEnded,
@@ -40,10 +41,8 @@
 from .replicas import FAILURE_WEIGHTS, NEVER, Replica
 from .summary import GroupSummary, summarize_server, to_ms
 from .timers import CallTimers
+from .waiting import WaitingCalls
 
-# Bounds the attempts of one call whatever the budgets allow, so that a call that
-# crashes its server cannot crash the whole group.
-MAX_ATTEMPTS = 4
 MIN_HEDGE_DELAY_S = 0.001
 # Hedge tokens kept for stragglers. Where latencies hardly vary, the quantile is close
 # to the median, and ordinary calls just beyond it would spend every token.
@@ -59,6 +58,9 @@
 # How many waiting calls without a free replica are skipped per dispatch, so that a long
 # queue for one version costs a bounded time at each event.
 MAX_SKIPPED_CALLS = 8
+# How many retries that wait for the backoff of servers used before are skipped besides,
+# so that they do not keep calls behind them from free servers.
+MAX_SKIPPED_RETRIES = 32
 
 
 def _always() -> bool:
@@ -293,8 +295,7 @@
         """End the waiting calls as not run; running calls may finish."""
         self._is_stopping = True
         effects: list[Effect] = []
-        while self._waiting:
-            progress = self._waiting[0]
+        for progress in tuple(self._waiting):
             refusal = self._make_refusal(Step.QUEUE, Reason.STOPPING)
             self._finish(progress, progress.unknown or refusal, effects)
         return effects
@@ -334,42 +335,78 @@
     # Admission and dispatch.
 
     def _admit(self, progress: Progress, now: float) -> list[Effect]:
+        """Queue a call, in place of a less urgent one if need be, or refuse it."""
         call = progress.call
         capacity = measure_capacity(self._replicas, now)
-        n_ahead = self._waiting.count_ahead(
-            priority=call.priority, deadline=call.deadline
-        )
+        n_ahead = self._waiting.count_ahead(call)
         time_left = call.deadline - now
-        may_wait = len(self._waiting) < self.service.queue_limit
-        may_wait = may_wait and not capacity.is_cold
-        if may_wait:
-            may_wait = self._admission.may_wait(
+        if capacity.is_cold or not self._admission.can_finish(
+            n_ahead=n_ahead, time_left=time_left, capacity=capacity
+        ):
+            return [self._refuse_overload(progress, capacity, now)]
+        effects: list[Effect] = []
+        is_full = len(self._waiting) >= self.service.queue_limit
+        # What goes ahead of most waiting calls is not what makes the group overloaded.
+        is_ahead = bool(call.customer) and 2 * n_ahead <= len(self._waiting)
+        if is_full or not (
+            is_ahead
+            or self._admission.is_in_share(
                 call.request_id, n_ahead=n_ahead, time_left=time_left, capacity=capacity
             )
-        if not may_wait:
-            return [self._refuse_overload(progress, capacity)]
+        ):
+            replaced = self._waiting.find_replaceable(call, is_full=is_full)
+            if replaced is None:
+                return [self._refuse_overload(progress, capacity, now)]
+            self._displace(replaced, capacity, now, effects)
+        elif n_ahead < len(self._waiting):
+            self._displace_late(call, capacity, now, effects)
         self._calls[call.call_id] = progress
         self._waiting.add(progress)
-        effects: list[Effect] = []
         self._dispatch(now, effects)
         return effects
 
+    def _displace_late(
+        self, call: Call, capacity: Capacity, now: float, effects: list[Effect]
+    ) -> None:
+        """End a less urgent call that can no longer finish behind a new one."""
+        last = self._waiting.find_replaceable(call, is_full=False)
+        if last is None:
+            return
+        # The new call takes the place of the last one itself in the count.
+        n_ahead = self._waiting.count_ahead(last.call)
+        time_left = last.call.deadline - now
+        if not self._admission.can_finish(
+            n_ahead=n_ahead, time_left=time_left, capacity=capacity
+        ):
+            self._displace(last, capacity, now, effects)
+
+    def _displace(
+        self, progress: Progress, capacity: Capacity, now: float, effects: list[Effect]
+    ) -> None:
+        """End a waiting call as not run, for a more urgent one."""
+        self._n_refused += 1
+        outcome = self._make_overload_refusal(progress.call, capacity, now)
+        self._finish(progress, outcome, effects)
+
     def _dispatch(self, now: float, effects: list[Effect]) -> None:
         waiting = self._waiting
         for late in waiting.pop_expiring(now=now, needed=self._admission.needed_time):
             self._end_late(late, now, effects)
-        index = 0
-        while index < min(len(waiting), MAX_SKIPPED_CALLS) and self._has_free_slot(now):
-            progress = waiting[index]
+        n_skipped = n_bound = 0
+        for progress in waiting:
+            if n_skipped >= MAX_SKIPPED_CALLS + n_bound or not self._has_free_slot(now):
+                break
             match self._choose(progress, now):
                 case Chosen() as chosen:
-                    waiting.discard(progress)
+                    waiting.take(progress)
                     effects.append(self._start(progress, chosen, progress.cause, now))
                 case NoneLeft(reason=reason):
                     outcome = self._make_refusal(Step.ROUTE, reason)
                     self._finish(progress, progress.get_failure() or outcome, effects)
                 case Busy():
-                    index += 1
+                    n_skipped += 1
+                    if n_bound < MAX_SKIPPED_RETRIES and is_bound(progress):
+                        n_bound += 1
         self._capacity_opens_at = min(
             (replica.get_reopen_time(now) for replica in self._replicas), default=NEVER
         )
@@ -395,7 +432,7 @@
             else:
                 tried = tried | running
         return choose(
-            self._replicas,
+            list_candidates(progress, self._replicas),
             version=progress.call.version,
             excluded=excluded,
             tried=tried,
@@ -451,7 +488,7 @@
         )
         self._attempts[attempt.attempt_id] = attempt
         progress.attempts.append(attempt)
-        progress.n_attempts += 1
+        progress.servers.append(replica.server)
         self._set_timer(progress, now)
         return StartAttempt(
             attempt_id=attempt.attempt_id,
@@ -547,6 +584,10 @@
                 progress.server = server
                 self._finish(progress, outcome, effects)
                 return
+            case NotRun(step=Step.CONNECT, reason=Reason.OVERLOADED):
+                progress.servers.remove(attempt.replica.server)
+                self._wait_for_connection(progress, outcome, now, effects)
+                return
             case NotRun() | Unknown():
                 progress.note_failure(outcome, attempt.replica)
         if progress.attempts:
@@ -554,6 +595,22 @@
         if not self._retry(progress, now, effects):
             self._finish(progress, progress.get_failure() or outcome, effects)
 
+    def _wait_for_connection(
+        self, progress: Progress, outcome: Outcome, now: float, effects: list[Effect]
+    ) -> None:
+        """Queue a call whose attempt found all connections to its server in use.
+
+        Nothing was sent, so that it neither counts as an attempt nor as a retry. The
+        replica's backoff limits how often it is tried.
+        """
+        if progress.attempts:
+            return
+        is_late = now + self._admission.needed_time >= progress.call.deadline
+        if is_late or self._is_stopping:
+            self._finish(progress, progress.get_failure() or outcome, effects)
+        else:
+            self._waiting.add(progress)
+
     def _retry(self, progress: Progress, now: float, effects: list[Effect]) -> bool:
         """Start or queue another attempt; return False if none is possible."""
         call = progress.call
@@ -562,7 +619,7 @@
         # allows one.
         if progress.unknown is not None and not call.idempotent:
             return False
-        if progress.n_attempts >= _limit_attempts(call):
+        if not may_try(progress):
             return False
         failure = progress.unknown
         if (
@@ -578,7 +635,8 @@
             case NoneLeft():
                 return False
             case Busy():
-                opens_in = measure_capacity(self._replicas, now).opens_in
+                candidates = list_candidates(progress, self._replicas)
+                opens_in = measure_capacity(candidates, now).opens_in
                 if self._is_stopping or now + opens_in >= call.deadline:
                     return False
         if not self._may_spend_retry(progress, now):
@@ -622,7 +680,7 @@
             return NEVER
         if progress.n_hedges >= MAX_HEDGES or self._hedges.share <= 0.0:
             return NEVER
-        if progress.n_attempts >= _limit_attempts(progress.call):
+        if not may_try(progress):
             return NEVER
         started = progress.attempts[-1].started
         delay = choose_hedge_delay(recent, left=call.goal_at - started)
@@ -681,7 +739,7 @@
         slot costs a waiting call. So it may go first, within the budget, unless the
         queue is longer than the number of slots, which is a sign of overload.
         """
-        n_slots = sum(replica.server.slots for replica in self._replicas)
+        n_slots = sum(replica.n_slots for replica in self._replicas)
         is_short = len(self._waiting) <= n_slots
         return is_short and self._is_straggling(progress, now)
 
@@ -716,12 +774,30 @@
         refusal = self._make_refusal(step, reason)
         return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
 
-    def _refuse_overload(self, progress: Progress, capacity: Capacity) -> FinishCall:
+    def _refuse_overload(
+        self, progress: Progress, capacity: Capacity, now: float
+    ) -> FinishCall:
         self._n_refused += 1
-        wait = self._admission.estimate_retry_delay(len(self._waiting), capacity)
-        refusal = self._make_refusal(Step.QUEUE, Reason.OVERLOADED, wait)
+        refusal = self._make_overload_refusal(progress.call, capacity, now)
         return FinishCall(call=progress.call, outcome=refusal, server="", n_attempts=0)
 
+    def _make_overload_refusal(
+        self, call: Call, capacity: Capacity, now: float
+    ) -> NotRun:
+        n_waiting = len(self._waiting)
+        if not call.customer:
+            wait = self._admission.estimate_retry_delay(n_waiting, capacity)
+            return self._make_refusal(Step.QUEUE, Reason.OVERLOADED, wait)
+        retry_after_ms = self._admission.plan_return(
+            n_waiting, capacity, spread=self.random.random(), now=now
+        )
+        return NotRun(
+            step=Step.QUEUE,
+            peer=self.group.name,
+            reason=Reason.OVERLOADED,
+            retry_after_ms=retry_after_ms,
+        )
+
     def _make_refusal(
         self, step: Step, reason: Reason, wait: float | None = None
     ) -> NotRun:
@@ -761,7 +837,8 @@
                 call=call,
                 outcome=outcome,
                 server=progress.server,
-                n_attempts=progress.n_attempts,
+                n_attempts=len(progress.servers),
+                n_servers=progress.count_servers(),
             )
         )
         for attempt in progress.attempts:
@@ -772,8 +849,3 @@
 
 def _has_started(effects: list[Effect]) -> bool:
     return any(isinstance(effect, StartAttempt) for effect in effects)
-
-
-def _limit_attempts(call: Call) -> int:
-    """Return how many attempts a call may have, hedges included."""
-    return min(MAX_ATTEMPTS, call.max_attempts or MAX_ATTEMPTS)
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from random import Random
 
-import msgspec
 import trio
 
 from .. import metrics
@@ -27,7 +26,7 @@
 )
 from ..state.customers import CustomerTable
 from ..state.hostfile import GatewayHost, read_host_file
-from ..state.member import Member
+from ..state.member import Member, convert_to_capacity
 from ..state.settings import Control, Server, Settings
 from ..transport.acceptor import Acceptor
 from ..transport.admin import AdminApp
@@ -39,6 +38,7 @@
 from .activeconfig import ActiveConfig
 from .adapter import Adapter
 from .counting import CountingService
+from .customeruse import CustomerUse
 from .discovery import Discovery, keep_channels
 from .feedpeers import FeedChannels
 from .fleet import Fleet
@@ -52,6 +52,7 @@
 from .ports import PortLimits, serve_port
 from .process import BACKLOG, tune_garbage_collector
 from .quarantine import RequestQuarantine
+from .status import GatewayStatus, list_most_used
 
 logger = logging.getLogger("lavendergap.entry")
 
@@ -76,17 +77,6 @@
 SETTINGS_FILE_CHECK_INTERVAL_S = 2.0
 
 
-class _Status(msgspec.Struct):
-    """The response body of /status."""
-
-    host: str
-    data_centre: str
-    unready: str
-    routes_version: int
-    n_servers: int
-    members: list[str]
-
-
 def run_gateway(path: Path, make_adapter: Callable[[GatewayHost], Adapter]) -> None:
     """Run the daemon until SIGTERM; raise SettingsError for a bad settings file."""
     host = read_host_file(path)
@@ -112,7 +102,7 @@
         )
         self._placement = Placement(own_data_centre=host.data_centre)
         self._settings = Settings(
-            deployment=str(host.store),
+            deployment=host.deployment,
             version=0,
             platform=host.store,
             hosts=(),
@@ -163,14 +153,15 @@
         nursery.start_soon(self._feeds.run)
         nursery.start_soon(self._quarantine.run)
         nursery.start_soon(self._customer_limits.run)
-        discovery = Discovery(
+        self._discovery = Discovery(
             host=self._host,
             adapter=self._adapter,
             membership=self._membership,
             random=self._random,
             get_epoch=lambda: self._feeds.epoch,
+            wake=self._endpoint.wake,
         )
-        nursery.start_soon(discovery.run)
+        nursery.start_soon(self._discovery.run)
         keep = functools.partial(
             keep_channels,
             fleet=self._fleet,
@@ -221,6 +212,7 @@
                 data_centre=host.data_centre,
                 peers=host.peers,
                 incarnation=self._incarnation,
+                capacity=convert_to_capacity(host.cores),
             ),
             control=CONTROL,
             random=self._random,
@@ -267,6 +259,9 @@
             nursery=nursery,
             random=self._random,
         )
+        self._customer_use = CustomerUse(
+            admit=self._customer_limits.admit, counting=self._counting
+        )
         self._peers = PeerService(
             owner=self._owner,
             documents=Documents(check=lambda name, body: None),
@@ -308,14 +303,16 @@
             get_routes=lambda: self._active_config.index,
             forward=self._forwarder.forward,
             is_leaving=lambda: self._is_leaving,
-            admit=self._customer_limits.admit,
+            admit=self._customer_use.admit,
             give_back=self._customer_limits.give_back,
         )
         self._callers = GatewayApp(
             handlers=handlers, names=self._adapter.header_names, cores=self._host.cores
         )
         admin = AdminApp(
-            get_not_ready_reason=self._get_not_ready_reason, get_status=self._get_status
+            get_not_ready_reason=self._get_not_ready_reason,
+            get_status=self._get_status,
+            get_warning=self._discovery.get_warning,
         )
         for app, address in (
             (self._callers, self._host.callers),
@@ -399,19 +396,26 @@
             return "no routes from the store or a peer yet"
         if missing := self._feeds.get_missing_feed():
             return missing
+        if self._discovery.must_find_peer():
+            return self._discovery.get_warning()
         if not self._membership.joined:
-            return "no peer has answered yet"
+            return self._discovery.get_warning() or "no peer has answered yet"
         return ""
 
-    def _get_status(self) -> _Status:
+    def _get_status(self) -> GatewayStatus:
         index = self._active_config.index
-        return _Status(
+        limits = self._host.bounds.limits
+        return GatewayStatus(
             host=self._host.name,
             data_centre=self._host.data_centre,
             unready=self._get_not_ready_reason(),
             routes_version=index.table.version if index else 0,
             n_servers=len(self._active_config.servers),
             members=sorted(self._membership.live()),
+            warning=self._discovery.get_warning(),
+            limit_window_s=limits.window_s if limits else 0.0,
+            n_customers=self._customer_use.count_customers(),
+            customers=list_most_used(self._customer_use.list_customers()),
         )
 
     # Housekeeping, reload and the planned stop.
@@ -420,6 +424,7 @@
         while True:
             await trio.sleep(SWEEP_INTERVAL_S)
             self._owner.close_idle_runners()
+            self._active_config.check_earlier_starts()
             self._fleet.expire_avoided(now=trio.current_time())
 
     async def _poll_settings_file(self) -> None:
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -29,14 +29,16 @@
 ANSWER = Answered(body=b"{}")
 
 
-def make_group(names: str = "ab", *, slots: int = 2, port: int = 20_000) -> Group:
+def make_group(
+    names: str = "ab", *, slots: int = 2, port: int = 20_000, connections: int = 25
+) -> Group:
     servers = tuple(
         Server(
             name=name,
             address=Address(ip="127.0.0.1", port=port + ord(name)),
             data_centre="ptl-a",
             slots=slots,
-            connections=25,
+            connections=connections,
         )
         for name in names
     )
@@ -119,6 +121,8 @@
         goal_ms: float | None = None,
         priority: int = 0,
         kind: str = "",
+        customer: str = "",
+        weight: float = 1.0,
     ) -> Call:
         self.n_calls += 1
         call = Call(
@@ -135,6 +139,8 @@
             is_repeat=is_repeat,
             priority=priority,
             kind=kind,
+            customer=customer,
+            weight=weight,
             goal_at=0.0 if goal_ms is None else self.now + goal_ms / 1000,
         )
         self.take(self.scheduler.submit(call, now=self.now))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,14 +1,21 @@
 """Discovery of gateway hosts through the store, and the calls that it costs."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import Any, cast
 
 import pytest
 import trio
+import trio.testing
 
 from lavendergap.coordination.registration import REGISTERED_PER_DATA_CENTRE
-from lavendergap.entry.discovery import Discovery
+from lavendergap.entry.discovery import (
+    CHANNEL_CHECK_INTERVAL_S,
+    MAX_RANKING_S,
+    Discovery,
+    keep_channels,
+)
 from lavendergap.state.feeds import (
     FeedEntry,
     FeedListing,
@@ -56,6 +63,7 @@
     """The registered hosts, shared by all adapters; counts reads and writes."""
 
     entries: dict[str, bytes] = field(default_factory=dict)
+    lagging: dict[str, bytes] | None = None
     is_down: bool = False
     n_lists: int = 0
     n_writes: int = 0
@@ -68,7 +76,10 @@
         self.n_lists += 1
         if self.is_down:
             return StoreUnavailable(step=Step.CONNECT, reason=Reason.REFUSED_CONNECTION)
-        entries = [FeedEntry(name=n, body=b) for n, b in self.entries.items()]
+        listed = self.entries
+        if may_be_stale and self.lagging is not None:
+            listed = self.lagging
+        entries = [FeedEntry(name=n, body=b) for n, b in listed.items()]
         return FeedListing(position=StorePosition(revision=1), entries=tuple(entries))
 
     async def register_host(self, name, address):
@@ -83,6 +94,20 @@
         return Address(ip=ip, port=int(port))
 
 
+@dataclass(kw_only=True, slots=True)
+class SlowFleet:
+    """Ranks one group in a millisecond; this host owns all."""
+
+    clock: trio.testing.MockClock
+    own_name: str = "host-0"
+    n_ranked: int = 0
+
+    def rank(self, group: str) -> tuple[str, ...]:
+        self.clock.jump(0.001)
+        self.n_ranked += 1
+        return (self.own_name,)
+
+
 class FakeMembership:
     """The members as one host sees them: itself and `others`."""
 
@@ -105,7 +130,7 @@
 
 
 def start_discovery(
-    number: int, store: FakeStore, nursery, *, get_epoch=lambda: 1
+    number: int, store: FakeStore, nursery, *, get_epoch=lambda: 1, started=None
 ) -> FakeMembership:
     membership = FakeMembership(number)
     discovery = Discovery(
@@ -114,8 +139,11 @@
         membership=cast(Any, membership),
         random=Random(number),
         get_epoch=get_epoch,
+        wake=lambda: None,
     )
     nursery.start_soon(discovery.run)
+    if started is not None:
+        started.append(discovery)
     return membership
 
 
@@ -124,19 +152,20 @@
     # by each of them: a new host needs only one entry to find the others.
 
     @pytest.mark.parametrize("n_hosts", [195, 550])
+    @pytest.mark.parametrize("found_after", [0.4, 1.45])
     async def test_three_hosts_of_each_data_centre_register(
-        self, autojump_clock, nursery, n_hosts
+        self, autojump_clock, nursery, n_hosts, found_after
     ):
         store = FakeStore()
         memberships = [
             start_discovery(number, store, nursery) for number in range(n_hosts)
         ]
-        await trio.sleep(0.4)
+        await trio.sleep(found_after)
         for membership in memberships:
             membership.others = [make_member(n) for n in range(n_hosts)]
         await trio.sleep(20.0)
         assert store.n_writes == REGISTERED_PER_DATA_CENTRE * N_DATA_CENTRES
-        assert store.n_lists <= n_hosts + 2 * store.n_writes
+        assert store.n_lists == n_hosts + store.n_writes
 
     async def test_hosts_with_valid_entries_write_nothing_after_a_restart(
         self, autojump_clock, nursery
@@ -161,6 +190,38 @@
 
 
 class TestAlone:
+    async def test_a_lagging_list_does_not_hide_the_running_hosts(
+        self, autojump_clock, nursery
+    ):
+        # Guards against a host that stays alone while a replica of the store lags.
+        store = FakeStore(entries={"host-1": str(make_address(1)).encode()}, lagging={})
+        late = start_discovery(2, store, nursery)
+        await trio.sleep(1.9)
+        assert make_address(1) in late.hints
+
+    @pytest.mark.parametrize(
+        ("listed", "is_found", "at", "expected"),
+        [
+            ((), False, 5.0, (False, "no peer found yet")),  # Truly alone.
+            ((2,), False, 5.0, (True, "no peer found yet")),
+            ((2,), False, 11.0, (False, "no peer found yet")),  # The other is gone.
+            ((2,), True, 5.0, (False, "")),
+        ],
+    )
+    async def test_a_host_without_peers_reports_it(
+        self, autojump_clock, nursery, listed, is_found, at, expected
+    ):
+        # Guards against a host that takes callers although it missed its peers, and
+        # against one that never serves because the others are gone for good.
+        entries = {f"host-{n}": str(make_address(n)).encode() for n in listed}
+        store = FakeStore(entries=entries)
+        started: list[Discovery] = []
+        membership = start_discovery(1, store, nursery, started=started)
+        membership.others = [make_member(2)] if is_found else []
+        await trio.sleep(at)
+        [discovery] = started
+        assert (discovery.must_find_peer(), discovery.get_warning()) == expected
+
     async def test_two_hosts_without_seeds_find_each_other(
         self, autojump_clock, nursery
     ):
@@ -205,6 +266,30 @@
         assert len(store.entries) == 2 * REGISTERED_PER_DATA_CENTRE
 
 
+class TestChannels:
+    async def test_ranking_many_groups_lets_other_tasks_run(
+        self, autojump_clock, nursery
+    ):
+        # Guards against a host that answers no caller for seconds after many routes
+        # were added.
+        fleet = SlowFleet(clock=autojump_clock)
+        groups = [f"g{n}" for n in range(500)]
+        keep = partial(
+            keep_channels,
+            fleet=cast(Any, fleet),
+            dialer=cast(Any, None),
+            get_groups=lambda: groups,
+        )
+        nursery.start_soon(keep)
+        await trio.sleep(CHANNEL_CHECK_INTERVAL_S)
+        longest = 0
+        while fleet.n_ranked < len(groups):
+            before = fleet.n_ranked
+            await trio.lowlevel.checkpoint()
+            longest = max(longest, fleet.n_ranked - before)
+        assert 0.001 * longest <= 2 * MAX_RANKING_S
+
+
 class TestRestoredStore:
     """Guards against hosts that cannot be found after the store has lost them."""
 
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+from collections import Counter
 from functools import partial
 
 import h11
@@ -18,6 +19,7 @@
     open_platform,
     read_answer,
 )
+from standins.http import Connection, HttpServer, Reply, Request, make_json_reply
 from standins.leafservers import make_answer_body
 
 SHARDS = [f"shard{n}" for n in range(6)]
@@ -247,9 +249,11 @@
         assert await _count_failed(platform, far) == 0
 
 
-async def _has_found_all_hosts(platform: Platform, gateway: Gateway) -> bool:
+async def _has_found_all_hosts(
+    platform: Platform, gateway: Gateway, n_hosts: int = 3
+) -> bool:
     is_started = bool(gateway.read_events("started"))
-    return is_started and len(await _get_members(platform, gateway)) == 3
+    return is_started and len(await _get_members(platform, gateway)) == n_hosts
 
 
 async def _count_failed(platform: Platform, gateway: Gateway) -> int:
@@ -265,12 +269,73 @@
     return n_failed
 
 
+class TestDiscovery:
+    async def test_a_host_with_its_own_way_to_the_store_finds_the_others(
+        self, platform
+    ):
+        # The store of one of four hosts is at another address, and starts to refuse it
+        # alone. Guards against hosts of one deployment that drop each other's
+        # datagrams, so that this one keeps the old routes for good.
+        await platform.start("ptl-a", "ptl-b", "sea-a")
+        refuses = False
+
+        async def handle(request: Request, connection: Connection) -> Reply:
+            if refuses:
+                return make_json_reply({"error": "busy"}, status=503)
+            reply: Reply = await platform.store.handle(request, connection)
+            return reply
+
+        server = HttpServer(ip="127.0.0.1", port=0, handle=handle)
+        platform.store_port = await platform.nursery.start(server.run)
+        late = platform.add_gateway("ptl-a")
+
+        async def has_started() -> bool:
+            return bool(late.read_events("started"))
+
+        async def has_met_all() -> bool:
+            return len(await _get_members(platform, late)) == 4
+
+        await wait_until(has_started)
+        await wait_until(has_met_all, limit=2.0)
+        refuses = True
+        platform.write_routes(9, [make_one_route("/new/", "desk")])
+
+        async def is_found() -> bool:
+            answer = await platform.request(late, "/new/")
+            return bool(answer.status == 200)
+
+        await wait_until(is_found, limit=3.0)
+
+
 async def _get_members(platform: Platform, gateway: Gateway) -> list[str]:
     answer = await ask(gateway.ports[1], "/status")
     members: list[str] = json.loads(answer.body)["members"]
     return members
 
 
+class TestBursts:
+    async def test_no_request_of_a_burst_is_refused(self, tmp_path):
+        # Guards against "connect: overloaded" while slots and time are left: a host's
+        # connections to a server are fewer than its slots.
+        async with open_platform(tmp_path) as platform:
+            for zone in ("ptl-a", "ptl-b"):
+                await platform.add_leaf("desk", zone, slots=16)
+            platform.write_routes(3, [make_one_route("/one/", "desk")])
+            gateways = await platform.start("ptl-a", "ptl-a", "ptl-b", "ptl-b")
+            for gateway in gateways:
+                await wait_until(partial(_has_found_all_hosts, platform, gateway, 4))
+            answers = []
+
+            async def request(gateway: Gateway) -> None:
+                answers.append(await platform.request(gateway, "/one/"))
+
+            for n_requests, n_hosts in [(20, 4)] * 10 + [(200, 4), (200, 1)]:
+                async with trio.open_nursery() as callers:
+                    for n in range(n_requests):
+                        callers.start_soon(request, gateways[n % n_hosts])
+            assert Counter(a.status for a in answers) == {200: 600}
+
+
 class TestPlannedStop:
     async def test_it_interrupts_no_request_and_ends_in_time(self, platform):
         # A caller repeats requests on one connection while the host stops. All answers
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -153,6 +153,21 @@
         fleet.run(6.0)
         assert all(node.membership.joined for node in fleet.nodes.values())
 
+    @pytest.mark.parametrize("late_s", [0.0, 4.9, 60.0])
+    def test_a_host_finds_the_others_among_hints_of_hosts_that_are_gone(self, late_s):
+        # The others do not know the host, which gets its hints late. Guards against one
+        # that is ready alone and then tries one hint in seven seconds.
+        fleet = build_fleet(HOSTS, seed=6)
+        fleet.run(10.0)
+        late = fleet.start("ptl-a-9")
+        fleet.run(late_s)
+        gone = [Address(ip="10.9.9.9", port=port) for port in range(1, 121)]
+        n_tried = 120 if late_s < 4.0 else 6
+        late.join([*gone[:n_tried], fleet.nodes[FIRST].address])
+        fleet.wake("ptl-a-9")
+        assert fleet.run_until(lambda: len(late.live()) == 8, 2.0)
+        assert fleet.run_until(fleet.agree, 8.0)
+
     def test_a_hint_changes_no_member(self):
         # The platform's list may contain a host that is gone and lack one that is live;
         # neither may change the owners.
@@ -164,6 +179,23 @@
         assert fleet.agree()
 
 
+class TestCapacity:
+    @pytest.mark.parametrize("has_relayed_first", [False, True])
+    def test_it_survives_hosts_that_leave_it_out(self, has_relayed_first):
+        # Guards against owners that move each time a host of an earlier release passes
+        # a record on without the capacity.
+        membership = build_membership(FIRST)
+        stated = build_member(SECOND, capacity=3)
+        left_out = replace(stated, capacity=0)
+        third = build_member(THIRD)
+        if has_relayed_first:
+            receive_gossip(membership, third, left_out)
+        receive_gossip(membership, stated)
+        receive_gossip(membership, third, left_out)
+        receive_gossip(membership, third, replace(left_out, refutations=1))
+        assert membership.get_capacities()[SECOND] == 3
+
+
 class TestDetection:
     @pytest.mark.parametrize("loss", [0.0, 0.05])
     def test_a_killed_host_is_dead_everywhere(self, loss):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,9 @@
 """Owners are chosen near the servers that they call."""
 
+import pytest
+from xxhash import xxh3_64_intdigest
+
+from lavendergap.coordination import placement as placements
 from lavendergap.coordination.placement import Placement
 
 HOSTS = {
@@ -106,6 +110,27 @@
             owners = {placement.rank(group)[0] for group in self.GROUPS}
             assert len(owners) <= 8
 
+    @pytest.mark.parametrize(
+        ("capacities", "n_shards", "n_buckets"),
+        [
+            ({}, 90, 2),
+            ({"ptl-a-0": 3}, 90, 2),  # The others are not known.
+            (dict.fromkeys(HOSTS, 4), 90, 2),
+            (dict.fromkeys(HOSTS, 17), 135, 4),
+            (dict.fromkeys(HOSTS, 3), 90, 3),
+            (dict.fromkeys(HOSTS, 3) | {"ptl-a-0": 17}, 135, 5),
+            (dict.fromkeys(HOSTS, 1), 90, 11),
+        ],
+    )
+    def test_weak_hosts_get_smaller_buckets(self, capacities, n_shards, n_buckets):
+        # Guards against a host of a third of a core that makes 45 calls of one query.
+        placement = Placement(own_data_centre="ptl-a")
+        groups = tuple(f"g{n:03}" for n in range(n_shards))
+        placement.replace_servers(dict.fromkeys(groups, frozenset({"ptl-a"})), [groups])
+        placement.replace_hosts(self.HOSTS, capacities)
+        # Rankings of 19 hosts: two buckets rarely have the same first four.
+        assert len({placement.rank(group) for group in groups}) == n_buckets
+
     def test_hosts_agree_on_the_owner_in_each_data_centre(self):
         first, second = self.build_placement("ptl-a"), self.build_placement("ptl-b")
         for group in self.GROUPS:
@@ -119,3 +144,34 @@
         )
         moved = [g for g in self.GROUPS if before.rank(g)[0] != after.rank(g)[0]]
         assert set(moved) <= {"g007"}
+
+
+class TestManyRoutes:
+    GROUPS = tuple(f"g{n:03}" for n in range(300))
+
+    def test_a_changed_server_costs_one_hash_for_each_group(self, monkeypatch):
+        # Guards against a host that stalls with each change of a server because many
+        # routes name the same groups.
+        n_hashes = 0
+
+        def count(text: bytes) -> int:
+            nonlocal n_hashes
+            n_hashes += 1
+            return xxh3_64_intdigest(text)
+
+        monkeypatch.setattr(placements, "xxh3_64_intdigest", count)
+        sets = [(*self.GROUPS[n:], *self.GROUPS[:n]) for n in range(200)]
+        placement = build_placement("ptl-a")
+        placement.replace_servers(dict.fromkeys(self.GROUPS, frozenset()), sets)
+        assert n_hashes <= len(self.GROUPS)
+
+    def test_rankings_of_unused_keys_are_dropped(self):
+        # Guards against memory, and hashes for each host that joins, which grow with
+        # each change of the data centres that serve a group.
+        placement = build_placement("ptl-a")
+        for n in range(20):
+            sets = [tuple(f"{n}-{group}" for group in self.GROUPS)]
+            placement.replace_servers(dict.fromkeys(sets[0], frozenset()), ())
+            for group in sets[0]:
+                placement.rank(group)
+        assert len(placement._all_hosts._ranked) <= 1_024 + 2 * len(self.GROUPS)
