Recognise refused ports, and learn of silent hosts once joined

Cause: trio reports a failed connection as an OSError whose cause is a group of errors. The check for a refused port expected the refusal itself, so a real host never had the proof that a killed one had ended, and counted from the reserve for the settling time. A host whose table of customers came before its first peer asked no host for the silent ones until the next round, up to 1 s later.

Change: the group's errors are examined; a round starts when the host has joined.

--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -229,12 +229,17 @@
             return
         self._seen = seen
         members = self._membership.members()
+        has_joined = self._membership.joined and not self.view.is_joined
         self.view.update(
             {m.name: m.incarnation for m in members if m.may_own},
             {m.name for m in members if m.state is MemberState.LEAVING},
             is_joined=self._membership.joined,
             now=now,
         )
+        if has_joined:
+            # Before this, no host was known that could tell, and a round was in vain.
+            self._inform_at = now
+            self._inform_if_due(now)
         lost = [host for host, age in self.view.list_gone(now=now) if age == 0.0]
         for host in [*self._membership.suspects(), *lost]:
             self._check_port(host, now, delay=self._random.random())
--- a/src/lavendergap/entry/limitchannels.py
+++ b/src/lavendergap/entry/limitchannels.py
@@ -155,10 +155,8 @@
                 stream = await self._connect(address)
                 await trio.aclose_forcefully(stream)
                 return PortState.OPEN
-        except ConnectionRefusedError:
-            return PortState.REFUSED
         except OSError as error:
-            if isinstance(error.__cause__, ConnectionRefusedError):
+            if _is_refused(error):
                 return PortState.REFUSED
         return PortState.SILENT
 
@@ -170,3 +168,18 @@
                 self._late.append((forget_at, channel, request_id))
             else:
                 channel.forget(request_id)
+
+
+def _is_refused(error: BaseException | None) -> bool:
+    """Return whether an attempt to connect was refused.
+
+    Trio reports the errors of all attempts as a group, which is the cause of another
+    OSError, also if the port has one address only.
+    """
+    match error:
+        case ConnectionRefusedError():
+            return True
+        case BaseExceptionGroup(exceptions=errors):
+            return all(map(_is_refused, errors))
+        case _:
+            return error is not None and _is_refused(error.__cause__)
