Count for nobody while hosts that started together have not met

Cause: hosts that start together without seeds, or before the list names any, were ready alone for up to 2 s and each granted the whole limit (four hosts logged "counting started" for one customer with a full bucket). They listed hosts again only 1 to 3 s after they had registered.

One that has registered alone lists again after 0.5 s, before it becomes ready.

--- a/src/lavendergap/coordination/limits/counting.py
+++ b/src/lavendergap/coordination/limits/counting.py
@@ -167,7 +167,7 @@
 
     def _needs_confirmation(self, count: Count, *, now: float) -> bool:
         """Return whether another host may count since this one started or stalled."""
-        if not self._view.is_joined:
+        if not self._view.is_joined or self._view.is_alone_too_soon(now=now):
             return True
         unsure_since = self._view.unsure_since
         if now >= unsure_since + self._view.settle_s or len(self._view.live) == 1:
@@ -219,7 +219,7 @@
         if self._is_leaving:
             why = "leaving"
         elif is_unsure:
-            why = "this process was stalled"
+            why = "this host started or was stalled"
         self._changes.append(
             RoleChange(
                 customer=name,
--- a/src/lavendergap/coordination/limits/hosts.py
+++ b/src/lavendergap/coordination/limits/hosts.py
@@ -36,6 +36,13 @@
 RESTART_S = 60.0
 """A process that ended this long before a silent loss may run again beyond a cut."""
 
+ALONE_S = 6.0
+"""How long after its start a host without others counts for nobody.
+
+Hosts that start together and are named by no settings and no list find each other
+through the list within 4 s. Until then each would grant the whole limit.
+"""
+
 BLIND_RESERVE_SHARE = 0.5
 """The part of its reserve for a host that has started on one side of a cut."""
 
@@ -308,10 +315,16 @@
     ) -> float:
         """Return the part of its reserve that this host may use."""
         share = self.get_share(cleared, cleared_at, now=now)
+        if self.is_alone_too_soon(now=now):
+            return 0.0
         if self.is_blind and share < 1.0:
             return BLIND_RESERVE_SHARE
         return share
 
+    def is_alone_too_soon(self, *, now: float) -> bool:
+        """Return whether this host knows no other, and others may have started too."""
+        return len(self.live) == 1 and now - self.started_at < ALONE_S
+
     def rank(self, customer: str) -> tuple[str, ...]:
         """Return the first few live hosts for a customer, the counting one first."""
         ranked = self._ranked.get(customer)
--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -229,23 +229,21 @@
             return
         self._seen = seen
         members = self._membership.members()
-        has_joined = self._membership.joined and not self.view.is_joined
         self.view.update(
             {m.name: m.incarnation for m in members if m.may_own},
             {m.name for m in members if m.state is MemberState.LEAVING},
             is_joined=self._membership.joined,
             now=now,
         )
-        if has_joined:
-            # Before this, no host was known that could tell, and a round was in vain.
-            self._inform_at = now
-            self._inform_if_due(now)
+        self._inform_if_due(now)
         lost = [host for host, age in self.view.list_gone(now=now) if age == 0.0]
         for host in [*self._membership.suspects(), *lost]:
             self._check_port(host, now, delay=self._random.random())
 
     def _inform_if_due(self, now: float) -> None:
-        if self.view.is_blind and now >= self._inform_at:
+        # Before it has joined, this host knows no other that could tell.
+        can_ask = self.view.is_joined and not self.view.is_alone_too_soon(now=now)
+        if self.view.is_blind and can_ask and now >= self._inform_at:
             self._inform_at = now + INFORM_INTERVAL_S
             self._nursery.start_soon(self._inform)
 
--- a/src/lavendergap/entry/discovery.py
+++ b/src/lavendergap/entry/discovery.py
@@ -24,6 +24,9 @@
 # finds the running hosts within two seconds of its start. Later than the third probe of
 # the seeds, so that a start of all hosts takes no additional calls.
 FRESH_LIST_AFTER_S = 1.5
+# When a host that has registered without knowing another lists again. Hosts that
+# started together without seeds register at the same time, and would be ready alone.
+LIST_AGAIN_S = 0.5
 # How long a host that finds none of the listed hosts stays unready. After that it takes
 # them for gone and serves alone.
 LISTED_HOSTS_WAIT_S = 10.0
@@ -96,8 +99,11 @@
             has_just_listed = False
             if is_due and not self._is_registered:
                 await self._register()
+            has_just_registered = is_due and self._is_registered
             is_retrying = is_alone or (is_due and not self._is_registered)
             retry = HOSTS_RETRY_S * self._random.uniform(1.0, 3.0)
+            if is_alone and has_just_registered:
+                retry = LIST_AGAIN_S
             await trio.sleep(retry if is_retrying else REGISTER_CHECK_INTERVAL_S)
 
     def must_find_peer(self) -> bool:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from lavendergap.coordination.limits.bucket import Bucket, WindowReserve
+from lavendergap.coordination.limits.counting import Counting
 from lavendergap.coordination.limits.hosts import HostView
 from lavendergap.coordination.limits.retries import MAX_RETRY_AFTER_S
 from lavendergap.coordination.limits.standing import RANK_FRACTIONS
@@ -315,6 +316,15 @@
         assert view.get_share(frozenset(), 0.0, now=7_100.0) == 0.25
         assert view.get_share(frozenset(), 0.0, now=7_300.0) == 1.0
 
+    def test_a_host_alone_waits_for_others_that_started_with_it(self):
+        """Guards against hosts that each grant the limit before they have met."""
+        view = HostView(own="h0", window_s=5.0, now=0.0)
+        view.update({"h0": 1}, (), now=0.0)
+        view.note_hints(n_answered=0, n_silent=0, is_named=False)
+        counting = Counting(view=view, bounds=BOUNDS, random=Random(1))
+        granted = [counting.decide(CUSTOMER, 9, now=now / 2).n for now in range(13)]
+        assert granted == [0] * 12 + [9]
+
     def test_a_host_that_stopped_is_not_gone(self):
         view = self.make()
         left = {f"h{n}": 1 for n in range(6)}
