--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -42,6 +42,9 @@
 
 MAX_GONE_SENT = 2_048
 INFORM_INTERVAL_S = 1.0
+PRUNE_INTERVAL_S = 1.0
+"""Each search for idle customers costs 1 us for each customer counted here."""
+
 ANY_CUSTOMER = ""
 """In a HandoverRequest: asks only for the hosts that went silently."""
 
@@ -85,6 +88,7 @@
         self._checked_at: dict[str, float] = {}
         self._seen: tuple[int, bool] = (-1, False)
         self._inform_at = 0.0
+        self._prune_at = 0.0
 
     def is_first(self, name: str) -> bool:
         """Return whether this host ranks first for a customer."""
@@ -298,7 +302,9 @@
         """Do what is due; called several times a second while there are limits."""
         self.view.touch(now=now)
         self._inform_if_due(now)
-        self._counting.prune(now=now)
+        if now >= self._prune_at:
+            self._prune_at = now + PRUNE_INTERVAL_S
+            self._counting.prune(now=now)
         self._log_changes()
 
     def give_back(self, name: str, n: int, *, now: float) -> None:
