Let a host that is truly alone count for its customers at once

Cause: a single host refused the requests of customers with limits for 2.5 s after it was ready (503 from 4.2 s to 6.7 s after its start).

Change: a host that has registered and then finds no other in a fresh list counts without waiting; a host that starts later finds it there.

--- a/src/lavendergap/coordination/limits/hosts.py
+++ b/src/lavendergap/coordination/limits/hosts.py
@@ -40,7 +40,8 @@
 """How long after its start a host without others counts for nobody.
 
 Hosts that start together and are named by no settings and no list find each other
-through the list within 4 s. Until then each would grant the whole limit.
+through the list within 4 s. Until then each would grant the whole limit. A host that
+has registered and finds no other in the list does not wait.
 """
 
 BLIND_RESERVE_SHARE = 0.5
@@ -79,6 +80,7 @@
         self.window_s = window_s
         self.is_joined = False
         self.is_blind = True
+        self.is_only_host = False
         self._hint_share = 0.0
         self.started_at = now
         self.unsure_since = now
@@ -323,7 +325,8 @@
 
     def is_alone_too_soon(self, *, now: float) -> bool:
         """Return whether this host knows no other, and others may have started too."""
-        return len(self.live) == 1 and now - self.started_at < ALONE_S
+        is_alone = len(self.live) == 1 and not self.is_only_host
+        return is_alone and now - self.started_at < ALONE_S
 
     def rank(self, customer: str) -> tuple[str, ...]:
         """Return the first few live hosts for a customer, the counting one first."""
--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -57,7 +57,7 @@
     """Decides for the customers for which this host is asked, by itself or by others.
 
     `get_customers` returns the active table of customers. While none of them has a
-    limit, nothing is done.
+    limit, nothing is done. `is_only_host` returns whether no other host has registered.
     """
 
     def __init__(
@@ -70,6 +70,7 @@
         random: Random,
         get_customers: Callable[[], CustomerTable | None],
         bounds: LimitBounds | None,
+        is_only_host: Callable[[], bool] = lambda: False,
     ) -> None:
         bounds = bounds or DEFAULT_BOUNDS
         self.own_name = own_name
@@ -84,6 +85,7 @@
         self._nursery = nursery
         self._random = random
         self._get_customers = get_customers
+        self._is_only_host = is_only_host
         self._counting = Counting(view=self.view, bounds=bounds, random=random)
         self._checked_at: dict[str, float] = {}
         self._seen: tuple[int, bool] = (-1, False)
@@ -245,6 +247,7 @@
             self._check_port(host, now, delay=self._random.random())
 
     def _inform_if_due(self, now: float) -> None:
+        self.view.is_only_host = self._is_only_host()
         # Before it has joined, this host knows no other that could tell.
         can_ask = self.view.is_joined and not self.view.is_alone_too_soon(now=now)
         if self.view.is_blind and can_ask and now >= self._inform_at:
--- a/src/lavendergap/entry/discovery.py
+++ b/src/lavendergap/entry/discovery.py
@@ -77,6 +77,11 @@
         self._is_entry_lost = False
         self._started_at = trio.current_time()
         self._n_listed = 0
+        self.is_only_host = False
+        """Whether the list named this host and no other, after it had registered.
+
+        A host that registers later finds this one in the list.
+        """
         self._warned_at: float | None = None
 
     async def run(self) -> None:
@@ -174,6 +179,8 @@
                     self._join(entry)
                 others = {entry.name for entry in entries} - {self._host.name}
                 self._n_listed = len(others)
+                is_named = len(others) < len(entries) and self._is_registered
+                self.is_only_host = is_named and not others and not may_be_stale
                 self._wake()
             case StoreUnavailable(step=step, reason=reason):
                 log_decision(
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -251,6 +251,7 @@
             random=self._random,
             get_customers=self._get_customers,
             bounds=host.bounds.limits,
+            is_only_host=lambda: self._discovery.is_only_host,
         )
         self._customer_limits = LimitService(
             counting=self._counting,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -199,6 +199,18 @@
         await trio.sleep(1.9)
         assert make_address(1) in late.hints
 
+    @pytest.mark.parametrize(("n_hosts", "expected"), [(1, True), (4, False)])
+    async def test_only_a_single_host_takes_itself_for_the_only_one(
+        self, autojump_clock, nursery, n_hosts, expected
+    ):
+        # Guards against hosts that start together and each grant a customer's limit.
+        store = FakeStore()
+        found: list[Discovery] = []
+        for number in range(n_hosts):
+            start_discovery(number, store, nursery, started=found)
+        await trio.sleep(3.5)
+        assert [discovery.is_only_host for discovery in found] == [expected] * n_hosts
+
     @pytest.mark.parametrize(
         ("listed", "is_found", "at", "expected"),
         [
