Let the settings tree name customers by the digests of their keys

Cause: customers with keys and limits exist for gateway hosts only; deployments with a settings tree could not name any.

Change: the branch `customers` with `key_sha256`, `priority`, `rate_per_s`, `burst` and `share_weight`, the options `limit_window_s`, `limit_overage` and `limit_slack` at the top, and `public` of a service. `lavendergap settings hash-key` reads a key from standard input and prints its digest, so that no key is in the file. Problems within a customer show no text that was found there, as it may be a key. An empty `customers` is refused, since removing the last one would open all services.

Resolved settings with customers have format 2, which hosts of earlier versions refuse: they would serve requests without keys. Without customers the bytes are as before.

The option of the weight is called `share_weight`, as names of options are unique and services have `weight`.

--- a/src/lavendergap/commands/settings.py
+++ b/src/lavendergap/commands/settings.py
@@ -1,6 +1,7 @@
 """`lavendergap settings`: checks, shows, gets and applies settings."""
 
 import difflib
+import sys
 from dataclasses import asdict
 from pathlib import Path
 
@@ -14,6 +15,7 @@
     make_settings_key,
 )
 from ..state.branch import DEFAULT, Branch, Resolved
+from ..state.customers import digest_key
 from ..state.options import OPTIONS
 from ..state.settings import Address, GiveUpStragglers, Settings, WaitForCoverage
 from ..state.tree import load_settings, parse_settings, parse_tree, read_file
@@ -21,6 +23,7 @@
 from ..transport.platform import Found, Missing, PlatformClient, Refused, Unavailable
 from .apply import apply
 from .console import print_json, print_note, print_table
+from .keys import read_key
 from .options import json_option, settings_option
 
 TOP = "(top)"
@@ -42,10 +45,28 @@
     n_servers = sum(len(g.servers) for s in found.services for g in s.groups)
     click.echo(
         f"{file}: deployment {found.deployment}, {len(found.hosts)} entry hosts, "
-        f"{len(found.services)} services, {n_servers} backend servers: no problem"
+        f"{len(found.services)} services, {n_servers} backend servers"
+        f"{_count_customers(found)}: no problem"
     )
 
 
+def _count_customers(found: Settings) -> str:
+    if found.customers is None:
+        return ""
+    n_keys = len(found.customers.names_by_digest)
+    return f", {len(found.customers.customers)} customers with {n_keys} keys"
+
+
+@settings.command(name="hash-key")
+def hash_key() -> None:
+    """Read a customer's key from standard input and print its digest.
+
+    The digest belongs in `key_sha256` of the settings. The key is read from standard
+    input since arguments are visible to other users and kept in the shell's history.
+    """
+    click.echo(digest_key(read_key(sys.stdin.buffer)).hex())
+
+
 @settings.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.argument("branch", default="")
--- a/src/lavendergap/coordination/limits/counting.py
+++ b/src/lavendergap/coordination/limits/counting.py
@@ -8,8 +8,7 @@
 from collections.abc import Callable
 from random import Random
 
-from ...state.customers import Customer
-from ...state.hostfile import LimitBounds
+from ...state.customers import Customer, LimitBounds
 from .bucket import Bucket, WindowCount, WindowReserve
 from .counts import Count, CountStatus, Grant, Handover, RoleChange
 from .hosts import HostView
--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -20,8 +20,7 @@
     PermitRequest,
     PermitReturn,
 )
-from ..state.customers import Customer, CustomerTable
-from ..state.hostfile import LimitBounds
+from ..state.customers import Customer, CustomerTable, LimitBounds
 from ..state.member import MemberState
 from ..state.settings import Address
 from ..transport.channel import Channel
--- a/src/lavendergap/protocol/resolved.py
+++ b/src/lavendergap/protocol/resolved.py
@@ -10,7 +10,9 @@
 import msgspec
 
 from ..errors import ObjectError
+from ..state.customers import CustomerTable, LimitBounds
 from ..state.settings import (
+    DEFAULT_LIMITS,
     Address,
     Control,
     GiveUpStragglers,
@@ -23,7 +25,12 @@
 )
 
 FORMAT = 1
-"""Incremented when the format changes; hosts refuse unknown formats."""
+FORMAT_WITH_CUSTOMERS = 2
+"""Incremented when the format changes; hosts refuse unknown formats.
+
+Settings without customers keep the older format. A host that knows only that one would
+ignore customers and serve requests without a key.
+"""
 
 MAX_PLAIN_BYTES = 8_000_000
 """Limits the memory that a hostile or malformed frame can use up."""
@@ -40,7 +47,7 @@
     pass
 
 
-class _Service(msgspec.Struct, frozen=True):
+class _Service(msgspec.Struct, frozen=True, omit_defaults=True):
     """A service with a tagged policy; msgspec can't decode unions of data classes."""
 
     name: str
@@ -54,9 +61,10 @@
     queue_limit: int
     max_body_bytes: int
     weight: float
+    public: bool = False
 
 
-class _Settings(msgspec.Struct, frozen=True):
+class _Settings(msgspec.Struct, frozen=True, omit_defaults=True):
     format: int
     deployment: str
     version: int
@@ -64,6 +72,8 @@
     hosts: tuple[Host, ...]
     services: tuple[_Service, ...]
     control: Control
+    customers: CustomerTable | None = None
+    limits: LimitBounds | None = None
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -73,13 +83,15 @@
 def encode_settings(settings: Settings) -> bytes:
     """Return `settings`, including the version, as bytes for `decode_settings`."""
     message = _Settings(
-        format=FORMAT,
+        format=FORMAT if settings.customers is None else FORMAT_WITH_CUSTOMERS,
         deployment=settings.deployment,
         version=settings.version,
         platform=settings.platform,
         hosts=settings.hosts,
         services=tuple(_pack_service(service) for service in settings.services),
         control=settings.control,
+        customers=settings.customers,
+        limits=settings.limits if settings.limits != DEFAULT_LIMITS else None,
     )
     return zlib.compress(_ENCODER.encode(message), _COMPRESSION_LEVEL)
 
@@ -94,8 +106,9 @@
         message = _DECODER.decode(_decompress(data))
     except (zlib.error, msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise ObjectError(key="resolved settings", problem=str(error)) from None
-    if message.format != FORMAT:
-        problem = f"format {message.format}, expected {FORMAT}; upgrade this host"
+    if message.format not in (FORMAT, FORMAT_WITH_CUSTOMERS):
+        expected = f"{FORMAT} or {FORMAT_WITH_CUSTOMERS}"
+        problem = f"format {message.format}, expected {expected}; upgrade this host"
         raise ObjectError(key="resolved settings", problem=problem)
     return Settings(
         deployment=message.deployment,
@@ -104,6 +117,8 @@
         hosts=message.hosts,
         services=tuple(_unpack_service(service) for service in message.services),
         control=message.control,
+        customers=message.customers,
+        limits=message.limits or DEFAULT_LIMITS,
     )
 
 
@@ -133,6 +148,7 @@
         queue_limit=service.queue_limit,
         max_body_bytes=service.max_body_bytes,
         weight=service.weight,
+        public=service.public,
     )
 
 
@@ -155,4 +171,5 @@
         queue_limit=service.queue_limit,
         max_body_bytes=service.max_body_bytes,
         weight=service.weight,
+        public=service.public,
     )
--- a/src/lavendergap/state/branch.py
+++ b/src/lavendergap/state/branch.py
@@ -19,10 +19,12 @@
 from .settings import GiveUpStragglers, StragglerPolicy, WaitForCoverage
 from .syntax import join_path, parse_text
 from .values import (
+    DigestsValue,
     StragglersValue,
     Value,
     check_value,
     describe_kind,
+    is_digest,
     is_name,
 )
 
@@ -153,15 +155,34 @@
         if isinstance(option.kind, StragglersValue):
             policy = self._read_stragglers(raw, path=path)
             return None if policy is None else (policy,)
+        if isinstance(option.kind, DigestsValue):
+            digests = self._read_digests(raw, path=path)
+            return None if digests is None else (digests,)
         value = check_value(option.kind, raw)
         if value is None:
-            shown = format_raw(raw)
+            # A key may have been written into another option of its customer.
+            is_hidden = Level.CUSTOMER in option.levels and isinstance(raw, str)
+            shown = "a string" if is_hidden else format_raw(raw)
             self._report_problem(
                 path, f"expected {describe_kind(option.kind)}, found {shown}"
             )
             return None
         return (value,)
 
+    def _read_digests(self, raw: Any, *, path: str) -> tuple[str, ...] | None:
+        """Check digests; what is reported shows no value, as it may be a key."""
+        if not isinstance(raw, list):
+            self._report_problem(path, f"expected {describe_kind(DigestsValue())}")
+            return None
+        wrong = [n for n, digest in enumerate(raw) if not is_digest(digest)]
+        for number in wrong:
+            self._report_problem(
+                f"{path}[{number}]",
+                "expected 64 hexadecimal digits, as `lavendergap settings hash-key` "
+                "prints them for a key",
+            )
+        return None if wrong else tuple(digest.lower() for digest in raw)
+
     def _read_stragglers(self, raw: Any, *, path: str) -> StragglerPolicy | None:
         kind = raw.get("kind") if isinstance(raw, dict) else None
         if not isinstance(kind, str) or kind not in STRAGGLERS_OPTIONS:
@@ -207,6 +228,11 @@
                 place, f"expected an object that maps names to {kind.key}"
             )
             return None
+        if kind.level is Level.CUSTOMER and kind.key in raw and not named:
+            # Whoever removes the last customer would open all services to everyone.
+            self._report_problem(
+                place, "expected a customer; without this key, requests need no key"
+            )
         return [
             self._read_named_child(branch, name, kind, path=place, inherited=inherited)
             for name, branch in named.items()
--- a/src/lavendergap/state/check.py
+++ b/src/lavendergap/state/check.py
@@ -34,6 +34,7 @@
     yield from _check_names(tree)
     yield from _check_addresses(tree)
     yield from _check_control(tree)
+    yield from _check_keys(tree)
     for branch in tree.walk():
         match branch.level:
             case Level.SERVICE:
@@ -111,6 +112,18 @@
             yield _make_finding(branch, "suspect_ms", what)
 
 
+def _check_keys(tree: Branch) -> Iterator[Finding]:
+    """Report keys at two customers: a request with one could be either's."""
+    owners: dict[str, str] = {}
+    for branch in tree.list_children(Level.CUSTOMER):
+        digests = branch.get("key_sha256")
+        for number, digest in enumerate(digests if isinstance(digests, tuple) else ()):
+            first = owners.setdefault(digest, branch.path)
+            if first != branch.path:
+                what = f"expected a key of this customer only, but {first} has it too"
+                yield Finding(path=f"{branch.path}.key_sha256[{number}]", expected=what)
+
+
 def _check_service(branch: Branch) -> Iterator[Finding]:
     if branch.get("idempotent") is False:
         for option in OPTIONS:
--- a/src/lavendergap/state/hostfile.py
+++ b/src/lavendergap/state/hostfile.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..errors import Problem, SettingsError
+from .customers import LimitBounds
 from .settings import Address
 from .syntax import parse_text
 
@@ -61,19 +62,6 @@
     cpu_speed: _Positive = 1.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LimitBounds:
-    """How far all hosts together may exceed a customer's limit.
-
-    In each window of `window_s` seconds, `1 + overage` times what the limit allows,
-    plus `slack` requests.
-    """
-
-    window_s: float
-    overage: float
-    slack: float
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GatewayBounds:
     """The platform's bounds, with times in seconds, and its budget of extra calls.
--- a/src/lavendergap/state/options.py
+++ b/src/lavendergap/state/options.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from .settings import WaitForCoverage
+from .settings import DEFAULT_LIMITS, WaitForCoverage
 from .values import (
     AddressValue,
+    DigestsValue,
     FlagValue,
     IntegerValue,
     Kind,
@@ -32,6 +33,7 @@
     CONTROL = "control"
     DATA_CENTRE = "data centre"
     HOST = "host"
+    CUSTOMER = "customer"
     SERVICE = "service"
     GROUP = "group"
     SERVER = "server"
@@ -97,6 +99,16 @@
         named=True,
         help="The entry hosts in this data centre, by name.",
     ),
+    BranchKind(
+        key="customers",
+        parent=Level.DEPLOYMENT,
+        level=Level.CUSTOMER,
+        named=True,
+        help=(
+            "The customers, by name. If there are any, a request needs the key of one, "
+            "except to a service that is public."
+        ),
+    ),
     BranchKind(
         key="services",
         parent=Level.DEPLOYMENT,
@@ -150,6 +162,30 @@
         levels=(Level.DEPLOYMENT,),
         help="Address of the platform's object API.",
     ),
+    Option(
+        name="limit_window_s",
+        kind=NumberValue(low=1.0, high=600.0),
+        unit="s",
+        default=DEFAULT_LIMITS.window_s,
+        levels=(Level.DEPLOYMENT,),
+        help="The sliding window for which the bound of customers' requests holds.",
+    ),
+    Option(
+        name="limit_overage",
+        kind=NumberValue(low=0.0, high=10.0),
+        unit="share of the limit",
+        default=DEFAULT_LIMITS.overage,
+        levels=(Level.DEPLOYMENT,),
+        help="How far a customer's limit may be exceeded while hosts fail.",
+    ),
+    Option(
+        name="limit_slack",
+        kind=NumberValue(low=0.0, high=1_000_000.0),
+        unit="requests",
+        default=DEFAULT_LIMITS.slack,
+        levels=(Level.DEPLOYMENT,),
+        help="Requests by which a limit may be exceeded in each window as well.",
+    ),
     Option(
         name="callers",
         kind=AddressValue(),
@@ -168,6 +204,48 @@
         levels=(Level.HOST,),
         help="Address of metrics, health, readiness and status.",
     ),
+    Option(
+        name="key_sha256",
+        kind=DigestsValue(),
+        levels=(Level.CUSTOMER,),
+        help=(
+            "SHA-256 digests of the customer's keys, as `lavendergap settings "
+            "hash-key` prints them; the keys themselves do not belong in the file."
+        ),
+    ),
+    Option(
+        name="priority",
+        kind=IntegerValue(low=0, high=1_000_000),
+        default=0,
+        levels=(Level.CUSTOMER,),
+        help="Order in which waiting requests are served; 0 is the most urgent.",
+    ),
+    Option(
+        name="rate_per_s",
+        kind=NumberValue(low=0.0, high=1_000_000.0),
+        unit="requests per second",
+        default=0.0,
+        levels=(Level.CUSTOMER,),
+        help="The customer's limit over all entry hosts together; 0 for none.",
+    ),
+    Option(
+        name="burst",
+        kind=NumberValue(low=0.0, high=1_000_000.0),
+        unit="requests",
+        default=0.0,
+        levels=(Level.CUSTOMER,),
+        help="Requests that the customer may send at once, above its rate.",
+    ),
+    Option(
+        name="share_weight",
+        kind=NumberValue(low=0.0, high=1_000_000.0),
+        default=0.0,
+        levels=(Level.CUSTOMER,),
+        help=(
+            "The customer's share of busy servers, relative to customers of the same "
+            "priority; 0 for its rate_per_s, or 1 without a limit."
+        ),
+    ),
     Option(
         name="address",
         kind=AddressValue(),
@@ -275,6 +353,13 @@
         levels=_TO_SERVICE,
         help="The service's share of an overloaded host, relative to the others.",
     ),
+    Option(
+        name="public",
+        kind=FlagValue(),
+        default=False,
+        levels=(Level.SERVICE,),
+        help="Whether requests need no key, although the file names customers.",
+    ),
     _make_duration_option(
         "probe_interval_ms",
         default=1_000,
--- a/src/lavendergap/state/settings.py
+++ b/src/lavendergap/state/settings.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass, field
 
+from .customers import CustomerTable, LimitBounds
+
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
 class Address:
@@ -118,7 +120,8 @@
 
     `idempotent` services take queries; the others take requests that run at most
     once and need a ticket. Budgets are shares of extra load: 0.05 allows five extra
-    calls in a hundred. Times are in milliseconds.
+    calls in a hundred. Times are in milliseconds. Requests to a `public` service need
+    no key.
     """
 
     name: str
@@ -132,6 +135,7 @@
     queue_limit: int
     max_body_bytes: int
     weight: float
+    public: bool = False
     extra: ExtraCalls = field(default_factory=ExtraCalls)
 
 
@@ -150,12 +154,15 @@
     drain_ms: int = 10_000
 
 
+DEFAULT_LIMITS = LimitBounds(window_s=5.0, overage=0.1, slack=20.0)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Settings:
     """All settings of one deployment at one `version` of the platform's object.
 
     Version 0 is the file that a host starts with; all versions from the platform are
-    newer.
+    newer. Without `customers`, requests need no key.
     """
 
     deployment: str
@@ -164,6 +171,8 @@
     hosts: tuple[Host, ...]
     services: tuple[Service, ...]
     control: Control = field(default_factory=Control)
+    customers: CustomerTable | None = None
+    limits: LimitBounds = DEFAULT_LIMITS
 
     def get_service(self, name: str) -> Service | None:
         """Return the service called `name`, or None."""
--- a/src/lavendergap/state/tree.py
+++ b/src/lavendergap/state/tree.py
@@ -6,6 +6,7 @@
 from ..errors import Problem, SettingsError
 from .branch import Branch, read_tree
 from .check import check_tree
+from .customers import Customer, CustomerTable, LimitBounds
 from .options import Level, list_options
 from .settings import (
     Address,
@@ -96,6 +97,12 @@
             _build_service(branch) for branch in tree.list_children(Level.SERVICE)
         ),
         control=_build_control(tree.list_children(Level.CONTROL)[0]),
+        customers=_build_customers(tree.list_children(Level.CUSTOMER)),
+        limits=LimitBounds(
+            window_s=_get_typed(tree, "limit_window_s", float),
+            overage=_get_typed(tree, "limit_overage", float),
+            slack=_get_typed(tree, "limit_slack", float),
+        ),
     )
 
 
@@ -104,6 +111,28 @@
     return Control(**{name: _get_typed(branch, name, int) for name in names})
 
 
+def _build_customers(branches: tuple[Branch, ...]) -> CustomerTable | None:
+    if not branches:
+        return None
+    return CustomerTable(
+        customers={
+            branch.name: Customer(
+                name=branch.name,
+                priority=_get_typed(branch, "priority", int),
+                rate_per_s=_get_typed(branch, "rate_per_s", float),
+                burst=_get_typed(branch, "burst", float),
+                share_weight=_get_typed(branch, "share_weight", float),
+            )
+            for branch in branches
+        },
+        names_by_digest={
+            bytes.fromhex(digest): branch.name
+            for branch in branches
+            for digest in _get_typed(branch, "key_sha256", tuple)
+        },
+    )
+
+
 def _build_host(branch: Branch, *, data_centre: str) -> Host:
     return Host(
         name=branch.name,
@@ -135,6 +164,7 @@
         queue_limit=_get_typed(branch, "queue_limit", int),
         max_body_bytes=_get_typed(branch, "max_body_bytes", int),
         weight=_get_typed(branch, "weight", float),
+        public=_get_typed(branch, "public", bool),
     )
 
 
--- a/src/lavendergap/state/values.py
+++ b/src/lavendergap/state/values.py
@@ -10,6 +10,8 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
 """Names have no dots, so that dotted paths into the tree are unambiguous."""
 
+DIGEST_PATTERN = re.compile(r"[0-9A-Fa-f]{64}")
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class IntegerValue:
@@ -47,10 +49,21 @@
     """The policy of a service for shards that answer late."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DigestsValue:
+    """A list of SHA-256 digests in hexadecimal, one for each of a customer's keys."""
+
+
 Kind = (
-    IntegerValue | NumberValue | FlagValue | NameValue | AddressValue | StragglersValue
+    IntegerValue
+    | NumberValue
+    | FlagValue
+    | NameValue
+    | AddressValue
+    | StragglersValue
+    | DigestsValue
 )
-Value = int | float | bool | str | Address | StragglerPolicy
+Value = int | float | bool | str | Address | StragglerPolicy | tuple[str, ...]
 
 
 def describe_kind(kind: Kind) -> str:
@@ -68,12 +81,15 @@
             return "an IPv4 number and a port, such as 127.0.0.1:8001"
         case StragglersValue():
             return '{"kind": "wait"} or {"kind": "give up", ...}'
+        case DigestsValue():
+            return "a list of SHA-256 digests of 64 hexadecimal digits each"
 
 
 def check_value(kind: Kind, raw: object) -> Value | None:
     """Return `raw` as a value of `kind`, or None if it is invalid.
 
-    `StragglersValue` has options of its own and is parsed by `state.branch`.
+    `StragglersValue` has options of its own and is parsed by `state.branch`, as is
+    `DigestsValue`, whose problems are reported without the value.
     """
     match kind:
         case IntegerValue(low=low, high=high):
@@ -86,7 +102,7 @@
             return raw if isinstance(raw, str) and is_name(raw) else None
         case AddressValue():
             return parse_address(raw) if isinstance(raw, str) else None
-        case StragglersValue():
+        case StragglersValue() | DigestsValue():
             return None
 
 
@@ -95,6 +111,11 @@
     return NAME_PATTERN.fullmatch(text) is not None
 
 
+def is_digest(raw: object) -> bool:
+    """Return whether `raw` is a SHA-256 digest in hexadecimal."""
+    return isinstance(raw, str) and DIGEST_PATTERN.fullmatch(raw) is not None
+
+
 def parse_address(text: str) -> Address | None:
     """Return the address in `text`, written as ip:port, or None if it is invalid.
 
--- a/tests/limitfakes.py
+++ b/tests/limitfakes.py
@@ -8,8 +8,7 @@
 from lavendergap.coordination.limits.counts import Grant
 from lavendergap.coordination.limits.hosts import HostView
 from lavendergap.coordination.limits.permits import Permits, Refused
-from lavendergap.state.customers import Customer
-from lavendergap.state.hostfile import LimitBounds
+from lavendergap.state.customers import Customer, LimitBounds
 
 BOUNDS = LimitBounds(window_s=5.0, overage=0.1, slack=20.0)
 DETECT_S = (2.5, 4.0)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -1,6 +1,8 @@
 """The command line: output, exit codes and error messages."""
 
 import copy
+import hashlib
+import io
 import json
 import logging
 import math
@@ -222,6 +224,25 @@
         assert ["connections", "25", "connections", "default"] in rows
         assert ["data_centre", "dc-1", SERVER_A] in rows
 
+    @pytest.mark.parametrize(
+        ("key", "code"),
+        [("My-Key", 0), ("My-Key\n", 0), ("", 2), (" My-Key", 2), ("My-Key" * 50, 2)],
+    )
+    def test_only_the_digest_of_a_key_is_shown(
+        self, call, key, code, tmp_path, monkeypatch
+    ):
+        """Guards against a key in a terminal, a file or the shell's history."""
+        monkeypatch.setattr("sys.stdin", io.TextIOWrapper(io.BytesIO(key.encode())))
+        found, out, err = call("settings", "hash-key")
+        assert (found, "My-Key" in out + err) == (code, False)
+        if code == 0:
+            assert out == hashlib.sha256(b"My-Key").hexdigest() + "\n"
+            customers = {"acme": {"key_sha256": [out.strip()]}}
+            path = write_tree(tmp_path / "s.jsonc", customers=customers)
+            assert "1 customers with 1 keys" in call("settings", "check", path)[1]
+            shown = call("settings", "show", path, "customers.acme")[1]
+            assert out.strip() in shown
+
     def test_a_branch_as_json(self, call, tmp_path):
         path = write_tree(tmp_path / "s.jsonc", stragglers={"kind": "give up"})
         _, out, _ = call("settings", "show", path, "services.search", "--json")
@@ -388,11 +409,13 @@
         "retry_after_ms": 250,
     }
 
-    def test_the_answer_shows_its_coverage(self, call, deployment):
+    def test_the_answer_shows_its_coverage(self, call, deployment, tmp_path):
         host = deployment.hosts["host-1"]
         host.answers = [make_json_reply(self.ANSWER)] * 2
         arguments = ["query", "search", "--host", "host-1", "--body", '{"q": 1}']
-        code, out, _ = call(*arguments, "--deadline-ms", 70)
+        key = tmp_path / "key"
+        key.write_text("My-Key\n")
+        code, out, _ = call(*arguments, "--deadline-ms", 70, "--key-file", key)
         assert code == 0
         assert "coverage  1 of 2 shards, 50.0% of the library" in out
         assert ["s01", "shed", "send", "x-a"] in [x.split() for x in out.splitlines()]
@@ -400,7 +423,9 @@
         (request,) = host.requests
         assert request.path == "/v1/services/search/query"
         assert (request.headers["deadline-ms"], request.body) == ("70", b'{"q": 1}')
+        assert request.headers["customer-key"] == "My-Key"
         assert json.loads(call(*arguments, "--json")[1]) == self.ANSWER
+        assert "customer-key" not in host.requests[1].headers
 
     def test_a_refusal_shows_its_origin_and_retry_delay(self, call, deployment):
         host = deployment.hosts["host-2"]
--- a/tests/test_limit_service.py
+++ b/tests/test_limit_service.py
@@ -16,10 +16,9 @@
 from lavendergap.entry.limitchannels import LimitChannels
 from lavendergap.entry.limits import NOT_COUNTED_RETRY_MS, LimitService
 from lavendergap.protocol.messages import Hello, PermitRequest, PermitReturn
-from lavendergap.state.customers import Customer, CustomerTable
+from lavendergap.state.customers import Customer, CustomerTable, LimitBounds
 from lavendergap.state.forwarding import ForwardedRequest
 from lavendergap.state.gossip import Gossip
-from lavendergap.state.hostfile import LimitBounds
 from lavendergap.state.member import DocumentsDigest, Member, MemberState
 from lavendergap.state.outcome import Reason
 from lavendergap.state.routes import OneOf, Route
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from lab.reference import PAGE, replace_reference, write_reference
+from lavendergap.state.customers import Customer
 from lavendergap.state.options import (
     BRANCHES,
     OPTIONS,
@@ -39,6 +40,11 @@
         lowest = {option.name for option in OPTIONS if option.lowest is level}
         assert fields == lowest
 
+    def test_a_customer_has_its_fields_and_its_keys(self):
+        fields = {field.name for field in dataclasses.fields(Customer)} - {"name"}
+        options = {option.name for option in list_options(Level.CUSTOMER)}
+        assert options == fields | {"key_sha256"}
+
     def test_control_defaults_agree_with_the_data_class(self):
         defaults = {
             option.name: option.default for option in list_options(Level.CONTROL)
--- a/tests/test_resolved.py
+++ b/tests/test_resolved.py
@@ -2,6 +2,7 @@
 
 import json
 import zlib
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -9,6 +10,7 @@
 from lavendergap.errors import ObjectError
 from lavendergap.protocol import resolved
 from lavendergap.protocol.resolved import decode_settings, encode_settings
+from lavendergap.state.customers import Customer, CustomerTable, digest_key
 from lavendergap.state.tree import parse_settings
 from tests.test_tree import TREE
 
@@ -32,6 +34,21 @@
     def test_round_trip(self, settings):
         assert decode_settings(encode_settings(settings)) == settings
 
+    def test_customers_need_a_format_that_older_hosts_refuse(self, settings):
+        """Guards against a host that ignores customers and serves without a key."""
+        table = CustomerTable(
+            customers={"c1": Customer(name="c1", priority=2, share_weight=0.5)},
+            names_by_digest={digest_key(b"k"): "c1"},
+        )
+        public = replace(settings.services[0], public=True)
+        named = replace(settings, customers=table, services=(public,))
+        assert decode_settings(encode_settings(named)) == named
+        plain = msgspec.msgpack.decode(zlib.decompress(encode_settings(settings)))
+        known = {"customers", "limits"}
+        assert plain["format"] == 1 and not known & plain.keys()
+        fields = msgspec.msgpack.decode(zlib.decompress(encode_settings(named)))
+        assert fields["format"] == 2
+
     def test_truncated_or_malformed_data_is_rejected(self, settings):
         """Guards against a host that applies a part of a version."""
         data = encode_settings(settings)
@@ -43,8 +60,8 @@
                 decode_settings(bad)
 
     def test_another_format_asks_for_an_upgrade(self, settings):
-        data = change(encode_settings(settings), format=2)
-        with pytest.raises(ObjectError, match="format 2, expected 1; upgrade"):
+        data = change(encode_settings(settings), format=3)
+        with pytest.raises(ObjectError, match="format 3, expected 1 or 2; upgrade"):
             decode_settings(data)
 
     def test_a_decompression_bomb_is_rejected(self, monkeypatch):
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -10,6 +10,7 @@
 from lavendergap.errors import SettingsError
 from lavendergap.state import syntax
 from lavendergap.state.branch import DEFAULT
+from lavendergap.state.customers import Customer, LimitBounds, digest_key
 from lavendergap.state.settings import Address, GiveUpStragglers, WaitForCoverage
 from lavendergap.state.tree import load_settings, parse_settings, parse_tree
 
@@ -61,10 +62,16 @@
 REMOVED = object()
 
 
+D1, D2 = digest_key(b"k1").hex(), digest_key(b"k2").hex()
+ACME: dict[str, Any] = {"key_sha256": [D1], "priority": 2, "rate_per_s": 4}
+
+
 def edit(path, value):
     """Return the text of the small tree with the value at `path` set or removed."""
     tree = copy.deepcopy(TREE)
     *parents, last = path.split(".")
+    if parents[:1] == ["customers"]:
+        tree["customers"] = {"a": copy.deepcopy(ACME)}
     branch = tree
     for key in parents:
         branch = branch.setdefault(key, {})
@@ -123,6 +130,21 @@
         assert services["ledger"].stragglers == WaitForCoverage()
 
 
+class TestCustomers:
+    def test_keys_and_limits_are_read(self):
+        text = edit(f"{SEARCH}.public", True)
+        assert parse_settings(text, file="f").customers is None
+        both = {"a": ACME, "b": {"key_sha256": [], "share_weight": 0.5}}
+        tree = json.loads(text) | {"customers": both, "limit_slack": 0}
+        settings = parse_settings(json.dumps(tree), file="f")
+        assert [service.public for service in settings.services] == [True, False]
+        assert settings.limits == LimitBounds(window_s=5.0, overage=0.1, slack=0.0)
+        assert settings.customers is not None
+        found = [settings.customers.find_by_key(key) for key in (b"k1", b"k2")]
+        assert found == [Customer(name="a", priority=2, rate_per_s=4.0), None]
+        assert settings.customers.customers["b"].weight == 0.5
+
+
 class TestRefusals:
     @pytest.mark.parametrize(
         ("path", "value", "place", "words"),
@@ -226,6 +248,28 @@
                 "at least probe_interval_ms, 1000, found 999",
             ),
             ("control", [], "control", "expected an object"),
+            ("customers", {}, "customers", "expected a customer"),
+            ("customers", {"": ACME}, 'customers.""', "a name of letters"),
+            ("customers.a", {}, "customers.a.key_sha256", "missing; expected a list"),
+            (
+                "customers",
+                {"a": ACME, "b": {"key_sha256": [D2, D1.upper()]}},
+                "customers.b.key_sha256[1]",
+                "a key of this customer only, but customers.a has it too",
+            ),
+            ("limit_slack", -1, "limit_slack", "a number from 0 to 1e+06, found -1"),
+            (f"{SEARCH}.public", 1, f"{SEARCH}.public", "true or false"),
+            ("public", True, "public", "is allowed at: service"),
+            *(
+                (f"customers.a.{name}", value, f"customers.a.{name}", words)
+                for name, value, words in [
+                    ("rate_per_s", -0.1, "found -0.1"),
+                    ("rate_per_s", math.inf, "found inf"),
+                    ("burst", math.nan, "found nan"),
+                    ("share_weight", -1, "found -1"),
+                    ("priority", 0.5, "found 0.5"),
+                ]
+            ),
         ],
     )
     def test_one_mistake_yields_one_problem_at_its_path(
@@ -235,6 +279,25 @@
         assert found == place
         assert words in expected
 
+    @pytest.mark.parametrize(
+        ("name", "value", "place"),
+        [
+            ("key_sha256", "My-Key", "key_sha256"),
+            ("key_sha256", [D1, "My-Key"], "key_sha256[1]"),
+            ("key_sha256", [D1 + "0"], "key_sha256[0]"),
+            ("key_sha256", ["g" * 64], "key_sha256[0]"),
+            ("key_sha256", [7], "key_sha256[0]"),
+            ("key_sha256", [f" {D1[1:]}"], "key_sha256[0]"),
+            ("rate_per_s", "My-Key", "rate_per_s"),
+            ("api_key", "My-Key", "api_key"),
+        ],
+    )
+    def test_a_key_in_the_file_is_refused_and_not_shown(self, name, value, place):
+        """Guards against a key in the terminal, and in the logs of the hosts."""
+        ((found, expected),) = list_problems(edit(f"customers.a.{name}", value))
+        assert found == f"customers.a.{place}"
+        assert "My-Key" not in expected
+
     def test_all_mistakes_are_reported_at_once(self):
         text = edit("slots", 0).replace('"idempotent": false', '"idempotent": 0')
         text = text.replace("127.0.0.1:20001", "127.0.0.1:20000")
