Require customers' keys at the callers' port of entry hosts

Cause: the callers' port had no notion of a customer.

Change: if the settings in force name customers, queries, tickets, requests and look-ups of tickets need a key in Customer-Key, unless their service is public: 401 without one, 503 from a host whose only settings are its file's. The key is looked up once the body is complete. The reader of keys, its log limit and its error are those of gateway hosts; it now takes the names of the two headers that it reads. The customer's name, weight and priority travel in Search, Run and TicketRequest as one field, and the backend server gets the name in Customer.

Without customers no header or answer differs; a Search is one byte longer.

--- a/src/lavendergap/commands/query.py
+++ b/src/lavendergap/commands/query.py
@@ -3,7 +3,7 @@
 import random
 from http import HTTPStatus
 from pathlib import Path
-from typing import Any
+from typing import Any, BinaryIO
 
 import click
 import msgspec
@@ -15,6 +15,7 @@
 from ..state.tree import load_settings
 from ..transport.httpclient import FailedCall, HttpClient, HttpReply
 from .console import print_note, print_table
+from .keys import read_key
 from .options import json_option, settings_option
 
 ANSWER_MARGIN_S = 2.0
@@ -39,6 +40,11 @@
     help="Send the request to this entry host only.",
 )
 @click.option("--ticket", help="Repeat a request with its ticket to get its outcome.")
+@click.option(
+    "--key-file",
+    type=click.File("rb"),
+    help="Send the customer's key in this file; - for standard input.",
+)
 @json_option
 def query(
     settings_path: Path,
@@ -47,6 +53,7 @@
     deadline_ms: int | None,
     host_name: str | None,
     ticket: str | None,
+    key_file: BinaryIO | None,
     as_json: bool,
 ) -> None:
     """Query SERVICE through an entry host and show the answer with its coverage.
@@ -65,6 +72,7 @@
         service=asked,
         body=body.encode(),
         deadline_ms=deadline_ms or asked.deadline_ms,
+        key=None if key_file is None else read_key(key_file),
     )
     if asked.idempotent:
         reply = trio.run(request.search)
@@ -94,12 +102,19 @@
     """One request that is sent to the hosts in turn until one answers."""
 
     def __init__(
-        self, *, hosts: list[Host], service: Service, body: bytes, deadline_ms: int
+        self,
+        *,
+        hosts: list[Host],
+        service: Service,
+        body: bytes,
+        deadline_ms: int,
+        key: bytes | None,
     ) -> None:
         self.hosts = hosts
         self.service = service
         self.body = body
         self.deadline_ms = deadline_ms
+        self.key = key
 
     async def search(self) -> HttpReply:
         """Query an idempotent service."""
@@ -127,6 +142,8 @@
         }
         if ticket is not None:
             headers["Ticket"] = ticket
+        if self.key is not None:
+            headers["Customer-Key"] = self.key.decode("ascii")
         path = f"/v1/services/{self.service.name}/{what}"
         failures = []
         for host in self.hosts:
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -20,6 +20,7 @@
 from ..logs import LineHandler, flush_logs, log_decision
 from ..protocol.answers import Refusal, SearchResult
 from ..protocol.messages import Frame, Hello
+from ..state.customers import make_precedence
 from ..state.gossip import DocumentsAdvertised, Event, MemberChanged
 from ..state.member import Member
 from ..state.settings import Host, Settings
@@ -288,6 +289,7 @@
             body=request.body,
             started=request.started,
             deadline=request.deadline,
+            precedence=make_precedence(request.customer),
         )
         return await self._coordinator.search(query)
 
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -176,12 +176,12 @@
                 max_attempts=greatest.max_attempts if greatest else 0,
                 is_repeat=greatest.is_repeat if greatest else False,
                 goal_at=goal,
-                priority=greatest.priority if greatest else 0,
+                priority=(greatest or search.precedence).priority,
                 kind=search.service if greatest else "",
                 no_retry_after_server_end=greatest is not None,
                 data_centres=_read_data_centres(greatest),
-                customer=greatest.customer if greatest else "",
-                weight=greatest.weight if greatest else 1.0,
+                customer=(greatest or search.precedence).customer,
+                weight=(greatest or search.precedence).weight,
             )
             pending.calls[ref.shard] = call
             submitted.append(SubmittedCall(call=call, finish=finish))
@@ -245,6 +245,9 @@
             deadline=trio.current_time() + run.left_ms / 1_000,
             body=run.body,
             idempotent=False,
+            priority=run.precedence.priority,
+            customer=run.precedence.customer,
+            weight=run.precedence.weight,
         )
 
         def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
--- a/src/lavendergap/entry/runsender.py
+++ b/src/lavendergap/entry/runsender.py
@@ -5,6 +5,7 @@
 from ..coordination.calls import Call, FinishCall
 from ..protocol.messages import Run as RunMessage
 from ..protocol.messages import RunOutcome
+from ..state.customers import Precedence
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Group, Service, Settings
 from ..state.ticket import Ticket
@@ -43,7 +44,9 @@
         """Apply new settings."""
         self._settings = settings
 
-    async def send(self, ticket: Ticket, body: bytes, deadline: float) -> Outcome:
+    async def send(
+        self, ticket: Ticket, body: bytes, deadline: float, precedence: Precedence
+    ) -> Outcome:
         """Send the request to an owner of its group; `deadline` is in seconds.
 
         It goes to the next owner only if the one before it provably did nothing: no
@@ -56,7 +59,7 @@
                 step=Step.ROUTE, peer=ticket.service, reason=Reason.UNKNOWN_SERVICE
             )
         group = service.groups[ticket.serial % len(service.groups)]
-        call = self._build_call(ticket, service, group, body, deadline)
+        call = self._build_call(ticket, service, group, body, deadline, precedence)
         outcome: Outcome = NotRun(
             step=Step.ROUTE, peer=group.name, reason=Reason.NO_REPLICA
         )
@@ -78,6 +81,7 @@
         group: Group,
         body: bytes,
         deadline: float,
+        precedence: Precedence,
     ) -> Call:
         issuer = ticket.issuer
         return Call(
@@ -90,6 +94,9 @@
             deadline=deadline,
             body=body,
             idempotent=False,
+            priority=precedence.priority,
+            customer=precedence.customer,
+            weight=precedence.weight,
         )
 
     async def _send_to(self, host: str, call: Call) -> Outcome:
@@ -110,6 +117,9 @@
             group=call.group,
             left_ms=int(left * 1_000),
             body=call.body,
+            precedence=Precedence(
+                customer=call.customer, weight=call.weight, priority=call.priority
+            ),
         )
         reply = await channel.ask(message, limit=left + REPLY_GRACE_S)
         if isinstance(reply, RunOutcome):
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -27,6 +27,7 @@
     ShardAnswer,
     ShardRef,
 )
+from ..state.customers import NO_CUSTOMER, Precedence
 from ..state.forwarding import ForwardedRequest, Headers
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import AnswerByGoal, Service
@@ -83,7 +84,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Query:
-    """A caller's query; `started` and `deadline` are in seconds on the loop's clock."""
+    """A caller's query; `started` and `deadline` are in seconds on the loop's clock.
+
+    `precedence` is that of its calls, unless `greatest` has it.
+    """
 
     request_id: str
     service: Service
@@ -91,6 +95,7 @@
     started: float
     deadline: float
     greatest: GreatestQuery | None = None
+    precedence: Precedence = NO_CUSTOMER
 
 
 @dataclass(kw_only=True, slots=True)
@@ -349,12 +354,12 @@
                 max_attempts=self._count_attempts_left(shard.name) if greatest else 0,
                 is_repeat=sub_query.is_repeat,
                 goal_at=greatest.goal if greatest else 0.0,
-                priority=greatest.priority if greatest else 0,
+                priority=(greatest or query.precedence).priority,
                 kind=query.service.name if greatest else "",
                 no_retry_after_server_end=greatest is not None,
                 data_centres=greatest.data_centres if greatest else None,
-                customer=greatest.customer if greatest else "",
-                weight=greatest.weight if greatest else 1.0,
+                customer=(greatest or query.precedence).customer,
+                weight=(greatest or query.precedence).weight,
             )
             sub_query.calls.append(call)
             submitted.append(
@@ -409,6 +414,7 @@
                     for s in sub_query.open_shards.values()
                 ),
                 greatest=self._make_greatest(sub_query),
+                precedence=query.precedence,
             ),
             ReplyHandlers(
                 on_reply=lambda message: self._handle_message(sub_query, message),
--- a/src/lavendergap/entry/ticketservice.py
+++ b/src/lavendergap/entry/ticketservice.py
@@ -34,6 +34,7 @@
     encode_request,
     read_ticket,
 )
+from ..state.customers import Precedence, make_precedence
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Settings
 from ..state.ticket import (
@@ -167,7 +168,7 @@
         ticket = parse_ticket(text, service=request.service.name)
         if isinstance(ticket, BadTicket):
             return _make_bad_ticket_error(ticket.reason)
-        reply = await self._run_at_issuer(ticket, request.body, request.deadline)
+        reply = await self._run_at_issuer(ticket, request)
         left = request.deadline - trio.current_time()
         limit = min(ASK_LIMIT_S, max(LATE_REPLY_LIMIT_S, left))
         return await self._resolve(request.request_id, ticket, reply, limit=limit)
@@ -209,13 +210,20 @@
     # As the issuer.
 
     async def _run_at_issuer(
-        self, ticket: Ticket, body: bytes, deadline: float
+        self, ticket: Ticket, request: CallerRequest
     ) -> IssuerReply:
+        precedence = make_precedence(request.customer)
         if ticket.issuer == self._peer:
-            return await self._run_here(ticket, body, deadline)
-        left = max(0.0, deadline - trio.current_time())
+            return await self._run_here(
+                ticket, request.body, request.deadline, precedence
+            )
+        left = max(0.0, request.deadline - trio.current_time())
         ask = TicketRequest(
-            verb=RUN, ticket=str(ticket), body=body, left_ms=int(left * 1_000)
+            verb=RUN,
+            ticket=str(ticket),
+            body=request.body,
+            left_ms=int(left * 1_000),
+            precedence=precedence,
         )
         # The issuer answers by the deadline; its reply may arrive a little later.
         limit = left + REPLY_GRACE_S
@@ -224,7 +232,7 @@
         )
 
     async def _run_here(
-        self, ticket: Ticket, body: bytes, deadline: float
+        self, ticket: Ticket, body: bytes, deadline: float, precedence: Precedence
     ) -> IssuerReply:
         begun = self._issuer.begin(ticket, body=body, now=trio.current_time())
         match begun:
@@ -238,7 +246,7 @@
                 # In a task of its own: the caller may cancel, but a request that has
                 # started must run to its end and be recorded.
                 self._nursery.start_soon(
-                    self._execute, begun, body, deadline, execution
+                    self._execute, begun, body, deadline, precedence, execution
                 )
         if execution is not None:
             with trio.move_on_at(deadline):
@@ -258,6 +266,7 @@
         begun: RecordStarted | Run,
         body: bytes,
         deadline: float,
+        precedence: Precedence,
         execution: Execution,
     ) -> None:
         ticket = begun.ticket
@@ -268,7 +277,7 @@
                 said = await self._send_started(begun, limit=limit)
                 decided = self._issuer.record(ticket, said)
             if isinstance(decided, Run):
-                outcome = await self._sender.send(ticket, body, deadline)
+                outcome = await self._sender.send(ticket, body, deadline, precedence)
                 ended = self._issuer.end(ticket, outcome)
                 self._nursery.start_soon(self._send_ended, ended)
         finally:
@@ -417,7 +426,7 @@
             return Refused(reason=TicketProblem.MALFORMED)
         if ask.verb == RUN:
             deadline = now + ask.left_ms / 1_000
-            return await self._run_here(ticket, ask.body, deadline)
+            return await self._run_here(ticket, ask.body, deadline, ask.precedence)
         if ask.verb == ASK:
             return self._issuer.ask(ticket, now=now)
         return Refused(reason=TicketProblem.MALFORMED)
--- a/src/lavendergap/protocol/backend.py
+++ b/src/lavendergap/protocol/backend.py
@@ -52,6 +52,8 @@
         (b"Request-Id", call.request_id.encode("latin-1", "replace")),
         (b"Deadline-Ms", b"%d" % left_ms),
     ]
+    if call.customer:
+        headers.append((b"Customer", call.customer.encode()))
     if call.idempotent:
         headers.append((b"Shard", call.shard.encode()))
         headers.append((b"Index-Version", b"%d" % call.version))
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ..state.customers import NO_CUSTOMER, Precedence
 from ..state.feeds import FeedChange, FeedEntry, StorePosition
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Outcome
@@ -79,6 +80,7 @@
     """One query, for those of its shards that the receiver owns.
 
     `left_ms` is the time to the deadline; it is relative, since hosts' clocks differ.
+    `precedence` is that of the calls, unless `greatest` has it.
     """
 
     request_id: str
@@ -88,6 +90,7 @@
     body: bytes
     shards: tuple[ShardRef, ...]
     greatest: GreatestOptions | None = None
+    precedence: Precedence = NO_CUSTOMER
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -132,6 +135,7 @@
     group: str
     left_ms: int
     body: bytes
+    precedence: Precedence = NO_CUSTOMER
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -168,6 +172,7 @@
     body: bytes = b""
     outcome: Outcome | None = None
     left_ms: int = 0
+    precedence: Precedence = NO_CUSTOMER
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..state.customers import NO_CUSTOMER, Precedence
 from ..state.feeds import FeedChange, FeedEntry, StorePosition
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
@@ -54,6 +55,8 @@
     body: bytes
     shards: list[tuple[str, str]]
     greatest: _PackedGreatest | None = None
+    # Customer, weight and priority.
+    precedence: tuple[str, float, int] | None = None
 
 
 class _PackedAnswered(msgspec.Struct, array_like=True, tag=1):
@@ -170,10 +173,24 @@
             search.body,
             [(ref.shard, ref.group) for ref in search.shards],
             _pack_greatest(search.greatest),
+            _pack_precedence(search.precedence),
         )
     )
 
 
+def _pack_precedence(precedence: Precedence) -> tuple[str, float, int] | None:
+    if precedence == NO_CUSTOMER:
+        return None
+    return precedence.customer, precedence.weight, precedence.priority
+
+
+def _unpack_precedence(packed: tuple[str, float, int] | None) -> Precedence:
+    if packed is None:
+        return NO_CUSTOMER
+    customer, weight, priority = packed
+    return Precedence(customer=customer, weight=weight, priority=priority)
+
+
 def pack_answers(frame_id: int, answers: Answers) -> bytes:
     """Return the bytes of Answers, without the length prefix."""
     packed = [
@@ -389,6 +406,7 @@
             ShardRef(shard=shard, group=group) for shard, group in packed.shards
         ),
         greatest=_unpack_greatest(packed.greatest),
+        precedence=_unpack_precedence(packed.precedence),
     )
 
 
--- a/src/lavendergap/protocol/peer.capnp
+++ b/src/lavendergap/protocol/peer.capnp
@@ -12,6 +12,12 @@
   retryAfterMs @5 :UInt32;
 }
 
+struct Precedence {
+  customer @0 :Text;
+  weight @1 :Float64 = 1;
+  priority @2 :UInt32;
+}
+
 struct Frame {
   id @0 :UInt64;           # id of the request, repeated by its replies
   union {
@@ -32,6 +38,7 @@
       group @10 :Text;
       leftMs @11 :UInt32;  # time to the deadline; relative, since clocks differ
       body @12 :Data;
+      precedence @28 :Precedence;
     }
     ran :group {
       server @13 :Text;
@@ -53,6 +60,7 @@
       body @23 :Data;
       outcome @24 :Outcome;
       leftMs @25 :UInt32;
+      precedence @29 :Precedence;
     }
     ticketReply :group {
       verdict @26 :Text;
--- a/src/lavendergap/protocol/peer.py
+++ b/src/lavendergap/protocol/peer.py
@@ -12,6 +12,7 @@
 
 import capnp
 
+from ..state.customers import NO_CUSTOMER, Precedence
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from .messages import (
     Answers,
@@ -109,6 +110,20 @@
     return outcome
 
 
+def _write_precedence(target: Any, precedence: Precedence) -> None:
+    if precedence != NO_CUSTOMER:
+        written = target.init("precedence")
+        written.customer = precedence.customer
+        written.weight = precedence.weight
+        written.priority = precedence.priority
+
+
+def _read_precedence(source: Any) -> Precedence:
+    return Precedence(
+        customer=source.customer, weight=source.weight, priority=source.priority
+    )
+
+
 def _write_message(frame: Any, message: Message) -> None:
     match message:
         case Hello():
@@ -132,6 +147,7 @@
             run.group = message.group
             run.leftMs = message.left_ms
             run.body = message.body
+            _write_precedence(run, message.precedence)
         case RunOutcome():
             ran = frame.init("ran")
             ran.server = message.server
@@ -151,6 +167,7 @@
             ask.ticket = message.ticket
             ask.body = message.body
             ask.leftMs = message.left_ms
+            _write_precedence(ask, message.precedence)
             _write_outcome(ask.init("outcome"), message.outcome)
         case TicketReply():
             reply = frame.init("ticketReply")
@@ -175,6 +192,7 @@
         group=f.group,
         left_ms=f.leftMs,
         body=bytes(f.body),
+        precedence=_read_precedence(f.precedence),
     ),
     "ran": lambda f: RunOutcome(server=f.server, outcome=_require_outcome(f.outcome)),
     "fetch": lambda f: Fetch(name=f.name, at_least=f.atLeast),
@@ -185,6 +203,7 @@
         body=bytes(f.body),
         outcome=_read_outcome(f.outcome),
         left_ms=f.leftMs,
+        precedence=_read_precedence(f.precedence),
     ),
     "ticketReply": lambda f: TicketReply(
         verdict=f.verdict, outcome=_read_outcome(f.outcome)
--- a/src/lavendergap/transport/callerheaders.py
+++ b/src/lavendergap/transport/callerheaders.py
@@ -61,17 +61,20 @@
 class KeyReader:
     """Finds the customers of requests by their keys, and logs refused ones.
 
+    `key` and `request_id` are the lower-case names of the callers' headers.
+
     Neither the log nor the error shows a key or a part of one: an unknown key may be
     a valid one with a typing error, or one that was removed here first.
     """
 
-    def __init__(self, *, names: HeaderNames) -> None:
-        self._names = names
+    def __init__(self, *, key: bytes, request_id: bytes) -> None:
+        self._key = key
+        self._request_id = request_id
         self._line_limit = LineLimit(n_lines=REFUSED_KEY_LINES_PER_S)
 
     def read(self, scope: Scope, table: CustomerTable, *, route: str) -> Customer:
         """Return the customer of a request; raises BadRequestError if it has none."""
-        found = find_customer(scope["headers"], name=self._names.key, table=table)
+        found = find_customer(scope["headers"], name=self._key, table=table)
         if isinstance(found, Customer):
             return found
         metrics.refused_keys.labels(found.value).inc()
@@ -79,8 +82,7 @@
         raise BadRequestError(
             status=HTTPStatus.UNAUTHORIZED,
             problem=_PROBLEMS[found],
-            detail=f"{_PROBLEMS[found]}: send one valid key in "
-            f"{self._names.key.decode()}",
+            detail=f"{_PROBLEMS[found]}: send one valid key in {self._key.decode()}",
         )
 
     def _log(self, scope: Scope, problem: KeyProblem, *, route: str) -> None:
@@ -88,7 +90,7 @@
         if n_dropped is None:
             return
         headers = get_headers(scope)
-        request_id = headers.get(self._names.attempt, b"")[:MAX_LOGGED_CHARACTERS]
+        request_id = headers.get(self._request_id, b"")[:MAX_LOGGED_CHARACTERS]
         host = headers.get(b"host", b"")[:MAX_LOGGED_CHARACTERS]
         log_decision(
             logger,
--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -3,7 +3,7 @@
 import math
 import secrets
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 import msgspec
@@ -18,8 +18,11 @@
     get_retry_after_ms,
     name_outcome,
 )
+from ..state.customers import Customer
 from ..state.outcome import NotRun, Reason, Step
 from ..state.settings import Service, Settings
+from ..state.ticket import Ticket, parse_ticket
+from .callerheaders import KeyReader
 from .web import (
     JSON_TYPE,
     BadRequestError,
@@ -38,18 +41,23 @@
 MAX_DEADLINE_MS = 60_000
 MAX_REQUEST_ID_LENGTH = 128
 MAX_TICKET_BYTES = 512
+KEY_HEADER = b"customer-key"
 _check_json = msgspec.json.Decoder(msgspec.Raw).decode
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerRequest:
-    """A valid request; times are in seconds on the event loop's clock."""
+    """A valid request; times are in seconds on the event loop's clock.
+
+    `customer` is None if the request needs no key.
+    """
 
     request_id: str
     service: Service
     body: bytes
     started: float
     deadline: float
+    customer: Customer | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,6 +105,7 @@
     def __init__(self, *, handlers: Handlers) -> None:
         self.n_running = 0
         self._handlers = handlers
+        self._keys = KeyReader(key=KEY_HEADER, request_id=b"request-id")
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -129,21 +138,24 @@
                 request = await self._read(scope, receive, name)
                 _require_idempotent(request.service)
                 return self._refuse_if_not_ready(
-                    request
-                ) or await self._search_until_disconnect(request, receive)
+                    request.request_id
+                ) or await self._search_until_disconnect(
+                    self._identify(scope, request), receive
+                )
             case ["v1", "services", name, "tickets"]:
                 request = await self._read(scope, receive, name, needs_body=False)
-                return self._refuse_if_not_ready(request) or await self._issue(request)
+                return self._refuse_if_not_ready(
+                    request.request_id
+                ) or await self._issue(self._identify(scope, request))
             case ["v1", "services", name, "requests"]:
                 request = await self._read(scope, receive, name)
                 ticket = _read_ticket(scope)
-                return self._refuse_if_not_ready(request) or await self._run(
-                    request, ticket
+                return self._refuse_if_not_ready(request.request_id) or await self._run(
+                    self._identify(scope, request), ticket
                 )
             case ["v1", "tickets", ticket]:
                 _require_method(scope, "GET")
-                answer = await self._handlers.look_up(make_request_id(scope), ticket)
-                return _render_run(answer)
+                return await self._look_up(scope, ticket)
             case _:
                 raise BadRequestError(
                     status=HTTPStatus.NOT_FOUND,
@@ -151,7 +163,7 @@
                     detail="use /v1/services/SERVICE/query, /tickets or /requests",
                 )
 
-    def _refuse_if_not_ready(self, request: CallerRequest) -> Response | None:
+    def _refuse_if_not_ready(self, request_id: str) -> Response | None:
         """Refuse requests while the only settings are those of this host's file.
 
         The file may be out of date: accepted edits may have replaced its settings.
@@ -161,9 +173,22 @@
         if not detail:
             return None
         outcome = NotRun(step=Step.ADMIT, peer=detail, reason=Reason.NOT_READY)
-        refusal = Refusal(request_id=request.request_id, outcome=outcome)
+        refusal = Refusal(request_id=request_id, outcome=outcome)
         return _render_refusal(refusal)
 
+    def _identify(self, scope: Scope, request: CallerRequest) -> CallerRequest:
+        """Return the request with its customer; raises BadRequestError without one."""
+        customer = self._find_customer(scope, request.service.name)
+        return request if customer is None else replace(request, customer=customer)
+
+    def _find_customer(self, scope: Scope, service_name: str) -> Customer | None:
+        # These may be newer than the settings before the body arrived, and lack a key.
+        settings = self._handlers.get_settings()
+        service = settings.get_service(service_name)
+        if settings.customers is None or (service is not None and service.public):
+            return None
+        return self._keys.read(scope, settings.customers, route=service_name)
+
     async def _read(
         self, scope: Scope, receive: Receive, name: str, *, needs_body: bool = True
     ) -> CallerRequest:
@@ -247,6 +272,18 @@
             case Refusal():
                 return _render_refusal(issued)
 
+    async def _look_up(self, scope: Scope, text: str) -> Response:
+        request_id = make_request_id(scope)
+        if self._handlers.get_settings().customers is not None:
+            refusal = self._refuse_if_not_ready(request_id)
+            if refusal is not None:
+                return refusal
+            ticket = parse_ticket(text)
+            self._find_customer(
+                scope, ticket.service if isinstance(ticket, Ticket) else ""
+            )
+        return _render_run(await self._handlers.look_up(request_id, text))
+
     async def _run(self, request: CallerRequest, ticket: str) -> Response:
         _require_not_idempotent(request.service)
         answer = await self._handlers.run(request, ticket)
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -121,7 +121,7 @@
         self._names = names
         self._caller_delays = CallerDelays()
         self._reserve = AnswerReserve(cores=cores)
-        self._keys = KeyReader(names=names)
+        self._keys = KeyReader(key=names.key, request_id=names.attempt)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -23,6 +23,7 @@
 from lavendergap.protocol.backend import Verdict
 from lavendergap.protocol.messages import Hello, TicketReply, TicketRequest
 from lavendergap.protocol.objects import make_default_index
+from lavendergap.state.customers import Precedence
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step
 from lavendergap.state.settings import (
     Address,
@@ -41,6 +42,7 @@
 DEADLINE_MS = 280
 SERVICE_S = 0.01
 LOCAL = "127.0.0.1"
+PRECEDENCE = Precedence(customer="acme", weight=0.5, priority=2)
 Hook = Callable[[], Awaitable[object]]
 Connect = Callable[[Address], Awaitable[trio.abc.Stream]]
 
@@ -222,6 +224,7 @@
             body=b"{}",
             started=now,
             deadline=now + deadline_ms / 1_000,
+            precedence=PRECEDENCE,
         )
         return await node.coordinator.search(query)
 
--- a/tests/test_backend_protocol.py
+++ b/tests/test_backend_protocol.py
@@ -1,5 +1,7 @@
 """Headers of calls to backend servers, and validation of answers and load reports."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -41,6 +43,10 @@
         fields = {name.lower(): value for name, value in headers}
         assert fields.items() >= MATCHING.items()
         assert fields[b"deadline-ms"] == b"180"
+        assert b"customer" not in fields
+        named = replace(CALL, customer="acme")
+        headers = build_headers(named, attempt=b"a-1", host=b"h", left_ms=180)
+        assert (b"Customer", b"acme") in headers
 
 
 class TestAnswer:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,6 +1,7 @@
 """The callers' port: bad input is refused with a reason and stops nothing."""
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -10,8 +11,10 @@
 from lab.processes import find_free_ports
 from lavendergap.entry.ports import serve_port
 from lavendergap.protocol.answers import Refusal, SearchResult, ShardResult
+from lavendergap.state.customers import Customer, CustomerTable, digest_key
 from lavendergap.state.outcome import Coverage, NotRun, Reason, Step
 from lavendergap.state.settings import Address, Settings, WaitForCoverage
+from lavendergap.state.ticket import Peer, Ticket
 from lavendergap.transport.callers import (
     CallerRequest,
     CallersApp,
@@ -25,6 +28,15 @@
 Message = dict[str, Any]
 JSON = {"content-type": "application/json"}
 QUERY = "/v1/services/scheduler/query"
+TICKET = str(
+    Ticket(
+        service="ledger",
+        issuer=Peer(host="h", incarnation=1),
+        serial=1,
+        witness=None,
+        mac="0" * 16,
+    )
+)
 
 
 class FakeDaemon:
@@ -37,11 +49,17 @@
         self.is_refusing = False
         self.is_leaving = False
         self.not_ready_reason = ""
+        self.customers: list[Customer] = []
         self.n_searches = 0
         self.n_cancelled = 0
         self.search_s = 0.0
 
+    def note_customer(self, request: CallerRequest) -> None:
+        if request.customer is not None:
+            self.customers.append(request.customer)
+
     async def search(self, request: CallerRequest) -> SearchResult | Refusal:
+        self.note_customer(request)
         self.n_searches += 1
         if self.is_refusing:
             outcome = NotRun(
@@ -63,9 +81,11 @@
         )
 
     async def issue(self, request: CallerRequest) -> IssuedTicket:
+        self.note_customer(request)
         return IssuedTicket(text="t")
 
     async def run(self, request: CallerRequest, ticket: str) -> RunResult:
+        self.note_customer(request)
         return RunResult(request_id=request.request_id, result=b"1")
 
     async def look_up(self, request_id: str, ticket: str) -> RunResult:
@@ -241,6 +261,85 @@
         assert call.headers[b"connection"] == b"close"
 
 
+@pytest.mark.parametrize("what", ["query", "tickets", "requests", "look up"])
+class TestKeys:
+    @staticmethod
+    def make_daemon(*, public: bool = False) -> FakeDaemon:
+        table = CustomerTable(
+            customers={"acme": Customer(name="acme")},
+            names_by_digest={digest_key(b"My-Key"): "acme"},
+        )
+        daemon = FakeDaemon()
+        [query] = daemon.settings.services
+        run = replace(query, name="ledger", idempotent=False, public=public)
+        daemon.settings = replace(
+            daemon.settings,
+            services=(replace(query, public=public), run),
+            customers=table,
+        )
+        return daemon
+
+    @staticmethod
+    async def ask(daemon: FakeDaemon, what: str, *keys: bytes) -> Call:
+        service = "scheduler" if what == "query" else "ledger"
+        call = Call(path=f"/v1/services/{service}/{what}")
+        if what == "look up":
+            call = Call(method="GET", path=f"/v1/tickets/{TICKET}")
+        headers = [(b"customer-key", key) for key in keys]
+        call.scope["headers"] = [(b"ticket", b"t"), (b"customer", b"x"), *headers]
+        return await call.send_to(daemon.build_app(), b"{}")
+
+    @pytest.mark.parametrize(
+        ("keys", "is_valid"),
+        [
+            ((), False),
+            ((b"",), False),
+            ((b"My-Kez",), False),
+            ((b"My-Key", b"Other"), False),
+            ((b"My-Key" * 50,), False),
+            ((b"My-Key",), True),
+            ((b"My-Key, My-Key",), True),
+        ],
+    )
+    async def test_requests_need_a_valid_key(
+        self, what, keys, is_valid, autojump_clock, caplog
+    ):
+        caplog.set_level("INFO", logger="lavendergap")
+        daemon = self.make_daemon()
+        call = await self.ask(daemon, what, *keys)
+        assert (call.status == 401) == (not is_valid)
+        assert call.status in (200, 201, 401)
+        assert [customer.name for customer in daemon.customers] == (
+            ["acme"] if is_valid and what != "look up" else []
+        )
+        shown = b"%r%r" % (call.headers, call.body) + repr(caplog.records).encode()
+        shown += b"".join(repr(record.msg).encode() for record in caplog.records)
+        assert b"My-Ke" not in shown
+
+    async def test_a_host_without_settings_does_not_answer_401(
+        self, what, autojump_clock
+    ):
+        """Guards against a caller that drops a key which newer settings have."""
+        daemon = self.make_daemon()
+        daemon.not_ready_reason = "no settings from the platform or a peer yet"
+        assert (await self.ask(daemon, what, b"newer")).status == 503
+
+    async def test_a_public_service_needs_no_key(self, what, autojump_clock):
+        daemon = self.make_daemon(public=True)
+        assert (await self.ask(daemon, what)).status in (200, 201)
+        assert (await self.ask(daemon, what, b"unknown")).status in (200, 201)
+        assert daemon.customers == []
+
+    async def test_a_removed_key_is_refused_on_the_next_request(
+        self, what, autojump_clock
+    ):
+        daemon = self.make_daemon()
+        assert (await self.ask(daemon, what, b"My-Key")).status in (200, 201)
+        empty = CustomerTable(customers={}, names_by_digest={})
+        daemon.settings = replace(daemon.settings, customers=empty)
+        assert (await self.ask(daemon, what, b"My-Key")).status == 401
+
+
 class TestPort:
     @pytest.mark.parametrize(
         "garbage",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -300,7 +300,7 @@
 
     async def test_lines_on_refused_keys_are_bounded(self, caplog, autojump_clock):
         caplog.set_level("INFO", logger="lavendergap")
-        keys = KeyReader(names=NAMES)
+        keys = KeyReader(key=NAMES.key, request_id=NAMES.attempt)
         table = INDEX.table.customers
         assert table is not None
         for n_requests in (100, 1):
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -40,6 +40,7 @@
     encode_frame,
     read_length_prefix,
 )
+from lavendergap.state.customers import Precedence
 from lavendergap.state.feeds import FeedChange, FeedEntry, StorePosition
 from lavendergap.state.forwarding import ForwardedRequest
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step
@@ -67,6 +68,7 @@
         body=b"{}",
         shards=(ShardRef(shard="s1", group="s1"),),
         greatest=GREATEST,
+        precedence=Precedence(customer="c1", weight=0.5, priority=2),
     ),
     Answers(
         answers=(
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -6,7 +6,7 @@
 from lavendergap.state.outcome import Reason
 from lavendergap.state.settings import GiveUpStragglers
 from lavendergap.state.snapshot import Published, Shard, Snapshot
-from tests.nodes import Cluster, Node
+from tests.nodes import PRECEDENCE, Cluster, Node
 
 
 async def search_whole(cluster: Cluster, node: Node) -> SearchResult:
@@ -28,6 +28,10 @@
                 result = await search_whole(cluster, node)
                 assert result.is_whole
             assert len(cluster.backends.calls) == 3 * 6
+            # Owners have the customer from the coordinator's message.
+            wanted = PRECEDENCE.customer, PRECEDENCE.weight, PRECEDENCE.priority
+            for _, call in cluster.backends.calls:
+                assert (call.customer, call.weight, call.priority) == wanted
             nursery.cancel_scope.cancel()
 
     async def test_large_results_of_one_owner_arrive(self, autojump_clock):
--- a/tests/test_ticketservice.py
+++ b/tests/test_ticketservice.py
@@ -18,6 +18,7 @@
 from lavendergap.entry.ticketservice import TicketService
 from lavendergap.protocol.answers import Refusal
 from lavendergap.protocol.messages import Frame, Hello
+from lavendergap.state.customers import Customer
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step, Unknown
 from lavendergap.state.settings import (
     Address,
@@ -91,6 +92,7 @@
         self.outcome = DONE
         self.seconds = 0.0
         self.n_runs = 0
+        self.calls = []
         self._nursery = nursery
 
     def make_call_id(self):
@@ -101,6 +103,7 @@
 
     def submit(self, wanted):
         self.n_runs += 1
+        self.calls += [each.call for each in wanted]
         for each in wanted:
             self._nursery.start_soon(self._end, each, self.outcome)
 
@@ -230,6 +233,7 @@
             body=b"{}",
             started=now,
             deadline=now + seconds,
+            customer=Customer(name="acme", priority=2, share_weight=0.5),
         )
 
     async def issue(self, name="a-1"):
@@ -275,9 +279,14 @@
 class TestRepeats:
     async def test_any_host_passes_a_repeat_to_the_issuer(self, hosts, autojump_clock):
         ticket = await hosts.issue()
-        answers = [await hosts.run(ticket, name) for name in HOSTS]
+        # The host that is asked first names the customer; the issuer and the owner,
+        # which are other hosts, have it from their messages.
+        names = ("b-2", "a-1", "b-1")
+        answers = [await hosts.run(ticket, name) for name in names]
         assert answers == [RunResult(request_id="r", result=b'"booked"')] * 3
         assert hosts.n_runs == 1
+        [call] = hosts.nodes["b-1"].owner.calls
+        assert (call.customer, call.weight, call.priority) == ("acme", 0.5, 2)
 
     async def test_repeats_during_the_run_share_its_answer(self, hosts, autojump_clock):
         hosts.nodes["b-1"].owner.seconds = 1.0
