Serve waiting queries by their customers' priority and share

Cause: the queue of a service's queries on an entry host was first come, first served, so one customer that fills it delays and displaces all others.

Change: the query limiter keeps waiting queries in the order of waiting calls, each as one call without a deadline of its own: by priority, fair by weight, then first come, first served. The expected wait counts only the queries served before. Calls to the groups have the same precedence already. Without customers the order is as before.

--- a/src/lavendergap/coordination/querylimiter.py
+++ b/src/lavendergap/coordination/querylimiter.py
@@ -1,9 +1,12 @@
 """Admission of whole queries on a host: an adaptive limit on concurrent queries."""
 
-from collections import deque
 from dataclasses import dataclass
 
+from ..state.customers import NO_CUSTOMER, Precedence
 from ..state.outcome import NotRun, Reason, Step
+from .calls import Call
+from .progress import Progress
+from .waiting import WaitingCalls
 
 # A query has calls to every group. If each group refused calls on its own, few queries
 # would be complete under overload. So whole queries are admitted or refused, and
@@ -51,6 +54,9 @@
     shrink alike and grow in proportion to their `weight`, so that the services' shares
     approach their weights, whatever their numbers of callers.
 
+    Waiting queries are in the order of waiting calls: by priority, fair among customers
+    by their weights, and then first come, first served.
+
     >>> limiter = QueryLimiter()
     >>> limiter.enter(now=0.0, left=0.28)
     Admitted()
@@ -64,21 +70,25 @@
         self.n_running = 0
         self.limit = INITIAL_LIMIT
         self._mean_elapsed = INITIAL_ELAPSED_S
-        self._queue: deque[int] = deque()
-        self._abandoned: set[int] = set()
+        self._queue = WaitingCalls()
+        self._queued: dict[int, Progress] = {}
         self._last_number = 0
         self._last_cut_at: float | None = None
 
-    def enter(self, *, now: float, left: float) -> Admitted | Queued | NotRun:
+    def enter(
+        self, *, now: float, left: float, precedence: Precedence = NO_CUSTOMER
+    ) -> Admitted | Queued | NotRun:
         """Admit or queue a query with `left` seconds to its deadline, or refuse it."""
-        n_ahead = len(self._queue) - len(self._abandoned)
-        if n_ahead == 0 and self.n_running < self._get_limit():
+        if not self._queue and self.n_running < self._get_limit():
             self.n_running += 1
             return Admitted()
+        call = _make_call(self._last_number + 1, precedence)
         # Little's law, from the limit and the mean time of queries. A measured arrival
         # rate would drop in a quiet hour, and the next burst of callers would be
         # refused.
-        wait = (n_ahead + 1) * self._mean_elapsed / self._get_limit()
+        wait = (
+            (self._queue.count_ahead(call) + 1) * self._mean_elapsed / self._get_limit()
+        )
         if wait > left * MAX_WAIT_SHARE:
             return NotRun(
                 step=Step.ADMIT,
@@ -86,9 +96,12 @@
                 reason=Reason.OVERLOADED,
                 retry_after_ms=_bound_retry_after(wait),
             )
-        self._last_number += 1
-        self._queue.append(self._last_number)
-        return Queued(number=self._last_number)
+        self._last_number = call.call_id
+        progress = self._queued[call.call_id] = Progress(
+            call=call, may_hedge=lambda: False
+        )
+        self._queue.add(progress)
+        return Queued(number=call.call_id)
 
     def leave(self, *, now: float, started: float, is_congested: bool) -> None:
         """Record the end of a query admitted at `started`."""
@@ -120,23 +133,43 @@
 
     def leave_queue(self, number: int) -> None:
         """Remove a waiting query whose caller left or whose time is up."""
-        self._abandoned.add(number)
+        self._queue.discard(self._queued.pop(number))
 
     def pop_ready(self) -> int | None:
         """Return a waiting query that may start now and count it as running."""
-        while self._queue and self.n_running < self._get_limit():
-            number = self._queue.popleft()
-            if number in self._abandoned:
-                self._abandoned.discard(number)
-                continue
-            self.n_running += 1
-            return number
-        return None
+        if not self._queue or self.n_running >= self._get_limit():
+            return None
+        progress = next(iter(self._queue))
+        self._queue.take(progress)
+        del self._queued[progress.call.call_id]
+        self.n_running += 1
+        return progress.call.call_id
 
     def _get_limit(self) -> int:
         return int(self.limit)
 
 
+def _make_call(number: int, precedence: Precedence) -> Call:
+    """Return a call that stands for a whole query in the queue.
+
+    All have one deadline, so that those of one customer are first come, first served.
+    """
+    return Call(
+        call_id=number,
+        request_id="",
+        service="",
+        group="",
+        shard="",
+        version=0,
+        deadline=0.0,
+        body=b"",
+        idempotent=True,
+        priority=precedence.priority,
+        customer=precedence.customer,
+        weight=precedence.weight,
+    )
+
+
 def is_slow(times: list[float], *, limit: float) -> bool:
     """Return whether the median of the shards' times shows queueing.
 
--- a/src/lavendergap/entry/admission.py
+++ b/src/lavendergap/entry/admission.py
@@ -3,6 +3,7 @@
 import trio
 
 from ..coordination.querylimiter import Admitted, QueryLimiter, Queued
+from ..state.customers import NO_CUSTOMER, Precedence
 from ..state.outcome import NotRun, Reason, Step
 
 # A query still waiting after this share of its time is refused, so that its caller has
@@ -18,10 +19,14 @@
         self.limiter = QueryLimiter()
         self._waiting: dict[int, trio.Event] = {}
 
-    async def enter(self, *, deadline: float) -> NotRun | None:
+    async def enter(
+        self, *, deadline: float, precedence: Precedence = NO_CUSTOMER
+    ) -> NotRun | None:
         """Return None once the query may start, or the reason why it may not."""
         now = trio.current_time()
-        verdict = self.limiter.enter(now=now, left=deadline - now)
+        verdict = self.limiter.enter(
+            now=now, left=deadline - now, precedence=precedence
+        )
         match verdict:
             case Admitted():
                 return None
--- a/src/lavendergap/entry/coordinator.py
+++ b/src/lavendergap/entry/coordinator.py
@@ -44,7 +44,9 @@
         """
         admission = self._admissions.setdefault(query.service.name, QueryAdmission())
         admission.limiter.weight = query.service.weight
-        refusal = await admission.enter(deadline=query.deadline)
+        refusal = await admission.enter(
+            deadline=query.deadline, precedence=query.precedence
+        )
         if refusal is not None:
             log_decision(
                 logger,
--- a/tests/test_querylimiter.py
+++ b/tests/test_querylimiter.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 import trio
 import trio.testing
 
@@ -13,6 +14,7 @@
     is_slow,
 )
 from lavendergap.entry.admission import QueryAdmission
+from lavendergap.state.customers import Precedence
 from lavendergap.state.outcome import NotRun, Reason
 
 DEADLINE_S = 0.28
@@ -78,6 +80,55 @@
         assert is_slow([0.2] * 20, limit=DEADLINE_S)
 
 
+class TestOrder:
+    @pytest.mark.parametrize(
+        ("customers", "order"),
+        [
+            ("", "0123456789"),  # Without customers: first come, first served.
+            ("b", "0123456789"),
+            # The urgent customer's first, then those of equal weight in turn.
+            ("bbbbccbbau", "9048152367"),
+            # Three of the heavy customer for one of each other.
+            ("bbbbhhhhhh", "0456178923"),
+        ],
+    )
+    def test_waiting_queries_are_served_by_priority_and_share(self, customers, order):
+        """Guards against a customer that fills the queue and starves the others."""
+        limiter = QueryLimiter()
+        limiter.limit = 1.0
+        assert limiter.enter(now=0.0, left=9.0) == Admitted()
+        for number in range(10):
+            name = customers[number % len(customers)] if customers else ""
+            precedence = Precedence(
+                customer=name,
+                weight=3.0 if name == "h" else 1.0,
+                priority=0 if name in "u" else 1,
+            )
+            verdict = limiter.enter(now=0.0, left=9.0, precedence=precedence)
+            assert verdict == Queued(number=number + 1)
+        served = ""
+        for _ in order:
+            limiter.leave(now=0.0, started=0.0, is_congested=True)
+            limiter.limit = 1.0
+            served += str((limiter.pop_ready() or 0) - 1)
+        assert served == order
+
+    def test_only_queries_ahead_count_for_the_wait(self):
+        """Guards against refusing a customer for another one's waiting queries."""
+        limiter = QueryLimiter()
+        heavy = Precedence(customer="heavy")
+        while not isinstance(
+            limiter.enter(now=0.0, left=DEADLINE_S, precedence=heavy), NotRun
+        ):
+            pass
+        light = Precedence(customer="light")
+        verdict = limiter.enter(now=0.0, left=DEADLINE_S, precedence=light)
+        assert isinstance(verdict, Queued)
+        limiter.leave_queue(verdict.number)
+        limiter.leave(now=0.0, started=0.0, is_congested=False)
+        assert limiter.pop_ready() == 1
+
+
 class TestWeights:
     def test_services_share_a_busy_host_by_their_weights(self):
         # Guards against shares that follow the number of callers instead of the
