Count customers' limits over all entry hosts

Cause: entry hosts knew customers and their limits but did not count.

Change: entry hosts run the services of gateway hosts that count limits, with the bounds of the settings. A query is counted where it arrives. A ticket's request is counted by its issuer, once it is certain that it has not run: refused where it arrives, a repeat of a request that has run would be answered "not run". The refusal is the ticket's final outcome. Over the limit, a caller gets 429 with Retry-After and retry_after_ms.

The time to detect a lost host follows from the settings' probe and suspicion times: the constant is that of gateway hosts, and with the defaults of entry hosts two of them could count in full for one customer for about two seconds. So it is with the pause of a process after which it no longer counts in full.

--- a/src/lavendergap/coordination/limits/hosts.py
+++ b/src/lavendergap/coordination/limits/hosts.py
@@ -63,13 +63,16 @@
     A host that has started is blind until one that is not has told which hosts went
     silently, or until all hosts that its settings and the store name have answered.
     `settle_s` is the time after which a host that went silently has stopped counting,
-    or counts no more than its side's share of the limit.
+    or counts no more than its side's share of the limit. `detection_s` and `stall_s`
+    follow from how the hosts probe each other.
     """
 
     def __init__(self, *, own: str, window_s: float, now: float) -> None:
         self.own = own
         self.version = 0
         self.window_s = window_s
+        self.detection_s = DETECTION_S
+        self.stall_s = STALL_S
         self.is_joined = False
         self.is_blind = True
         self._hint_share = 0.0
@@ -87,11 +90,11 @@
     @property
     def settle_s(self) -> float:
         """The time to detect a failure, and one window."""
-        return DETECTION_S + self.window_s
+        return self.detection_s + self.window_s
 
     def touch(self, *, now: float) -> bool:
         """Detect a pause of this process; call it often and before each decision."""
-        is_stall = now - self._touched_at > STALL_S
+        is_stall = now - self._touched_at > self.stall_s
         self._touched_at = now
         if is_stall:
             self.unsure_since = now
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -20,7 +20,7 @@
 from ..logs import LineHandler, flush_logs, log_decision
 from ..protocol.answers import Refusal, SearchResult
 from ..protocol.messages import Frame, Hello
-from ..state.customers import make_precedence
+from ..state.customers import CustomerTable, make_precedence
 from ..state.gossip import DocumentsAdvertised, Event, MemberChanged
 from ..state.member import Member
 from ..state.settings import Host, Settings
@@ -35,6 +35,7 @@
 from ..transport.platform import PlatformClient
 from .coordinator import Coordinator
 from .documents import DocumentKeeper, check_document
+from .entrylimits import EntryLimits
 from .fleet import Fleet
 from .owner import Owner
 from .peers import PeerService
@@ -135,6 +136,7 @@
         nursery.start_soon(self._keeper.run)
         nursery.start_soon(self._sweep)
         nursery.start_soon(self._tickets.resend_unconfirmed)
+        nursery.start_soon(self._limits.run)
         await self._open_ports(nursery)
         log_decision(
             logger,
@@ -206,6 +208,16 @@
             use_settings=self._use_settings,
             use_index=self._use_index,
         )
+        self._limits = EntryLimits(
+            own_name=self._own.name,
+            membership=self._membership,
+            fleet=self._fleet,
+            dialer=self._dialer,
+            nursery=nursery,
+            random=self._random,
+            get_customers=self._get_customers,
+            settings=self._settings,
+        )
         self._tickets = TicketService(
             peer=peer,
             issuer=Issuer(
@@ -224,12 +236,14 @@
             owner=self._owner,
             dialer=self._dialer,
             nursery=nursery,
+            limits=self._limits,
         )
         self._peers = PeerService(
             owner=self._owner,
             documents=self._documents,
             nursery=nursery,
             answer_ticket=self._tickets.answer,
+            limits=self._limits.counting,
         )
         self._acceptor = Acceptor(
             own=hello, on_frame=self._handle_peer, on_loss=self._peers.drop
@@ -262,7 +276,7 @@
         drain = self._settings.control.drain_ms / 1_000
         handlers = Handlers(
             get_settings=lambda: self._settings,
-            search=self._search,
+            search=lambda request: self._limits.search(request, self._search),
             issue=self._tickets.issue,
             run=self._tickets.run,
             look_up=self._tickets.look_up,
@@ -293,6 +307,13 @@
         )
         return await self._coordinator.search(query)
 
+    def _get_customers(self) -> CustomerTable | None:
+        """Return the customers; those of the file are not counted for, as for requests.
+
+        Their limits may be out of date until newer settings have arrived.
+        """
+        return self._settings.customers if self._keeper.is_ready else None
+
     # Active settings and snapshots.
 
     def _use_settings(self, settings: Settings) -> None:
@@ -300,6 +321,7 @@
         self._fleet.replace_settings(settings)
         self._owner.replace(settings)
         self._tickets.replace(settings)
+        self._limits.replace(settings)
         self._membership.replace_control(settings.control)
         metrics.settings_version.set(settings.version)
         for published in self._keeper.get_published(settings):
@@ -408,6 +430,7 @@
         drain = self._settings.control.drain_ms / 1_000
         self._is_leaving = True
         log_decision(logger, "leaving", request_id=None, host=self._own.name)
+        self._limits.counting.leave()
         self._acceptor.send_going_away()
         await self._endpoint.send(self._membership.leave(now=trio.current_time()))
         await trio.sleep(min(LEAVE_NOTICE_S, drain / 2))
--- a/src/lavendergap/entry/limits.py
+++ b/src/lavendergap/entry/limits.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
+from typing import Protocol
 
 import trio
 
@@ -16,7 +17,6 @@
 )
 from ..state.customers import Customer, CustomerTable
 from ..state.outcome import NotRun, Reason, Step
-from ..transport.gateway import GatewayRequest
 from .counting import MAX_PERMITS_PER_MESSAGE, CountingService
 from .fleet import Fleet
 from .limitchannels import LimitChannels
@@ -40,6 +40,18 @@
 IDLE_S = 60.0
 
 
+class LimitedRequest(Protocol):
+    """What is needed of a request; `goal` is in seconds on the loop's clock."""
+
+    @property
+    def customer(self) -> Customer | None:
+        """The customer, or None if the request is not counted."""
+
+    @property
+    def goal(self) -> float:
+        """When the answer is wanted."""
+
+
 @dataclass(kw_only=True, slots=True)
 class _Waiter:
     """A request that waits for a permit; `refusal` is None if it got one."""
@@ -82,7 +94,7 @@
 
     # Requests of callers.
 
-    async def admit(self, request: GatewayRequest) -> NotRun | None:
+    async def admit(self, request: LimitedRequest) -> NotRun | None:
         """Take a permit for a request, or return why there is none."""
         customer = request.customer
         if customer is None or not customer.has_limit:
@@ -133,7 +145,7 @@
                 waiters.remove(waiter)
         return waiter.refusal if waiter.done.is_set() else _refuse_uncounted("")
 
-    def give_back(self, request: GatewayRequest) -> None:
+    def give_back(self, request: LimitedRequest) -> None:
         """Return the permit of a request that did not run."""
         if request.customer is not None and request.customer.has_limit:
             self._return(request.customer.name)
--- a/src/lavendergap/entry/ticketservice.py
+++ b/src/lavendergap/entry/ticketservice.py
@@ -6,8 +6,11 @@
 
 import logging
 from collections import defaultdict
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
+from typing import Protocol
 
 import trio
 
@@ -97,6 +100,15 @@
     done: trio.Event = field(default_factory=trio.Event)
 
 
+class RunLimits(Protocol):
+    """The limits of customers, as the issuer of a ticket uses them."""
+
+    async def run_ticket(
+        self, name: str, deadline: float, run: Callable[[], Awaitable[Outcome]]
+    ) -> Outcome:
+        """Run a request within the limit of the customer called `name`."""
+
+
 class TicketService:
     """This host's tickets: as issuer, as witness, and for callers and peers."""
 
@@ -111,7 +123,9 @@
         owner: Owner,
         dialer: Dialer,
         nursery: trio.Nursery,
+        limits: RunLimits | None = None,
     ) -> None:
+        self._limits = limits
         self._peer = peer
         self._issuer = issuer
         self._witness = witness
@@ -277,13 +291,26 @@
                 said = await self._send_started(begun, limit=limit)
                 decided = self._issuer.record(ticket, said)
             if isinstance(decided, Run):
-                outcome = await self._sender.send(ticket, body, deadline, precedence)
+                outcome = await self._send(ticket, body, deadline, precedence)
                 ended = self._issuer.end(ticket, outcome)
                 self._nursery.start_soon(self._send_ended, ended)
         finally:
             del self._executions[ticket.serial]
             execution.done.set()
 
+    async def _send(
+        self, ticket: Ticket, body: bytes, deadline: float, precedence: Precedence
+    ) -> Outcome:
+        """Send a request that has not run, if its customer's limit allows it.
+
+        Refused where the caller's request arrives, a repeat of one that has run would
+        be answered "not run".
+        """
+        send = partial(self._sender.send, ticket, body, deadline, precedence)
+        if self._limits is None:
+            return await send()
+        return await self._limits.run_ticket(precedence.customer, deadline, send)
+
     async def _send_started(
         self, begun: RecordStarted, *, limit: float
     ) -> StartedReply:
--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -393,6 +393,8 @@
     status = HTTPStatus.GATEWAY_TIMEOUT
     if isinstance(refusal.outcome, NotRun):
         status = HTTPStatus.SERVICE_UNAVAILABLE
+        if refusal.outcome.reason is Reason.OVER_LIMIT:
+            status = HTTPStatus.TOO_MANY_REQUESTS
     return Response(
         status=status,
         body=encode_refusal(refusal),
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -47,6 +47,7 @@
             n_hosts=1, n_groups=1, stragglers=WaitForCoverage()
         )
         self.is_refusing = False
+        self.refusal_reason = Reason.OVERLOADED
         self.is_leaving = False
         self.not_ready_reason = ""
         self.customers: list[Customer] = []
@@ -63,7 +64,10 @@
         self.n_searches += 1
         if self.is_refusing:
             outcome = NotRun(
-                step=Step.ADMIT, peer="", reason=Reason.OVERLOADED, retry_after_ms=1500
+                step=Step.ADMIT,
+                peer="",
+                reason=self.refusal_reason,
+                retry_after_ms=1500,
             )
             return Refusal(request_id=request.request_id, outcome=outcome)
         try:
@@ -226,6 +230,10 @@
     async def test_refusal_has_a_retry_delay(self, autojump_clock):
         daemon = FakeDaemon()
         daemon.is_refusing = True
+        daemon.refusal_reason = Reason.OVER_LIMIT
+        call = await Call(request_id="r-1").send_to(daemon.build_app(), b"{}")
+        assert call.status == 429
+        daemon.refusal_reason = Reason.OVERLOADED
         call = await Call(request_id="r-1").send_to(daemon.build_app(), b"{}")
         assert call.status == 503
         assert call.headers[b"retry-after"] == b"2"
--- a/tests/test_limit_service.py
+++ b/tests/test_limit_service.py
@@ -4,7 +4,10 @@
 """
 
 import logging
+from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 import trio
@@ -12,15 +15,17 @@
 
 from lavendergap.coordination.membership import Membership
 from lavendergap.entry.counting import CountingService
+from lavendergap.entry.entrylimits import EntryLimits
 from lavendergap.entry.fleet import Fleet
 from lavendergap.entry.limitchannels import LimitChannels
 from lavendergap.entry.limits import NOT_COUNTED_RETRY_MS, LimitService
+from lavendergap.protocol.answers import Refusal
 from lavendergap.protocol.messages import Hello, PermitRequest, PermitReturn
 from lavendergap.state.customers import Customer, CustomerTable, LimitBounds
 from lavendergap.state.forwarding import ForwardedRequest
 from lavendergap.state.gossip import Gossip
 from lavendergap.state.member import DocumentsDigest, Member, MemberState
-from lavendergap.state.outcome import Reason
+from lavendergap.state.outcome import NotRun, Reason, Step, Unknown
 from lavendergap.state.routes import OneOf, Route
 from lavendergap.state.settings import Address, Control, Settings
 from lavendergap.transport.acceptor import Acceptor
@@ -228,6 +233,98 @@
         assert await send_all(hosts.ranked[1], 10) == []
 
 
+class Entry(EntryLimits):
+    """An entry host without others, which counts in full."""
+
+    def __init__(self, nursery) -> None:
+        own = Member(
+            name="h0", data_centre="a", incarnation=1, peers=Address(ip="::", port=1)
+        )
+        membership = Membership(own=own, control=Control(), random=Random(1))
+        membership.joined = True
+        self.table = CustomerTable(customers={"c1": CUSTOMER}, names_by_digest={})
+        settings = Settings(
+            deployment="d", version=0, platform=own.peers, hosts=(), services=()
+        )
+        super().__init__(
+            own_name=own.name,
+            membership=membership,
+            fleet=Fleet(own_name=own.name, settings=settings),
+            dialer=Dialer(
+                own=Hello(deployment="d", host=own.name, incarnation=1), nursery=nursery
+            ),
+            nursery=nursery,
+            random=Random(1),
+            get_customers=lambda: self.table,
+            settings=settings,
+        )
+        nursery.start_soon(self.run)
+
+    async def count_run(self, n, *, result, name="c1"):
+        """Send `n` queries and `n` tickets, all ending alike; return how many ran."""
+        n_ran = 0
+        customer = CUSTOMER if name == "c1" else Customer(name=name)
+        refusal = Refusal(request_id="r", outcome=result)
+
+        async def run(*request):
+            nonlocal n_ran
+            n_ran += 1
+            return refusal if request else result
+
+        for _ in range(n):
+            deadline = trio.current_time() + 0.1
+            request: Any = SimpleNamespace(
+                request_id="r", customer=customer, deadline=deadline
+            )
+            found = await self.search(request, run)
+            assert isinstance(found, Refusal)
+            outcomes = [found.outcome, await self.run_ticket(name, deadline, run)]
+            for outcome in outcomes:
+                if outcome != result:
+                    assert isinstance(outcome, NotRun)
+                    assert outcome.reason is Reason.OVER_LIMIT
+                    assert outcome.retry_after_ms > 0
+        return n_ran
+
+
+class TestEntryHosts:
+    @pytest.mark.parametrize(
+        ("result", "name", "n_ran", "n_returned"),
+        [
+            (Unknown(step=Step.SEND, peer="s", reason=Reason.DEADLINE), "c1", 10, 0),
+            (NotRun(step=Step.QUEUE, peer="s", reason=Reason.SHED), "c1", 10, 10),
+            (Unknown(step=Step.SEND, peer="s", reason=Reason.DEADLINE), "c2", 60, 0),
+        ],
+    )
+    async def test_queries_and_tickets_share_a_limit(
+        self, result, name, n_ran, n_returned, nursery, autojump_clock, monkeypatch
+    ):
+        entry = Entry(nursery)
+        returned: list[str] = []
+        monkeypatch.setattr(
+            entry.counting, "give_back", lambda name, n, now: returned.append(name)
+        )
+        await trio.sleep(STARTED_S)
+        assert await entry.count_run(30, result=result, name=name) == n_ran
+        assert len(returned) == n_returned
+
+    async def test_times_follow_from_the_probes(self, nursery, autojump_clock):
+        """Guards against two hosts that count while one is not known to be lost."""
+        entry = Entry(nursery)
+        settings = Settings(
+            deployment="d",
+            version=1,
+            platform=Address(ip="::", port=1),
+            hosts=(),
+            services=(),
+            control=Control(suspect_ms=1_000),
+        )
+        view = entry.counting.view
+        assert [view.stall_s, view.settle_s] == pytest.approx([1.0, 11.35])
+        entry.replace(replace(settings, limits=replace(BOUNDS, window_s=2.0)))
+        assert [view.stall_s, view.settle_s] == pytest.approx([0.5, 5.35])
+
+
 class TestFailures:
     async def test_a_killed_counting_host(self, hosts, autojump_clock):
         """Guards against requests below the limit that are refused for seconds."""
--- a/tests/test_settings_processes.py
+++ b/tests/test_settings_processes.py
@@ -14,6 +14,7 @@
 )
 from lavendergap.coordination.watchers import choose_watch_holders
 from lavendergap.protocol.objects import SettingsObject, encode_settings_object
+from lavendergap.state.customers import digest_key
 from lavendergap.state.member import Member
 from lavendergap.transport.platform import Found, PlatformClient, Stored
 from standins.fleet import parse_address
@@ -61,14 +62,15 @@
         answer = await call(self.control, "POST", "/faults", body=body)
         assert answer is not None and answer.status == 200
 
-    async def edit(self, deadline_ms):
+    async def edit(self, deadline_ms, **options):
         """Store an operator's edit; return its version."""
         address = parse_address(self.deployment.platform)
         async with PlatformClient(address=address) as client:
             found = await client.get(KEY)
             assert isinstance(found, Found)
             text = self.deployment.settings.read_text()
-            text = text.replace("{", f'{{"deadline_ms": {deadline_ms},', 1)
+            edited = msgspec.json.encode(options | {"deadline_ms": deadline_ms})
+            text = text.replace("{", edited.decode().removesuffix("}") + ",", 1)
             value = encode_settings_object(SettingsObject(text=text))
             stored = await client.put(KEY, value, base=found.version)
             assert isinstance(stored, Stored)
@@ -129,6 +131,31 @@
             await bench.wait_for(version, bench.others)
 
 
+class TestCustomers:
+    async def test_a_removed_key_is_refused_by_all_hosts(self, bench):
+        """Guards against a host that learns of keys, but not from its peers."""
+        keys = [b"key-that-leaked", b"key-that-stays"]
+        digests = [digest_key(key).hex() for key in keys]
+        found = []
+        with trio.fail_after(HANG_LIMIT):
+            for kept in (digests, digests[1:]):
+                customers = {"acme": {"key_sha256": kept}}
+                version = await bench.edit(250, customers=customers)
+                await bench.wait_for(version, bench.hosts)
+                for host in bench.hosts.values():
+                    for key in (b"", *keys):
+                        headers = {"Customer-Key": key.decode()}
+                        path = "/v1/services/scheduler/query"
+                        answer = await call(
+                            host.callers, "POST", path, headers=headers, body=b"{}"
+                        )
+                        found.append(answer is not None and answer.status == 401)
+        refused = [True, False, False] * 4 + [True, True, False] * 4
+        assert found == refused
+        for running in bench.entries.values():
+            assert "key-that" not in running.read_log()
+
+
 class TestPlatformDown:
     async def test_a_restarted_host_gets_the_newest_version_from_its_peers(self, bench):
         # Guards against serving with the old file after a restart during an outage of
--- a/tests/test_ticketservice.py
+++ b/tests/test_ticketservice.py
@@ -113,6 +113,20 @@
         wanted.finish(end, ())
 
 
+class FakeLimits:
+    """Limits that are exceeded once `is_over` is set."""
+
+    def __init__(self):
+        self.is_over = False
+        self.names = []
+
+    async def run_ticket(self, name, deadline, run):
+        self.names.append(name)
+        if self.is_over:
+            return NotRun(step=Step.ADMIT, peer="a-1", reason=Reason.OVER_LIMIT)
+        return await run()
+
+
 class Network(Dialer):
     """Dials hosts of this process over memory streams, with real channels.
 
@@ -196,6 +210,7 @@
                 blocked=self.blocked,
             ),
             nursery=self.nursery,
+            limits=(limits := FakeLimits()),
         )
         peers = PeerService(
             owner=owner,
@@ -209,6 +224,7 @@
             tickets=tickets,
             issuer=issuer,
             owner=owner,
+            limits=limits,
             fleet=fleet,
             channels=[],
         )
@@ -302,6 +318,21 @@
         assert [type(answer) for answer in answers] == [RunResult] * 3
         assert hosts.n_runs == 1
 
+    async def test_a_refusal_over_the_limit_is_the_final_outcome(
+        self, hosts, autojump_clock
+    ):
+        """Guards against "not run" for a repeat of a request that has run."""
+        limits = hosts.nodes["a-1"].limits
+        ticket, refused = await hosts.issue(), await hosts.issue()
+        assert isinstance(await hosts.run(ticket, "b-1"), RunResult)
+        limits.is_over = True
+        for name in HOSTS:
+            assert isinstance(await hosts.run(ticket, name), RunResult)
+            assert is_not_run(await hosts.run(refused, name), Reason.OVER_LIMIT)
+        limits.is_over = False
+        assert is_not_run(await hosts.run(refused, "b-2"), Reason.OVER_LIMIT)
+        assert (limits.names, hosts.n_runs) == (["acme"] * 2, 1)
+
     async def test_a_lookup_runs_nothing(self, hosts, autojump_clock):
         ticket = await hosts.issue()
         answer = await hosts.look_up(ticket, "b-1")
