--- a/tests/test_hostfile.py
+++ b/tests/test_hostfile.py
@@ -41,6 +41,13 @@
         text = "// A host.\n" + json.dumps(FILE)
         assert parse_host_file(text, file="host.jsonc").name == "ptl-a-1"
 
+    def test_the_deployment_is_the_store_unless_it_is_stated(self):
+        # Guards against hosts of one release that drop the messages of another.
+        assert parse().deployment == "10.200.1.7:8102"
+        assert parse(deployment="cedarlight").deployment == "cedarlight"
+        with pytest.raises(SettingsError):
+            parse(deployment="")
+
     def test_times_are_seconds(self):
         bounds = parse().bounds
         assert (bounds.drain_s, bounds.stop_within_s) == (3.0, 6.0)
