--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -1,9 +1,11 @@
 """Answers of gateway processes to callers while servers and the store fail."""
 
 import json
+import re
 import signal
 from collections import Counter
 from functools import partial
+from pathlib import Path
 
 import h11
 import pytest
@@ -382,6 +384,21 @@
 
 
 class TestSettingsFile:
+    async def test_a_reload_during_the_start_does_not_end_the_process(self, platform):
+        # Guards against the default action of SIGHUP before the daemon handles it.
+        gateway = platform.add_gateway("ptl-a")
+        status = Path(f"/proc/{gateway.process.pid}/status")
+
+        async def ignores_reload() -> bool:
+            [ignored] = re.findall(
+                r"^SigIgn:\s(\w+)$", status.read_text(), re.MULTILINE
+            )
+            return bool(int(ignored, 16) & 1 << (signal.SIGHUP - 1))
+
+        await wait_until(ignores_reload)
+        gateway.send(signal.SIGHUP)
+        await platform.wait_ready(gateway)
+
     async def test_an_invalid_file_is_refused_and_the_old_settings_stay(self, platform):
         [gateway] = await platform.start("ptl-a")
         gateway.settings_path.write_text('{"name": 3}')
