Explain a 503 for a customer while hosts settle

Three hosts that had just started answered 503 with "not ready" once the reserve was used up; the explanation named only hosts that are not reached.

--- a/src/lavendergap/commands/refusals.py
+++ b/src/lavendergap/commands/refusals.py
@@ -38,11 +38,13 @@
             case "done" if line.fields.get("reason") == Reason.OVER_LIMIT:
                 return _explain_limit(line, _find_nearest(line, limit_lines))
             case "done" if line.fields.get("reason") == Reason.NOT_READY:
+                customer = line.fields.get("customer", "?")
                 return Refusal(
-                    cause=f"503 from {line.host}: it reached no host that counts for "
-                    f"{line.fields.get('customer', '?')}.",
-                    remedy=f"Look at the `member` lines of {line.host} and its way to "
-                    "the other hosts.",
+                    cause=f"503 from {line.host}: no host that it reached counts in full "
+                    f"for {customer}, and their parts of the reserve were used up.",
+                    remedy="See with `lavendergap customers` who counts: hosts settle "
+                    "for some seconds after a start or a silent loss. If it goes on, "
+                    f"look at the way from {line.host} to the others; {_PAGE}.",
                 )
     return None
 
