--- a/src/lavendergap/commands/refusals.py
+++ b/src/lavendergap/commands/refusals.py
@@ -41,7 +41,7 @@
                 customer = line.fields.get("customer", "?")
                 return Refusal(
                     cause=f"503 from {line.host}: no host that it reached counts in "
-                    f"full for {customer}, and their parts of the reserve were used up.",
+                    f"full for {customer}, and the reserve was used up.",
                     remedy="See with `lavendergap customers` who counts: hosts settle "
                     "for some seconds after a start or a silent loss. If it goes on, "
                     f"look at the way from {line.host} to the others; {_PAGE}.",
