--- a/lab/examples.py
+++ b/lab/examples.py
@@ -214,7 +214,65 @@
     ),
 )
 
-ALL = (CEDARLIGHT, QURESHI, DEMO)
+CUSTOMERS = Example(
+    name="customers",
+    comment=(
+        "A deployment whose requests need a customer's key, but for one service. See",
+        "docs/operators/settings.md, and cedarlight.jsonc for how such a file is read.",
+    ),
+    platform_port=7200,
+    options=(
+        '"stragglers": {"kind": "wait"},',
+        '"deadline_ms": 400,',
+        "",
+        "// Digests of keys, from `lavendergap settings hash-key`. The keys themselves",
+        "// are not in this file. Limits hold over all entry hosts together.",
+        '"customers": {',
+        '  "harbour-web": {',
+        "    // The new key and, until the customer has changed, the old one.",
+        '    "key_sha256": [',
+        '      "d6f809c8fe346364130f857cc5bb8a3ca9b76e866d7717ac213f01df863344ba",',
+        '      "61f7d25f92d34a88736b19eb1541cdae8205a61b336687f5dcb9c5e29f2467d0"',
+        "    ],",
+        '    "rate_per_s": 4,',
+        '    "burst": 8',
+        "  },",
+        "  // No limit, but served after the others and with half a share.",
+        '  "night-batch": {',
+        '    "key_sha256": [',
+        '      "70ae84b492a91d7af57df2eba5de53149985676a80f4886240c6c5740e30d588"',
+        "    ],",
+        '    "priority": 3,',
+        '    "share_weight": 0.5',
+        "  }",
+        "},",
+        "// Requests that may run above a limit in each window while hosts fail.",
+        '"limit_window_s": 5,',
+        '"limit_slack": 20,',
+    ),
+    data_centres=("hbr-a", "hbr-b"),
+    n_hosts=3,
+    host_port=9401,
+    server_port=24200,
+    services=(
+        ExampleService(
+            name="berths",
+            comment=("Each group holds one shard, on two replicas.",),
+            options=('"idempotent": true,',),
+            n_groups=2,
+            n_servers=2,
+        ),
+        ExampleService(
+            name="tides",
+            comment=("Anyone may ask; nothing is counted.",),
+            options=('"idempotent": true,', '"public": true,'),
+            n_groups=1,
+            n_servers=2,
+        ),
+    ),
+)
+
+ALL = (CEDARLIGHT, QURESHI, DEMO, CUSTOMERS)
 
 
 def write_example(example: Example) -> str:
--- a/src/lavendergap/commands/settings.py
+++ b/src/lavendergap/commands/settings.py
@@ -211,6 +211,8 @@
     match _to_plain_value(value):
         case bool(flag):
             return "true" if flag else "false"
+        case tuple(digests):
+            return "\n".join(digests)
         case dict(policy):
             return ", ".join(f"{name} {part}" for name, part in policy.items())
         case plain:
