Restore reasons and figures that comments had lost

50 comments and docstrings in 33 modules hold them again: 17 modules of coordination, 9 of entry, 4 of transport, 2 of protocol and 1 of state. Left out are figures of how a value was tuned, and facts that do not hold for today's values, such as the share of calls beyond STALL_MEDIAN_FACTOR, and the size of the smallest bucket of shards.

The text of the old comments was compared with the constants and the code of today by reading; the old measurements were not repeated.

--- a/src/lavendergap/coordination/admission.py
+++ b/src/lavendergap/coordination/admission.py
@@ -93,7 +93,8 @@
 
     Under overload each group admits the calls with a rank below its share. If each
     group drew its calls independently, hardly any query over many groups would be
-    complete. With one rank for all calls of a query, the groups admit the same queries.
+    complete: over 20 groups that each admit half, one in a million. With one rank for
+    all calls of a query, the groups admit the same queries.
 
     >>> compute_rank("r-1") == compute_rank("r-1")
     True
--- a/src/lavendergap/coordination/answerreserve.py
+++ b/src/lavendergap/coordination/answerreserve.py
@@ -9,12 +9,15 @@
 each part of it.
 
 More parts take longer to join and make a longer answer. If the reserve is too short,
-answers miss the goal; if it is too long, stragglers are given up early.
+answers miss the goal; if it is too long, stragglers are given up early. With 135 parts,
+10 ms in all was too short at any time, and 26 ms was worse than 18 ms while a sixth of
+the servers was slow.
 """
 
 REFERENCE_CORES = 0.5
 """The cores of a host for which the reserve above holds. A weaker host needs more in
-proportion; a stronger one keeps as much.
+proportion; a stronger one keeps as much, as half of it made quick queries of hosts with
+one core late and improved nothing.
 """
 
 MAX_SAMPLES = 16
@@ -39,8 +42,9 @@
 
     The time is spent on this host: joining, writing, and whatever else runs there.
     While there are too few samples, it is estimated from the number of parts and the
-    host's cores, as most hosts rarely send such answers. The reserve is never less than
-    that estimate.
+    host's cores, as most hosts rarely send such answers: with one time for all, hosts
+    of an eighth of a core sent nearly all joined answers after their goal. The reserve
+    is never less than that estimate.
 
     >>> reserve = AnswerReserve(cores=0.5)
     >>> round(reserve.get_ms(n_parts=50, now=0.0), 1)
--- a/src/lavendergap/coordination/callerdelay.py
+++ b/src/lavendergap/coordination/callerdelay.py
@@ -15,7 +15,7 @@
 """With fewer samples, one delayed connection would determine the median."""
 
 DEFAULT_ROUND_TRIP_MS = 6.0
-"""Assumed until enough round trips are measured."""
+"""Assumed until enough round trips are measured: that of callers 3 ms away."""
 
 MAX_SPENT_SHARE = 0.5
 """The largest share of the goal that counts as time spent on the network. If more is
--- a/src/lavendergap/coordination/catalog.py
+++ b/src/lavendergap/coordination/catalog.py
@@ -17,7 +17,8 @@
 # their deadline; this limit holds while service times are not known.
 QUEUE_LIMIT = 256
 # A call is hedged once it takes longer than this quantile of the group's calls. It
-# leaves enough of the extra calls for the stragglers that pauses of servers cause.
+# leaves enough of the extra calls for the stragglers that pauses of servers cause,
+# about 4 calls in 100.
 HEDGE_QUANTILE = 0.85
 
 
@@ -97,7 +98,8 @@
 
     Services whose inputs are equal in the `previous` catalog are taken from it. A
     change of the hosts or of one server affects few groups, and building all of them
-    for each host that joins would be slow when all hosts start together.
+    for each host that joins would be slow when all hosts start together: 131 groups
+    took 2.4 ms for each of 195 hosts.
     """
     if previous is not None and previous.table is table:
         named_groups, shard_sets = previous.named_groups, previous.shard_sets
--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -12,7 +12,8 @@
 TRIED_PENALTY = 1_000.0
 # Added to the score of a server in another data centre; as much as calls in all slots
 # add. A near server is used while it has a free slot and is not much slower than the
-# others, as traffic between data centres is paid for.
+# others, as traffic between data centres is paid for. At 0.6 a seventh of all first
+# calls went to another data centre, most of them although a near slot was free.
 REMOTE_PENALTY = 1.0
 
 
--- a/src/lavendergap/coordination/feeds.py
+++ b/src/lavendergap/coordination/feeds.py
@@ -15,7 +15,8 @@
 N_BUCKETS = 64
 """Into how many buckets entries are hashed by name, to compare the copies of hosts.
 
-With more buckets fewer entries are sent for a difference, but more bytes of hashes.
+With more buckets fewer entries are sent for a difference, but more bytes of hashes; 64
+take some 600 bytes. If one entry has changed, a sixty-fourth of them is sent.
 """
 
 # Returns the part of an entry that matters; entries equal in it count as equal.
--- a/src/lavendergap/coordination/hedging.py
+++ b/src/lavendergap/coordination/hedging.py
@@ -15,7 +15,8 @@
 SAMPLES_PER_REFRESH = 16
 # A few more stragglers than usual would raise the quantile to a straggler's latency,
 # and hedges would come too late. The median and the third quartile are robust to them,
-# so a call is hedged this far beyond them whatever the quantile.
+# so a call is hedged this far beyond them whatever the quantile. Of exponentially
+# distributed latencies, 8 in 1,000 are longer.
 FENCE_QUARTILE_FACTOR = 5.0
 FENCE_MEDIAN_FACTOR = 2.0
 # More than an operator has routes in use at a time. Beyond it the least recently used
@@ -27,7 +28,8 @@
 # are merely slow have answered by then, and a hedge still has enough time.
 EARLIEST_HEDGE_SHARE = 0.35
 # A call with a goal is hedged by this share of the time to it. The quantile alone may
-# be so high that a hedge would come too late to help.
+# be so high that a hedge would come too late to help: with a sixth of the servers slow
+# and hosts busy, it rose to 60 to 90 ms of a goal of 82 ms.
 LATEST_HEDGE_SHARE = 0.5
 # The share of the budget that ordinary hedges use; see docs/design/hedging.md.
 BUDGET_USE_SHARE = 0.6
@@ -113,7 +115,8 @@
     latest = LATEST_HEDGE_SHARE * left
     if recent.delay is None:
         # Where each host rarely sees such a call, waiting for enough latencies would
-        # mean that none is hedged.
+        # mean that none is hedged. Among 77 hosts, each had a lookup of one record
+        # every 12 s.
         return latest
     # If the goal is less than two usual calls away, few hedges would answer by it.
     latest = max(latest, STRAGGLER_MEDIAN_FACTOR * (recent.median or 0.0))
@@ -125,7 +128,8 @@
 
     Shards are of similar size, so the latencies of one hold for the others. A single
     group may see too few calls, and short calls next to long ones: compared with the
-    quantile of long calls, a short one would be hedged too late.
+    quantile of long calls, a short one would be hedged too late. Lookups of 4 ms, next
+    to searches of 11 ms, were hedged after 20 to 30 ms of the 33 ms that they had.
 
     >>> kinds = KindLatencies()
     >>> kinds.get("quick look", quantile=0.9) is kinds.get("quick look", quantile=0.9)
--- a/src/lavendergap/coordination/membertable.py
+++ b/src/lavendergap/coordination/membertable.py
@@ -196,7 +196,8 @@
 
         The other hosts have its own record already. A new host that passed on the whole
         table it was sent would delay newer updates, and with them the detection of
-        hosts that join.
+        hosts that join: among 200 hosts, a new one was unknown to some for half a
+        minute.
         """
         had_new_updates = self.has_new_updates
         self.merge(member, reported_by=reported_by, now=now)
--- a/src/lavendergap/coordination/placement.py
+++ b/src/lavendergap/coordination/placement.py
@@ -31,8 +31,10 @@
 Fewer where hosts are weak: see `choose_bucket_size`.
 
 Shards with servers in the same data centres are owned together in buckets, so that a
-query goes to few owners. With larger buckets a query would lose more shards to a slow
-or lost owner.
+query goes to few owners. Owned each by itself, 90 shards were spread over 25 hosts:
+sending to all of them took a weak host 10 ms, a quarter of the time of a quick query,
+and each owner sent its own list of records. With larger buckets a query would lose more
+shards to a slow or lost owner.
 """
 
 FULL_BUCKET_CAPACITY = CAPACITY_STEPS_PER_CORE // 2
@@ -193,8 +195,10 @@
         """Order the data centres: the own one first, then those that serve most groups.
 
         Each owner that is asked sends its own list of records, so a query should go to
-        few data centres. The order is greedy: each next data centre serves most of the
-        groups not served by those before.
+        few data centres. With servers of each group in two of four data centres, the
+        groups without one in the own data centre would be spread over two or three
+        others if each were ranked by itself. The order is greedy: each next data centre
+        serves most of the groups not served by those before.
         """
         self._ranked.clear()
         uncovered = Counter(
--- a/src/lavendergap/coordination/quarantine.py
+++ b/src/lavendergap/coordination/quarantine.py
@@ -30,7 +30,7 @@
 """
 
 MAX_STRIKES = 2_000
-"""Strikes kept, to bound memory; at the limit new ones are ignored."""
+"""Strikes kept, some 0.5 MB, to bound memory; at the limit new ones are ignored."""
 
 
 class Quarantine:
--- a/src/lavendergap/coordination/querylimiter.py
+++ b/src/lavendergap/coordination/querylimiter.py
@@ -5,9 +5,10 @@
 
 from ..state.outcome import NotRun, Reason, Step
 
-# A query has calls to every group. If each group refused calls on its own, few queries
-# would be complete under overload. So whole queries are admitted or refused, and
-# refusals by groups only adjust the limit.
+# A query has calls to every group. If each group refused calls on its own, at twice the
+# capacity each would refuse a different half, and hardly any query would be complete.
+# So whole queries are admitted or refused, and refusals by groups only adjust the
+# limit.
 
 INITIAL_LIMIT = 4.0
 MIN_LIMIT = 1.0
--- a/src/lavendergap/coordination/registration.py
+++ b/src/lavendergap/coordination/registration.py
@@ -9,8 +9,9 @@
 """How many hosts of each data centre are registered in the store.
 
 A host that starts has to reach one of them. With few registered, a start of all hosts
-or a power failure causes few calls. A data centre can be found unless all of its
-registered hosts fail before the next in rank registers.
+or a power failure causes few calls: with all of 195 hosts registered, they would be 195
+and 390 more. A data centre can be found unless all of its registered hosts fail before
+the next in rank registers.
 """
 
 _RANKING_KEY = "registered"
--- a/src/lavendergap/coordination/relaying.py
+++ b/src/lavendergap/coordination/relaying.py
@@ -11,22 +11,25 @@
 MIN_HOSTS_FOR_RELAY = 5
 """With this many hosts or more, a remote data centre is reached through a relay.
 
-A relay sends to the hosts of its data centre, which saves traffic between data centres.
-If it is frozen, its neighbours wait until they read the store themselves, which is not
-worth it for a few hosts.
+A relay sends to the hosts of its data centre, which saves traffic between data centres:
+sent to each of 77 hosts in four data centres, 58 copies of a message would cross. If a
+relay is frozen, its neighbours wait some seconds until they read the store themselves,
+which is not worth it for a few hosts.
 """
 
 MAX_DIRECT_BYTES = 4_096
 """Larger changes are sent to one host of each other data centre, however few it has.
 
-An operator's document may be many times larger, and would be sent once for each host.
+An operator's document of about a hundred routes is over 100 KB, and would be sent once
+for each host.
 """
 
 MAX_RELAYED_COMPRESSED_BYTES = 16_384
 """Changes larger than this when compressed are announced without their content.
 
 Relays then read them from the store. The limit is above the size of an operator's usual
-document, which every host would otherwise read from the store.
+document, which every host would otherwise read from the store: with about a hundred
+routes it is about 10 KB when compressed.
 """
 
 MAX_ANNOUNCED_BYTES = 131_072
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -12,8 +12,8 @@
 # A server that was started or has recovered has cold caches. If all its slots were
 # filled at once, its first answers would all be late.
 SLOW_START_S = 3.0
-# Longer than a pause for garbage collection, and short enough for another attempt
-# within a query's deadline.
+# Twice the length of a pause for garbage collection, and short enough for another
+# attempt within a query's deadline if the failure was transient.
 FIRST_EJECTION_S = 0.1
 MAX_EJECTION_S = 10.0
 # Upper bound on a server's `Retry-After`, so that a wrong value of an hour does not
@@ -34,12 +34,14 @@
 # server that is shutting down.
 DRAIN_LIFETIME_S = 60.0
 # Slowness counts half after this time without an answer, so that a replica that was
-# slow is tried again.
+# slow is tried again. At 2 s, in a group with one call a second, a server that stays
+# slow got every other call.
 SLOWNESS_HALF_LIFE_S = 4.0
 # Least weight of a new answer in the moving average of slowness.
 MIN_SLOWNESS_GAIN = 0.125
 # A new answer weighs as much as the average if that is this old. With few calls a fixed
-# weight would take too long to detect a slow server.
+# weight would take too long to detect a slow server: with one call a second and a
+# weight of an eighth, it took eight calls.
 SLOWNESS_GAIN_HALF_LIFE_S = 0.5
 # Slowness is ignored after this many half-lives. However small, it would otherwise
 # always decide between idle replicas, and a slow one would not be tried again.
@@ -224,7 +226,8 @@
             case NotRun(reason=Reason.NO_REPLICA):
                 # Another server has taken over the address, and the registry is not up
                 # to date yet. Further calls there would add load to the new server
-                # beyond its group's budget of extra calls.
+                # beyond its group's budget of extra calls: one owner with a lapsed
+                # entry sent 90 of them in 10 s.
                 self._set_state("draining", from_answer=True, now=now)
             case Unknown(reason=Reason.CANCELLED):
                 self._note_min_latency(elapsed, now)
--- a/src/lavendergap/coordination/roster.py
+++ b/src/lavendergap/coordination/roster.py
@@ -14,7 +14,9 @@
 """How long dead members are remembered: far beyond the life of any datagram."""
 
 MAX_TOMBSTONES = 4_096
-"""Tombstones kept, about a megabyte; the oldest are dropped first."""
+"""Tombstones kept, about a megabyte; the oldest are dropped first. With 680
+replacements a day they last six days.
+"""
 
 
 @dataclass(kw_only=True, slots=True)
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -550,7 +550,8 @@
         """Return the latency of an attempt in medians of its kind of call.
 
         In seconds, a replica that served long calls would look slower than one that
-        served short calls, and idle near replicas would be passed over for remote ones.
+        served short calls, and idle near replicas would be passed over for remote ones,
+        as was seen with kinds whose latencies differ threefold.
         """
         median = self._get_latencies(call).median
         return elapsed / median if median else 1.0
--- a/src/lavendergap/coordination/watchers.py
+++ b/src/lavendergap/coordination/watchers.py
@@ -22,7 +22,8 @@
 
 A watch whose connection has gone silent is abandoned two seconds later, and the next
 one returns the missed changes. So this also bounds the delay of an edit when a network
-device drops the connections of all holders at once.
+device drops the connections of all holders at once. An edit has to be active
+within 13 s.
 """
 
 WATCHES_PER_HOLDER = 2
--- a/src/lavendergap/entry/discovery.py
+++ b/src/lavendergap/entry/discovery.py
@@ -208,9 +208,10 @@
 ) -> None:
     """Keep channels open to the owners that queries on this host will be sent to.
 
-    A query that first has to open its channels may miss its goal and take the owners
-    for lost. Channels are opened one after the other, so that hosts that start together
-    do not flood each other with connections.
+    A query that first has to open its channels takes 20 to 100 ms longer on a weak
+    host, so that it may miss its goal and take the owners for lost. Channels are opened
+    one after the other, so that hosts that start together do not flood each other with
+    connections.
     """
     while True:
         await trio.sleep(CHANNEL_CHECK_INTERVAL_S)
--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -28,7 +28,8 @@
 """How long after its start a host watches only for its data centre.
 
 Its list of members is incomplete until then: when all hosts start together, most would
-take themselves for watch holders and open channels to all hosts they have found.
+take themselves for watch holders and open channels to all hosts they have found. With
+77 hosts, 6,514 channel greetings were sent.
 """
 
 FETCH_TIMEOUT_S = 1.0
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -161,9 +161,10 @@
     async def run(self) -> None:
         """Read until cancelled."""
         self._nursery.start_soon(self._tracked.drop_lapsed)
-        # When all hosts start together, reading a lagging replica is far cheaper for
-        # the store, and the next update or watch shows what is missing. After the
-        # history is gone, a replica may be older than the store's remaining history.
+        # When all hosts start together, reading a lagging replica costs the store a
+        # tenth of another read, and the next update or watch shows what is missing.
+        # After the history is gone, a replica may be older than the store's remaining
+        # history.
         may_be_stale = True
         while True:
             await self._list(may_be_stale=may_be_stale)
@@ -197,9 +198,10 @@
             rank = self._peers.get_holder_rank()
             is_starting = not self._peers.is_past_startup()
             # When all hosts restart with the store, servers register again one by one
-            # before the watch holders are chosen. Waiting until the copy is stale would
-            # leave hosts without many servers and refuse requests; a watch by each host
-            # would overload the store. So one host of each data centre watches.
+            # before the watch holders are chosen. Waiting until the copy is stale left
+            # hosts with 25 to 60 of 78 servers for two seconds, and a third of all
+            # requests was refused; watches by each of 195 hosts made 1,900 calls. So
+            # one host of each data centre watches.
             is_leading = (
                 rank is None and is_starting and self._peers.leads_data_centre()
             )
--- a/src/lavendergap/entry/livehosts.py
+++ b/src/lavendergap/entry/livehosts.py
@@ -10,7 +10,7 @@
 from .fleet import Fleet
 
 # Seconds between two applications of member changes. The delay is harmless: detecting
-# a lost host takes longer, and queries avoid it before that.
+# a lost host takes at least 2 s, and queries avoid it before that.
 APPLY_INTERVAL_S = 0.1
 
 
@@ -19,7 +19,8 @@
 
     Members change in bursts, as when hosts start together or lose power. Changes within
     an interval are applied together, since ranking owners and building groups for each
-    change would take up the processor (`python -m lab.memberchanges`).
+    change would take up the processor: of 195 hosts that started together, it took each
+    0.7 s of processor time, against 0.04 s with this (`python -m lab.memberchanges`).
     """
 
     def __init__(
--- a/src/lavendergap/entry/platformreader.py
+++ b/src/lavendergap/entry/platformreader.py
@@ -86,7 +86,7 @@
         self._holders_changed.set()
 
     def _holds_watch(self) -> bool:
-        # Cached until members change, since ranking a large fleet is slow.
+        # Cached until members change, since ranking 550 takes a millisecond.
         if self._holders is None:
             self._holders = choose_watch_holders(
                 self._get_members(), self._get_n_holders()
--- a/src/lavendergap/entry/process.py
+++ b/src/lavendergap/entry/process.py
@@ -12,7 +12,8 @@
     """Make Python's cyclic garbage collector run less often.
 
     With the default thresholds it traverses all connections and calls many times a
-    second, which makes calls noticeably slower (docs/design/connections.md).
+    second, which makes a call to a backend server cost about a tenth more
+    (docs/design/connections.md).
     """
     gc.collect()
     gc.freeze()
--- a/src/lavendergap/entry/quarantine.py
+++ b/src/lavendergap/entry/quarantine.py
@@ -24,7 +24,7 @@
 """
 
 MAX_SERVERS_LISTED = 8
-"""Servers listed in a strike; the list is for operators only and is kept short."""
+"""Servers listed in a strike; the list is for operators only, and 87 would be 1 KB."""
 
 WRITE_RETRY_S = 1.0
 """Delay before a failed write to the store is retried."""
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -48,10 +48,12 @@
 GIVE_UP_SHARE = 0.45
 # An owner is not given up for silence before this, however close the goal is. A busy
 # host answers a ping late; giving it up duplicates its work on hosts as busy, and it
-# gets no new work for seconds.
+# gets no new work for seconds. A weak host that has just been sent 25 calls, or reads
+# new routes, answers after 20 to 40 ms; at 50 ms, busy hosts were still given up.
 MIN_SILENCE_S = 0.15
-# A channel has at least this long to open: a busy host accepts one late. Nothing has
-# been sent by then, so the next owner may still use all attempts.
+# A channel has at least this long to open: a weak host takes 20 to 100 ms to accept
+# one. With a fifth of the time to the goal, 7 ms for a quick query, live owners were
+# given up. Nothing has been sent by then, so the next owner may still use all attempts.
 MIN_DIAL_S = 0.05
 # A check that runs later than this after it was due shows that this process was slow,
 # not the owner.
@@ -462,7 +464,8 @@
             case NotRun(reason=Reason.STOPPING | Reason.UNKNOWN_SERVICE):
                 # The owner is stopping, or has just started and has no settings yet.
                 # It has sent nothing, so the next host can do all of it; returning
-                # the refusal would fail searches whenever a host starts.
+                # the refusal would fail a tenth of a second's searches whenever a host
+                # starts.
                 self._send([shard])
                 return
             case NotRun(reason=Reason.VERSION_GONE) if self._pinning is not None:
--- a/src/lavendergap/entry/timerqueue.py
+++ b/src/lavendergap/entry/timerqueue.py
@@ -26,7 +26,8 @@
     """Calls each timer's `wake` once it is due.
 
     A query sets the same time in each of its groups. One queue and task for all of
-    them costs far less processor time than a task and a timeout for each.
+    them costs far less processor time than a task and a timeout for each, which took an
+    eighth of the processor time of a call to a backend server.
     """
 
     def __init__(self) -> None:
@@ -52,7 +53,8 @@
 
         Sockets are read before timers are woken. After a long turn of the loop on a
         busy host, answers and cancellations may lie unread when hedges are due, and
-        calls that have been answered already would be hedged.
+        calls that have been answered already would be hedged: up to 52 of 90 calls were
+        sent to a second server for nothing.
         """
         while True:
             for _ in range(N_TURNS_TO_READ):
--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -145,7 +145,7 @@
     """Return the outcome that a server's reply to `request` proves.
 
     With `is_part` the answer is merged with others and keeps only its proof header;
-    the others would use bandwidth between data centres for nothing.
+    the others, some 200 bytes, would use bandwidth between data centres for nothing.
     """
     report = read_load(reply.headers.get(names.load))
     outcome = _check_reply(reply, request, names, server)
--- a/src/lavendergap/protocol/objects.py
+++ b/src/lavendergap/protocol/objects.py
@@ -109,8 +109,9 @@
     """Return the settings in the object `key` at `version`.
 
     The resolved form is used if it belongs to the text and this release can read it;
-    that takes milliseconds. Otherwise the text is parsed and validated, which is much
-    slower. Raises SettingsError if the text has problems.
+    that takes milliseconds. Otherwise the text is parsed and validated, which takes
+    0.2 s for thousands of backend servers. Raises SettingsError if the text has
+    problems.
     """
     resolved = value.resolved
     if resolved is not None and resolved.digest == _digest(value.text):
--- a/src/lavendergap/state/feeds.py
+++ b/src/lavendergap/state/feeds.py
@@ -80,8 +80,9 @@
     ) -> FeedListing | StoreUnavailable:
         """Return all entries of a feed.
 
-        With `may_be_stale` they may be some seconds old. Such a read is much cheaper
-        for the store; a watch from the returned position yields the later changes.
+        With `may_be_stale` they may be some seconds old. Such a read costs the
+        store a tenth of another one; a watch from the returned position yields the
+        later changes.
         """
 
     async def watch_feed(
--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -143,9 +143,9 @@
         """Return the timeout in seconds of a read on a reused connection.
 
         The rest of the time left is for a retry over a new connection. After a
-        recent answer, a slow server is more likely than a silent connection. A
-        timeout that is too short would treat slow answers as silent connections and
-        close all idle connections of their server.
+        recent answer, a slow server is more likely than a silent connection; a
+        timeout of half of the time left treated slow answers as silent connections then
+        and closed all idle connections of their server.
         """
         is_trusted = now - connection.answered_at <= MAX_TRUSTED_IDLE_S
         share = TRUSTED_TIMEOUT_SHARE if is_trusted else UNTRUSTED_TIMEOUT_SHARE
--- a/src/lavendergap/transport/periodic.py
+++ b/src/lavendergap/transport/periodic.py
@@ -1,7 +1,7 @@
 """Periodic checks of all channels of a process, in a single task.
 
-A timer and a task for each channel would cost the event loop a large share of a core
-on a host with a thousand channels.
+With a timer and a task for each channel, eight checks a second of 1,100 channel ends,
+as 550 hosts have them, took over a third of a core, nearly all of it in the event loop.
 """
 
 from typing import Protocol
--- a/src/lavendergap/transport/replies.py
+++ b/src/lavendergap/transport/replies.py
@@ -1,7 +1,7 @@
 """Parses an HTTP answer of a backend server from the bytes of its connection.
 
 The parser is that of httptools, which is written in C: a host reads thousands of
-answers a second, and h11's parser in Python takes several times as long.
+answers a second, and h11's parser in Python takes eight times as long for 1 KB.
 """
 
 from collections.abc import Mapping
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -84,9 +84,10 @@
 class ServerConnection:
     """An open connection with one task that reads from it until it closes.
 
-    A task per connection costs fewer steps of the event loop than a task per request
-    (`python -m lab.callcost` counts them). It also reads while the connection is idle,
-    so that a close by the server is detected before the next request.
+    A task per connection takes an owner 1.5 steps of the event loop a call, and a task
+    per request took 3.5 (`python -m lab.callcost` counts them). It also reads while the
+    connection is idle, so that a close by the server is detected before the next
+    request.
     """
 
     __slots__ = (
