--- a/lab/reference.py
+++ b/lab/reference.py
@@ -7,12 +7,11 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from lavendergap.state.levels import Level, Option
 from lavendergap.state.options import (
     BRANCHES,
     OPTIONS,
     STRAGGLERS_OPTIONS,
-    Level,
-    Option,
     list_branches,
 )
 from lavendergap.state.settings import GiveUpStragglers, WaitForCoverage
--- a/src/lavendergap/state/branch.py
+++ b/src/lavendergap/state/branch.py
@@ -6,13 +6,11 @@
 from typing import Any
 
 from ..errors import Problem
+from .levels import BranchKind, Level, Option
 from .options import (
     BRANCHES,
     OPTIONS,
     STRAGGLERS_OPTIONS,
-    BranchKind,
-    Level,
-    Option,
     list_branches,
     list_options,
 )
--- a/src/lavendergap/state/check.py
+++ b/src/lavendergap/state/check.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from .branch import DEFAULT, Branch, Resolved
-from .options import MIN_HEDGE_DEADLINE_MS, OPTIONS, Level
+from .levels import Level
+from .options import MIN_HEDGE_DEADLINE_MS, OPTIONS
 from .settings import Address
 from .values import AddressValue, Value
 
--- a/src/lavendergap/state/options.py
+++ b/src/lavendergap/state/options.py
@@ -6,77 +6,23 @@
 
 import functools
 from collections.abc import Mapping
-from dataclasses import dataclass
-from enum import StrEnum
 
-from .settings import DEFAULT_LIMITS, WaitForCoverage
+from .customeroptions import CUSTOMER_OPTIONS
+from .levels import BranchKind, Level, Option
+from .settings import WaitForCoverage
 from .values import (
     AddressValue,
-    DigestsValue,
     FlagValue,
     IntegerValue,
-    Kind,
     NameValue,
     NumberValue,
     StragglersValue,
-    Value,
 )
 
 MIN_HEDGE_DEADLINE_MS = 20
 """The shortest deadline, in milliseconds, within which a hedge can still answer."""
 
 
-class Level(StrEnum):
-    """The kinds of branches in the settings tree."""
-
-    DEPLOYMENT = "deployment"
-    CONTROL = "control"
-    DATA_CENTRE = "data centre"
-    HOST = "host"
-    CUSTOMER = "customer"
-    SERVICE = "service"
-    GROUP = "group"
-    SERVER = "server"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Option:
-    """One option: its kind, its default and the levels that allow it.
-
-    `levels` run from the highest to the lowest; branches of the lowest use the value.
-    `default` is None if an operator has to set the option. `unit` is empty for
-    dimensionless values. `extra_calls` marks options that allow repeated calls: for a
-    service that is not idempotent they default to 0 and allow no other value.
-    """
-
-    name: str
-    kind: Kind
-    levels: tuple[Level, ...]
-    help: str
-    unit: str = ""
-    default: Value | None = None
-    extra_calls: bool = False
-
-    @property
-    def lowest(self) -> Level:
-        """The level whose branches use the value."""
-        return self.levels[-1]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class BranchKind:
-    """A key of a `parent` branch that holds child branches of `level`.
-
-    If `named`, the key maps names to branches; otherwise it holds a single branch.
-    """
-
-    key: str
-    parent: Level
-    level: Level
-    named: bool
-    help: str
-
-
 BRANCHES: tuple[BranchKind, ...] = (
     BranchKind(
         key="control",
@@ -162,30 +108,6 @@
         levels=(Level.DEPLOYMENT,),
         help="Address of the platform's object API.",
     ),
-    Option(
-        name="limit_window_s",
-        kind=NumberValue(low=1.0, high=600.0),
-        unit="s",
-        default=DEFAULT_LIMITS.window_s,
-        levels=(Level.DEPLOYMENT,),
-        help="The sliding window for which the bound of customers' requests holds.",
-    ),
-    Option(
-        name="limit_overage",
-        kind=NumberValue(low=0.0, high=10.0),
-        unit="share of the limit",
-        default=DEFAULT_LIMITS.overage,
-        levels=(Level.DEPLOYMENT,),
-        help="How far a customer's limit may be exceeded while hosts fail.",
-    ),
-    Option(
-        name="limit_slack",
-        kind=NumberValue(low=0.0, high=1_000_000.0),
-        unit="requests",
-        default=DEFAULT_LIMITS.slack,
-        levels=(Level.DEPLOYMENT,),
-        help="Requests by which a limit may be exceeded in each window as well.",
-    ),
     Option(
         name="callers",
         kind=AddressValue(),
@@ -204,48 +126,7 @@
         levels=(Level.HOST,),
         help="Address of metrics, health, readiness and status.",
     ),
-    Option(
-        name="key_sha256",
-        kind=DigestsValue(),
-        levels=(Level.CUSTOMER,),
-        help=(
-            "SHA-256 digests of the customer's keys, as `lavendergap settings "
-            "hash-key` prints them; the keys themselves do not belong in the file."
-        ),
-    ),
-    Option(
-        name="priority",
-        kind=IntegerValue(low=0, high=1_000_000),
-        default=0,
-        levels=(Level.CUSTOMER,),
-        help="Order in which waiting requests are served; 0 is the most urgent.",
-    ),
-    Option(
-        name="rate_per_s",
-        kind=NumberValue(low=0.0, high=1_000_000.0),
-        unit="requests per second",
-        default=0.0,
-        levels=(Level.CUSTOMER,),
-        help="The customer's limit over all entry hosts together; 0 for none.",
-    ),
-    Option(
-        name="burst",
-        kind=NumberValue(low=0.0, high=1_000_000.0),
-        unit="requests",
-        default=0.0,
-        levels=(Level.CUSTOMER,),
-        help="Requests that the customer may send at once, above its rate.",
-    ),
-    Option(
-        name="share_weight",
-        kind=NumberValue(low=0.0, high=1_000_000.0),
-        default=0.0,
-        levels=(Level.CUSTOMER,),
-        help=(
-            "The customer's share of busy servers, relative to customers of the same "
-            "priority; 0 for its rate_per_s, or 1 without a limit."
-        ),
-    ),
+    *CUSTOMER_OPTIONS,
     Option(
         name="address",
         kind=AddressValue(),
--- a/src/lavendergap/state/tree.py
+++ b/src/lavendergap/state/tree.py
@@ -7,7 +7,8 @@
 from .branch import Branch, read_tree
 from .check import check_tree
 from .customers import Customer, CustomerTable, LimitBounds
-from .options import Level, list_options
+from .levels import Level
+from .options import list_options
 from .settings import (
     Address,
     Control,
--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -1,7 +1,6 @@
 """The HTTP port for callers: validates requests and renders their answers."""
 
 import math
-import secrets
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
@@ -23,14 +22,21 @@
 from ..state.settings import Service, Settings
 from ..state.ticket import Ticket, parse_ticket
 from .callerheaders import KeyReader
+from .callerinput import (
+    make_request_id,
+    read_deadline_ms,
+    read_ticket,
+    require_idempotent,
+    require_json,
+    require_method,
+    require_not_idempotent,
+)
 from .web import (
-    JSON_TYPE,
     BadRequestError,
     Receive,
     Response,
     Scope,
     Send,
-    get_headers,
     read_body,
     reject,
     send_response,
@@ -38,9 +44,6 @@
 )
 
 PORT = "callers"
-MAX_DEADLINE_MS = 60_000
-MAX_REQUEST_ID_LENGTH = 128
-MAX_TICKET_BYTES = 512
 KEY_HEADER = b"customer-key"
 _check_json = msgspec.json.Decoder(msgspec.Raw).decode
 
@@ -136,7 +139,7 @@
         match scope["path"].strip("/").split("/"):
             case ["v1", "services", name, "query"]:
                 request = await self._read(scope, receive, name)
-                _require_idempotent(request.service)
+                require_idempotent(request.service)
                 return self._refuse_if_not_ready(
                     request.request_id
                 ) or await self._search_until_disconnect(
@@ -149,12 +152,12 @@
                 ) or await self._issue(self._identify(scope, request))
             case ["v1", "services", name, "requests"]:
                 request = await self._read(scope, receive, name)
-                ticket = _read_ticket(scope)
+                ticket = read_ticket(scope)
                 return self._refuse_if_not_ready(request.request_id) or await self._run(
                     self._identify(scope, request), ticket
                 )
             case ["v1", "tickets", ticket]:
-                _require_method(scope, "GET")
+                require_method(scope, "GET")
                 return await self._look_up(scope, ticket)
             case _:
                 raise BadRequestError(
@@ -192,7 +195,7 @@
     async def _read(
         self, scope: Scope, receive: Receive, name: str, *, needs_body: bool = True
     ) -> CallerRequest:
-        _require_method(scope, "POST")
+        require_method(scope, "POST")
         service = self._handlers.get_settings().get_service(name)
         if service is None:
             raise BadRequestError(
@@ -201,10 +204,10 @@
                 detail=f"there is no service {name[:64]!r} in the settings in force",
             )
         started = trio.current_time()
-        deadline = started + _read_deadline_ms(scope, service) / 1_000
+        deadline = started + read_deadline_ms(scope, service) / 1_000
         body = b""
         if needs_body:
-            _require_json(scope)
+            require_json(scope)
             body = await read_body(scope, receive, limit=service.max_body_bytes)
             try:
                 _check_json(body)
@@ -263,7 +266,7 @@
                 return Response(status=status, body=encode_search(result))
 
     async def _issue(self, request: CallerRequest) -> Response:
-        _require_not_idempotent(request.service)
+        require_not_idempotent(request.service)
         issued = await self._handlers.issue(request)
         match issued:
             case IssuedTicket(text=text):
@@ -285,7 +288,7 @@
         return _render_run(await self._handlers.look_up(request_id, text))
 
     async def _run(self, request: CallerRequest, ticket: str) -> Response:
-        _require_not_idempotent(request.service)
+        require_not_idempotent(request.service)
         answer = await self._handlers.run(request, ticket)
         name = request.service.name
         match answer:
@@ -305,89 +308,6 @@
     )
 
 
-def _require_method(scope: Scope, method: str) -> None:
-    if scope["method"] != method:
-        raise BadRequestError(
-            status=HTTPStatus.METHOD_NOT_ALLOWED,
-            problem="wrong method",
-            detail=f"use {method}",
-        )
-
-
-def _require_json(scope: Scope) -> None:
-    stated = get_headers(scope).get(b"content-type", JSON_TYPE)
-    if stated.split(b";")[0].strip().lower() != JSON_TYPE:
-        raise BadRequestError(
-            status=HTTPStatus.UNSUPPORTED_MEDIA_TYPE,
-            problem="wrong media type",
-            detail="send application/json",
-        )
-
-
-def _require_idempotent(service: Service) -> None:
-    if not service.idempotent:
-        raise BadRequestError(
-            status=HTTPStatus.UNPROCESSABLE_ENTITY,
-            problem="not a query",
-            detail="this service is not idempotent: take a ticket, then POST to "
-            "/requests with it",
-        )
-
-
-def _require_not_idempotent(service: Service) -> None:
-    if service.idempotent:
-        raise BadRequestError(
-            status=HTTPStatus.UNPROCESSABLE_ENTITY,
-            problem="not a booking",
-            detail="this service is queried: POST to /query, without a ticket",
-        )
-
-
-def _read_deadline_ms(scope: Scope, service: Service) -> float:
-    stated = get_headers(scope).get(b"deadline-ms")
-    if stated is None:
-        return service.deadline_ms
-    try:
-        deadline_ms = float(stated)
-    except ValueError:
-        deadline_ms = math.nan
-    if not 1 <= deadline_ms <= MAX_DEADLINE_MS:
-        raise BadRequestError(
-            status=HTTPStatus.UNPROCESSABLE_ENTITY,
-            problem="impossible deadline",
-            detail=f"Deadline-Ms is a number from 1 to {MAX_DEADLINE_MS}",
-        )
-    return deadline_ms
-
-
-def _read_ticket(scope: Scope) -> str:
-    headers = get_headers(scope)
-    if b"idempotency-key" in headers:
-        raise BadRequestError(
-            status=HTTPStatus.UNPROCESSABLE_ENTITY,
-            problem="idempotency key",
-            detail="a key chosen by the caller cannot be promised to run at most "
-            "once: take a ticket from /tickets and send it as Ticket",
-        )
-    ticket = headers.get(b"ticket")
-    if ticket is None or len(ticket) > MAX_TICKET_BYTES:
-        raise BadRequestError(
-            status=HTTPStatus.PRECONDITION_REQUIRED,
-            problem="no ticket",
-            detail="take a ticket from /tickets and send it as Ticket, so that a "
-            "retry cannot run the request twice",
-        )
-    return ticket.decode("latin-1")
-
-
-def make_request_id(scope: Scope) -> str:
-    """Return the caller's Request-Id if it is valid, or a new one."""
-    stated = get_headers(scope).get(b"request-id", b"").decode("latin-1")
-    if stated and len(stated) <= MAX_REQUEST_ID_LENGTH and stated.isprintable():
-        return stated
-    return secrets.token_hex(8)
-
-
 def _render_refusal(refusal: Refusal) -> Response:
     retry_after_s = math.ceil(get_retry_after_ms(refusal.outcome) / 1_000)
     status = HTTPStatus.GATEWAY_TIMEOUT
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -8,11 +8,11 @@
 
 from lab.reference import PAGE, replace_reference, write_reference
 from lavendergap.state.customers import Customer
+from lavendergap.state.levels import Level
 from lavendergap.state.options import (
     BRANCHES,
     OPTIONS,
     STRAGGLERS_OPTIONS,
-    Level,
     list_options,
 )
 from lavendergap.state.settings import Control, Host, Server, Service
