--- a/lab/callcost.py
+++ b/lab/callcost.py
@@ -7,6 +7,7 @@
 """
 
 import multiprocessing
+import random
 import time
 from functools import partial
 from random import Random
@@ -49,24 +50,32 @@
         self.n_steps += 1
 
 
-async def _answer(stream: trio.SocketStream) -> None:
+async def _answer(stream: trio.SocketStream, *, longest_s: float) -> None:
     async with stream:
         while await stream.receive_some(65_536):
+            if longest_s > 0.0:
+                await trio.sleep(random.uniform(0.0, longest_s))
             await stream.send_all(ANSWER)
 
 
-def _serve(n_servers: int, ports: "multiprocessing.Queue[int]") -> None:
+def serve(
+    n_servers: int, ports: "multiprocessing.Queue[int]", longest_s: float = 0.0
+) -> None:
+    """Run backend servers that answer after a random time of up to `longest_s`."""
+    answer = partial(_answer, longest_s=longest_s)
+
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             for _ in range(n_servers):
-                serve = partial(trio.serve_tcp, _answer, 0, host="127.0.0.1")
-                [listener] = await nursery.start(serve)
+                listen = partial(trio.serve_tcp, answer, 0, host="127.0.0.1")
+                [listener] = await nursery.start(listen)
                 ports.put(listener.socket.getsockname()[1])
 
     trio.run(main)
 
 
-def _make_settings(ports: list[int]) -> Settings:
+def make_settings(ports: list[int]) -> Settings:
+    """Return settings with a group of two servers for every two ports."""
     groups = []
     for number in range(len(ports) // 2):
         servers = tuple(
@@ -183,10 +192,10 @@
     """Print the cost of a backend call for an owner of some groups."""
     ports: multiprocessing.Queue[int] = multiprocessing.Queue()
     servers = multiprocessing.Process(
-        target=_serve, args=(2 * groups, ports), daemon=True
+        target=serve, args=(2 * groups, ports), daemon=True
     )
     servers.start()
-    settings = _make_settings([ports.get() for _ in range(2 * groups)])
+    settings = make_settings([ports.get() for _ in range(2 * groups)])
     trio.run(_measure, settings, queries, pause)
     servers.terminate()
 
