Compute what the parts of a query share once, and check answers with fewer copies

An owner built the end-to-end headers of each part's answer and dropped them, copied each answer twice with dataclasses.replace, sliced each record in Python and evaluated the query's options again for each call. The options are now bound once, the load header of an answer is cached by its bytes (up to 32 of them, 1,024 entries), and records are split in C. Outcomes, messages and checks are unchanged.

--- a/src/lavendergap/coordination/records.py
+++ b/src/lavendergap/coordination/records.py
@@ -7,19 +7,29 @@
 
 from collections.abc import Iterable
 from heapq import nlargest
+from itertools import chain
+from struct import Struct
 
 RECORD_BYTES = 16
 """The size of a record. Fewer bytes at the end of a part are ignored."""
 
 
+_record = Struct(f"{RECORD_BYTES}s")
+
+
 def split_records(part: bytes) -> list[bytes]:
     """Return the records of a part, in its order.
 
     >>> len(split_records(bytes(40)))
     2
     """
-    end = len(part) - len(part) % RECORD_BYTES
-    return [part[at : at + RECORD_BYTES] for at in range(0, end, RECORD_BYTES)]
+    return list(chain.from_iterable(_record.iter_unpack(_trim(part))))
+
+
+def _trim(part: bytes) -> bytes:
+    """Return a part without the bytes after its last whole record."""
+    n_extra = len(part) % RECORD_BYTES
+    return part[:-n_extra] if n_extra else part
 
 
 def merge_greatest(parts: Iterable[bytes], *, n_wanted: int) -> bytes:
@@ -36,5 +46,5 @@
     >>> whole == c + b
     True
     """
-    records = [record for part in parts for record in split_records(part)]
+    records = split_records(b"".join(map(_trim, parts)))
     return b"".join(nlargest(n_wanted, records))
--- a/src/lavendergap/entry/batch.py
+++ b/src/lavendergap/entry/batch.py
@@ -45,14 +45,14 @@
             return True
         return self.n_calls == 1 and trio.current_time() >= self.single_hedge_at
 
-    def track(self, submitted: SubmittedCall) -> SubmittedCall:
-        """Return the call with a `finish` that also counts its answer here."""
+    def track(self, finish: FinishCallback) -> FinishCallback:
+        """Return a `finish` that also counts the call's answer here."""
 
-        def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
+        def count_and_finish(end: FinishCall, versions: tuple[int, ...]) -> None:
             self.n_answered += isinstance(end.outcome, Answered)
-            submitted.finish(end, versions)
+            finish(end, versions)
 
-        return SubmittedCall(call=submitted.call, finish=finish)
+        return count_and_finish
 
 
 def make_batch(calls: list[Call]) -> Batch:
--- a/src/lavendergap/entry/grouprunner.py
+++ b/src/lavendergap/entry/grouprunner.py
@@ -150,7 +150,7 @@
         """Submit a call; return the attempts that start at once, for the log."""
         now = trio.current_time()
         self.last_used_at = now
-        self._finishes[submitted.call.call_id] = batch.track(submitted).finish
+        self._finishes[submitted.call.call_id] = batch.track(submitted.finish)
         effects = self.scheduler.submit(
             submitted.call, now=now, may_hedge=batch.may_hedge
         )
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -1,7 +1,8 @@
 """Serves the requests of peers on their channels."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+from functools import partial
 from typing import Protocol
 
 import trio
@@ -160,28 +161,31 @@
             )
             self._collect(channel, frame_id, pending, answer)
 
+        make_call = partial(
+            Call,
+            request_id=search.request_id,
+            version=0 if greatest else search.version,
+            deadline=deadline,
+            body=search.body,
+            idempotent=True,
+            forward=greatest.request if greatest else None,
+            max_attempts=greatest.max_attempts if greatest else 0,
+            is_repeat=greatest.is_repeat if greatest else False,
+            goal_at=goal,
+            priority=greatest.priority if greatest else 0,
+            kind=search.service if greatest else "",
+            no_retry_after_server_end=greatest is not None,
+            data_centres=_read_data_centres(greatest),
+            customer=greatest.customer if greatest else "",
+            weight=greatest.weight if greatest else 1.0,
+        )
         submitted = []
         for ref in search.shards:
-            call = Call(
+            call = make_call(
                 call_id=self._owner.make_call_id(),
-                request_id=search.request_id,
                 service=ref.group if greatest else search.service,
                 group=ref.group,
                 shard=ref.shard,
-                version=0 if greatest else search.version,
-                deadline=deadline,
-                body=search.body,
-                idempotent=True,
-                forward=greatest.request if greatest else None,
-                max_attempts=greatest.max_attempts if greatest else 0,
-                is_repeat=greatest.is_repeat if greatest else False,
-                goal_at=goal,
-                priority=greatest.priority if greatest else 0,
-                kind=search.service if greatest else "",
-                no_retry_after_server_end=greatest is not None,
-                data_centres=_read_data_centres(greatest),
-                customer=greatest.customer if greatest else "",
-                weight=greatest.weight if greatest else 1.0,
             )
             pending.calls[ref.shard] = call
             submitted.append(SubmittedCall(call=call, finish=finish))
@@ -295,6 +299,17 @@
     return [tuple(batch) for batch in batches]
 
 
+def _remove_body(answer: ShardAnswer, answered: Answered) -> ShardAnswer:
+    # Not dataclasses.replace, which costs several times as much.
+    return ShardAnswer(
+        shard=answer.shard,
+        server=answer.server,
+        outcome=Answered(body=b"", status=answered.status, headers=answered.headers),
+        versions=answer.versions,
+        n_servers=answer.n_servers,
+    )
+
+
 def merge_answers(answers: list[ShardAnswer], *, n_wanted: int) -> Answers:
     """Return the answers in one message, with only the greatest of their records.
 
@@ -307,7 +322,7 @@
         match answer.outcome:
             case Answered(body=body):
                 bodies.append(body)
-                answer = replace(answer, outcome=replace(answer.outcome, body=b""))
+                answer = _remove_body(answer, answer.outcome)
         without_bodies.append(answer)
     records = merge_greatest(bodies, n_wanted=n_wanted)
     return Answers(answers=tuple(without_bodies), records=records)
--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -34,6 +34,9 @@
 LONGEST_RETRY_AFTER_MS = 10_000
 # Above the number of requests that a host usually runs at once.
 MAX_CACHED_HEADS = 256
+MAX_CACHED_LOADS = 1_024
+# Longer reports are not cached, so that a faulty server cannot fill the memory.
+MAX_CACHED_LOAD_BYTES = 32
 MISDIRECTED_REQUEST_STATUS = 421
 MIN_NON_SUCCESS_STATUS = 300
 MIN_SERVER_ERROR_STATUS = 500
@@ -148,9 +151,7 @@
     the others would use bandwidth between data centres for nothing.
     """
     report = read_load(reply.headers.get(names.load))
-    outcome = _check_reply(reply, request, names, server)
-    if is_part and isinstance(outcome, Answered):
-        outcome = _strip_part(reply, names, server)
+    outcome = _check_reply(reply, request, names, server, is_part)
     return Verdict(outcome=outcome, report=report)
 
 
@@ -162,7 +163,11 @@
 
 
 def _check_reply(
-    reply: Reply, request: ForwardedRequest, names: HeaderNames, server: str
+    reply: Reply,
+    request: ForwardedRequest,
+    names: HeaderNames,
+    server: str,
+    is_part: bool,
 ) -> Outcome:
     fields = reply.headers
     # A server may answer twice, or late on a reused connection. Such an answer looks
@@ -178,6 +183,8 @@
         return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.SERVER_ERROR)
     if reply.status < MIN_NON_SUCCESS_STATUS and names.proof not in fields:
         return Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
+    if is_part:
+        return _strip_part(reply, names, server)
     return Answered(
         body=reply.body,
         status=reply.status,
@@ -218,10 +225,20 @@
     """
     if text is None:
         return None
+    if len(text) > MAX_CACHED_LOAD_BYTES:
+        return _parse_load(text)
+    return _parse_short_load(text)
+
+
+def _parse_load(text: bytes) -> ServerReport | None:
     try:
-        in_use, queued, slots = (int(field) for field in text.split(b",")[:3])
+        in_use, queued, slots = map(int, text.split(b",")[:3])
     except ValueError:
         return None
     return ServerReport(
         in_use=in_use, slots=slots, queued=queued, state="serving", versions=()
     )
+
+
+# Servers of a few slots report the same few loads again and again.
+_parse_short_load = lru_cache(maxsize=MAX_CACHED_LOADS)(_parse_load)
