Take shortcuts in the scheduler and the rendering where the result is known

For each call the scheduler looked up the latencies of its kind up to six times, each of them a removal and an insertion in a dictionary, built sets and lists of stalled servers that are nearly always empty, and compared index versions of requests that have none. A group's timer whose calls had all ended ran through the scheduler. The head that all attempts of a query share was found by a hash of all its headers, and the keep-alive header was parsed for each answer. Choices, effects and their order are unchanged.

--- a/src/lavendergap/coordination/attempts.py
+++ b/src/lavendergap/coordination/attempts.py
@@ -45,4 +45,5 @@
 
 
 def _limit_servers(call: Call) -> int:
-    return min(MAX_ATTEMPTS, call.max_attempts or MAX_ATTEMPTS)
+    limit = call.max_attempts or MAX_ATTEMPTS
+    return limit if limit < MAX_ATTEMPTS else MAX_ATTEMPTS
--- a/src/lavendergap/coordination/choice.py
+++ b/src/lavendergap/coordination/choice.py
@@ -62,8 +62,10 @@
     """
     if allowed is not None:
         replicas = [r for r in replicas if r.server.data_centre in allowed]
-    able = [r for r in replicas if version in r.versions or r.may_serve(version)]
-    serving = [r for r in able if r not in excluded]
+    able = replicas
+    if version != 0:
+        able = [r for r in replicas if version in r.versions or r.may_serve(version)]
+    serving = [r for r in able if r not in excluded] if excluded else able
     possible = [r for r in serving if r.state != "draining"]
     note = ""
     if not possible and all(r.state == "draining" for r in able):
--- a/src/lavendergap/coordination/hedging.py
+++ b/src/lavendergap/coordination/hedging.py
@@ -132,20 +132,25 @@
     True
     """
 
-    __slots__ = ("_kinds",)
+    __slots__ = ("_kinds", "_last_kind", "_last")
 
     def __init__(self) -> None:
         self._kinds: dict[str, RecentLatencies] = {}
+        self._last_kind = ""
+        self._last: RecentLatencies | None = None
 
     def get(self, kind: str, *, quantile: float) -> RecentLatencies:
         """Return the latencies of a kind and mark it as the last used."""
-        recent = self._kinds.pop(kind, None)
-        if recent is None:
-            recent = RecentLatencies(quantile=quantile)
-            if len(self._kinds) >= MAX_KINDS:
-                del self._kinds[next(iter(self._kinds))]
+        recent = self._last
+        if recent is None or kind != self._last_kind:
+            recent = self._kinds.pop(kind, None)
+            if recent is None:
+                recent = RecentLatencies(quantile=quantile)
+                if len(self._kinds) >= MAX_KINDS:
+                    del self._kinds[next(iter(self._kinds))]
+            self._kinds[kind] = recent
+            self._last_kind, self._last = kind, recent
         recent.quantile = quantile
-        self._kinds[kind] = recent
         return recent
 
 
--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -147,10 +147,11 @@
         if self.is_half_open or self.state == "starting":
             return 1
         since = now - self.ramp_starts_at
-        if since >= SLOW_START_S:
-            return self.n_slots
-        ramp = 1 + int((self.server.slots - 1) * since / SLOW_START_S)
-        return min(ramp, self.server.connections)
+        n_slots = self.server.slots
+        if since < SLOW_START_S:
+            n_slots = 1 + int((n_slots - 1) * since / SLOW_START_S)
+        n_connections = self.server.connections
+        return n_slots if n_slots < n_connections else n_connections
 
     def note_start(self, now: float) -> None:
         """Record that an attempt starts."""
--- a/src/lavendergap/coordination/scheduler.py
+++ b/src/lavendergap/coordination/scheduler.py
@@ -37,7 +37,7 @@
     choose_hedge_delay,
     choose_quantile,
 )
-from .progress import Attempt, Progress
+from .progress import NO_REPLICAS, Attempt, Progress
 from .replicas import FAILURE_WEIGHTS, NEVER, Replica
 from .summary import GroupSummary, summarize_server, to_ms
 from .timers import CallTimers
@@ -422,7 +422,9 @@
 
     def _choose(self, progress: Progress, now: float) -> Choice:
         excluded = progress.excluded
-        tried = progress.tried | self._find_stalled(now)
+        tried = progress.tried
+        if self._attempts:
+            tried |= self._find_stalled(now)
         if progress.attempts:
             running = {attempt.replica for attempt in progress.attempts}
             # A hedge on the same server would be held up by the same cause. Once two
@@ -450,8 +452,12 @@
         near one as a rule. If that one turned slow, the mean would rise with it, and no
         calls would move to the others.
         """
-        known = [r.slowness for r in self._replicas if r.slowness > 0.0]
-        return min(known, default=0.0)
+        fastest = 0.0
+        for replica in self._replicas:
+            slowness = replica.slowness
+            if slowness > 0.0 and (slowness < fastest or fastest == 0.0):
+                fastest = slowness
+        return fastest
 
     def _find_stalled(self, now: float) -> frozenset[Replica]:
         """Return the servers that have held a call for much longer than usual.
@@ -460,11 +466,14 @@
         a while. Calls sent there meanwhile would wait for the end of the pause or cost
         a hedge, so other replicas are preferred until it answers.
         """
-        return frozenset(
+        stalled = [
             attempt.replica
             for attempt in self._attempts.values()
-            if now - attempt.started > self._get_stall_limit(attempt.call)
-        )
+            # No limit is shorter, so most attempts need no look at latencies.
+            if now - attempt.started > MIN_STALL_S
+            and now - attempt.started > self._get_stall_limit(attempt.call)
+        ]
+        return frozenset(stalled) if stalled else NO_REPLICAS
 
     def _get_stall_limit(self, call: Call) -> float:
         median = self._get_latencies(call).median
@@ -503,6 +512,8 @@
 
     def _record_end(self, attempt: Attempt, ended: AttemptEnded, now: float) -> None:
         replica = attempt.replica
+        recent = self._get_latencies(attempt.call)
+        median = recent.median
         own_in_flight = replica.in_flight
         replica.in_flight -= 1
         if ended.report is not None:
@@ -514,7 +525,10 @@
             )
         replica.note_end(
             ended.outcome,
-            elapsed=self._normalize_latency(attempt.call, ended.elapsed),
+            # In medians of the kind of call. In seconds, a replica that served long
+            # calls would look slower than one that served short calls, and idle near
+            # replicas would be passed over for remote ones.
+            elapsed=ended.elapsed / median if median else 1.0,
             fresh=attempt.fresh,
             now=now,
             rng=self.random,
@@ -530,13 +544,17 @@
         # counted, they would lower the quantile and cause more hedges.
         if attempt.cause == "hedge":
             return
-        for recent in {self._group_latencies, self._get_latencies(attempt.call)}:
-            match ended.outcome:
-                case Answered():
+        self._record_latency(self._group_latencies, ended)
+        if recent is not self._group_latencies:
+            self._record_latency(recent, ended)
+
+    def _record_latency(self, recent: RecentLatencies, ended: AttemptEnded) -> None:
+        match ended.outcome:
+            case Answered():
+                recent.add(ended.elapsed)
+            case Unknown(reason=Reason.CANCELLED | Reason.DEADLINE):
+                if ended.elapsed >= (recent.median or 0.0):
                     recent.add(ended.elapsed)
-                case Unknown(reason=Reason.CANCELLED | Reason.DEADLINE):
-                    if ended.elapsed >= (recent.median or 0.0):
-                        recent.add(ended.elapsed)
 
     def _get_latencies(self, call: Call) -> RecentLatencies:
         """Return the recent latencies that a call is compared with."""
@@ -546,15 +564,6 @@
             call.kind, quantile=self._group_latencies.quantile
         )
 
-    def _normalize_latency(self, call: Call, elapsed: float) -> float:
-        """Return the latency of an attempt in medians of its kind of call.
-
-        In seconds, a replica that served long calls would look slower than one that
-        served short calls, and idle near replicas would be passed over for remote ones.
-        """
-        median = self._get_latencies(call).median
-        return elapsed / median if median else 1.0
-
     def _was_cancelled_as_slow(
         self, attempt: Attempt, ended: AttemptEnded, now: float
     ) -> bool:
--- a/src/lavendergap/entry/grouprunner.py
+++ b/src/lavendergap/entry/grouprunner.py
@@ -24,7 +24,15 @@
 from ..coordination.scheduler import GroupScheduler
 from ..logs import log_decision
 from ..protocol.backend import Verdict
-from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown, is_server_end
+from ..state.outcome import (
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+    Step,
+    Unknown,
+    is_server_end,
+)
 from ..state.settings import Group, Server, Service, Settings
 from ..transport.backend import BackendClient
 from ..transport.forward import ForwardClient
@@ -219,19 +227,19 @@
 
     def _finish(self, effect: FinishCall) -> None:
         finish = self._finishes.pop(effect.call.call_id)
-        match effect.outcome:
-            case NotRun() | Unknown() as outcome:
-                log_decision(
-                    logger,
-                    "no answer",
-                    request_id=effect.call.request_id,
-                    shard=effect.call.shard,
-                    server=effect.server,
-                    step=outcome.step.value,
-                    peer=outcome.peer,
-                    reason=outcome.reason.value,
-                    n_attempts=effect.n_attempts,
-                )
+        outcome = effect.outcome
+        if not isinstance(outcome, Answered):
+            log_decision(
+                logger,
+                "no answer",
+                request_id=effect.call.request_id,
+                shard=effect.call.shard,
+                server=effect.server,
+                step=outcome.step.value,
+                peer=outcome.peer,
+                reason=outcome.reason.value,
+                n_attempts=effect.n_attempts,
+            )
         finish(effect, self._versions.get(effect.server, ()))
 
     def _launch(self, effect: StartAttempt) -> None:
@@ -271,8 +279,9 @@
     ) -> None:
         del self._running[effect.attempt_id]
         now = trio.current_time()
-        self._count_failure(verdict.outcome)
-        self._log_server_end(effect, verdict.outcome, now - started)
+        if not isinstance(verdict.outcome, Answered):
+            self._count_failure(verdict.outcome)
+            self._log_server_end(effect, verdict.outcome, now - started)
         if verdict.report is not None:
             self._versions[effect.server] = verdict.report.versions
         self.apply(
@@ -340,6 +349,8 @@
                 await client.close()
 
     def _advance(self) -> None:
+        if self.scheduler.next_wake() is None:
+            return  # All calls for which the timer was set have ended.
         self.apply(self.scheduler.advance(now=trio.current_time()))
 
     async def _keep_probing(self) -> None:
--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -110,14 +110,41 @@
     The address may have been reassigned to another service since it was registered.
     A server with another id refuses the request without running it.
     """
-    lines = [
-        _render_shared_head(request, names),
-        b"%s: %d\r\n" % (names.time_left, left_ms),
-        b"%s: %s\r\n" % (names.expected_server, server.encode()),
-    ]
+    head = b"%s%s: %d\r\n%s: %s\r\n" % (
+        _last_head.get(request, names),
+        names.time_left,
+        left_ms,
+        names.expected_server,
+        server.encode(),
+    )
     if body or request.method not in (b"GET", b"HEAD"):
-        lines.append(b"content-length: %d\r\n" % len(body))
-    return b"".join([*lines, b"\r\n", body])
+        return b"%scontent-length: %d\r\n\r\n%s" % (head, len(body), body)
+    return head + b"\r\n"
+
+
+class _LastHead:
+    """The shared head of the request rendered last.
+
+    The attempts of a query start one after the other. Compared by identity, they share
+    the head without a hash of all headers for each.
+    """
+
+    __slots__ = ("_request", "_names", "_head")
+
+    def __init__(self) -> None:
+        self._request: ForwardedRequest | None = None
+        self._names: HeaderNames | None = None
+        self._head = b""
+
+    def get(self, request: ForwardedRequest, names: HeaderNames) -> bytes:
+        """Return the part of the head that all attempts at `request` share."""
+        if request is not self._request or names is not self._names:
+            self._head = _render_shared_head(request, names)
+            self._request, self._names = request, names
+        return self._head
+
+
+_last_head = _LastHead()
 
 
 @lru_cache(maxsize=MAX_CACHED_HEADS)
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import replace
+from functools import lru_cache
 from math import inf
 
 import trio
@@ -43,6 +44,9 @@
 # An idle connection is closed after this share of the server's keep-alive timeout, so
 # that no request is sent while the server closes the connection.
 KEEP_ALIVE_SHARE = 0.7
+# Servers of one kind state the same timeouts. A head, and so each text that is cached,
+# has at most `MAX_HEAD_BYTES`.
+MAX_CACHED_KEEP_ALIVES = 16
 
 EndCall = Callable[[Verdict], None]
 
@@ -353,9 +357,11 @@
         headers = reader.headers
         if headers.get(self._names.attempt) != exchange.call.forward.attempt:
             return False
-        connection.idle_timeout_s = min(
-            self._idle_timeout_s, _read_keep_alive(headers.get(b"keep-alive", b""))
-        )
+        idle_timeout_s = self._idle_timeout_s
+        stated = headers.get(b"keep-alive")
+        if stated is not None:
+            idle_timeout_s = min(idle_timeout_s, _read_keep_alive(stated))
+        connection.idle_timeout_s = idle_timeout_s
         if connection.idle_timeout_s <= 0:
             return False
         connection.answered_at = trio.current_time()
@@ -397,6 +403,7 @@
     return connected
 
 
+@lru_cache(maxsize=MAX_CACHED_KEEP_ALIVES)
 def _read_keep_alive(text: bytes) -> float:
     """Return how long an idle connection may be reused, in seconds.
 
