Read all connections to backend servers in one task

A task for each connection waited for input anew after each answer: a registration with the kernel, a wake-up and a step of the event loop for each. One task now watches all connections of the process with an epoll object of its own and reads those with input. A connection's task remains and waits for its close, its silence or an unexpected error, which still ends the process. The exchange of a closed connection ends in the same step as before.

A test asserted that an attempt takes one step of its connection's task. It now asserts none of these and one of the watcher; a new one asserts one for answers that arrive together.

--- a/lab/callcost.py
+++ b/lab/callcost.py
@@ -9,6 +9,7 @@
 import multiprocessing
 import random
 import time
+from contextlib import suppress
 from functools import partial
 from random import Random
 
@@ -51,6 +52,12 @@
 
 
 async def _answer(stream: trio.SocketStream, *, longest_s: float) -> None:
+    # The client resets its connections at the end of its part.
+    with suppress(trio.BrokenResourceError):
+        await _serve_requests(stream, longest_s)
+
+
+async def _serve_requests(stream: trio.SocketStream, longest_s: float) -> None:
     async with stream:
         while await stream.receive_some(65_536):
             if longest_s > 0.0:
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -10,6 +10,7 @@
 from ..coordination.calls import Call
 from ..protocol.backend import Reply
 from ..state.outcome import NotRun, Reason, Step, Unknown
+from .inputwatcher import get_input_watcher
 from .replies import ReplyReader, WrongAnswerError
 
 READ_SIZE_BYTES = 65_536
@@ -82,11 +83,12 @@
 
 
 class ServerConnection:
-    """An open connection with one task that reads from it until it closes.
+    """An open connection that is read until it closes, and the task that waits for it.
 
-    A task per connection costs fewer steps of the event loop than a task per request
-    (`python -m lab.callcost` counts them). It also reads while the connection is idle,
-    so that a close by the server is detected before the next request.
+    The process's input watcher calls for each read, so that an answer costs no step of
+    a task of its own (`python -m lab.callcost` counts them). It also reads while the
+    connection is idle, so that a close by the server is detected before the next
+    request.
     """
 
     __slots__ = (
@@ -99,6 +101,9 @@
         "_silence_scope",
         "_is_open",
         "_close_reason",
+        "_watcher",
+        "_closed",
+        "_error",
     )
 
     def __init__(
@@ -114,6 +119,9 @@
         self._silence_scope = trio.CancelScope()
         self._is_open = True
         self._close_reason = Reason.LOST_CONNECTION
+        self._watcher = get_input_watcher()
+        self._closed = trio.Event()
+        self._error: Exception | None = None
 
     def send(
         self, exchange: Exchange, data: bytes, *, silence_deadline: float
@@ -156,6 +164,8 @@
         if self._is_open:
             self._is_open = False
             self._close_reason = reason
+            self._closed.set()
+            self._watcher.discard(self.raw)
             trio.lowlevel.notify_closing(self.raw)
             self.raw.close()
             self._owner.on_closed(self)
@@ -163,23 +173,46 @@
     async def read(self) -> None:
         """Read until the connection closes and finish each exchange on it."""
         reason = Reason.LOST_CONNECTION
+        if self._is_open:
+            self._watcher.watch(self.raw, self._on_input)
         try:
-            with self._silence_scope:
-                while self._is_open:
-                    await trio.lowlevel.wait_readable(self.raw)
-                    if not self._receive():
-                        break
-            if self._silence_scope.cancelled_caught and self._exchange is not None:
+            is_silent = await self._wait_until_closed()
+            if is_silent and self._exchange is not None:
                 reason = Reason.SILENT_CONNECTION
                 self._owner.on_silence(self._exchange)
-        except trio.ClosedResourceError:
-            pass  # `drop` has recorded the reason.
-        except WrongAnswerError:
-            reason = Reason.WRONG_ANSWER
         except BaseException:
             # The process is stopping; the exchange in progress gets no result.
             self.drop(reason)
             raise
+        self._end(reason)
+
+    async def _wait_until_closed(self) -> bool:
+        """Return whether the connection is still open because it was silent."""
+        while True:
+            with self._silence_scope:
+                await self._closed.wait()
+            if self._error is not None:
+                raise self._error
+            if self._closed.is_set():
+                return False
+            if self._silence_scope.deadline < inf:
+                return True
+            # The answer was read in the turn of the event loop in which its time ended.
+            self._silence_scope = trio.CancelScope()
+
+    def _on_input(self) -> None:
+        try:
+            if not self._receive():
+                self._end(Reason.LOST_CONNECTION)
+        except WrongAnswerError:
+            self._end(Reason.WRONG_ANSWER)
+        except Exception as error:
+            # Raised again in this connection's task, not in that of all connections.
+            self._error = error
+            self.drop(Reason.LOST_CONNECTION)
+
+    def _end(self, reason: Reason) -> None:
+        """Close, if open, and finish the exchange in progress."""
         self.drop(reason)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -314,7 +314,7 @@
         # Guards against refusing a call because idle connections that it may not reuse
         # fill the limit: they are too old for a call that must not run twice, or an
         # earlier attempt lost its connection.
-        async with open_bench(*[answer()] * 4) as bench:
+        async with open_bench(*[answer()] * 6) as bench:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(bench.call)
                 nursery.start_soon(bench.call)
@@ -385,10 +385,11 @@
 
 
 class StepCounter(trio.abc.Instrument):
-    """Counts the steps of the tasks of ForwardClient, and all new tasks."""
+    """Counts the steps of connections and of the watcher, and all new tasks."""
 
     def __init__(self) -> None:
         self.n_steps = 0
+        self.n_watcher_steps = 0
         self.n_tasks = 0
 
     def task_spawned(self, task: trio.lowlevel.Task) -> None:
@@ -396,6 +397,7 @@
 
     def before_task_step(self, task: trio.lowlevel.Task) -> None:
         self.n_steps += "ForwardClient" in task.name
+        self.n_watcher_steps += "InputWatcher" in task.name
 
 
 class TestOneTaskPerConnection:
@@ -420,7 +422,34 @@
                     await trio.sleep(0.001)
             trio.lowlevel.remove_instrument(counter)
             assert bench.n_connections == 1
-            assert (counter.n_steps, counter.n_tasks) == (30, 0)
+            assert (counter.n_steps, counter.n_tasks) == (0, 0)
+            assert counter.n_watcher_steps == 30
+
+    async def test_answers_that_arrive_together_take_one_step(self):
+        # A query's answers would each cost a step and a registration with the kernel.
+        async with open_bench(*[answer()] * 6) as bench:
+            ended: list[Verdict] = []
+            for _ in range(2):
+                bench.client.begin(make_call(), fresh=True, end=ended.append)
+            while len(ended) < 2:
+                await trio.sleep(0.001)
+            counter = StepCounter()
+            trio.lowlevel.add_instrument(counter)
+            for _ in range(2):
+                bench.client.begin(make_call(), fresh=False, end=ended.append)
+            while len(ended) < 4:
+                await trio.sleep(0.001)
+            assert counter.n_watcher_steps == 1
+
+    async def test_an_unexpected_error_ends_the_process(self):
+        # Raised in the watcher's task, it would be reported as an error of trio.
+        def fail(verdict: Verdict) -> None:
+            raise ArithmeticError
+
+        with pytest.RaisesGroup(ArithmeticError, flatten_subgroups=True):
+            async with open_bench(answer()) as bench:
+                bench.client.begin(make_call(), fresh=False, end=fail)
+                await trio.sleep(1.0)
 
     async def test_a_request_that_could_not_be_sent_has_not_run(self):
         # No byte was sent, so that the request may be retried on another server.
