--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -34,6 +34,9 @@
 LONGEST_RETRY_AFTER_MS = 10_000
 # Above the number of requests that a host usually runs at once.
 MAX_CACHED_HEADS = 256
+MAX_CACHED_LOADS = 1_024
+# Longer reports are not cached, so that a faulty server cannot fill the memory.
+MAX_CACHED_LOAD_BYTES = 32
 MISDIRECTED_REQUEST_STATUS = 421
 MIN_NON_SUCCESS_STATUS = 300
 MIN_SERVER_ERROR_STATUS = 500
@@ -107,14 +110,41 @@
     The address may have been reassigned to another service since it was registered.
     A server with another id refuses the request without running it.
     """
-    lines = [
-        _render_shared_head(request, names),
-        b"%s: %d\r\n" % (names.time_left, left_ms),
-        b"%s: %s\r\n" % (names.expected_server, server.encode()),
-    ]
+    head = b"%s%s: %d\r\n%s: %s\r\n" % (
+        _last_head.get(request, names),
+        names.time_left,
+        left_ms,
+        names.expected_server,
+        server.encode(),
+    )
     if body or request.method not in (b"GET", b"HEAD"):
-        lines.append(b"content-length: %d\r\n" % len(body))
-    return b"".join([*lines, b"\r\n", body])
+        return b"%scontent-length: %d\r\n\r\n%s" % (head, len(body), body)
+    return head + b"\r\n"
+
+
+class _LastHead:
+    """The shared head of the request rendered last.
+
+    The attempts of a query start one after the other. Compared by identity, they share
+    the head without a hash of all headers for each.
+    """
+
+    __slots__ = ("_request", "_names", "_head")
+
+    def __init__(self) -> None:
+        self._request: ForwardedRequest | None = None
+        self._names: HeaderNames | None = None
+        self._head = b""
+
+    def get(self, request: ForwardedRequest, names: HeaderNames) -> bytes:
+        """Return the part of the head that all attempts at `request` share."""
+        if request is not self._request or names is not self._names:
+            self._head = _render_shared_head(request, names)
+            self._request, self._names = request, names
+        return self._head
+
+
+_last_head = _LastHead()
 
 
 @lru_cache(maxsize=MAX_CACHED_HEADS)
@@ -148,9 +178,7 @@
     the others, some 200 bytes, would use bandwidth between data centres for nothing.
     """
     report = read_load(reply.headers.get(names.load))
-    outcome = _check_reply(reply, request, names, server)
-    if is_part and isinstance(outcome, Answered):
-        outcome = _strip_part(reply, names, server)
+    outcome = _check_reply(reply, request, names, server, is_part)
     return Verdict(outcome=outcome, report=report)
 
 
@@ -162,7 +190,11 @@
 
 
 def _check_reply(
-    reply: Reply, request: ForwardedRequest, names: HeaderNames, server: str
+    reply: Reply,
+    request: ForwardedRequest,
+    names: HeaderNames,
+    server: str,
+    is_part: bool,
 ) -> Outcome:
     fields = reply.headers
     # A server may answer twice, or late on a reused connection. Such an answer looks
@@ -178,6 +210,8 @@
         return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.SERVER_ERROR)
     if reply.status < MIN_NON_SUCCESS_STATUS and names.proof not in fields:
         return Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
+    if is_part:
+        return _strip_part(reply, names, server)
     return Answered(
         body=reply.body,
         status=reply.status,
@@ -218,10 +252,20 @@
     """
     if text is None:
         return None
+    if len(text) > MAX_CACHED_LOAD_BYTES:
+        return _parse_load(text)
+    return _parse_short_load(text)
+
+
+def _parse_load(text: bytes) -> ServerReport | None:
     try:
-        in_use, queued, slots = (int(field) for field in text.split(b",")[:3])
+        in_use, queued, slots = map(int, text.split(b",")[:3])
     except ValueError:
         return None
     return ServerReport(
         in_use=in_use, slots=slots, queued=queued, state="serving", versions=()
     )
+
+
+# Servers of a few slots report the same few loads again and again.
+_parse_short_load = lru_cache(maxsize=MAX_CACHED_LOADS)(_parse_load)
