--- a/src/lavendergap/state/options.py
+++ b/src/lavendergap/state/options.py
@@ -6,75 +6,23 @@
 
 import functools
 from collections.abc import Mapping
-from dataclasses import dataclass
-from enum import StrEnum
 
+from .customeroptions import CUSTOMER_OPTIONS
+from .levels import BranchKind, Level, Option
 from .settings import WaitForCoverage
 from .values import (
     AddressValue,
     FlagValue,
     IntegerValue,
-    Kind,
     NameValue,
     NumberValue,
     StragglersValue,
-    Value,
 )
 
 MIN_HEDGE_DEADLINE_MS = 20
 """The shortest deadline, in milliseconds, within which a hedge can still answer."""
 
 
-class Level(StrEnum):
-    """The kinds of branches in the settings tree."""
-
-    DEPLOYMENT = "deployment"
-    CONTROL = "control"
-    DATA_CENTRE = "data centre"
-    HOST = "host"
-    SERVICE = "service"
-    GROUP = "group"
-    SERVER = "server"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Option:
-    """One option: its kind, its default and the levels that allow it.
-
-    `levels` run from the highest to the lowest; branches of the lowest use the value.
-    `default` is None if an operator has to set the option. `unit` is empty for
-    dimensionless values. `extra_calls` marks options that allow repeated calls: for a
-    service that is not idempotent they default to 0 and allow no other value.
-    """
-
-    name: str
-    kind: Kind
-    levels: tuple[Level, ...]
-    help: str
-    unit: str = ""
-    default: Value | None = None
-    extra_calls: bool = False
-
-    @property
-    def lowest(self) -> Level:
-        """The level whose branches use the value."""
-        return self.levels[-1]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class BranchKind:
-    """A key of a `parent` branch that holds child branches of `level`.
-
-    If `named`, the key maps names to branches; otherwise it holds a single branch.
-    """
-
-    key: str
-    parent: Level
-    level: Level
-    named: bool
-    help: str
-
-
 BRANCHES: tuple[BranchKind, ...] = (
     BranchKind(
         key="control",
@@ -97,6 +45,16 @@
         named=True,
         help="The entry hosts in this data centre, by name.",
     ),
+    BranchKind(
+        key="customers",
+        parent=Level.DEPLOYMENT,
+        level=Level.CUSTOMER,
+        named=True,
+        help=(
+            "The customers, by name. If there are any, a request needs the key of one, "
+            "except to a service that is public."
+        ),
+    ),
     BranchKind(
         key="services",
         parent=Level.DEPLOYMENT,
@@ -168,6 +126,7 @@
         levels=(Level.HOST,),
         help="Address of metrics, health, readiness and status.",
     ),
+    *CUSTOMER_OPTIONS,
     Option(
         name="address",
         kind=AddressValue(),
@@ -275,6 +234,13 @@
         levels=_TO_SERVICE,
         help="The service's share of an overloaded host, relative to the others.",
     ),
+    Option(
+        name="public",
+        kind=FlagValue(),
+        default=False,
+        levels=(Level.SERVICE,),
+        help="Whether requests need no key, although the file names customers.",
+    ),
     _make_duration_option(
         "probe_interval_ms",
         default=1_000,
