--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -8,7 +8,7 @@
 
 from .. import metrics
 from ..coordination.limits.counting import Counting
-from ..coordination.limits.counts import CountStatus, Grant, Handover
+from ..coordination.limits.counts import CountStatus, Grant
 from ..coordination.limits.hosts import HostView
 from ..coordination.membership import Membership
 from ..logs import Category, get_logger, log_decision
@@ -24,7 +24,7 @@
 from ..state.member import MemberState
 from ..state.settings import Address
 from ..transport.channel import Channel
-from .limitchannels import LimitChannels, PortState
+from .limitchannels import LimitChannels, PortState, read_handover
 
 logger = get_logger(Category.LIMITS)
 
@@ -41,10 +41,16 @@
 
 MAX_GONE_SENT = 2_048
 INFORM_INTERVAL_S = 1.0
+PRUNE_INTERVAL_S = 1.0
+"""Each search for idle customers costs 1 us for each customer counted here."""
+
 ANY_CUSTOMER = ""
 """In a HandoverRequest: asks only for the hosts that went silently."""
 
 MAX_PERMITS_PER_MESSAGE = 1_000
+RELAY_TIMEOUT_S = 0.015
+"""Less than a host waits for its reply."""
+
 OLDER_TABLE_VALIDITY_S = 0.1
 """Validity of permits for a customer whose limit was removed."""
 
@@ -53,7 +59,7 @@
     """Decides for the customers for which this host is asked, by itself or by others.
 
     `get_customers` returns the active table of customers. While none of them has a
-    limit, nothing is done.
+    limit, nothing is done. `is_only_host` returns whether no other host has registered.
     """
 
     def __init__(
@@ -66,6 +72,7 @@
         random: Random,
         get_customers: Callable[[], CustomerTable | None],
         bounds: LimitBounds | None,
+        is_only_host: Callable[[], bool] = lambda: False,
     ) -> None:
         bounds = bounds or DEFAULT_BOUNDS
         self.own_name = own_name
@@ -80,10 +87,12 @@
         self._nursery = nursery
         self._random = random
         self._get_customers = get_customers
+        self._is_only_host = is_only_host
         self._counting = Counting(view=self.view, bounds=bounds, random=random)
         self._checked_at: dict[str, float] = {}
         self._seen: tuple[int, bool] = (-1, False)
         self._inform_at = 0.0
+        self._prune_at = 0.0
 
     def is_first(self, name: str) -> bool:
         """Return whether this host ranks first for a customer."""
@@ -127,7 +136,7 @@
                 return
             ask_next = self._counting.accept(
                 customer,
-                _read_handover(reply),
+                read_handover(reply),
                 host,
                 rank=rank,
                 is_last=rank == len(hosts),
@@ -145,7 +154,12 @@
         self.refresh(now)
         match frame.message:
             case PermitRequest(customer=name, n=n):
-                reply = self._serve(name, min(n, MAX_PERMITS_PER_MESSAGE), now)
+                n = min(n, MAX_PERMITS_PER_MESSAGE)
+                first = self.view.rank(name)[0]
+                if self.view.is_new(first, now=now):
+                    self._nursery.start_soon(self._relay, channel, frame, first, n)
+                    return
+                reply = self._serve(name, n, now)
                 channel.send(Frame(id=frame.id, message=reply))
             case PermitReturn(customer=name, n=n):
                 self._counting.give_back(name, min(n, MAX_PERMITS_PER_MESSAGE), now=now)
@@ -161,6 +175,18 @@
                     self._counting.receive_tokens(customer, tokens, source, now=now)
                     self._log_changes()
 
+    async def _relay(self, channel: Channel, frame: Frame, first: str, n: int) -> None:
+        """Ask the host that has just become first, which the sender may not know yet.
+
+        A request only moves to a host that ranks higher, so it cannot go round.
+        """
+        assert isinstance(frame.message, PermitRequest)
+        name = frame.message.customer
+        reply = await self._channels.ask_permits(first, name, n, limit=RELAY_TIMEOUT_S)
+        if reply is None or not (reply.n or reply.is_counting):
+            reply = self._serve(name, n, trio.current_time())
+        channel.send(Frame(id=frame.id, message=reply))
+
     def _serve(self, name: str, n: int, now: float) -> PermitGrant:
         table = self.table
         customer = table.customers.get(name) if table else None
@@ -240,6 +266,7 @@
             self._check_port(host, now, delay=self._random.random())
 
     def _inform_if_due(self, now: float) -> None:
+        self.view.is_only_host = self._is_only_host()
         # Before it has joined, this host knows no other that could tell.
         can_ask = self.view.is_joined and not self.view.is_alone_too_soon(now=now)
         if self.view.is_blind and can_ask and now >= self._inform_at:
@@ -273,7 +300,7 @@
         reply = await self._channels.ask_handover(host, ANY_CUSTOMER)
         if reply is not None and reply.is_sure:
             now = trio.current_time()
-            gone = _read_handover(reply).gone
+            gone = read_handover(reply).gone
             self.view.merge_gone(gone, reply.n_hosts, now=now)
             self.view.is_blind = False
 
@@ -297,7 +324,9 @@
         """Do what is due; called several times a second while there are limits."""
         self.view.touch(now=now)
         self._inform_if_due(now)
-        self._counting.prune(now=now)
+        if now >= self._prune_at:
+            self._prune_at = now + PRUNE_INTERVAL_S
+            self._counting.prune(now=now)
         self._log_changes()
 
     def give_back(self, name: str, n: int, *, now: float) -> None:
@@ -361,14 +390,3 @@
 
 def _encode_ages(gone: tuple[tuple[str, float], ...]) -> tuple[tuple[str, int], ...]:
     return tuple((host, int(age * 1_000)) for host, age in gone[:MAX_GONE_SENT])
-
-
-def _read_handover(message: CountHandover) -> Handover:
-    return Handover(
-        tokens=message.tokens,
-        was_counting=message.was_counting,
-        rank=message.rank,
-        is_sure=message.is_sure,
-        gone=tuple((host, age_ms / 1_000) for host, age_ms in message.gone),
-        n_hosts=message.n_hosts,
-    )
