Pay refunds that a full bucket cannot hold from the reserve

Cause: a bucket that was full within the last seconds took back nothing, since it may have refilled meanwhile. A customer that keeps to its limit has a full bucket, so each request that backend servers refused cost it a token: ten requests granted and refunded at one instant left none.

Change: what does not surely fit is paid from a quarter of the reserve, which a host that counts in full does not use otherwise; the bound on each window stays.

--- a/src/lavendergap/coordination/limits/bucket.py
+++ b/src/lavendergap/coordination/limits/bucket.py
@@ -67,8 +67,8 @@
         self.level = max(0.0, self.level - n)
         return n
 
-    def give_back(self, n: int, *, now: float) -> None:
-        """Return tokens of requests that did not run.
+    def give_back(self, n: int, *, now: float) -> int:
+        """Return tokens of requests that did not run; return how many did not fit.
 
         Adds no more than fits above the highest recent level. Otherwise the bucket
         could refill in place of the tokens that are out and then get them back too:
@@ -76,7 +76,14 @@
         """
         self.fill(now=now)
         room = self.burst - max(self._peaks)
-        self.level += max(0.0, min(float(n), room, self.burst - self.level))
+        added = max(0.0, min(float(n), room, self.burst - self.level))
+        self.level += added
+        return int(n - added + _EPSILON)
+
+    def add(self, n: int, *, now: float) -> None:
+        """Add tokens up to the burst, whatever the recent levels."""
+        self.fill(now=now)
+        self.level = min(self.burst, self.level + n)
 
     def estimate_wait(self, *, now: float) -> float:
         """Return the seconds until a whole token is there."""
--- a/src/lavendergap/coordination/limits/counting.py
+++ b/src/lavendergap/coordination/limits/counting.py
@@ -108,14 +108,27 @@
         return max(MIN_VALIDITY_S, longest)
 
     def give_back(self, name: str, n: int, *, now: float) -> None:
-        """Return permits of requests that did not run."""
+        """Return permits of requests that did not run.
+
+        What does not surely fit into the bucket, which may have refilled meanwhile, is
+        paid from the reserve. A customer whose bucket is usually full would otherwise
+        be refused below its limit after some requests that did not run.
+        """
         count = self._counts.get(name)
         if count is None or n <= 0:
             return
-        if count.is_counting:
-            count.bucket.give_back(n, now=now)
-        else:
+        if not count.is_counting:
             count.reserve.give_back(n)
+            return
+        bucket = count.bucket
+        n_left = bucket.give_back(n, now=now)
+        if n_left:
+            share = self._view.get_reserve_share(
+                count.cleared, count.cleared_at, now=now
+            )
+            capacity = FILL_FRACTION * share * count.reserve_size
+            n_paid = count.reserve.take(n_left, capacity=capacity, now=now)
+            bucket.add(n_paid, now=now)
 
     # The role of this host.
 
@@ -129,6 +142,7 @@
         count = self._counts.get(customer.name)
         if count is None:
             count = self._counts[customer.name] = self._make_count(customer, now=now)
+        count.reserve_size = self._measure_reserve(customer)
         standing = count.standing
         if (
             standing is None
--- a/src/lavendergap/coordination/limits/counts.py
+++ b/src/lavendergap/coordination/limits/counts.py
@@ -76,7 +76,8 @@
     `handed` are tokens, when they were handed over, and whether by a host that counted.
     `confirmed_at` is when other hosts confirmed that none of them counts. `cleared` are
     silent hosts whose counting host has handed over, at `cleared_at`. `stopped_at` is
-    set while the tokens are not handed over.
+    set while the tokens are not handed over. `reserve_size` is the whole reserve in
+    requests, of which this host may use a part.
     """
 
     bucket: Bucket
@@ -95,3 +96,4 @@
     handover_due: float = 0.0
     version: int = -1
     standing: Standing | None = None
+    reserve_size: float = 0.0
--- a/tests/test_limit_service.py
+++ b/tests/test_limit_service.py
@@ -220,6 +220,19 @@
             await trio.sleep(0.15)
         assert any(isinstance(f, PermitReturn) for f in hosts.ranked[0].frames)
 
+    async def test_refunds_fit_into_a_bucket_that_was_full(self, hosts, autojump_clock):
+        first = hosts.ranked[0]
+        requests = [(await first.request())[1] for _ in range(4)]
+        for request in requests:
+            first.limits.give_back(request)
+        [count] = first.counting.list_counts()
+        assert count.tokens == CUSTOMER.burst
+        for _ in range(40):
+            # The reserve bounds what may be paid back in this way.
+            first.limits.give_back((await first.request())[1])
+        [count] = first.counting.list_counts()
+        assert count.tokens == 0.0
+
     async def test_a_new_version_ends_local_refusals(self, hosts, autojump_clock):
         await send_all(hosts.ranked[1], 12)
         raised = Customer(name="c1", rate_per_s=1_000.0, burst=1_000.0)
