Make the daemon's values of each call structs

A frozen data class sets each field through object.__setattr__: 1.4 us for five fields, and 0.15 us for a frozen msgspec.Struct. Replies, verdicts, submitted calls and the answers of shards, which are made once for each call, are structs now, frozen and keyword-only as before. Calls, effects and outcomes stay data classes: coordination and state load no msgspec, which test_embedding holds. With these as structs too, generated initializers would not take 11% of the samples of an owner's part.

--- a/src/lavendergap/entry/batch.py
+++ b/src/lavendergap/entry/batch.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import trio
+from msgspec import Struct
 
 from ..coordination.calls import Call, FinishCall
 from ..coordination.hedging import LATEST_HEDGE_SHARE
@@ -13,8 +14,7 @@
 FinishCallback = Callable[[FinishCall, tuple[int, ...]], None]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SubmittedCall:
+class SubmittedCall(Struct, frozen=True, kw_only=True):
     """A call to be made; `finish` is called when it has ended."""
 
     call: Call
--- a/src/lavendergap/protocol/backend.py
+++ b/src/lavendergap/protocol/backend.py
@@ -4,8 +4,6 @@
 the call; see docs/design/interfaces.md for the table of statuses.
 """
 
-from dataclasses import dataclass
-
 import msgspec
 
 from ..coordination.calls import Call, ServerReport, ServerState
@@ -25,8 +23,7 @@
 _check_json = msgspec.json.Decoder(msgspec.Raw).decode
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Reply:
+class Reply(msgspec.Struct, frozen=True, kw_only=True):
     """A complete HTTP answer of a backend server, with lower-case header names."""
 
     status: int
@@ -34,8 +31,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Verdict:
+class Verdict(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of a call, and the load that the server reported with it."""
 
     outcome: Outcome
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from msgspec import Struct
+
 from ..state.feeds import FeedChange, FeedEntry, StorePosition
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Outcome
@@ -43,8 +45,7 @@
     """The sender is stopping: it finishes running requests and accepts no new ones."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ShardRef:
+class ShardRef(Struct, frozen=True, kw_only=True):
     """A shard to search, and the group of replicas that serves it."""
 
     shard: str
@@ -90,8 +91,7 @@
     greatest: GreatestOptions | None = None
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ShardAnswer:
+class ShardAnswer(Struct, frozen=True, kw_only=True):
     """The outcome for one shard, and the index versions that its server now serves.
 
     `n_servers` counts the servers that the owner sent the call to.
