Keep the shards of a route and the order of latencies

A coordinator made the list of a route's shards for each query and counted the attempts left of each shard even if no owner was lost. An owner sorted 256 latencies after every 16 answers, twice: of the group and of the kind. They are now inserted in order, with the same results.

--- a/src/lavendergap/coordination/hedging.py
+++ b/src/lavendergap/coordination/hedging.py
@@ -1,5 +1,6 @@
 """When to send a hedge: recent latencies and their quantiles."""
 
+from bisect import bisect_left, insort
 from collections import deque
 from math import inf
 
@@ -11,7 +12,7 @@
 # Fewer calls give no usable quantile. With this many, the quartiles bound the effect of
 # one straggler, and a new owner can hedge soon.
 MIN_SAMPLES = 8
-# Sorting the window for each call would be too expensive.
+# Summing the window for each call would be too expensive.
 SAMPLES_PER_REFRESH = 16
 # A few more stragglers than usual would raise the quantile to a straggler's latency,
 # and hedges would come too late. The median and the third quartile are robust to them,
@@ -61,14 +62,25 @@
     0.087
     """
 
-    __slots__ = ("quantile", "delay", "median", "mean", "_samples", "_n_new")
+    __slots__ = (
+        "quantile",
+        "delay",
+        "median",
+        "mean",
+        "_samples",
+        "_ordered",
+        "_n_new",
+    )
 
     def __init__(self, *, quantile: float) -> None:
         self.quantile = quantile
         self.delay: float | None = None
         self.median: float | None = None
         self.mean: float | None = None
-        self._samples: deque[float] = deque(maxlen=MAX_SAMPLES)
+        self._samples: deque[float] = deque()
+        # The same in ascending order. Kept so, as sorting them for each refresh costs
+        # more than the rest.
+        self._ordered: list[float] = []
         self._n_new = 0
 
     def __len__(self) -> int:
@@ -76,7 +88,11 @@
 
     def add(self, latency: float) -> None:
         """Record one latency; quantiles are updated after 8, then after every 16."""
+        ordered = self._ordered
+        if len(ordered) == MAX_SAMPLES:
+            del ordered[bisect_left(ordered, self._samples.popleft())]
         self._samples.append(latency)
+        insort(ordered, latency)
         self._n_new += 1
         if self._n_new >= SAMPLES_PER_REFRESH:
             self._n_new = 0
@@ -85,7 +101,7 @@
             self._refresh()
 
     def _refresh(self) -> None:
-        ordered = sorted(self._samples)
+        ordered = self._ordered
         n = len(ordered)
         self.mean = sum(ordered) / n
         self.median = ordered[n // 2]
--- a/src/lavendergap/entry/forwarding.py
+++ b/src/lavendergap/entry/forwarding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 from contextlib import ExitStack
+from functools import lru_cache
 from random import Random
 
 import trio
@@ -21,6 +22,9 @@
 from .quarantine import RequestQuarantine
 from .search import GreatestQuery, Query, SearchRun
 
+# More than an operator has routes over different sets of shards in use at a time.
+MAX_CACHED_TARGETS = 64
+
 
 class Forwarder:
     """Sends each request to the servers of its route and returns the outcome.
@@ -147,7 +151,6 @@
         after: ExitStack,
     ) -> GatewayResult:
         goal_ms = (request.goal - request.started) * 1_000
-        share = 1.0 / max(1, len(target.groups))
         run = SearchRun(
             query=Query(
                 request_id=request.request_id,
@@ -170,10 +173,7 @@
             snapshot=Snapshot(
                 service=request.route.name,
                 version=request.version,
-                shards=tuple(
-                    Shard(name=group, group=group, share=share)
-                    for group in target.groups
-                ),
+                shards=_make_shards(target.groups),
             ),
             pinning=None,
             fleet=self._fleet,
@@ -191,6 +191,12 @@
                 self._add_strike(request, run.ended_servers, is_trial=is_suspect)
 
 
+@lru_cache(maxsize=MAX_CACHED_TARGETS)
+def _make_shards(groups: tuple[str, ...]) -> tuple[Shard, ...]:
+    share = 1.0 / max(1, len(groups))
+    return tuple(Shard(name=group, group=group, share=share) for group in groups)
+
+
 def _get_customer_name(request: GatewayRequest) -> str:
     return "" if request.customer is None else request.customer.name
 
--- a/src/lavendergap/entry/search.py
+++ b/src/lavendergap/entry/search.py
@@ -425,7 +425,7 @@
             request=greatest.request,
             n_wanted=greatest.n_wanted,
             goal_ms=max(0, int(left * 1_000)),
-            max_attempts=min(map(self._count_attempts_left, sub_query.open_shards)),
+            max_attempts=self._count_fewest_attempts_left(sub_query),
             priority=greatest.priority,
             is_repeat=sub_query.is_repeat,
             data_centres=tuple(sorted(greatest.data_centres or ())),
@@ -611,6 +611,12 @@
             return 1  # A search has no such limit: each owner limits its attempts.
         return greatest.max_attempts - self._n_possible_attempts[shard]
 
+    def _count_fewest_attempts_left(self, sub_query: SubQuery) -> int:
+        greatest = self._query.greatest
+        if greatest is not None and not self._n_possible_attempts:
+            return greatest.max_attempts  # So it is until an owner is lost.
+        return min(map(self._count_attempts_left, sub_query.open_shards))
+
     def _add_missing(
         self, shard: Shard, reason: Reason, peer: str, *, step: Step = Step.ROUTE
     ) -> None:
