--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from msgspec import Struct
+
 from ..state.customers import NO_CUSTOMER, Precedence
 from ..state.feeds import FeedChange, FeedEntry, StorePosition
 from ..state.forwarding import ForwardedRequest
@@ -44,8 +46,7 @@
     """The sender is stopping: it finishes running requests and accepts no new ones."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ShardRef:
+class ShardRef(Struct, frozen=True, kw_only=True):
     """A shard to search, and the group of replicas that serves it."""
 
     shard: str
@@ -93,8 +94,7 @@
     precedence: Precedence = NO_CUSTOMER
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ShardAnswer:
+class ShardAnswer(Struct, frozen=True, kw_only=True):
     """The outcome for one shard, and the index versions that its server now serves.
 
     `n_servers` counts the servers that the owner sent the call to.
