Forget the rejections of a server after four half-lives

Change: it counts for four half-lives, as slowness does, by the same constant. Measured: test_owner's test of a server that returns fails without the change and passes.

--- a/src/lavendergap/coordination/replicas.py
+++ b/src/lavendergap/coordination/replicas.py
@@ -55,9 +55,10 @@
 # weight would take too long to detect a slow server: with one call a second and a
 # weight of an eighth, it took eight calls.
 SLOWNESS_GAIN_HALF_LIFE_S = 0.5
-# Slowness is ignored after this many half-lives. However small, it would otherwise
-# always decide between idle replicas, and a slow one would not be tried again.
-MAX_SLOWNESS_HALF_LIVES = 4
+# Slowness and rejections are ignored after this many half-lives. However small, they
+# would otherwise always decide between idle replicas, and a slow one would not be tried
+# again.
+MAX_HALF_LIVES = 4
 # One answer counts as at most this many times the fastest replica's slowness, so that
 # one pause does not mark a server as slow for seconds.
 MAX_SAMPLE_FACTOR = 4.0
@@ -202,7 +203,7 @@
         score = load / self.server.slots
         if fastest_slowness > 0.0 and self.slowness > 0.0:
             age = (now - self.slowness_at) / SLOWNESS_HALF_LIFE_S
-            weight = 0.5**age if age < MAX_SLOWNESS_HALF_LIVES else 0.0
+            weight = 0.5**age if age < MAX_HALF_LIVES else 0.0
             ratio = self.slowness / fastest_slowness
             if ratio > MAX_SLOWNESS_RATIO:
                 ratio = MAX_SLOWNESS_RATIO
@@ -219,7 +220,7 @@
 
     def _get_rejected_share(self, now: float) -> float:
         age = (now - self.rejected_share_at) / REJECTION_HALF_LIFE_S
-        return self.rejected_share * exp2(-age)
+        return self.rejected_share * exp2(-age) if age < MAX_HALF_LIVES else 0.0
 
     def _note_rejected(self, is_rejected: bool, now: float) -> None:
         if not is_rejected and self.rejected_share == 0.0:
