--- a/lab/limitcosts.py
+++ b/lab/limitcosts.py
@@ -28,8 +28,7 @@
     PermitReturn,
 )
 from lavendergap.protocol.peer import encode_frame
-from lavendergap.state.customers import Customer, CustomerTable
-from lavendergap.state.hostfile import LimitBounds
+from lavendergap.state.customers import Customer, CustomerTable, LimitBounds
 from lavendergap.state.member import Member
 from lavendergap.state.settings import Address, Control, Settings
 from lavendergap.transport.acceptor import Acceptor
