Let the hosts of the limits test start before the load

Cause: with load averages of 11 to 13 on 12 cores the hosts' event loops were late by 60 to 300 ms in the seconds after their start, longer than a request waits for its permit, so that 1 to 15 of 72 requests below a limit got 503.

Change: the load begins 3 s after the hosts are ready. Measured: both cases passed once at a load average of 12; three runs without the pause failed.

--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -18,6 +18,8 @@
 BELOW = 0.6 * RATE
 # Log lines are written by another thread.
 LOG_DELAY_S = 0.5
+# Processes that have just started compete for the processor with the test.
+START_DELAY_S = 3.0
 ZONES = ("ptl-a", "ptl-b", "ptl-a", "ptl-b")
 HOSTS = [f"{zone}-{number}" for number, zone in enumerate(ZONES, start=1)]
 
@@ -106,6 +108,7 @@
     @pytest.mark.parametrize("n_asked", [4, 1])
     async def test_the_limit_is_kept_and_used(self, platform, n_asked):
         gateways = await platform.start(*ZONES)
+        await trio.sleep(START_DELAY_S)
         hot, steady = make_loads(platform)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
