Use one limit of log lines, and plainer words in the limits

Cause: the read-through: refusals by key and by limit each had a class that bounds their lines. Change: the class of the keys serves both; five comments worded plainly. Measured: tests of limits, logs and the gateway pass.

--- a/src/lavendergap/coordination/limits/hosts.py
+++ b/src/lavendergap/coordination/limits/hosts.py
@@ -67,8 +67,9 @@
 class HostView:
     """The hosts as this one knows them, for the counting of limits.
 
-    A host that has started is blind until one that is not has told which hosts went
-    silently, or until all hosts that its settings and the store name have answered.
+    A host that has started is blind: it does not know which hosts went silently before.
+    It ends once a host that is not blind has sent them, or once all hosts that its
+    settings and the store name have answered.
     `settle_s` is the time after which a host that went silently has stopped counting,
     or counts no more than its side's share of the limit. `detection_s` and `stall_s`
     follow from how the hosts probe each other.
--- a/src/lavendergap/coordination/limits/retries.py
+++ b/src/lavendergap/coordination/limits/retries.py
@@ -1,13 +1,13 @@
-"""When the requests beyond a limit are told to come back.
+"""When the requests beyond a limit may come back.
 
 A customer that exceeds its limit is refused many times within milliseconds. If all were
-told the time of the next token, they would come back together and be refused again.
+given the time of the next token, they would come back together and be refused again.
 """
 
 from random import Random
 
 MAX_RETRY_AFTER_S = 5.0
-"""No caller is told to wait longer; beyond it the times are random."""
+"""The longest time given; the times of later requests are drawn at random below it."""
 
 
 class RetryTimes:
--- a/src/lavendergap/entry/limits.py
+++ b/src/lavendergap/entry/limits.py
@@ -10,7 +10,8 @@
 
 from .. import metrics
 from ..coordination.limits.permits import Permits, Refused
-from ..logs import Category, LineLimit, get_logger, log_decision
+from ..coordination.linelimit import LineLimit
+from ..logs import Category, get_logger, log_decision
 from ..protocol.messages import (
     PermitGrant,
     PermitReturn,
@@ -24,6 +25,8 @@
 logger = get_logger(Category.LIMITS)
 
 ASK_TIMEOUT_S = 0.025
+# A customer beyond its limit causes these lines; the counters have all refusals.
+REFUSED_LINES_PER_S = 5
 MIN_WAIT_S = 0.005
 GOAL_SHARE = 0.5
 """The part of the time to the goal for which a request waits for its permit.
@@ -94,7 +97,7 @@
         self._returns: dict[tuple[str, str], int] = {}
         self._slow_until: dict[str, float] = {}
         self._table: CustomerTable | None = None
-        self._lines = LineLimit()
+        self._lines = LineLimit(n_lines=REFUSED_LINES_PER_S)
 
     # Requests of callers.
 
@@ -296,7 +299,7 @@
 
     def _refuse(self, customer: Customer, refused: Refused, retry_s: float) -> NotRun:
         now = trio.current_time()
-        n_dropped = self._lines.take(now=now)
+        n_dropped = self._lines.admit(now=now)
         if n_dropped is not None:
             log_decision(
                 logger,
--- a/src/lavendergap/logs.py
+++ b/src/lavendergap/logs.py
@@ -86,29 +86,6 @@
     logger.handle(_make_record(logger.name, level, decision))
 
 
-class LineLimit:
-    """Bounds how many lines of one event are logged per second."""
-
-    MAX_LINES_PER_S = 5
-
-    def __init__(self) -> None:
-        self._second = 0
-        self._n_lines = 0
-        self._n_dropped = 0
-
-    def take(self, *, now: float) -> int | None:
-        """Return how many lines were dropped before this one; None to drop it too."""
-        if int(now) != self._second:
-            self._second = int(now)
-            self._n_lines = 0
-        if self._n_lines >= self.MAX_LINES_PER_S:
-            self._n_dropped += 1
-            return None
-        self._n_lines += 1
-        n_dropped, self._n_dropped = self._n_dropped, 0
-        return n_dropped
-
-
 class Output(Protocol):
     """A destination for bytes that is written without blocking."""
 
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -41,7 +41,7 @@
 logger = get_logger(Category.ROUTE)
 
 PORT = "gateway"
-# Priorities of routes that are told apart within one priority of a customer.
+# Priorities of routes that are distinguished within one priority of a customer.
 ROUTE_PRIORITIES = 1_000
 # The Retry-After of a host without routes. A host that has just started receives them
 # within a second, and a retry may reach another host.
