--- a/tests/test_limit_service.py
+++ b/tests/test_limit_service.py
@@ -195,6 +195,21 @@
         await send_all(hosts.ranked[-1], 50)
         assert len(hosts.ranked[0].frames) == n_frames
 
+    async def test_each_refusal_leaves_within_ten_milliseconds(
+        self, hosts, autojump_clock
+    ):
+        """Guards against refusals that wait for more than one reply."""
+        waits = []
+        for number in range(200):
+            started = trio.current_time()
+            refusal, _ = await hosts.ranked[number % 4].request()
+            if refusal is not None:
+                assert refusal.reason is Reason.OVER_LIMIT
+                waits.append(trio.current_time() - started)
+            await trio.sleep(0.01)
+        assert len(waits) > 100
+        assert max(waits) <= 0.010
+
     async def test_requests_at_one_instant_share_messages(self, hosts, autojump_clock):
         async with trio.open_nursery() as nursery:
             for _ in range(10):
