--- a/review/2/play.py
+++ b/review/2/play.py
@@ -23,13 +23,13 @@
     run_case,
 )
 
-ZONES = ["ptl-a", "ptl-b", "sea-a", "sea-b"]
-N_CALLERS = (6, 5, 2, 2)  # at each gateway; the balancer's shares are uneven
-PLAY_S = 85.0
+ZONES = ["ptl-a", "ptl-b", "sea-a", "sea-b", "sea-a", "sea-b"]
+N_CALLERS = (6, 2, 2, 2, 2, 2)  # at each gateway; the balancer's shares are uneven
+PLAY_S = 100.0
 SETTLE_S = 1.0
 DEADLINE_MS = 1_500
 SLOTS = 4
-N_QUEUED = 1
+N_QUEUED = 2
 WORK_S = 0.02
 # Like `garble` with `how = "extra late"` in the site file: share 0.6, x 0.03, 5 s.
 EXTRA_SHARE = 0.03
--- a/review/rig.py
+++ b/review/rig.py
@@ -26,6 +26,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "app.example"
 READY_WITHIN_S = 25.0
+PLAY_LIMIT_S = 110.0
 SEGMENT_BYTES = 1_460
 WINDOW_BYTES = 4_096
 READ_AHEAD_BYTES = 4_096
@@ -522,12 +523,16 @@
     record = Record(folder)
 
     async def run() -> bool:
-        async with Rig(record) as rig:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        async with asyncio.timeout(PLAY_LIMIT_S), Rig(record) as rig:
             return await play(rig)
 
     try:
-        is_broken = asyncio.run(asyncio.wait_for(run(), 110))
-    except (CannotRunError, TimeoutError, OSError) as error:
+        is_broken = asyncio.run(run())
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.write("could not run", error=repr(error))
         print(f"could not run: {error!r}", file=sys.stderr)
         return COULD_NOT_RUN
