--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,7 +1,6 @@
 """Two servers are full at times; one of them sends some of its answers twice."""
 
 import asyncio
-import random
 import sys
 import time
 from collections import Counter, deque
@@ -25,7 +24,7 @@
 
 ZONES = ["ptl-a", "ptl-b", "sea-a", "sea-b", "sea-a", "sea-b"]
 N_CALLERS = (6, 2, 2, 2, 2, 2)  # at each gateway; the balancer's shares are uneven
-PLAY_S = 100.0
+PLAY_S = 30.0
 SETTLE_S = 1.0
 DEADLINE_MS = 1_500
 SLOTS = 4
@@ -41,7 +40,7 @@
 class Server:
     """A backend server with slots and a short queue that rejects what is beyond.
 
-    If it `doubles`, some answers are sent again, late: on the same connection, where
+    If it `doubles`, some rejections are sent again, late: on the same connection, where
     the answer to the next request is due.
     """
 
@@ -49,7 +48,7 @@
         self._record = rig.record
         self._server_id = server_id
         self._doubles = doubles
-        self._random = random.Random(server_id)
+        self._n_answers_due = 0
         self._started = time.monotonic()
         self._n_held = 0
         self._slots = asyncio.Semaphore(SLOTS)
@@ -67,15 +66,18 @@
             reply = await self._answer(request, reader)
             writer.write(reply)
             await writer.drain()
-            if self._is_doubled():
+            if self._is_doubled(reply):
                 self.n_extra += 1
                 late.append(reply)
                 self._write("answer doubled", request)
 
-    def _is_doubled(self) -> bool:
+    def _is_doubled(self, reply: bytes) -> bool:
         is_due = (time.monotonic() - self._started) % EXTRA_EVERY_S < EXTRA_FOR_S
-        draw = self._random.random()
-        return has_trouble() and self._doubles and is_due and draw < EXTRA_SHARE
+        if not (has_trouble() and self._doubles and is_due):
+            return False
+        self._n_answers_due += 1
+        is_rejection = reply.startswith(b"HTTP/1.1 503")
+        return is_rejection and self.n_extra + 1 <= EXTRA_SHARE * self._n_answers_due
 
     async def _answer(self, request: Request, reader: asyncio.StreamReader) -> bytes:
         head = {
