Log answers that come before their requests are sent

Hypotheses, which no line or metric told apart:

A connection is kept for the next request although its last one is not sent. 2. Two attempts take one connection in the same turn of the event loop. 3. A request is sent with another length than its body has.

`early answer` states how much of a request was sent when its answer was complete; `lavendergap_early_answers_total` counts them. The other two would show no such line.

--- a/src/lavendergap/metrics.py
+++ b/src/lavendergap/metrics.py
@@ -46,6 +46,10 @@
     "Answers that failed a check and were not used, by check.",
     ["check"],
 )
+early_answers = Counter(
+    "lavendergap_early_answers",
+    "Answers of backend servers that came before their requests were sent completely.",
+)
 backend_connections = Gauge(
     "lavendergap_backend_connections", "Open connections to backend servers."
 )
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -350,6 +350,8 @@
         """
         reader = exchange.reader
         assert exchange.call.forward is not None
+        if exchange.n_sent < exchange.n_bytes:
+            self._log_early_answer(exchange)
         if self._is_closed or connection.is_closed_by_server:
             return False
         if reader.has_trailing_data or not reader.may_keep_alive:
@@ -368,6 +370,17 @@
         self._idle.append(connection)
         return True
 
+    def _log_early_answer(self, exchange: Exchange) -> None:
+        metrics.early_answers.inc()
+        log_decision(
+            logger,
+            "early answer",
+            request_id=exchange.call.request_id,
+            server=self.server.name,
+            n_bytes=exchange.n_bytes,
+            n_sent=exchange.n_sent,
+        )
+
     def _make_room(self) -> bool:
         """Return whether a connection may be opened, closing idle ones if needed.
 
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -26,7 +26,16 @@
     `end` is never called before the client's `begin` has returned.
     """
 
-    __slots__ = ("call", "peer", "connection", "reader", "n_sent", "opening", "_end")
+    __slots__ = (
+        "call",
+        "peer",
+        "connection",
+        "reader",
+        "n_bytes",
+        "n_sent",
+        "opening",
+        "_end",
+    )
 
     def __init__(
         self, *, call: Call, peer: str, end: Callable[["Exchange", Result], None]
@@ -36,6 +45,8 @@
         self.peer = peer
         self.connection: ServerConnection | None = None
         self.reader = ReplyReader(has_no_body=call.forward.method == b"HEAD")
+        # The length of the request, and how much of it the kernel has accepted.
+        self.n_bytes = 0
         self.n_sent = 0
         # The scope in which a connection for this exchange is being opened.
         self.opening: trio.CancelScope | None = None
@@ -140,6 +151,7 @@
         `silence_deadline`, the connection is treated as silent.
         """
         exchange.connection = self
+        exchange.n_bytes = len(data)
         self._exchange = exchange
         try:
             exchange.n_sent = self.raw.send(data)
