Keep no connection whose request was not read completely

Cause: a connection was taken to be free when the answer was complete, whether or not the request was. The client kept it for the next request and stopped sending the rest. If that request was long as well, two tasks waited to write to one socket.

Ruled out: two attempts on one connection at a time, and a wrong length.

Change: a connection is kept only if the whole request is sent, and is short or was answered with success, as a server may reject a long one that the kernel has taken in before it has read it. Answers are read while the request is sent, also after a reset: a rejection was "unknown" before. The same holds for `lavendergap entry`, whose client read nothing until all was sent. On the side of callers, all ports now receive the rest of a body before they answer, or answer with `Connection: close` and receive on: with a body in 100 pieces, a host without routes counted the request as running for good.

Not affected: channels between hosts (one task writes whole frames) and the client of the platform (httpcore sends a request whole before it reads).

--- a/src/lavendergap/entry/ports.py
+++ b/src/lavendergap/entry/ports.py
@@ -9,6 +9,7 @@
 from hypercorn.trio import serve
 
 from ..state.settings import Address
+from ..transport.bodydrain import BodyDrain
 
 # Headers longer than this in total are refused by the server with 431 or 400.
 MAX_HEADERS_BYTES = 16 * 1024
@@ -67,5 +68,8 @@
     config.include_server_header = False
     config.include_date_header = False
     await serve(
-        cast(Any, app), config, shutdown_trigger=stop.wait, task_status=task_status
+        cast(Any, BodyDrain(app)),
+        config,
+        shutdown_trigger=stop.wait,
+        task_status=task_status,
     )
--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -26,6 +26,7 @@
 )
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
+from .reuse import has_read_request
 from .stream import RequestStream, open_stream
 
 logger = get_logger(Category.CONNECTIONS)
@@ -227,9 +228,7 @@
                     connection = await self._open()
                 connection.stream.begin()
                 reply = await _receive(connection.http, request)
-                # An answer to another attempt means that the answers on this
-                # connection are off by one, as all later ones would be.
-                reusable = reply.headers.get(b"attempt", attempt) == attempt
+                reusable = self._may_reuse(connection.stream, reply, attempt)
                 return reply
             return self._classify_timeout(connection, reused=idle is not None)
         except (httpcore.NetworkError, httpcore.ProtocolError):
@@ -274,6 +273,27 @@
         self._idle = []
         return Unknown(step=Step.RECEIVE, peer=peer, reason=Reason.SILENT_CONNECTION)
 
+    def _may_reuse(self, stream: RequestStream, reply: Reply, attempt: bytes) -> bool:
+        """Return whether the next request may follow on the connection of `reply`.
+
+        An answer to another attempt means that the answers on the connection are off by
+        one, as all later ones would be. After a request that is not sent or not read
+        completely, the server would take the next request for the rest of it.
+        """
+        if stream.n_sent < stream.n_bytes:
+            metrics.early_answers.inc()
+            log_decision(
+                logger,
+                "early answer",
+                request_id=None,
+                server=self.server.name,
+                n_bytes=stream.n_bytes,
+                n_sent=stream.n_sent,
+            )
+        return has_read_request(
+            n_bytes=stream.n_bytes, n_sent=stream.n_sent, status=reply.status
+        ) and (reply.headers.get(b"attempt", attempt) == attempt)
+
     def _recycle_or_close(self, connection: Connection, *, reusable: bool) -> None:
         # The rest of an abandoned answer would be read as the answer to the next
         # request, so only a connection whose answer was read completely is reused.
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -24,6 +24,7 @@
 )
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
+from .reuse import has_read_request
 from .serverconnection import Exchange, Result, ServerConnection, has_input
 
 logger = get_logger(Category.CONNECTIONS)
@@ -346,12 +347,18 @@
         """Keep a connection for reuse if its answers match its requests.
 
         Bytes after a complete answer belong to no request, and an answer to another
-        request means that the answers are off by one, as all later ones would be.
+        request means that the answers are off by one, as all later ones would be. After
+        a request that is not sent or not read completely, the server would take the
+        next request for the rest of it.
         """
         reader = exchange.reader
         assert exchange.call.forward is not None
         if exchange.n_sent < exchange.n_bytes:
             self._log_early_answer(exchange)
+        if not has_read_request(
+            n_bytes=exchange.n_bytes, n_sent=exchange.n_sent, status=reader.status
+        ):
+            return False
         if self._is_closed or connection.is_closed_by_server:
             return False
         if reader.has_trailing_data or not reader.may_keep_alive:
--- a/src/lavendergap/transport/replies.py
+++ b/src/lavendergap/transport/replies.py
@@ -94,6 +94,11 @@
         """Whether any byte of an answer was received."""
         return self._n_head_bytes > 0
 
+    @property
+    def status(self) -> int:
+        """The status of the answer, 0 before its head is complete."""
+        return self._status
+
     @property
     def headers(self) -> Mapping[bytes, bytes]:
         """The headers received so far, with names in lower case."""
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -85,7 +85,7 @@
     def return_connection(
         self, connection: "ServerConnection", exchange: Exchange
     ) -> bool:
-        """Return whether the connection can be reused after a complete answer."""
+        """Keep the connection after a complete answer, or return False to close it."""
 
     def on_silence(self, exchange: Exchange) -> None:
         """Handle a connection on which no complete answer arrived in time."""
@@ -166,17 +166,23 @@
 
     async def send_rest(self, exchange: Exchange, rest: bytes) -> None:
         """Send the rest of a long request as the socket becomes writable."""
-        while rest and self._is_open and self._exchange is exchange:
+        unsent = memoryview(rest)
+        while unsent and self._is_open and self._exchange is exchange:
             try:
                 await trio.lowlevel.wait_writable(self.raw)
-                n_sent = self.raw.send(rest)
+                n_sent = self.raw.send(unsent)
             except BlockingIOError:
                 continue
-            except (OSError, trio.ClosedResourceError):
-                self.drop(Reason.LOST_CONNECTION)
+            except trio.ClosedResourceError:
+                return
+            except OSError:
+                # The server may have answered before it closed the connection; the
+                # input watcher then reads the answer.
+                if not has_input(self):
+                    self.drop(Reason.LOST_CONNECTION)
                 return
             exchange.n_sent += n_sent
-            rest = rest[n_sent:]
+            unsent = unsent[n_sent:]
 
     def drop(self, reason: Reason) -> None:
         """Close at once; the exchange in progress then ends with `reason`."""
@@ -262,9 +268,13 @@
         self._exchange = None
         if self._silence_scope.deadline < inf:
             self._silence_scope.deadline = inf
-        is_reusable = self._owner.return_connection(self, exchange)
+        is_kept = self._owner.return_connection(self, exchange)
+        if not is_kept:
+            # Closed before the result is reported, as the next attempt may need its
+            # place among the server's connections.
+            self.drop(Reason.LOST_CONNECTION)
         exchange.finish(reader.make_reply())
-        return is_reusable
+        return is_kept
 
 
 def has_input(connection: ServerConnection) -> bool:
--- a/src/lavendergap/transport/stream.py
+++ b/src/lavendergap/transport/stream.py
@@ -7,6 +7,7 @@
 
 import select
 import socket
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import httpcore
@@ -29,59 +30,86 @@
 class RequestStream(httpcore.AsyncNetworkStream):
     """One connected socket.
 
-    `n_sent` counts the bytes that the kernel accepted since the last `begin`: while it
-    is 0, the request cannot have run. An answer of more than `max_received` bytes
-    raises httpcore.ReadError, since a faulty server must not exhaust the memory.
+    `n_bytes` counts the bytes of the request since the last `begin`, and `n_sent` those
+    that the kernel accepted: while it is 0, the request cannot have run. Sending stops
+    while there is input, since a server may answer before it has read a long request,
+    and need not read the rest. An answer of more than `max_received` bytes raises
+    httpcore.ReadError, since a faulty server must not exhaust the memory.
     """
 
     def __init__(self, *, connected: socket.socket, max_received: int) -> None:
+        self.n_bytes = 0
         self.n_sent = 0
         self._socket = connected
         self._max_received = max_received
         self._n_received = 0
         self._unsent = b""
+        self._send_error: OSError | None = None
         self._poll = select.poll()
         self._poll.register(connected, select.POLLIN)
 
     def begin(self) -> None:
         """Reset the counts for the next request."""
+        self.n_bytes = 0
         self.n_sent = 0
         self._n_received = 0
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Buffer the bytes; the first read after the request sends them."""
+        self.n_bytes += len(buffer)
         self._unsent += buffer
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Send the buffered bytes and wait for data; empty if the server closed."""
-        if self._unsent:
+        if self._unsent and self._send_error is None:
             await self._send()
         while True:
-            await trio.lowlevel.wait_readable(self._socket)
+            if self._send_error is None:
+                await trio.lowlevel.wait_readable(self._socket)
             try:
                 data = self._socket.recv(max_bytes)
             except BlockingIOError:
-                continue
+                data = b""
+                if self._send_error is None:
+                    continue
             except OSError as error:
                 raise httpcore.ReadError(str(error)) from error
+            if not data and self._send_error is not None:
+                raise httpcore.WriteError(str(self._send_error)) from self._send_error
             self._n_received += len(data)
             if self._n_received > self._max_received:
                 raise httpcore.ReadError("the answer is too large")
             return data
 
     async def _send(self) -> None:
+        """Send the buffered bytes, until done, until there is input, or until it fails.
+
+        After a failure, the server may have answered before it closed the connection.
+        """
+        while not self._send_now() and not self._has_input:
+            async with trio.open_nursery() as nursery:
+                for wait in (trio.lowlevel.wait_readable, trio.lowlevel.wait_writable):
+                    nursery.start_soon(
+                        _cancel_after, wait, self._socket, nursery.cancel_scope
+                    )
+
+    def _send_now(self) -> bool:
+        """Send what the kernel accepts; return whether that was all, or failed."""
         unsent = memoryview(self._unsent)
-        self._unsent = b""
-        while unsent:
-            try:
-                n_sent = self._socket.send(unsent)
-            except BlockingIOError:
-                await trio.lowlevel.wait_writable(self._socket)
-                continue
-            except OSError as error:
-                raise httpcore.WriteError(str(error)) from error
-            self.n_sent += n_sent
-            unsent = unsent[n_sent:]
+        try:
+            n_sent = self._socket.send(unsent)
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            self._send_error = error
+            return True
+        self.n_sent += n_sent
+        self._unsent = bytes(unsent[n_sent:])
+        return not self._unsent
+
+    @property
+    def _has_input(self) -> bool:
+        return bool(self._poll.poll(0))
 
     async def aclose(self) -> None:
         """Close at once, without waiting."""
@@ -96,5 +124,14 @@
     def get_extra_info(self, info: str) -> Any:
         """Return whether the socket has unread data or was closed by the server."""
         if info == "is_readable":
-            return bool(self._poll.poll(0))
+            return self._has_input
         return None
+
+
+async def _cancel_after(
+    wait: Callable[[socket.socket], Awaitable[None]],
+    watched: socket.socket,
+    scope: trio.CancelScope,
+) -> None:
+    await wait(watched)
+    scope.cancel()
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -8,16 +8,19 @@
 import httpcore
 import pytest
 import trio
+import trio.testing
 from trio.testing import MockClock
 
 from lavendergap.coordination.calls import Call, FinishCall, ServerReport
 from lavendergap.entry.batch import SubmittedCall
 from lavendergap.entry.owner import Owner
+from lavendergap.protocol.backend import DEFAULT_RETRY_AFTER_MS
 from lavendergap.state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from lavendergap.state.settings import Address, Host, Server, Settings
 from lavendergap.transport.backend import MAX_ANSWER_BYTES, BackendClient
 from lavendergap.transport.stream import RequestStream
 
+from .earlyservers import BUFFERED_BODY, UNSENT_BODY, open_early_server
 from .groups import make_group, make_service
 
 ADDRESS = Address(ip="127.0.0.1", port=1)
@@ -327,6 +330,51 @@
             assert bench.fake.seen == []
 
 
+class TestEarlyAnswers:
+    @asynccontextmanager
+    async def open(self, *, closes: bool = False):
+        reply = b"HTTP/1.1 503 Full\r\nAttempt: a-1\r\nOutcome: not-run\r\n"
+        reply += b"Content-Length: 0\r\n\r\n"
+
+        def answer_head(head: bytes) -> bytes:
+            return answer(read_head(0, head.decode()))
+
+        async with open_early_server(reply, answer=answer_head, closes=closes) as (
+            early,
+            server,
+            _,
+        ):
+            client = BackendClient(server=server, idle_timeout_s=15.0)
+            yield early, Bench(fake=FakeServer(), server=server, client=client)
+
+    @pytest.mark.parametrize("body", [UNSENT_BODY, BUFFERED_BODY], ids=["long", "sent"])
+    async def test_an_early_rejection_is_read_at_once(self, body):
+        # Guards against "unknown" at the deadline for a request that has not run, and
+        # against another request's bytes where the rest of the body is due.
+        async with self.open() as (early, bench):
+            started = trio.current_time()
+            outcome = await bench.call(body=body, idempotent=False)
+            assert outcome == NotRun(
+                step=Step.RECEIVE,
+                peer="i-1",
+                reason=Reason.SHED,
+                retry_after_ms=DEFAULT_RETRY_AFTER_MS,
+            )
+            assert trio.current_time() - started < 1.0
+            assert await bench.call(idempotent=False) == ANSWERED
+            assert early.n_connections == 2
+            early.may_read.set()
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert set(early.bodies[-1]) == {ord("x")}
+
+    async def test_an_early_rejection_is_read_although_the_server_resets(self):
+        # Guards against "unknown" for a request that the server states it has not run.
+        for _ in range(20):
+            async with self.open(closes=True) as (_, bench):
+                outcome = await bench.call(body=UNSENT_BODY, idempotent=False)
+                assert isinstance(outcome, NotRun)
+
+
 class TestWrongAnswer:
     """An answer that does not match the call must not be returned for it."""
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -17,6 +17,7 @@
 from lavendergap.state.settings import Address, Server
 from lavendergap.transport import forward
 from lavendergap.transport.forward import ForwardClient
+from tests.earlyservers import BUFFERED_BODY, UNSENT_BODY, open_early_server
 from tests.headers import NAMES
 
 LIMIT = 2.0
@@ -186,6 +187,101 @@
             assert isinstance(verdict.outcome, Unknown)
 
 
+@asynccontextmanager
+async def open_early_bench(reply: bytes, *, closes: bool = False):
+    def answer_head(head: bytes) -> bytes:
+        return answer(head.partition(b"x-attempt: ")[2].split(b"\r\n")[0])
+
+    async with open_early_server(reply, answer=answer_head, closes=closes) as opened:
+        early, server, nursery = opened
+        yield (
+            early,
+            ForwardClient(
+                server=server, idle_timeout_s=10.0, names=NAMES, nursery=nursery
+            ),
+        )
+
+
+def reject(status: int = 503, *, is_marked: bool = True, attempt: bytes = b"r1"):
+    mark = b"x-not-run: 1\r\n" if is_marked else b""
+    head = b"HTTP/1.1 %d No\r\nx-attempt: %s\r\n%s" % (status, attempt, mark)
+    return head + b"content-length: 0\r\n\r\n"
+
+
+async def call(client: ForwardClient, attempt: bytes, body: bytes, **changes) -> object:
+    made = make_call(attempt, body=body, **changes)
+    return (await client.call(made, attempt=b"", fresh=False)).outcome
+
+
+class TestEarlyAnswers:
+    @pytest.mark.parametrize(
+        ("reply", "expected"),
+        [
+            pytest.param(reject(503), NotRun, id="503"),
+            pytest.param(reject(429), NotRun, id="429"),
+            pytest.param(reject(421), NotRun, id="421"),
+            pytest.param(reject(500, is_marked=False), Unknown, id="500"),
+            pytest.param(answer(), Answered, id="200"),
+        ],
+    )
+    @pytest.mark.parametrize("body", [UNSENT_BODY, BUFFERED_BODY], ids=["long", "sent"])
+    async def test_no_request_follows_one_that_the_server_may_not_have_read(
+        self, reply, expected, body
+    ):
+        # Guards against another request's bytes where the rest of a body is due.
+        async with open_early_bench(reply) as (early, client):
+            outcome = await call(client, b"r1", body, idempotent=False)
+            assert isinstance(outcome, expected)
+            is_read = expected is Answered and body is BUFFERED_BODY
+            if not is_read:
+                outcome = await call(client, b"r2", body, idempotent=False)
+                assert isinstance(outcome, Answered)
+                assert early.n_connections == 2
+            early.may_read.set()
+            with trio.move_on_after(1.0):
+                while len(early.bodies) < 1 + (not is_read):
+                    await trio.sleep(0.01)
+            assert all(set(received) == {ord("x")} for received in early.bodies)
+
+    async def test_a_second_long_request_does_not_end_the_process(self):
+        # Guards against two tasks that wait for one socket, for which trio raises.
+        async with open_early_bench(reject()) as (early, client):
+            for attempt in (b"r1", b"r2", b"r3"):
+                await call(client, attempt, UNSENT_BODY, idempotent=False)
+
+    async def test_an_early_rejection_is_read_although_the_server_resets(self):
+        # Guards against "unknown" for a request that the server states it has not run.
+        for _ in range(20):
+            async with open_early_bench(reject(), closes=True) as (_, client):
+                outcome = await call(client, b"r1", UNSENT_BODY, idempotent=False)
+                assert isinstance(outcome, NotRun)
+
+    async def test_the_next_attempt_may_use_the_place_of_the_closed_connection(self):
+        # Guards against "overloaded" while the only connection is one to be closed.
+        async with open_early_bench(reject()) as (_, client):
+            client.server = replace(client.server, connections=1)
+            ended: list[Verdict] = []
+
+            def end(verdict: Verdict) -> None:
+                ended.append(verdict)
+                if len(ended) == 1:
+                    client.begin(make_call(b"r2"), fresh=False, end=end)
+
+            client.begin(make_call(body=UNSENT_BODY), fresh=False, end=end)
+            with trio.fail_after(LIMIT):
+                while len(ended) < 2:
+                    await trio.sleep(0.01)
+            assert [type(v.outcome) for v in ended] == [NotRun, Answered]
+
+    async def test_rejections_of_short_requests_cost_no_connection(self):
+        # Guards against a new connection for each rejection of an overloaded server.
+        script = [reject(attempt=b"r%d" % n) for n in range(5)]
+        async with open_bench(*script) as bench:
+            for n in range(5):
+                await bench.call(make_call(b"r%d" % n, body=b"{}"))
+            assert bench.n_connections == 1
+
+
 class TestTornAnswers:
     async def test_a_truncated_answer_closes_its_connection(self):
         torn = answer(body=b"0123456789")[:-4]
