Log which connection a rejection came on

Hypotheses, which no line told apart:

The second copy of the rejection is read as the answer to the next attempt at the same request, which the same connection carries under the same id. 2. The scheduler credits the rejection of one attempt to another. 3. The server runs what it has rejected.

`rejected` states the connection (`local_port`), the request's number on it and the time since the send, at most 20 lines a second.

--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -15,6 +15,7 @@
 
 from .. import metrics
 from ..coordination.calls import Call, ServerReport
+from ..coordination.linelimit import LineLimit
 from ..logs import Category, get_logger, log_decision
 from ..protocol.backend import Reply, Verdict
 from ..protocol.forwarding import (
@@ -45,12 +46,16 @@
 # An idle connection is closed after this share of the server's keep-alive timeout, so
 # that no request is sent while the server closes the connection.
 KEEP_ALIVE_SHARE = 0.7
+# Overloaded servers reject any number of requests.
+REJECTION_LINES_PER_S = 20
 # Servers of one kind state the same timeouts. A head, and so each text that is cached,
 # has at most `MAX_HEAD_BYTES`.
 MAX_CACHED_KEEP_ALIVES = 16
 
 EndCall = Callable[[Verdict], None]
 
+_rejection_lines = LineLimit(n_lines=REJECTION_LINES_PER_S)
+
 
 class ForwardClient:
     """All connections of this process to one backend server.
@@ -105,7 +110,7 @@
         exchange = Exchange(
             call=call,
             peer=self.server.name,
-            end=lambda ended, result: self._end(ended.call, result, end),
+            end=lambda ended, result: self._end(ended, result, end),
         )
         if call.deadline <= now:
             self._finish_unsent(exchange, Step.QUEUE, Reason.DEADLINE)
@@ -146,12 +151,17 @@
 
     # Results of exchanges.
 
-    def _end(self, call: Call, result: Result, end: EndCall) -> None:
+    def _end(self, exchange: Exchange, result: Result, end: EndCall) -> None:
         match result:
             case Unknown(reason=Reason.LOST_CONNECTION) if self._make_room():
-                self._nursery.start_soon(self._end_after_loss, call, result, end)
+                self._nursery.start_soon(
+                    self._end_after_loss, exchange.call, result, end
+                )
             case _:
-                end(self._make_verdict(call, result))
+                verdict = self._make_verdict(exchange.call, result)
+                if isinstance(result, Reply) and isinstance(verdict.outcome, NotRun):
+                    self._log_rejection(exchange, result.status)
+                end(verdict)
 
     async def _end_after_loss(self, call: Call, lost: Unknown, end: EndCall) -> None:
         """Check if the server has ended after a lost connection; end the attempt.
@@ -377,6 +387,24 @@
         self._idle.append(connection)
         return True
 
+    def _log_rejection(self, exchange: Exchange, status: int) -> None:
+        now = trio.current_time()
+        n_dropped = _rejection_lines.admit(now=now)
+        if n_dropped is None:
+            return
+        connection = exchange.connection
+        log_decision(
+            logger,
+            "rejected",
+            request_id=exchange.call.request_id,
+            server=self.server.name,
+            status=status,
+            local_port=connection.local_port if connection else 0,
+            number=exchange.number,
+            after_ms=round((now - exchange.sent_at) * 1_000, 1),
+            n_dropped=n_dropped,
+        )
+
     def _log_early_answer(self, exchange: Exchange) -> None:
         metrics.early_answers.inc()
         log_decision(
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -33,6 +33,8 @@
         "reader",
         "n_bytes",
         "n_sent",
+        "number",
+        "sent_at",
         "opening",
         "_end",
     )
@@ -48,6 +50,9 @@
         # The length of the request, and how much of it the kernel has accepted.
         self.n_bytes = 0
         self.n_sent = 0
+        # Which exchange it is on its connection, counted from 1.
+        self.number = 0
+        self.sent_at = 0.0
         # The scope in which a connection for this exchange is being opened.
         self.opening: trio.CancelScope | None = None
         self._end: Callable[[Exchange, Result], None] | None = end
@@ -106,6 +111,8 @@
     __slots__ = (
         "raw",
         "poll",
+        "local_port",
+        "n_exchanges",
         "answered_at",
         "idle_timeout_s",
         "is_closed_by_server",
@@ -128,6 +135,8 @@
         poll = select.poll()
         poll.register(raw, select.POLLIN)
         self.poll = poll.poll
+        self.local_port: int = raw.getsockname()[1]
+        self.n_exchanges = 0
         self.answered_at = trio.current_time()
         self.idle_timeout_s = idle_timeout_s
         # Whether the server has closed its side.
@@ -152,6 +161,9 @@
         """
         exchange.connection = self
         exchange.n_bytes = len(data)
+        exchange.sent_at = trio.current_time()
+        self.n_exchanges += 1
+        exchange.number = self.n_exchanges
         self._exchange = exchange
         try:
             exchange.n_sent = self.raw.send(data)
