Credit no answer to another attempt at its request

Who believes the promise books again.

Cause: an answer was credited to an attempt by an id that all attempts at a request share, as it has to be the caller's. After a rejection the request was sent again to the same server on the connection used last. The second copy of the rejection came first and bore the right id, while the server ran the request.

Ruled out: a mix-up in the scheduler, and a server that runs what it rejects.

Change: a connection carries no second attempt at a request that failed on it. A refusal without an id is believed only if its connection has carried no other request. A server's 408, 421, 429 or 503 reaches callers only with its statement that nothing has run. The interface of `lavendergap entry` has ids for each attempt; there refusals were believed without a look at them.

The stand-in of backend servers echoes the id in rejections, too, as real ones do.

The new tests failed before: 13 of 13 of test_forward.py::TestLateCopies, 4 of 4 of test_backend.py, 4 of 4 of test_backend_protocol.py.

--- a/src/lavendergap/protocol/backend.py
+++ b/src/lavendergap/protocol/backend.py
@@ -13,6 +13,7 @@
 
 DEFAULT_RETRY_AFTER_MS = 1_000
 LONGEST_RETRY_AFTER_MS = 3_600_000
+MIN_NON_SUCCESS_STATUS = 300
 # The largest version that fits into the messages between peers.
 MAX_VERSION = 2**63 - 1
 SERVER_STATES: dict[bytes, ServerState] = {
@@ -30,6 +31,11 @@
     headers: dict[bytes, bytes]
     body: bytes
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is a 2xx."""
+        return self.status < MIN_NON_SUCCESS_STATUS
+
 
 class Verdict(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of a call, and the load that the server reported with it."""
@@ -56,10 +62,19 @@
     return headers
 
 
-def check_reply(reply: Reply, call: Call, *, attempt: bytes, server: str) -> Verdict:
-    """Return the outcome that the reply proves; a missing header proves nothing."""
+def check_reply(
+    reply: Reply, call: Call, *, attempt: bytes, server: str, is_first: bool = True
+) -> Verdict:
+    """Return the outcome that the reply proves; a missing header proves nothing.
+
+    `is_first` is whether the connection has carried no other call: a refusal on it that
+    does not name its attempt can only be the answer to this one.
+    """
     if reply.status == 200:
         outcome = _check_answer(reply, call, attempt=attempt, server=server)
+    elif reply.headers.get(b"attempt", attempt if is_first else b"") != attempt:
+        # The server may have sent the refusal of an earlier call a second time.
+        outcome = Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
     else:
         outcome = _read_refusal(reply, server=server)
     return Verdict(outcome=outcome, report=read_report(reply.headers))
--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -14,7 +14,7 @@
 from ..coordination.calls import ServerReport
 from ..state.forwarding import ForwardedRequest, Headers
 from ..state.outcome import Answered, Coverage, NotRun, Outcome, Reason, Step, Unknown
-from .backend import Reply, Verdict
+from .backend import MIN_NON_SUCCESS_STATUS, Reply, Verdict
 
 # Not forwarded (RFC 9110, 7.6.1). Content-Length is set anew for the body sent.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -38,8 +38,9 @@
 # Longer reports are not cached, so that a faulty server cannot fill the memory.
 MAX_CACHED_LOAD_BYTES = 32
 MISDIRECTED_REQUEST_STATUS = 421
-MIN_NON_SUCCESS_STATUS = 300
 MIN_SERVER_ERROR_STATUS = 500
+# To a caller, these statuses promise that the request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -171,14 +172,17 @@
     names: HeaderNames,
     server: str,
     is_part: bool = False,
+    is_first: bool = True,
 ) -> Verdict:
     """Return the outcome that a server's reply to `request` proves.
 
     With `is_part` the answer is merged with others and keeps only its proof header;
     the others, some 200 bytes, would use bandwidth between data centres for nothing.
+    `is_first` is whether the connection has carried no other request: a refusal on it
+    without an id can only be the answer to this one.
     """
     report = read_load(reply.headers.get(names.load))
-    outcome = _check_reply(reply, request, names, server, is_part)
+    outcome = _check_reply(reply, request, names, server, is_part, is_first)
     return Verdict(outcome=outcome, report=report)
 
 
@@ -195,18 +199,20 @@
     names: HeaderNames,
     server: str,
     is_part: bool,
+    is_first: bool,
 ) -> Outcome:
     fields = reply.headers
     # A server may answer twice, or late on a reused connection. Such an answer looks
     # valid but belongs to another caller's request; only the id shows it.
     is_own = fields.get(names.attempt) == request.attempt
-    if names.not_run in fields or reply.status == MISDIRECTED_REQUEST_STATUS:
-        if not is_own and names.attempt in fields:
-            return Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
-        return _read_refusal(reply, server)
+    is_refusal = names.not_run in fields or reply.status == MISDIRECTED_REQUEST_STATUS
+    if is_refusal and is_first and names.attempt not in fields:
+        is_own = True
     if not is_own:
         return Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
-    if reply.status >= MIN_SERVER_ERROR_STATUS:
+    if is_refusal:
+        return _read_refusal(reply, server)
+    if reply.status >= MIN_SERVER_ERROR_STATUS or reply.status in NOT_RUN_STATUSES:
         return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.SERVER_ERROR)
     if reply.status < MIN_NON_SUCCESS_STATUS and names.proof not in fields:
         return Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -135,7 +135,13 @@
             self._mean_latency_s += LATENCY_SMOOTHING_FACTOR * (
                 elapsed - self._mean_latency_s
             )
-            return check_reply(result, call, attempt=attempt, server=self.server.name)
+            return check_reply(
+                result,
+                call,
+                attempt=attempt,
+                server=self.server.name,
+                is_first=connection is None,
+            )
         return Verdict(outcome=result, report=None)
 
     def _compute_timeout(
@@ -276,9 +282,10 @@
     def _may_reuse(self, stream: RequestStream, reply: Reply, attempt: bytes) -> bool:
         """Return whether the next request may follow on the connection of `reply`.
 
-        An answer to another attempt means that the answers on the connection are off by
-        one, as all later ones would be. After a request that is not sent or not read
-        completely, the server would take the next request for the rest of it.
+        An answer that does not name its attempt may belong to another one, so that the
+        answers on the connection are off by one, as all later ones would be. After a
+        request that is not sent or not read completely, the server would take the next
+        request for the rest of it.
         """
         if stream.n_sent < stream.n_bytes:
             metrics.early_answers.inc()
@@ -291,8 +298,10 @@
                 n_sent=stream.n_sent,
             )
         return has_read_request(
-            n_bytes=stream.n_bytes, n_sent=stream.n_sent, status=reply.status
-        ) and (reply.headers.get(b"attempt", attempt) == attempt)
+            n_bytes=stream.n_bytes,
+            n_sent=stream.n_sent,
+            is_success=reply.is_success,
+        ) and (reply.headers.get(b"attempt") == attempt)
 
     def _recycle_or_close(self, connection: Connection, *, reusable: bool) -> None:
         # The rest of an abandoned answer would be read as the answer to the next
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -46,6 +46,8 @@
 # An idle connection is closed after this share of the server's keep-alive timeout, so
 # that no request is sent while the server closes the connection.
 KEEP_ALIVE_SHARE = 0.7
+# The memory of a connection for failed attempts; it is closed when this is full.
+MAX_FAILED_ATTEMPTS = 256
 # Overloaded servers reject any number of requests.
 REJECTION_LINES_PER_S = 20
 # Servers of one kind state the same timeouts. A head, and so each text that is cached,
@@ -158,7 +160,7 @@
                     self._end_after_loss, exchange.call, result, end
                 )
             case _:
-                verdict = self._make_verdict(exchange.call, result)
+                verdict = self._make_verdict(exchange, result)
                 if isinstance(result, Reply) and isinstance(verdict.outcome, NotRun):
                     self._log_rejection(exchange, result.status)
                 end(verdict)
@@ -193,7 +195,7 @@
         if connection is not None:
             await connection.read()
 
-    def _make_verdict(self, call: Call, result: Result) -> Verdict:
+    def _make_verdict(self, exchange: Exchange, result: Result) -> Verdict:
         """Return the verdict on a result.
 
         An unexpected error loses this attempt only. If it were raised, it would end
@@ -201,6 +203,7 @@
         """
         if not isinstance(result, Reply):
             return Verdict(outcome=result, report=None)
+        call = exchange.call
         assert call.forward is not None
         try:
             return check_forwarded_reply(
@@ -209,6 +212,7 @@
                 names=self._names,
                 server=self.server.name,
                 is_part=bool(call.shard),
+                is_first=exchange.number == 1,
             )
         except Exception:
             logger.exception("cannot evaluate the answer of %s", self.server.name)
@@ -225,14 +229,18 @@
     # Connections.
 
     def _take_idle(self, call: Call, now: float) -> ServerConnection | None:
-        while self._idle:
-            connection = self._idle[-1]
+        """Return the connection that answered last, of those that may carry a call."""
+        assert call.forward is not None
+        attempt = call.forward.attempt
+        for connection in reversed(self._idle.copy()):
+            if attempt in connection.failed_attempts:
+                continue
             age = now - connection.answered_at
             if not call.idempotent and age > MAX_TRUSTED_IDLE_S:
                 return None
-            self._idle.pop()
             # The server may have closed it before its task could run again.
             if age <= connection.idle_timeout_s and not has_input(connection):
+                self._idle.remove(connection)
                 return connection
             connection.drop(Reason.LOST_CONNECTION)
         return None
@@ -366,7 +374,9 @@
         if exchange.n_sent < exchange.n_bytes:
             self._log_early_answer(exchange)
         if not has_read_request(
-            n_bytes=exchange.n_bytes, n_sent=exchange.n_sent, status=reader.status
+            n_bytes=exchange.n_bytes,
+            n_sent=exchange.n_sent,
+            is_success=reader.is_success,
         ):
             return False
         if self._is_closed or connection.is_closed_by_server:
@@ -374,8 +384,16 @@
         if reader.has_trailing_data or not reader.may_keep_alive:
             return False
         headers = reader.headers
-        if headers.get(self._names.attempt) != exchange.call.forward.attempt:
+        attempt = exchange.call.forward.attempt
+        if headers.get(self._names.attempt) != attempt:
             return False
+        if not reader.is_success or self._names.not_run in headers:
+            failed = connection.failed_attempts
+            if len(failed) >= MAX_FAILED_ATTEMPTS:
+                return False
+            failed.add(
+                attempt, deadline=exchange.call.deadline, now=trio.current_time()
+            )
         idle_timeout_s = self._idle_timeout_s
         stated = headers.get(b"keep-alive")
         if stated is not None:
--- a/src/lavendergap/transport/replies.py
+++ b/src/lavendergap/transport/replies.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from ..protocol.backend import Reply
+from ..protocol.backend import MIN_NON_SUCCESS_STATUS, Reply
 
 # Larger than any valid answer; a faulty server must not exhaust the memory.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -95,9 +95,9 @@
         return self._n_head_bytes > 0
 
     @property
-    def status(self) -> int:
-        """The status of the answer, 0 before its head is complete."""
-        return self._status
+    def is_success(self) -> bool:
+        """Whether the answer, which must be complete, has a 2xx status."""
+        return FIRST_FINAL_STATUS <= self._status < MIN_NON_SUCCESS_STATUS
 
     @property
     def headers(self) -> Mapping[bytes, bytes]:
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -13,6 +13,7 @@
 from ..state.outcome import NotRun, Reason, Step, Unknown
 from .inputwatcher import get_input_watcher
 from .replies import ReplyReader, WrongAnswerError
+from .reuse import FailedAttempts
 
 READ_SIZE_BYTES = 65_536
 
@@ -113,6 +114,7 @@
         "poll",
         "local_port",
         "n_exchanges",
+        "failed_attempts",
         "answered_at",
         "idle_timeout_s",
         "is_closed_by_server",
@@ -137,6 +139,7 @@
         self.poll = poll.poll
         self.local_port: int = raw.getsockname()[1]
         self.n_exchanges = 0
+        self.failed_attempts = FailedAttempts()
         self.answered_at = trio.current_time()
         self.idle_timeout_s = idle_timeout_s
         # Whether the server has closed its side.
--- a/standins/leafservers.py
+++ b/standins/leafservers.py
@@ -127,14 +127,15 @@
         if self.drained_at is not None and trio.current_time() > self.drained_at:
             self.late_arrivals += 1
         expected = request.headers.get("lavendergap-expected-instance")
+        echo = ("Lavendergap-Attempt-Id", attempt)
         if expected not in (None, self.server_id):
             self._record(attempt, request, is_run=False)
-            return Reply(
-                status=421, headers=(("Lavendergap-Instance-Id", self.server_id),)
-            )
+            own_id = ("Lavendergap-Instance-Id", self.server_id)
+            return Reply(status=421, headers=(echo, own_id))
         if self.faults.refuses or self.n_running >= 2 * self.slots:
             self._record(attempt, request, is_run=False)
-            return Reply(status=503, headers=(("Lavendergap-Not-Executed", "1"),))
+            mark = ("Lavendergap-Not-Executed", "1")
+            return Reply(status=503, headers=(echo, mark))
         self._record(attempt, request, is_run=True)
         return await self._work(attempt, request, connection)
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -375,6 +375,34 @@
                 assert isinstance(outcome, NotRun)
 
 
+def refuse(attempt: str | None) -> bytes:
+    name = f"Attempt: {attempt}\r\n" if attempt else ""
+    head = f"HTTP/1.1 503 Full\r\n{name}Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+    return head.encode()
+
+
+class TestLateCopies:
+    @pytest.mark.parametrize("is_named", [True, False], ids=["named", "nameless"])
+    @pytest.mark.parametrize("comes_at_once", [True, False], ids=["at once", "late"])
+    async def test_the_copy_of_a_refusal_proves_nothing_of_the_next_call(
+        self, is_named, comes_at_once
+    ):
+        # Guards against "not run" for another caller's booking that runs: the server
+        # sends a refusal again, at once or where the next answer is due.
+        async with open_bench() as bench:
+            copy = refuse("a-1" if is_named else None)
+            first = copy if is_named else answer(Request(1, "", {"attempt": "a-1"}))
+            second = answer(Request(1, "", {"attempt": "a-2"}))
+            replies = [first + copy if comes_at_once else first, copy + second]
+            bench.fake.reply = lambda r: replies[len(bench.fake.seen) - 1]
+            await bench.call(idempotent=False)
+            assert isinstance(await bench.call(idempotent=False), Unknown)
+            # What was not sent on a connection never is.
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert len(bench.fake.seen) == (1 if comes_at_once else 2)
+            assert bench.client.n_open == 0
+
+
 class TestWrongAnswer:
     """An answer that does not match the call must not be returned for it."""
 
--- a/tests/test_backend_protocol.py
+++ b/tests/test_backend_protocol.py
@@ -78,6 +78,13 @@
         )
         assert judge(status, headers) == expected
 
+    @pytest.mark.parametrize("status", [503, 409, 421, 408])
+    def test_a_refusal_of_another_attempt_proves_nothing(self, status):
+        # Guards against "not run" for a booking that runs.
+        headers = {b"outcome": b"not-run", b"attempt": b"a-0"}
+        wrong = Unknown(step=Step.CHECK, peer="a", reason=Reason.WRONG_ANSWER)
+        assert judge(status, headers) == wrong
+
     @pytest.mark.parametrize("status", [500, 503, 409, 421, 204, 302])
     def test_an_unmarked_refusal_is_unknown(self, status):
         """Guards against repeating a booking that ran if a proxy answered with 503."""
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -187,6 +188,26 @@
             assert isinstance(verdict.outcome, Unknown)
 
 
+@asynccontextmanager
+async def open_client(serve):
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(
+            _listen, listener, _closing(serve), nursery, trio.CancelScope()
+        )
+        server = Server(
+            name="i-1",
+            address=Address(ip="127.0.0.1", port=listener.socket.getsockname()[1]),
+            data_centre="ptl-a",
+            slots=2,
+            connections=2,
+        )
+        yield ForwardClient(
+            server=server, idle_timeout_s=10.0, names=NAMES, nursery=nursery
+        )
+        nursery.cancel_scope.cancel()
+
+
 @asynccontextmanager
 async def open_early_bench(reply: bytes, *, closes: bool = False):
     def answer_head(head: bytes) -> bytes:
@@ -282,6 +303,85 @@
             assert bench.n_connections == 1
 
 
+class CopyingServer:
+    """Rejects the first request, and sends the rejection again at the next one."""
+
+    def __init__(self, rejection: bytes) -> None:
+        self.rejection = rejection
+        self.runs: Counter[bytes] = Counter()
+        self.n_connections = 0
+        self.n_rejected = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.n_connections += 1
+        late = b""
+        while data := await stream.receive_some(65_536):
+            attempt = data.partition(b"x-attempt: ")[2].split(b"\r\n")[0]
+            if not self.n_rejected:
+                self.n_rejected += 1
+                late = self.rejection
+                await stream.send_all(late)
+                continue
+            self.runs[attempt] += 1
+            await stream.send_all(late + answer(attempt))
+            late = b""
+
+
+class TestLateCopies:
+    @asynccontextmanager
+    async def open(self, rejection: bytes):
+        copying = CopyingServer(rejection)
+        async with open_client(copying.serve) as client:
+            yield copying, client
+
+    @pytest.mark.parametrize("idempotent", [False, True], ids=["once", "idempotent"])
+    @pytest.mark.parametrize("status", [400, 421, 429, 503])
+    async def test_the_copy_of_a_rejection_is_not_taken_for_the_next_answer(
+        self, status, idempotent
+    ):
+        # Guards against "not run" for a request that the server runs: its attempts have
+        # one id, so that on one connection the copy looks like the answer.
+        async with self.open(reject(status)) as (copying, client):
+            for expected in (NotRun, Answered):
+                outcome = await call(client, b"r1", b"{}", idempotent=idempotent)
+                assert isinstance(outcome, expected)
+            assert copying.runs[b"r1"] == 1
+            assert copying.n_connections == 2
+
+    async def test_the_copy_of_a_failure_is_not_taken_for_the_next_answer(self):
+        failure = reject(500, is_marked=False)
+        async with self.open(failure) as (_, client):
+            assert isinstance(await call(client, b"r1", b"{}"), Unknown)
+            assert isinstance(await call(client, b"r1", b"{}"), Answered)
+
+    async def test_a_copy_without_an_id_proves_nothing_on_a_used_connection(self):
+        # Guards against "not run" for another caller's request that the server runs.
+        nameless = reject(attempt=b"").replace(b"x-attempt: \r\n", b"")
+        async with open_bench(answer(), nameless, nameless) as bench:
+            assert isinstance((await bench.call()).outcome, Answered)
+            outcome = (await bench.call(make_call(b"r2", idempotent=False))).outcome
+            assert isinstance(outcome, Unknown)
+            assert outcome.reason is Reason.WRONG_ANSWER
+            outcome = (await bench.call(make_call(b"r3", idempotent=False))).outcome
+            assert isinstance(outcome, NotRun)
+            assert bench.n_connections == 2
+
+    async def test_a_connection_with_many_rejections_is_replaced(self, monkeypatch):
+        # Guards against a memory that grows while a server rejects requests.
+        monkeypatch.setattr(forward, "MAX_FAILED_ATTEMPTS", 3)
+        async with open_bench(*[reject(attempt=b"r%d" % n) for n in range(8)]) as bench:
+            for n in range(8):
+                await bench.call(make_call(b"r%d" % n))
+            assert bench.n_connections == 2
+
+    @pytest.mark.parametrize("status", [408, 429])
+    async def test_an_unmarked_status_is_not_passed_on_as_a_promise(self, status):
+        # Guards against "not run" to callers without the server's own statement.
+        async with open_bench(reject(status, is_marked=False)) as bench:
+            single = replace(make_call(idempotent=False), shard="")
+            assert isinstance((await bench.call(single)).outcome, Unknown)
+
+
 class TestTornAnswers:
     async def test_a_truncated_answer_closes_its_connection(self):
         torn = answer(body=b"0123456789")[:-4]
