Log requests that a stop cuts

Hypotheses, which no line told apart, as a cancelled request had none of its own:

The host takes new requests until shortly before the end of its grace time, whatever time they need, and then gives all that run 0.4 s. 2. Requests of before the stop are still running at its end. 3. The HTTP server ends its connections by a time limit of its own.

`request cut` states when a request came; `lavendergap_cut_requests_total` counts them.

--- a/src/lavendergap/metrics.py
+++ b/src/lavendergap/metrics.py
@@ -31,6 +31,10 @@
     "Ends of calls to backend servers by service and reason.",
     ["service", "reason"],
 )
+cut_requests = Counter(
+    "lavendergap_cut_requests",
+    "Callers' requests that this process ended without an answer.",
+)
 rejected_input = Counter(
     "lavendergap_rejected_input",
     "Malformed input refused, by port and problem.",
--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -37,6 +37,7 @@
     Response,
     Scope,
     Send,
+    log_if_cut,
     read_body,
     reject,
     send_response,
@@ -118,6 +119,7 @@
         if scope["type"] != "http":
             return
         self.n_running += 1
+        started = trio.current_time()
         try:
             response = await self._serve(scope, receive)
             if self._handlers.is_leaving():
@@ -126,6 +128,9 @@
                 # closes it between two requests.
                 response = _add_header(response, b"connection", b"close")
             await send_response(send, response)
+        except BaseException as error:
+            log_if_cut(error, scope, id_header=b"request-id", started=started)
+            raise
         finally:
             self.n_running -= 1
 
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -33,6 +33,7 @@
     Scope,
     Send,
     get_headers,
+    log_if_cut,
     read_body,
     reject,
     serve_lifespan,
@@ -129,8 +130,12 @@
             await serve_lifespan(receive, send)
         elif scope["type"] == "http":
             self.n_running += 1
+            started = trio.current_time()
             try:
                 await self._serve(scope, receive, send)
+            except BaseException as error:
+                log_if_cut(error, scope, id_header=self._names.attempt, started=started)
+                raise
             finally:
                 self.n_running -= 1
 
--- a/src/lavendergap/transport/web.py
+++ b/src/lavendergap/transport/web.py
@@ -8,8 +8,11 @@
 import trio
 
 from .. import metrics
+from ..logs import Category, get_logger, log_decision
 from ..protocol.answers import encode_error
 
+logger = get_logger(Category.ROUTE)
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Scope = dict[str, Any]
@@ -105,6 +108,22 @@
     await send({"type": "http.response.body", "body": response.body})
 
 
+def log_if_cut(
+    error: BaseException, scope: Scope, *, id_header: bytes, started: float
+) -> None:
+    """Log and count a request that was cancelled, and so ends without an answer."""
+    if isinstance(error, Exception):
+        return
+    metrics.cut_requests.inc()
+    log_decision(
+        logger,
+        "request cut",
+        request_id=get_headers(scope).get(id_header, b"").decode("latin-1"),
+        path=scope["path"],
+        after_ms=round((trio.current_time() - started) * 1_000, 1),
+    )
+
+
 async def serve_lifespan(receive: Receive, send: Send) -> None:
     """Answer the ASGI server's lifespan events; without answers it stops silently."""
     while True:
