Begin only requests that can end before a planned stop does

Cause: a stopping host took in work without a look at the time that it had left. While any request ran, it went on beginning new ones until 0.8 s before the end of its grace time, and then gave all that ran 0.4 s.

Ruled out: requests of before the stop, and a time limit of the HTTP server.

Change: a stop has a plan. Until the balancer has noticed, all requests are begun; later ones if their deadline lies before the process begins to end; the others are refused at once as not run. What still runs at the end, or is still arriving, is answered as given up before the connections are closed. The same holds for what peers ask of a stopping host, and on `lavendergap entry`, where under steady load the outcomes of tickets were not handed to the witnesses. A booking with a ticket is recorded as not run by its issuer; another host answers "unknown", since it may be a repeat of one that has run.

--- a/lab/callersport.py
+++ b/lab/callersport.py
@@ -66,7 +66,7 @@
             issue=self.reject_booking,
             run=self.reject_booking,
             look_up=self.reject_booking,
-            is_leaving=lambda: False,
+            get_stop_plan=lambda: None,
             get_startup_problem=str,
         )
         return CallersApp(handlers=handlers)
--- a/lab/querycost.py
+++ b/lab/querycost.py
@@ -237,7 +237,7 @@
         handlers=gateway.GatewayHandlers(
             get_routes=lambda: index,
             forward=forwarder.forward,
-            is_leaving=lambda: False,
+            get_stop_plan=lambda: None,
             admit=admit,
             give_back=lambda request: None,
         ),
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -15,6 +15,7 @@
 from ..coordination.issuer import Issuer
 from ..coordination.membership import Membership
 from ..coordination.pinning import Pinning
+from ..coordination.stopping import StopPlan, make_stop_plan
 from ..coordination.witness import Witness
 from ..errors import LavendergapError, Problem, SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
@@ -39,7 +40,7 @@
 from .fleet import Fleet
 from .owner import Owner
 from .peers import PeerService
-from .ports import serve_port
+from .ports import OpenPorts
 from .process import BACKLOG, tune_garbage_collector
 from .search import Query
 from .status import HostStatus, MemberStatus, ServiceStatus, SettingsStatus
@@ -50,6 +51,9 @@
 # The balancer checks readiness about once a second; until it has noticed the stop, it
 # still sends callers here, and they are served.
 LEAVE_NOTICE_S = 3.0
+# The part of a stop that is reserved for ending requests, handing over the records of
+# tickets and closing the connections.
+STOP_RESERVE_S = 4.0
 DRAIN_CHECK_INTERVAL_S = 0.05
 SWEEP_INTERVAL_S = 1.0
 
@@ -103,9 +107,9 @@
         self._documents = Documents(check=check_document)
         self._fleet = Fleet(own_name=own.name, settings=settings)
         self._pinnings: dict[str, Pinning] = {}
-        self._is_leaving = False
+        self._stop_plan: StopPlan | None = None
         self._n_dropped = 0
-        self._stop = trio.Event()
+        self._ports = OpenPorts()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -237,6 +241,7 @@
             dialer=self._dialer,
             nursery=nursery,
             limits=self._limits,
+            may_begin=self._may_begin,
         )
         self._peers = PeerService(
             owner=self._owner,
@@ -244,6 +249,7 @@
             nursery=nursery,
             answer_ticket=self._tickets.answer,
             limits=self._limits.counting,
+            may_begin=self._may_begin,
         )
         self._acceptor = Acceptor(
             own=hello, on_frame=self._handle_peer, on_loss=self._peers.drop
@@ -280,7 +286,7 @@
             issue=self._tickets.issue,
             run=self._tickets.run,
             look_up=self._tickets.look_up,
-            is_leaving=lambda: self._is_leaving,
+            get_stop_plan=lambda: self._stop_plan,
             get_startup_problem=self._get_startup_problem,
         )
         self._callers = CallersApp(handlers=handlers)
@@ -292,7 +298,7 @@
             (admin, self._own.admin),
         ):
             serve = functools.partial(
-                serve_port, app, address, stop=self._stop, drain_limit=drain
+                self._ports.serve, app, address, drain_limit=drain
             )
             await nursery.start(serve)
 
@@ -348,7 +354,7 @@
     # Readiness and status.
 
     def _get_not_ready_reason(self) -> str:
-        if self._is_leaving:
+        if self._stop_plan is not None:
             return "stopping"
         return self._get_startup_problem()
 
@@ -369,7 +375,7 @@
             host=self._own.name,
             data_centre=self._own.data_centre,
             incarnation=self._incarnation,
-            state="leaving" if self._is_leaving else "live",
+            state="live" if self._stop_plan is None else "leaving",
             unready=self._get_not_ready_reason(),
             settings=SettingsStatus(
                 version=active.version,
@@ -424,33 +430,46 @@
         """Stop gracefully, without interrupting a request.
 
         Announces the stop to the balancer and the peers and serves callers until both
-        have noticed. Then accepts no new work, finishes running requests, hands over
-        the records that others may ask for, and closes the ports.
+        have noticed. Then begins only what can end in time, finishes running requests,
+        hands over the records that others may ask for, and closes the ports.
         """
         drain = self._settings.control.drain_ms / 1_000
-        self._is_leaving = True
+        notice = min(LEAVE_NOTICE_S, drain / 2)
+        plan = self._stop_plan = make_stop_plan(
+            now=trio.current_time(),
+            within_s=notice + drain,
+            notice_s=notice,
+            reserve_s=min(STOP_RESERVE_S, drain / 2),
+        )
         log_decision(logger, "leaving", request_id=None, host=self._own.name)
         self._limits.counting.leave()
         self._acceptor.send_going_away()
         await self._endpoint.send(self._membership.leave(now=trio.current_time()))
-        await trio.sleep(min(LEAVE_NOTICE_S, drain / 2))
-        with trio.move_on_after(drain):
-            while self._callers.n_running or self._tickets.is_busy:
-                await trio.sleep(DRAIN_CHECK_INTERVAL_S)
-            self._owner.stop()
-            while self._owner.is_busy:
+        await trio.sleep_until(plan.notice_ends_at)
+        with trio.move_on_at(plan.last_deadline):
+            await self._wait_until_idle()
+        self._stop_plan = plan.close()
+        self._owner.stop()
+        with trio.move_on_at(plan.ends_at):
+            await self._tickets.drain(until=plan.gives_up_at)
+        with trio.move_on_at(plan.gives_up_at):
+            await self._wait_until_idle()
+        self._callers.give_up()
+        self._ports.stop.set()
+        with trio.move_on_at(plan.ends_at):
+            while self._ports.n_open:
                 await trio.sleep(DRAIN_CHECK_INTERVAL_S)
-            await self._tickets.drain()
-            self._stop.set()
-            await self._finish_callers()
-        self._stop.set()
         await self._endpoint.send(self._membership.depart(now=trio.current_time()))
         log_decision(logger, "stopped", request_id=None, host=self._own.name)
         sys.stderr.flush()
 
-    async def _finish_callers(self) -> None:
-        """Wait for requests that arrived during the handover."""
-        while True:
+    async def _wait_until_idle(self) -> None:
+        while self._callers.n_running or self._tickets.is_busy or self._owner.is_busy:
             await trio.sleep(DRAIN_CHECK_INTERVAL_S)
-            if not self._callers.n_running:
-                return
+
+    def _may_begin(self, deadline: float) -> bool:
+        """Return whether this host may begin work with this deadline for a peer."""
+        plan = self._stop_plan
+        return plan is None or plan.may_begin(
+            deadline=deadline, now=trio.current_time()
+        )
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -15,6 +15,7 @@
 from ..coordination.documents import Documents
 from ..coordination.membership import Membership
 from ..coordination.placement import Placement
+from ..coordination.stopping import StopPlan, make_stop_plan
 from ..coordination.warmup import WarmupBound
 from ..errors import SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
@@ -49,7 +50,7 @@
 from .livehosts import LiveHosts
 from .owner import Owner
 from .peers import PeerService
-from .ports import PortLimits, serve_port
+from .ports import OpenPorts, PortLimits
 from .process import BACKLOG, tune_garbage_collector
 from .quarantine import RequestQuarantine
 from .status import GatewayStatus, list_most_used
@@ -69,7 +70,7 @@
 # The balancer checks readiness each second and removes a host after two failures; until
 # then it still sends callers here.
 LEAVE_NOTICE_S = 2.6
-# The part of `stop_within_s` that is reserved for closing the ports.
+# The part of `stop_within_s` that is reserved for ending requests and connections.
 STOP_RESERVE_S = 0.8
 DRAIN_CHECK_INTERVAL_S = 0.05
 SWEEP_INTERVAL_S = 1.0
@@ -116,8 +117,8 @@
             probe=self._probe,
         )
         self._catalog: Catalog | None = None
-        self._is_leaving = False
-        self._stop = trio.Event()
+        self._stop_plan: StopPlan | None = None
+        self._ports = OpenPorts()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -270,6 +271,7 @@
             answer_ticket=_refuse_ticket,
             feeds=self._feeds,
             limits=self._counting,
+            may_begin=self._may_begin,
         )
         self._acceptor = Acceptor(
             own=hello, on_frame=self._handle_peer, on_loss=self._peers.drop
@@ -303,7 +305,7 @@
         handlers = GatewayHandlers(
             get_routes=lambda: self._active_config.index,
             forward=self._forwarder.forward,
-            is_leaving=lambda: self._is_leaving,
+            get_stop_plan=lambda: self._stop_plan,
             admit=self._customer_use.admit,
             give_back=self._customer_limits.give_back,
         )
@@ -320,10 +322,9 @@
             (admin, self._host.admin),
         ):
             serve = functools.partial(
-                serve_port,
+                self._ports.serve,
                 app,
                 address,
-                stop=self._stop,
                 drain_limit=STOP_RESERVE_S,
                 limits=self._limits,
             )
@@ -391,7 +392,7 @@
     # Readiness and status.
 
     def _get_not_ready_reason(self) -> str:
-        if self._is_leaving:
+        if self._stop_plan is not None:
             return "stopping"
         if self._active_config.index is None:
             return "no routes from the store or a peer yet"
@@ -461,25 +462,45 @@
         """Stop gracefully, without interrupting a request.
 
         Announces the stop to the balancer and the peers and serves callers until both
-        have noticed; then finishes running requests and closes the ports.
+        have noticed. Then begins only what can end in time, finishes running requests
+        and closes the ports.
         """
-        stop_at = trio.current_time() + self._host.bounds.stop_within_s - STOP_RESERVE_S
-        self._is_leaving = True
+        plan = self._stop_plan = make_stop_plan(
+            now=trio.current_time(),
+            within_s=self._host.bounds.stop_within_s,
+            notice_s=LEAVE_NOTICE_S,
+            reserve_s=STOP_RESERVE_S,
+        )
         log_decision(logger, "leaving", request_id=None, host=self._host.name)
         self._counting.leave()
         self._acceptor.send_going_away()
         await self._endpoint.send(self._membership.leave(now=trio.current_time()))
-        await trio.sleep(min(LEAVE_NOTICE_S, self._host.bounds.stop_within_s / 2))
-        with trio.move_on_at(stop_at):
-            while self._callers.n_running or self._owner.is_busy:
-                await trio.sleep(DRAIN_CHECK_INTERVAL_S)
-        self._stop.set()
+        await trio.sleep_until(plan.notice_ends_at)
+        with trio.move_on_at(plan.last_deadline):
+            await self._wait_until_idle()
+        self._stop_plan = plan.close()
+        self._owner.stop()
+        self._ports.stop.set()
         await self._endpoint.send(self._membership.depart(now=trio.current_time()))
-        with trio.move_on_after(STOP_RESERVE_S / 2):
-            while self._callers.n_running:
+        with trio.move_on_at(plan.gives_up_at):
+            await self._wait_until_idle()
+        self._callers.give_up()
+        with trio.move_on_at(plan.ends_at):
+            while self._ports.n_open:
                 await trio.sleep(DRAIN_CHECK_INTERVAL_S)
         log_decision(logger, "stopped", request_id=None, host=self._host.name)
 
+    async def _wait_until_idle(self) -> None:
+        while self._callers.n_running or self._owner.is_busy:
+            await trio.sleep(DRAIN_CHECK_INTERVAL_S)
+
+    def _may_begin(self, deadline: float) -> bool:
+        """Return whether this host may begin work with this deadline for a peer."""
+        plan = self._stop_plan
+        return plan is None or plan.may_begin(
+            deadline=deadline, now=trio.current_time()
+        )
+
 
 async def _refuse_ticket(ask: TicketRequest) -> TicketReply:
     """Return the reply to any ticket request: gateway hosts issue no tickets."""
--- a/src/lavendergap/entry/peers.py
+++ b/src/lavendergap/entry/peers.py
@@ -33,7 +33,7 @@
     TicketReply,
     TicketRequest,
 )
-from ..state.outcome import Answered, is_server_end
+from ..state.outcome import Answered, NotRun, Reason, Step, is_server_end
 from ..transport.channel import Channel
 from .batch import SubmittedCall
 from .owner import Owner
@@ -86,7 +86,11 @@
 
 
 class PeerService:
-    """Serves peers' requests; ticket requests are passed to `answer_ticket`."""
+    """Serves peers' requests; ticket requests are passed to `answer_ticket`.
+
+    `may_begin` returns whether work with a deadline, in seconds on the event loop's
+    clock, may begin. If not, the peer has it done by another host.
+    """
 
     def __init__(
         self,
@@ -97,7 +101,9 @@
         answer_ticket: Callable[[TicketRequest], Awaitable[TicketReply]],
         feeds: FeedService | None = None,
         limits: LimitHandler | None = None,
+        may_begin: Callable[[float], bool] = lambda deadline: True,
     ) -> None:
+        self._may_begin = may_begin
         self._limits = limits
         self._feeds = feeds
         self._owner = owner
@@ -143,6 +149,10 @@
 
     def _search(self, channel: Channel, frame_id: int, search: Search) -> None:
         now = trio.current_time()
+        deadline = now + search.left_ms / 1_000
+        if not self._may_begin(deadline):
+            self._refuse_search(channel, frame_id, search)
+            return
         greatest = search.greatest
         goal = 0.0
         pending = PendingSearch()
@@ -151,7 +161,6 @@
             goal = now + greatest.goal_ms / 1_000
             pending.hold_until = now + HOLD_SHARE * (goal - now)
         self._pending_by_channel.setdefault(channel, {})[frame_id] = pending
-        deadline = now + search.left_ms / 1_000
 
         def finish(end: FinishCall, versions: tuple[int, ...]) -> None:
             outcome = end.outcome
@@ -201,6 +210,20 @@
         if submitted:
             self._owner.submit(submitted)
 
+    def _refuse_search(self, channel: Channel, frame_id: int, search: Search) -> None:
+        refused = [
+            ShardAnswer(
+                shard=ref.shard,
+                server="",
+                outcome=_make_stopping(ref.group),
+                versions=(),
+                n_servers=0,
+            )
+            for ref in search.shards
+        ]
+        for batch in split_answers(refused):
+            channel.send(Frame(id=frame_id, message=Answers(answers=batch)))
+
     def _collect(
         self,
         channel: Channel,
@@ -255,6 +278,11 @@
             self._pending_by_channel[channel].pop(frame_id, None)
 
     def _run(self, channel: Channel, frame_id: int, run: Run) -> None:
+        deadline = trio.current_time() + run.left_ms / 1_000
+        if not self._may_begin(deadline):
+            refused = RunOutcome(server="", outcome=_make_stopping(run.group))
+            channel.send(Frame(id=frame_id, message=refused))
+            return
         call = Call(
             call_id=self._owner.make_call_id(),
             request_id=run.request_id,
@@ -262,7 +290,7 @@
             group=run.group,
             shard="",
             version=0,
-            deadline=trio.current_time() + run.left_ms / 1_000,
+            deadline=deadline,
             body=run.body,
             idempotent=False,
             priority=run.precedence.priority,
@@ -290,6 +318,10 @@
         channel.send(Frame(id=frame_id, message=reply))
 
 
+def _make_stopping(group: str) -> NotRun:
+    return NotRun(step=Step.ROUTE, peer=group, reason=Reason.STOPPING)
+
+
 def _read_data_centres(greatest: GreatestOptions | None) -> frozenset[str] | None:
     if greatest is None or not greatest.data_centres:
         return None
--- a/src/lavendergap/entry/ports.py
+++ b/src/lavendergap/entry/ports.py
@@ -31,6 +31,40 @@
         self.max_header_bytes = MAX_HEADERS_BYTES
 
 
+class OpenPorts:
+    """Counts the ports of a process that are open or have open connections.
+
+    `stop` closes the ports and idle connections, and ends others with their answers.
+    """
+
+    def __init__(self) -> None:
+        self.n_open = 0
+        self.stop = trio.Event()
+
+    async def serve(
+        self,
+        app: Callable[..., Awaitable[None]],
+        address: Address,
+        *,
+        drain_limit: float,
+        limits: PortLimits | None = None,
+        task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve a port until `stop`; see `serve_port`."""
+        self.n_open += 1
+        try:
+            await serve_port(
+                app,
+                address,
+                stop=self.stop,
+                drain_limit=drain_limit,
+                limits=limits,
+                task_status=task_status,
+            )
+        finally:
+            self.n_open -= 1
+
+
 class _LimitedConfig(Config):
     """The server's configuration; reads the current limits on each access."""
 
--- a/src/lavendergap/entry/ticketservice.py
+++ b/src/lavendergap/entry/ticketservice.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
+from math import inf
 from typing import Protocol
 
 import trio
@@ -124,7 +125,9 @@
         dialer: Dialer,
         nursery: trio.Nursery,
         limits: RunLimits | None = None,
+        may_begin: Callable[[float], bool] = lambda deadline: True,
     ) -> None:
+        self._may_begin = may_begin
         self._limits = limits
         self._peer = peer
         self._issuer = issuer
@@ -304,8 +307,12 @@
         """Send a request that has not run, if its customer's limit allows it.
 
         Refused where the caller's request arrives, a repeat of one that has run would
-        be answered "not run".
+        be answered "not run". Here it is recorded for the ticket, also if this process
+        would end before the request.
         """
+        if not self._may_begin(deadline):
+            peer = self._peer.host
+            return NotRun(step=Step.ADMIT, peer=peer, reason=Reason.STOPPING)
         send = partial(self._sender.send, ticket, body, deadline, precedence)
         if self._limits is None:
             return await send()
@@ -343,15 +350,17 @@
                 self._issuer.get_unconfirmed(limit=MAX_CONFIRM_BATCH)
             )
 
-    async def drain(self) -> None:
+    async def drain(self, *, until: float = inf) -> None:
         """Start no more requests, and send all outcomes to the witnesses.
 
-        Waits for running requests: their outcomes would be lost with this process,
-        and a planned stop would have them reported as unknown.
+        Waits for running requests until a time on the event loop's clock: their
+        outcomes would be lost with this process, and a planned stop would have them
+        reported as unknown.
         """
         self._issuer.hand_over()
-        while self._executions:
-            await next(iter(self._executions.values())).done.wait()
+        with trio.move_on_at(until):
+            while self._executions:
+                await next(iter(self._executions.values())).done.wait()
         await self._send_to_witnesses(self._issuer.hand_over())
 
     async def _send_to_witnesses(
--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -9,6 +9,7 @@
 import trio
 
 from .. import metrics
+from ..coordination.stopping import StopPlan
 from ..protocol.answers import (
     Refusal,
     SearchResult,
@@ -18,7 +19,7 @@
     name_outcome,
 )
 from ..state.customers import Customer
-from ..state.outcome import NotRun, Reason, Step
+from ..state.outcome import NotRun, Reason, Step, Unknown
 from ..state.settings import Service, Settings
 from ..state.ticket import Ticket, parse_ticket
 from .callerheaders import KeyReader
@@ -36,6 +37,7 @@
     Receive,
     Response,
     Scope,
+    ScopeSet,
     Send,
     log_if_cut,
     read_body,
@@ -92,14 +94,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Handlers:
-    """The operations that the daemon provides; none raises for a failure."""
+    """The operations that the daemon provides; none raises for a failure.
+
+    `get_stop_plan` returns None unless this host is stopping.
+    """
 
     get_settings: Callable[[], Settings]
     search: Callable[[CallerRequest], Awaitable[SearchResult | Refusal]]
     issue: Callable[[CallerRequest], Awaitable[IssuedTicket | Refusal]]
     run: Callable[[CallerRequest, str], Awaitable[RunAnswer]]
     look_up: Callable[[str, str], Awaitable[RunAnswer]]
-    is_leaving: Callable[[], bool]
+    get_stop_plan: Callable[[], StopPlan | None]
     get_startup_problem: Callable[[], str]
 
 
@@ -108,6 +113,7 @@
 
     def __init__(self, *, handlers: Handlers) -> None:
         self.n_running = 0
+        self._scopes = ScopeSet()
         self._handlers = handlers
         self._keys = KeyReader(key=KEY_HEADER, request_id=b"request-id")
 
@@ -122,7 +128,7 @@
         started = trio.current_time()
         try:
             response = await self._serve(scope, receive)
-            if self._handlers.is_leaving():
+            if self._handlers.get_stop_plan() is not None:
                 # The load balancer keeps connections open. Closing one from here
                 # could cut off a request in transit; with this header the balancer
                 # closes it between two requests.
@@ -134,31 +140,37 @@
         finally:
             self.n_running -= 1
 
+    def give_up(self) -> None:
+        """Answer the requests that still run at the end of a planned stop."""
+        self._scopes.cancel()
+
     async def _serve(self, scope: Scope, receive: Receive) -> Response:
-        try:
-            return await self._route(scope, receive)
-        except BadRequestError as error:
-            return reject(port=PORT, error=error)
+        with self._scopes.open():
+            try:
+                return await self._route(scope, receive)
+            except BadRequestError as error:
+                return reject(port=PORT, error=error)
+        outcome = Unknown(step=Step.RECEIVE, peer="", reason=Reason.STOPPING)
+        refusal = Refusal(request_id=make_request_id(scope), outcome=outcome)
+        return _render_refusal(refusal)
 
     async def _route(self, scope: Scope, receive: Receive) -> Response:
         match scope["path"].strip("/").split("/"):
             case ["v1", "services", name, "query"]:
                 request = await self._read(scope, receive, name)
                 require_idempotent(request.service)
-                return self._refuse_if_not_ready(
-                    request.request_id
-                ) or await self._search_until_disconnect(
+                return self._refuse(request) or await self._search_until_disconnect(
                     self._identify(scope, request), receive
                 )
             case ["v1", "services", name, "tickets"]:
                 request = await self._read(scope, receive, name, needs_body=False)
-                return self._refuse_if_not_ready(
-                    request.request_id
-                ) or await self._issue(self._identify(scope, request))
+                return self._refuse(request) or await self._issue(
+                    self._identify(scope, request)
+                )
             case ["v1", "services", name, "requests"]:
                 request = await self._read(scope, receive, name)
                 ticket = read_ticket(scope)
-                return self._refuse_if_not_ready(request.request_id) or await self._run(
+                return self._refuse_run(request) or await self._run(
                     self._identify(scope, request), ticket
                 )
             case ["v1", "tickets", ticket]:
@@ -171,6 +183,29 @@
                     detail="use /v1/services/SERVICE/query, /tickets or /requests",
                 )
 
+    def _refuse(self, request: CallerRequest) -> Response | None:
+        """Refuse a request while this host is not ready or cannot end it any more."""
+        refused = self._refuse_if_not_ready(request.request_id)
+        if refused is not None or self._may_begin(request):
+            return refused
+        outcome = NotRun(step=Step.ADMIT, peer="", reason=Reason.STOPPING)
+        return _render_refusal(Refusal(request_id=request.request_id, outcome=outcome))
+
+    def _refuse_run(self, request: CallerRequest) -> Response | None:
+        """Refuse a request with a ticket, which may be a repeat of one that has run."""
+        refused = self._refuse_if_not_ready(request.request_id)
+        if refused is not None or self._may_begin(request):
+            return refused
+        outcome = Unknown(step=Step.ADMIT, peer="", reason=Reason.STOPPING)
+        return _render_refusal(Refusal(request_id=request.request_id, outcome=outcome))
+
+    def _may_begin(self, request: CallerRequest) -> bool:
+        """Return whether the request can end before this process does."""
+        plan = self._handlers.get_stop_plan()
+        return plan is None or plan.may_begin(
+            deadline=request.deadline, now=trio.current_time()
+        )
+
     def _refuse_if_not_ready(self, request_id: str) -> Response | None:
         """Refuse requests while the only settings are those of this host's file.
 
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -13,6 +13,7 @@
 from ..coordination.callerdelay import CallerDelays, compute_goal, count_parts
 from ..coordination.contentids import identify_content
 from ..coordination.routing import RouteIndex
+from ..coordination.stopping import StopPlan
 from ..logs import Category, get_logger, log_decision
 from ..protocol.answers import encode_error, name_outcome
 from ..protocol.forwarding import HeaderNames, MergedRecords, keep_end_to_end
@@ -31,6 +32,7 @@
     BadRequestError,
     Receive,
     Scope,
+    ScopeSet,
     Send,
     get_headers,
     log_if_cut,
@@ -94,12 +96,13 @@
 
     `forward` pushes callbacks onto the stack that run after the answer is sent. `admit`
     takes a right of the request's customer, or returns why there is none; `give_back`
-    returns the right of a request that did not run.
+    returns the right of a request that did not run. `get_stop_plan` returns None unless
+    this host is stopping.
     """
 
     get_routes: Callable[[], RouteIndex | None]
     forward: Callable[[GatewayRequest, ExitStack], Awaitable[GatewayResult]]
-    is_leaving: Callable[[], bool]
+    get_stop_plan: Callable[[], StopPlan | None]
     admit: Callable[[GatewayRequest], Awaitable[NotRun | None]]
     give_back: Callable[[GatewayRequest], None]
 
@@ -118,6 +121,7 @@
         self, *, handlers: GatewayHandlers, names: HeaderNames, cores: float
     ) -> None:
         self.n_running = 0
+        self._scopes = ScopeSet()
         self._handlers = handlers
         self._names = names
         self._caller_delays = CallerDelays()
@@ -151,19 +155,28 @@
             )
             await self._send(send, _render_refusal(outcome))
             return
-        try:
-            request = await self._read(scope, receive, index, started)
-        except BadRequestError as error:
-            response = reject(port=PORT, error=error)
-            await self._send(
-                send,
-                _Reply(
-                    status=response.status,
-                    headers=((b"content-type", response.content_type),),
-                    body=response.body,
-                ),
-            )
-            return
+        received = await self._receive(scope, receive, index, started)
+        match received:
+            case _Reply():
+                await self._send(send, received)
+            case GatewayRequest():
+                await self._answer(received, receive, send)
+
+    async def _receive(
+        self, scope: Scope, receive: Receive, index: RouteIndex, started: float
+    ) -> GatewayRequest | _Reply:
+        """Return the request, or the answer to one that cannot be forwarded."""
+        with self._scopes.open():
+            try:
+                return await self._read(scope, receive, index, started)
+            except BadRequestError as error:
+                return _render_rejection(error)
+        refusal = NotRun(step=Step.ADMIT, peer="", reason=Reason.STOPPING)
+        return _render_refusal(refusal)
+
+    async def _answer(
+        self, request: GatewayRequest, receive: Receive, send: Send
+    ) -> None:
         with ExitStack() as deferred:
             result = await self._handle_until_disconnect(request, receive, deferred)
             if result is None:
@@ -178,6 +191,10 @@
                 deferred.close()
                 self._record_done(request, result, ended)
 
+    def give_up(self) -> None:
+        """Answer the requests that still run at the end of a planned stop."""
+        self._scopes.cancel()
+
     async def _read(
         self, scope: Scope, receive: Receive, index: RouteIndex, started: float
     ) -> GatewayRequest:
@@ -222,7 +239,10 @@
         )
         reserve_ms = self._reserve.get_ms(n_parts=count_parts(route), now=started)
         goal_ms = compute_goal(route, delay, reserve_ms=reserve_ms)
-        left = min(stated, route.timeout_ms)
+        deadline = started + min(stated, route.timeout_ms) / 1_000
+        plan = self._handlers.get_stop_plan()
+        if plan is not None and plan.may_begin(deadline=deadline, now=started):
+            deadline = min(deadline, plan.gives_up_at)
         target = scope["raw_path"]
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
@@ -237,7 +257,7 @@
             route=route,
             version=index.table.version,
             started=started,
-            deadline=started + left / 1_000,
+            deadline=deadline,
             goal=started + goal_ms / 1_000,
             customer=customer,
         )
@@ -253,32 +273,44 @@
         """Admit and forward, but cancel and return None when the caller disconnects.
 
         Servers would otherwise continue the work of a disconnected caller and hold
-        slots that other requests need.
+        slots that other requests need. A request that is given up at the end of a
+        planned stop may have run.
         """
         result: GatewayResult | None = None
-        async with trio.open_nursery() as nursery:
-
-            async def cancel_on_disconnect() -> None:
-                while (await receive())["type"] != "http.disconnect":
-                    pass
-                log_decision(
-                    logger,
-                    "caller left",
-                    request_id=request.request_id,
-                    route=request.route.name,
-                    after_ms=round((trio.current_time() - request.started) * 1_000, 1),
-                )
-                metrics.requests.labels(request.route.name, "caller left").inc()
-                nursery.cancel_scope.cancel()
+        with self._scopes.open() as work:
+            async with trio.open_nursery() as nursery:
 
-            nursery.start_soon(cancel_on_disconnect)
-            result = await self._admit_and_forward(request, deferred)
-            nursery.cancel_scope.cancel()
+                async def cancel_on_disconnect() -> None:
+                    while (await receive())["type"] != "http.disconnect":
+                        pass
+                    self._record_disconnect(request)
+                    nursery.cancel_scope.cancel()
+
+                nursery.start_soon(cancel_on_disconnect)
+                result = await self._admit_and_forward(request, deferred)
+                nursery.cancel_scope.cancel()
+        if work.cancelled_caught and result is None:
+            return Unknown(step=Step.RECEIVE, peer="", reason=Reason.STOPPING)
         return result
 
+    def _record_disconnect(self, request: GatewayRequest) -> None:
+        log_decision(
+            logger,
+            "caller left",
+            request_id=request.request_id,
+            route=request.route.name,
+            after_ms=round((trio.current_time() - request.started) * 1_000, 1),
+        )
+        metrics.requests.labels(request.route.name, "caller left").inc()
+
     async def _admit_and_forward(
         self, request: GatewayRequest, deferred: ExitStack
     ) -> GatewayResult:
+        plan = self._handlers.get_stop_plan()
+        if plan is not None and not plan.may_begin(
+            deadline=request.deadline, now=trio.current_time()
+        ):
+            return NotRun(step=Step.ADMIT, peer="", reason=Reason.STOPPING)
         refusal = await self._handlers.admit(request)
         if refusal is not None:
             return refusal
@@ -370,7 +402,7 @@
 
     async def _send(self, send: Send, reply: _Reply) -> None:
         headers = [*reply.headers, (b"content-length", b"%d" % len(reply.body))]
-        if self._handlers.is_leaving():
+        if self._handlers.get_stop_plan() is not None:
             # The client would otherwise keep the connection, and the end of this
             # process would cut off a request in transit.
             headers.append((b"connection", b"close"))
@@ -383,6 +415,15 @@
         await send({"type": "http.response.body", "body": reply.body})
 
 
+def _render_rejection(error: BadRequestError) -> _Reply:
+    response = reject(port=PORT, error=error)
+    return _Reply(
+        status=response.status,
+        headers=((b"content-type", response.content_type),),
+        body=response.body,
+    )
+
+
 def _render_refusal(outcome: NotRun) -> _Reply:
     retry_after_s = max(MIN_RETRY_AFTER_MS, outcome.retry_after_ms) / 1_000
     status = HTTPStatus.SERVICE_UNAVAILABLE
--- a/src/lavendergap/transport/web.py
+++ b/src/lavendergap/transport/web.py
@@ -1,6 +1,7 @@
 """Reads requests and sends answers over ASGI, with limits of size and time."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -43,6 +44,36 @@
         self.detail = detail
 
 
+class ScopeSet:
+    """The cancel scopes of running requests, which end together at a planned stop.
+
+    A request that is opened after `cancel` is cancelled at once.
+    """
+
+    def __init__(self) -> None:
+        self._scopes: set[trio.CancelScope] = set()
+        self._is_cancelled = False
+
+    @contextmanager
+    def open(self) -> Iterator[trio.CancelScope]:
+        """Run the block in a scope of its own."""
+        scope = trio.CancelScope()
+        if self._is_cancelled:
+            scope.cancel()
+        self._scopes.add(scope)
+        try:
+            with scope:
+                yield scope
+        finally:
+            self._scopes.discard(scope)
+
+    def cancel(self) -> None:
+        """Cancel all scopes."""
+        self._is_cancelled = True
+        for scope in self._scopes:
+            scope.cancel()
+
+
 def reject(*, port: str, error: BadRequestError) -> Response:
     """Count a bad request and return its answer."""
     metrics.rejected_input.labels(port, error.problem).inc()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -9,6 +9,7 @@
 from prometheus_client import REGISTRY
 
 from lab.processes import find_free_ports
+from lavendergap.coordination.stopping import StopPlan
 from lavendergap.entry.ports import serve_port
 from lavendergap.protocol.answers import Refusal, SearchResult, ShardResult
 from lavendergap.state.customers import Customer, CustomerTable, digest_key
@@ -48,7 +49,7 @@
         )
         self.is_refusing = False
         self.refusal_reason = Reason.OVERLOADED
-        self.is_leaving = False
+        self.stop_plan: StopPlan | None = None
         self.not_ready_reason = ""
         self.customers: list[Customer] = []
         self.n_searches = 0
@@ -103,7 +104,7 @@
                 issue=self.issue,
                 run=self.run,
                 look_up=self.look_up,
-                is_leaving=lambda: self.is_leaving,
+                get_stop_plan=lambda: self.stop_plan,
                 get_startup_problem=lambda: self.not_ready_reason,
             )
         )
@@ -263,12 +264,66 @@
         # The load balancer keeps connections open. It has to close them between two
         # requests, so that none is in transit when the port closes.
         daemon = FakeDaemon()
-        daemon.is_leaving = True
+        daemon.stop_plan = make_plan(last_deadline=100.0)
         call = await Call().send_to(daemon.build_app(), b"{}")
         assert call.status == 200
         assert call.headers[b"connection"] == b"close"
 
 
+class TestStopping:
+    SERVICES = {"query": "scheduler", "tickets": "ledger", "requests": "ledger"}
+
+    @pytest.mark.parametrize(
+        ("what", "served", "refused", "outcome"),
+        [
+            ("query", 200, 503, "not run"),
+            ("tickets", 201, 503, "not run"),
+            ("requests", 200, 504, "unknown"),
+        ],
+    )
+    async def test_a_request_that_cannot_end_in_time_is_refused_at_once(
+        self, what, served, refused, outcome, autojump_clock
+    ):
+        # Guards against requests that are cut at the end of a planned stop. One with a
+        # ticket may be a repeat of one that has run.
+        daemon = FakeDaemon()
+        [query] = daemon.settings.services
+        ledger = replace(query, name="ledger", idempotent=False)
+        daemon.settings = replace(daemon.settings, services=(query, ledger))
+        daemon.stop_plan = make_plan(last_deadline=trio.current_time() + 1.0)
+        path = f"/v1/services/{self.SERVICES[what]}/{what}"
+        for deadline_ms, status in (("900", served), ("1100", refused)):
+            call = Call(path=path, ticket="t", deadline_ms=deadline_ms)
+            await call.send_to(daemon.build_app(), b"{}")
+            assert call.status == status
+            assert call.headers[b"connection"] == b"close"
+        body = json.loads(call.body)
+        assert (body["outcome"], body["reason"]) == (outcome, "stopping")
+
+    async def test_a_request_that_is_given_up_is_answered(self, autojump_clock):
+        # Guards against connections that end without an answer at the end of a stop.
+        daemon = FakeDaemon()
+        daemon.search_s = 10.0
+        app = daemon.build_app()
+        call = Call()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call.send_to, app, b"{}")
+            await trio.sleep(1.0)
+            app.give_up()
+        assert (call.status, daemon.n_cancelled) == (504, 1)
+        assert json.loads(call.body)["outcome"] == "unknown"
+        assert app.n_running == 0
+
+
+def make_plan(*, last_deadline: float) -> StopPlan:
+    return StopPlan(
+        notice_ends_at=-1.0,
+        last_deadline=last_deadline,
+        gives_up_at=last_deadline + 1.0,
+        ends_at=last_deadline + 2.0,
+    )
+
+
 @pytest.mark.parametrize("what", ["query", "tickets", "requests", "look up"])
 class TestKeys:
     @staticmethod
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 
 from lavendergap import logs, metrics
 from lavendergap.coordination.routing import RouteIndex, draw_group
+from lavendergap.coordination.stopping import StopPlan
 from lavendergap.protocol.forwarding import MergedRecords
 from lavendergap.protocol.keys import KeyProblem, find_customer
 from lavendergap.state.customers import Customer, CustomerTable, digest_key
@@ -71,9 +72,10 @@
 
     result: GatewayResult | None = None
     index: RouteIndex | None = field(default_factory=lambda: RouteIndex(table=TABLE))
-    is_leaving: bool = False
+    stop_plan: StopPlan | None = None
     seen: list[GatewayRequest] = field(default_factory=list)
     was_cancelled: bool = False
+    app: GatewayApp | None = None
     done: list[str] = field(default_factory=list)
 
     def get_index(self) -> RouteIndex | None:
@@ -88,21 +90,22 @@
         *,
         headers: dict[bytes, bytes] | list[tuple[bytes, bytes]] | None = None,
         body: bytes = b"",
+        is_whole: bool = True,
         disconnect_after: float | None = None,
     ) -> tuple[int, dict[bytes, bytes], bytes]:
         headers = HEADERS if headers is None else headers
-        app = GatewayApp(
+        app = self.app = GatewayApp(
             handlers=GatewayHandlers(
                 get_routes=lambda: self.get_index(),
                 forward=self._forward,
-                is_leaving=lambda: self.is_leaving,
+                get_stop_plan=lambda: self.stop_plan,
                 admit=self._admit,
                 give_back=lambda request: None,
             ),
             names=NAMES,
             cores=1.0,
         )
-        incoming = [{"type": "http.request", "body": body, "more_body": False}]
+        incoming = [{"type": "http.request", "body": body, "more_body": not is_whole}]
         sent: list[dict[str, Any]] = []
 
         async def receive() -> dict[str, Any]:
@@ -132,6 +135,11 @@
             return 0, {}, b""
         return sent[0]["status"], dict(sent[0]["headers"]), sent[1]["body"]
 
+    async def give_up_after(self, seconds: float) -> None:
+        await trio.sleep(seconds)
+        assert self.app is not None
+        self.app.give_up()
+
     async def _forward(
         self, request: GatewayRequest, after: ExitStack
     ) -> GatewayResult:
@@ -373,11 +381,73 @@
         assert b"retry-after" not in headers
 
     async def test_answers_of_a_leaving_host_close_their_connections(self):
-        bench = Bench(result=Answered(body=b"x"), is_leaving=True)
+        bench = Bench(result=Answered(body=b"x"), stop_plan=make_plan(10.0))
         _, headers, _ = await bench.ask()
         assert headers[b"connection"] == b"close"
 
 
+def make_plan(left: float, *, notice: float = 0.0) -> StopPlan:
+    """Return a plan under which requests may take up to `left` seconds from now."""
+    now = trio.current_time()
+    return StopPlan(
+        notice_ends_at=now + notice,
+        last_deadline=now + left,
+        gives_up_at=now + left + 0.1,
+        ends_at=now + left + 0.2,
+    )
+
+
+class TestStopping:
+    async def test_a_request_that_cannot_end_in_time_is_refused_at_once(
+        self, autojump_clock
+    ):
+        # Guards against requests that are passed to servers and then cut. HEADERS state
+        # 250 ms.
+        bench = Bench(result=Answered(body=b"x"), stop_plan=make_plan(0.2))
+        status, headers, _ = await bench.ask()
+        assert (status, headers[b"connection"]) == (503, b"close")
+        assert float(headers[b"retry-after"]) > 0
+        assert bench.seen == []
+        bench.stop_plan = make_plan(0.3)
+        assert (await bench.ask())[0] == 200
+
+    async def test_the_routes_timeout_counts_if_it_is_shorter(self, autojump_clock):
+        slow = {**HEADERS, b"x-time-left": b"60000"}
+        bench = Bench(result=Answered(body=b"x"), stop_plan=make_plan(0.3))
+        assert (await bench.ask(headers=slow))[0] == 503
+        bench.stop_plan = make_plan(0.5)
+        assert (await bench.ask(headers=slow))[0] == 200
+
+    async def test_until_the_balancer_has_noticed_all_are_served(self, autojump_clock):
+        # What cannot end in time is given as long as this process has.
+        plan = make_plan(0.1, notice=0.01)
+        bench = Bench(result=Answered(body=b"x"), stop_plan=plan)
+        assert (await bench.ask())[0] == 200
+        assert bench.seen[0].deadline == plan.gives_up_at
+
+    async def test_a_plan_that_is_closed_serves_nothing(self, autojump_clock):
+        plan = make_plan(10.0, notice=10.0).close()
+        bench = Bench(result=Answered(body=b"x"), stop_plan=plan)
+        assert (await bench.ask())[0] == 503
+
+    async def test_a_request_that_is_given_up_is_answered(self, autojump_clock):
+        # Guards against connections that end without an answer at the end of a stop.
+        bench = Bench()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bench.give_up_after, 0.1)
+            status, headers, body = await bench.ask()
+        assert (status, bench.was_cancelled) == (502, True)
+        assert b"stopping" in body
+        assert bench.done == ["http.response.start", "http.response.body", "after"]
+
+    async def test_a_body_that_is_not_in_by_the_end_is_refused(self, autojump_clock):
+        bench = Bench(result=Answered(body=b"x"))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bench.give_up_after, 0.1)
+            status, _, _ = await bench.ask(is_whole=False)
+        assert (status, bench.seen) == (503, [])
+
+
 class TestOrder:
     # An answer may be delayed for stragglers until just before its goal. If calls were
     # cancelled and log lines written first, it would be late.
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -4,6 +4,7 @@
 import re
 import signal
 from collections import Counter
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 
@@ -384,6 +385,98 @@
         assert gateway.process.returncode == 0
         assert gateway.read_events("stopped")
 
+    @pytest.mark.parametrize("path", ["/book/", "/one/", "/all/"])
+    async def test_no_request_of_an_open_connection_is_cut(self, platform, path):
+        # Guards against requests that a stopping host takes from connections that
+        # callers have kept, passes to servers and cannot finish.
+        gateway, _ = await platform.start("ptl-a", "ptl-a")
+        times = [n / 4 for n in range(20)] + [4.9 + n / 30 for n in range(10)]
+        callers = [await KeptConnection.open(gateway, path, n) for n in times]
+        for leaf in platform.leaves:
+            leaf.faults.work_s = 0.8 if path == "/book/" else 0.5
+        gateway.send(signal.SIGTERM)
+        started = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for time, caller in zip(times, callers, strict=True):
+                nursery.start_soon(caller.send_at, started + time)
+        runs = Counter[str]()
+        for leaf in platform.leaves:
+            runs += leaf.runs
+        for caller in callers:
+            # Callers repeat what was refused, or was not read before the close.
+            assert caller.status not in (0, 503) or not runs[caller.attempt]
+        assert sum(caller.status == 200 for caller in callers) >= 10
+        await wait_until(lambda: _has_ended(gateway), limit=6.0)
+        assert trio.current_time() - started < 6.5
+        assert gateway.process is not None
+        assert gateway.process.returncode == 0
+        assert gateway.read_events("request cut") == []
+
+    async def test_a_request_without_an_end_is_answered_in_time(self, platform):
+        # Guards against a connection that ends without an answer, and against a process
+        # that is killed at the end of its grace time.
+        platform.write_routes(4, [make_one_route("/book/", "desk", timeout_ms=30_000)])
+        [gateway] = await platform.start("ptl-a")
+        for leaf in platform.leaves:
+            leaf.faults.work_s = 30.0
+        answers = []
+
+        async def book() -> None:
+            ask = platform.request(gateway, "/book/", deadline_ms=30_000)
+            answers.append(await ask)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(book)
+            await trio.sleep(0.2)
+            gateway.send(signal.SIGTERM)
+            started = trio.current_time()
+            await trio.sleep(0.5)
+            nursery.start_soon(book)
+        assert {answer.status for answer in answers} <= {502, 504}
+        await wait_until(lambda: _has_ended(gateway), limit=6.0)
+        assert trio.current_time() - started < 6.0
+        assert gateway.process is not None
+        assert gateway.process.returncode == 0
+
+
+@dataclass(kw_only=True)
+class KeptConnection:
+    """A connection that has carried a request; `status` is 0 without an answer."""
+
+    stream: trio.SocketStream
+    path: str
+    attempt: str
+    status: int = 0
+
+    @classmethod
+    async def open(cls, gateway: Gateway, path: str, number: float) -> "KeptConnection":
+        stream = await trio.open_tcp_stream("127.0.0.1", gateway.ports[0])
+        kept = cls(stream=stream, path=path, attempt=f"first{number}")
+        await kept.send_at(0.0)
+        assert kept.status == 200
+        kept.status = 0
+        kept.attempt = f"kept{number}"
+        return kept
+
+    async def send_at(self, time: float) -> None:
+        await trio.sleep_until(time)
+        http = h11.Connection(h11.CLIENT)
+        request = h11.Request(
+            method="GET",
+            target=self.path,
+            headers=[
+                ("Host", HOST_HEADER),
+                ("Lavendergap-Attempt-Id", self.attempt),
+                ("Lavendergap-Deadline-Ms", "2000"),
+            ],
+        )
+        try:
+            data = (http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b"")
+            await self.stream.send_all(data)
+            self.status = (await read_answer(self.stream, http)).status
+        except (trio.BrokenResourceError, ConnectionResetError, h11.ProtocolError):
+            return
+
 
 async def _has_ended(gateway: Gateway) -> bool:
     assert gateway.process is not None
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -23,7 +23,12 @@
 # Turns a hang into a failure; well above the duration of any test.
 HANG_LIMIT = 30.0
 # Faster than the defaults, to shorten the tests.
-CONTROL = {"probe_interval_ms": 100, "probe_timeout_ms": 50, "suspect_ms": 1_500}
+CONTROL = {
+    "probe_interval_ms": 100,
+    "probe_timeout_ms": 50,
+    "suspect_ms": 1_500,
+    "drain_ms": 4_000,
+}
 SHAPE = DeploymentShape(
     n_hosts=3,
     services=(ServiceShape(name="ledger", idempotent=False),),
@@ -202,6 +207,29 @@
         assert await bench.count_runs() == 0
 
 
+class TestStoppedIssuer:
+    async def test_no_booking_is_left_unknown(self, bench):
+        # Guards against bookings that a stopping host goes on beginning, and cuts at
+        # the end of its drain time: callers book one after the other until it is gone.
+        await bench.set_servers(service_ms=300)
+        tickets = [await bench.issue() for _ in range(64)]
+        statuses = {}
+
+        async def book(ticket, at):
+            await trio.sleep_until(at)
+            statuses[ticket] = await bench.book(ticket, ISSUER, deadline_ms=1_500)
+
+        async with trio.open_nursery() as nursery:
+            started = trio.current_time()
+            nursery.start_soon(bench.entries[ISSUER].stop)
+            for number, ticket in enumerate(tickets):
+                nursery.start_soon(book, ticket, started + number / 10)
+        assert Counter(statuses.values())[200] > 20
+        for ticket, status in statuses.items():
+            if status != 200:
+                assert await bench.look_up(ticket) in ("not run", "answered")
+
+
 class TestBackendServers:
     async def test_a_death_after_the_run_is_never_run_again(self, bench):
         """Guards against a retry after a server that died between run and answer."""
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -25,13 +25,13 @@
 
 
 def make_gateway(index: RouteIndex | None) -> GatewayApp:
-    used = {"get_routes": lambda: index, "is_leaving": lambda: False}
+    used = {"get_routes": lambda: index, "get_stop_plan": lambda: None}
     handlers = GatewayHandlers(**make_unused(GatewayHandlers) | used)
     return GatewayApp(handlers=handlers, names=NAMES, cores=1.0)
 
 
 def make_callers() -> CallersApp:
-    used = {"is_leaving": lambda: False}
+    used = {"get_stop_plan": lambda: None}
     return CallersApp(handlers=Handlers(**make_unused(Handlers) | used))
 
 
