Answer no ticket "not run" at a host that cannot know

What callers saw, on the interface of `lavendergap entry`: a booking whose answer was lost, sent again with its ticket or looked up at a host that had just started, was answered 503 "not run", which is final for the ticket, although it may have run through another host. Found on the way through the paths of the doubled rejection: "not run" without proof.

Cause: a host without settings in force refused all requests alike. Of a ticket only its issuer or its witness know whether it has run.

Change: such a host answers a ticket 504 "unknown"; the same ticket may be sent again. The test that asked for 503 from all four calls, to guard against a 401, now asks for 503 with "not run" from queries and new tickets and for 504 with "unknown" from the two calls with a ticket: 503 was wrong for these, and the outcome is checked as well.

--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -159,20 +159,22 @@
             case ["v1", "services", name, "query"]:
                 request = await self._read(scope, receive, name)
                 require_idempotent(request.service)
-                return self._refuse(request) or await self._search_until_disconnect(
+                return self._refuse(
+                    request.request_id, deadline=request.deadline
+                ) or await self._search_until_disconnect(
                     self._identify(scope, request), receive
                 )
             case ["v1", "services", name, "tickets"]:
                 request = await self._read(scope, receive, name, needs_body=False)
-                return self._refuse(request) or await self._issue(
-                    self._identify(scope, request)
-                )
+                return self._refuse(
+                    request.request_id, deadline=request.deadline
+                ) or await self._issue(self._identify(scope, request))
             case ["v1", "services", name, "requests"]:
                 request = await self._read(scope, receive, name)
                 ticket = read_ticket(scope)
-                return self._refuse_run(request) or await self._run(
-                    self._identify(scope, request), ticket
-                )
+                return self._refuse(
+                    request.request_id, deadline=request.deadline, may_have_run=True
+                ) or await self._run(self._identify(scope, request), ticket)
             case ["v1", "tickets", ticket]:
                 require_method(scope, "GET")
                 return await self._look_up(scope, ticket)
@@ -183,41 +185,27 @@
                     detail="use /v1/services/SERVICE/query, /tickets or /requests",
                 )
 
-    def _refuse(self, request: CallerRequest) -> Response | None:
-        """Refuse a request while this host is not ready or cannot end it any more."""
-        refused = self._refuse_if_not_ready(request.request_id)
-        if refused is not None or self._may_begin(request):
-            return refused
-        outcome = NotRun(step=Step.ADMIT, peer="", reason=Reason.STOPPING)
-        return _render_refusal(Refusal(request_id=request.request_id, outcome=outcome))
-
-    def _refuse_run(self, request: CallerRequest) -> Response | None:
-        """Refuse a request with a ticket, which may be a repeat of one that has run."""
-        refused = self._refuse_if_not_ready(request.request_id)
-        if refused is not None or self._may_begin(request):
-            return refused
-        outcome = Unknown(step=Step.ADMIT, peer="", reason=Reason.STOPPING)
-        return _render_refusal(Refusal(request_id=request.request_id, outcome=outcome))
-
-    def _may_begin(self, request: CallerRequest) -> bool:
-        """Return whether the request can end before this process does."""
-        plan = self._handlers.get_stop_plan()
-        return plan is None or plan.may_begin(
-            deadline=request.deadline, now=trio.current_time()
-        )
-
-    def _refuse_if_not_ready(self, request_id: str) -> Response | None:
-        """Refuse requests while the only settings are those of this host's file.
+    def _refuse(
+        self, request_id: str, *, deadline: float = 0.0, may_have_run: bool = False
+    ) -> Response | None:
+        """Refuse a request while this host is not ready, or cannot end it any more.
 
-        The file may be out of date: accepted edits may have replaced its settings.
-        The load balancer sends no requests to this host then, but some may arrive.
+        While the only settings are those of this host's file, accepted edits may have
+        replaced them. The load balancer sends no requests to this host then, but some
+        may arrive. One with a ticket may be a repeat of one that has run, so that its
+        outcome is unknown here.
         """
-        detail = self._handlers.get_startup_problem()
+        reason, detail = Reason.NOT_READY, self._handlers.get_startup_problem()
         if not detail:
-            return None
-        outcome = NotRun(step=Step.ADMIT, peer=detail, reason=Reason.NOT_READY)
-        refusal = Refusal(request_id=request_id, outcome=outcome)
-        return _render_refusal(refusal)
+            plan = self._handlers.get_stop_plan()
+            if plan is None or plan.may_begin(
+                deadline=deadline, now=trio.current_time()
+            ):
+                return None
+            reason = Reason.STOPPING
+        make_outcome = Unknown if may_have_run else NotRun
+        outcome = make_outcome(step=Step.ADMIT, peer=detail, reason=reason)
+        return _render_refusal(Refusal(request_id=request_id, outcome=outcome))
 
     def _identify(self, scope: Scope, request: CallerRequest) -> CallerRequest:
         """Return the request with its customer; raises BadRequestError without one."""
@@ -318,7 +306,7 @@
     async def _look_up(self, scope: Scope, text: str) -> Response:
         request_id = make_request_id(scope)
         if self._handlers.get_settings().customers is not None:
-            refusal = self._refuse_if_not_ready(request_id)
+            refusal = self._refuse(request_id, may_have_run=True)
             if refusal is not None:
                 return refusal
             ticket = parse_ticket(text)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -385,7 +385,12 @@
         """Guards against a caller that drops a key which newer settings have."""
         daemon = self.make_daemon()
         daemon.not_ready_reason = "no settings from the platform or a peer yet"
-        assert (await self.ask(daemon, what, b"newer")).status == 503
+        call = await self.ask(daemon, what, b"newer")
+        # Guards against "not run" for a ticket that has run through another host.
+        has_ticket = what in ("requests", "look up")
+        assert call.status == (504 if has_ticket else 503)
+        outcome = json.loads(call.body)["outcome"]
+        assert outcome == ("unknown" if has_ticket else "not run")
 
     async def test_a_public_service_needs_no_key(self, what, autojump_clock):
         daemon = self.make_daemon(public=True)
