Keep the plan of a stop in one place for both daemons

Both daemons had the same method that asks the plan for a peer's work. `StopState` holds the plan and answers it.

--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -15,7 +15,7 @@
 from ..coordination.issuer import Issuer
 from ..coordination.membership import Membership
 from ..coordination.pinning import Pinning
-from ..coordination.stopping import StopPlan, make_stop_plan
+from ..coordination.stopping import make_stop_plan
 from ..coordination.witness import Witness
 from ..errors import LavendergapError, Problem, SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
@@ -44,6 +44,7 @@
 from .process import BACKLOG, tune_garbage_collector
 from .search import Query
 from .status import HostStatus, MemberStatus, ServiceStatus, SettingsStatus
+from .stopstate import StopState
 from .ticketservice import TicketService
 
 logger = logging.getLogger("lavendergap.entry")
@@ -107,7 +108,7 @@
         self._documents = Documents(check=check_document)
         self._fleet = Fleet(own_name=own.name, settings=settings)
         self._pinnings: dict[str, Pinning] = {}
-        self._stop_plan: StopPlan | None = None
+        self._stop = StopState()
         self._n_dropped = 0
         self._ports = OpenPorts()
 
@@ -241,7 +242,7 @@
             dialer=self._dialer,
             nursery=nursery,
             limits=self._limits,
-            may_begin=self._may_begin,
+            may_begin=self._stop.may_begin,
         )
         self._peers = PeerService(
             owner=self._owner,
@@ -249,7 +250,7 @@
             nursery=nursery,
             answer_ticket=self._tickets.answer,
             limits=self._limits.counting,
-            may_begin=self._may_begin,
+            may_begin=self._stop.may_begin,
         )
         self._acceptor = Acceptor(
             own=hello, on_frame=self._handle_peer, on_loss=self._peers.drop
@@ -286,7 +287,7 @@
             issue=self._tickets.issue,
             run=self._tickets.run,
             look_up=self._tickets.look_up,
-            get_stop_plan=lambda: self._stop_plan,
+            get_stop_plan=self._stop.get_plan,
             get_startup_problem=self._get_startup_problem,
         )
         self._callers = CallersApp(handlers=handlers)
@@ -354,7 +355,7 @@
     # Readiness and status.
 
     def _get_not_ready_reason(self) -> str:
-        if self._stop_plan is not None:
+        if self._stop.plan is not None:
             return "stopping"
         return self._get_startup_problem()
 
@@ -375,7 +376,7 @@
             host=self._own.name,
             data_centre=self._own.data_centre,
             incarnation=self._incarnation,
-            state="live" if self._stop_plan is None else "leaving",
+            state="live" if self._stop.plan is None else "leaving",
             unready=self._get_not_ready_reason(),
             settings=SettingsStatus(
                 version=active.version,
@@ -435,7 +436,7 @@
         """
         drain = self._settings.control.drain_ms / 1_000
         notice = min(LEAVE_NOTICE_S, drain / 2)
-        plan = self._stop_plan = make_stop_plan(
+        plan = self._stop.plan = make_stop_plan(
             now=trio.current_time(),
             within_s=notice + drain,
             notice_s=notice,
@@ -448,7 +449,7 @@
         await trio.sleep_until(plan.notice_ends_at)
         with trio.move_on_at(plan.last_deadline):
             await self._wait_until_idle()
-        self._stop_plan = plan.close()
+        self._stop.plan = plan.close()
         self._owner.stop()
         with trio.move_on_at(plan.ends_at):
             await self._tickets.drain(until=plan.gives_up_at)
@@ -466,10 +467,3 @@
     async def _wait_until_idle(self) -> None:
         while self._callers.n_running or self._tickets.is_busy or self._owner.is_busy:
             await trio.sleep(DRAIN_CHECK_INTERVAL_S)
-
-    def _may_begin(self, deadline: float) -> bool:
-        """Return whether this host may begin work with this deadline for a peer."""
-        plan = self._stop_plan
-        return plan is None or plan.may_begin(
-            deadline=deadline, now=trio.current_time()
-        )
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -15,7 +15,7 @@
 from ..coordination.documents import Documents
 from ..coordination.membership import Membership
 from ..coordination.placement import Placement
-from ..coordination.stopping import StopPlan, make_stop_plan
+from ..coordination.stopping import make_stop_plan
 from ..coordination.warmup import WarmupBound
 from ..errors import SettingsError
 from ..logs import LineHandler, flush_logs, log_decision
@@ -54,6 +54,7 @@
 from .process import BACKLOG, tune_garbage_collector
 from .quarantine import RequestQuarantine
 from .status import GatewayStatus, list_most_used
+from .stopstate import StopState
 
 logger = logging.getLogger("lavendergap.entry")
 
@@ -117,7 +118,7 @@
             probe=self._probe,
         )
         self._catalog: Catalog | None = None
-        self._stop_plan: StopPlan | None = None
+        self._stop = StopState()
         self._ports = OpenPorts()
 
     async def run(self) -> None:
@@ -271,7 +272,7 @@
             answer_ticket=_refuse_ticket,
             feeds=self._feeds,
             limits=self._counting,
-            may_begin=self._may_begin,
+            may_begin=self._stop.may_begin,
         )
         self._acceptor = Acceptor(
             own=hello, on_frame=self._handle_peer, on_loss=self._peers.drop
@@ -305,7 +306,7 @@
         handlers = GatewayHandlers(
             get_routes=lambda: self._active_config.index,
             forward=self._forwarder.forward,
-            get_stop_plan=lambda: self._stop_plan,
+            get_stop_plan=self._stop.get_plan,
             admit=self._customer_use.admit,
             give_back=self._customer_limits.give_back,
         )
@@ -392,7 +393,7 @@
     # Readiness and status.
 
     def _get_not_ready_reason(self) -> str:
-        if self._stop_plan is not None:
+        if self._stop.plan is not None:
             return "stopping"
         if self._active_config.index is None:
             return "no routes from the store or a peer yet"
@@ -465,7 +466,7 @@
         have noticed. Then begins only what can end in time, finishes running requests
         and closes the ports.
         """
-        plan = self._stop_plan = make_stop_plan(
+        plan = self._stop.plan = make_stop_plan(
             now=trio.current_time(),
             within_s=self._host.bounds.stop_within_s,
             notice_s=LEAVE_NOTICE_S,
@@ -478,7 +479,7 @@
         await trio.sleep_until(plan.notice_ends_at)
         with trio.move_on_at(plan.last_deadline):
             await self._wait_until_idle()
-        self._stop_plan = plan.close()
+        self._stop.plan = plan.close()
         self._owner.stop()
         self._ports.stop.set()
         await self._endpoint.send(self._membership.depart(now=trio.current_time()))
@@ -494,13 +495,6 @@
         while self._callers.n_running or self._owner.is_busy:
             await trio.sleep(DRAIN_CHECK_INTERVAL_S)
 
-    def _may_begin(self, deadline: float) -> bool:
-        """Return whether this host may begin work with this deadline for a peer."""
-        plan = self._stop_plan
-        return plan is None or plan.may_begin(
-            deadline=deadline, now=trio.current_time()
-        )
-
 
 async def _refuse_ticket(ask: TicketRequest) -> TicketReply:
     """Return the reply to any ticket request: gateway hosts issue no tickets."""
