Play rejections that come twice and callers that pause in the soak

A request whose connection a planned stop ends without an answer must not have run.

Early rejections of long requests are held by tests only, as the soak's requests have no bodies.

--- a/lab/soak.py
+++ b/lab/soak.py
@@ -48,6 +48,9 @@
 SEED_DURATION_S = 14.0
 N_CALLERS = 6
 CALLER_PAUSE_S = 0.05
+# Callers that keep connections for longer than a planned stop takes.
+N_PAUSING_CALLERS = 12
+LONG_PAUSE_S = (0.5, 6.0)
 REQUEST_DEADLINE_MS = 1_500
 # A change must be in force within 3 s of its acceptance on hosts that reach the store;
 # one second more is allowed for a busy machine.
@@ -108,6 +111,10 @@
         self.n_requests = 0
         self.retired: list[Leaf] = []
         self.n_host_faults = 0
+        # The hosts in a planned stop, and the requests whose connections they ended
+        # without an answer.
+        self.stopping: set[str] = set()
+        self.cut: list[str] = []
         self.n_crash_requests = 0
         self.evacuated: set[str] = set()
         self.store_copies: deque[StoreCopy] = deque(maxlen=N_STORE_COPIES)
@@ -181,6 +188,37 @@
             except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
                 await trio.sleep(CALLER_PAUSE_S)
 
+    async def send_rarely(self, number: int) -> None:
+        """Send requests with long pauses over connections that are kept meanwhile."""
+        rng = Random(self.seed * 100 + N_CALLERS + number)
+        while True:
+            gateway = rng.choice(self.platform.gateways)
+            try:
+                stream = await trio.open_tcp_stream("127.0.0.1", gateway.ports[0])
+                async with stream:
+                    await self.keep_connection(stream, gateway, rng)
+            except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+                await trio.sleep(CALLER_PAUSE_S)
+
+    async def keep_connection(
+        self, stream: trio.SocketStream, gateway: Gateway, rng: Random
+    ) -> None:
+        """Send requests until an answer or the host closes the connection."""
+        http = h11.Connection(h11.CLIENT)
+        while True:
+            n_before = self.n_requests
+            path = rng.choice(("/book/", "/one/"))
+            try:
+                answer = await self.ask(stream, http, path)
+            except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+                if gateway.name in self.stopping:
+                    self.cut.append(f"s{self.seed}-{n_before + 1}")
+                return
+            if answer.get("connection") == "close":
+                return
+            http.start_next_cycle()
+            await trio.sleep(rng.uniform(*LONG_PAUSE_S))
+
     @property
     def key(self) -> str:
         """The key that all requests have in a run with customers, else ""."""
@@ -344,6 +382,7 @@
         self.n_host_faults += 1
         gateway = self.rng.choice(self.platform.gateways)
         self.mark_disturbed(gateway)
+        self.stopping.discard(gateway.name)
         gateway.kill()
         await trio.sleep(self.rng.uniform(0.0, 0.5))
         gateway.kill()
@@ -354,6 +393,7 @@
         gateway = self.rng.choice(self.platform.gateways)
         self.mark_disturbed(gateway)
         process = gateway.process
+        self.stopping.discard(gateway.name)
         gateway.send(signal.SIGSTOP)
         await trio.sleep(self.rng.uniform(0.1, 2.0))
         if process is gateway.process:
@@ -365,10 +405,16 @@
         gateway = self.rng.choice(self.platform.gateways)
         self.mark_disturbed(gateway)
         process = gateway.process
+        if gateway.name in self.stopping:
+            # A second signal ends the process at once.
+            self.stopping.discard(gateway.name)
+        else:
+            self.stopping.add(gateway.name)
         gateway.send(signal.SIGTERM)
         with trio.move_on_after(7.0):
             while process is not None and process.poll() is None:
                 await trio.sleep(0.1)
+        self.stopping.discard(gateway.name)
         if process is gateway.process:
             gateway.kill()
             gateway.start()
@@ -480,6 +526,7 @@
             LeafFaults(resets_connections=True),
             LeafFaults(n_copies=2),
             LeafFaults(work_s=30.0),
+            LeafFaults(refuses_first=True, repeats_refusals=True),
         )
         fault = self.rng.choice(faults)
         for leaf in leaves:
@@ -562,6 +609,9 @@
             self.report_violation(
                 f"{len(crashed_by)} of {self.n_crash_requests} requests crashed servers"
             )
+        for attempt in self.cut:
+            if any(leaf.runs[attempt] for leaf in self.all_leaves()):
+                self.report_violation(f"{attempt} ran and was cut by a planned stop")
         for attempt in self.not_run:
             if any(leaf.runs[attempt] for leaf in self.all_leaves()):
                 self.report_violation(f"{attempt} was reported as not run, but ran")
@@ -602,6 +652,8 @@
             async with trio.open_nursery() as callers:
                 for number in range(N_CALLERS):
                     callers.start_soon(soak.send_requests, number)
+                for number in range(N_PAUSING_CALLERS):
+                    callers.start_soon(soak.send_rarely, number)
                 callers.start_soon(soak.repeat_crash_request)
                 callers.start_soon(soak.take_store_copies)
                 if soak.customers:
--- a/standins/http.py
+++ b/standins/http.py
@@ -46,11 +46,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reply:
-    """One reply; `n_body_bytes_sent` and `n_copies` make it a faulty one.
+    """One reply; `n_body_bytes_sent`, `n_copies`, `is_repeated` make it a faulty one.
 
     With `n_body_bytes_sent`, only so many bytes of the body are sent and the connection
     is closed, while Content-Length is that of the whole body. With `n_copies`, the
-    reply is sent several times.
+    reply is sent several times. If it `is_repeated`, it is sent again when the next
+    request on the connection has arrived.
     """
 
     status: int
@@ -58,6 +59,7 @@
     headers: Headers = ()
     n_body_bytes_sent: int | None = None
     n_copies: int = 1
+    is_repeated: bool = False
 
 
 def make_json_reply(
@@ -93,6 +95,7 @@
         self._max_body_bytes = max_body_bytes
         self._http = h11.Connection(our_role=h11.SERVER)
         self._has_early_bytes = False
+        self._repeated = b""
         self.is_silent = False
 
     async def receive_request(self) -> Request | None:
@@ -143,8 +146,16 @@
             await self._stream.send_all(head + reply.body[: reply.n_body_bytes_sent])
             return False
         await self._stream.send_all((head + reply.body) * reply.n_copies)
+        if reply.is_repeated:
+            self._repeated = head + reply.body
         return is_kept
 
+    async def send_repeated(self) -> None:
+        """Send the last reply again, if it is to be repeated."""
+        if self._repeated:
+            repeated, self._repeated = self._repeated, b""
+            await self._stream.send_all(repeated)
+
     def _end_cycle(self) -> bool:
         """Prepare h11 for the next request; return whether there can be one.
 
@@ -238,6 +249,7 @@
                 return await connection.ignore_until_closed()
             if request is None:
                 return None
+            await connection.send_repeated()
             reply = await handle(request, connection)
             if connection.is_silent:
                 return await connection.ignore_until_closed()
--- a/standins/leafservers.py
+++ b/standins/leafservers.py
@@ -26,13 +26,17 @@
 class LeafFaults:
     """The faults of one server.
 
-    `work_s` is the service time. A server that `refuses` runs no request,
-    one that `fails` answers 500, and one that `resets_connections` resets the
-    connection instead of answering. Each answer is sent `n_copies` times.
+    `work_s` is the service time. A server that `refuses` runs no request, nor does one
+    that `refuses_first` at its first sight of a request; one that `fails` answers 500,
+    and one that `resets_connections` resets the connection instead of answering. Each
+    answer is sent `n_copies` times. With `repeats_refusals`, each refusal is sent again
+    when the next request arrives.
     """
 
     work_s: float = 0.005
     refuses: bool = False
+    refuses_first: bool = False
+    repeats_refusals: bool = False
     fails: bool = False
     resets_connections: bool = False
     n_copies: int = 1
@@ -132,10 +136,14 @@
             self._record(attempt, request, is_run=False)
             own_id = ("Lavendergap-Instance-Id", self.server_id)
             return Reply(status=421, headers=(echo, own_id))
-        if self.faults.refuses or self.n_running >= 2 * self.slots:
+        faults = self.faults
+        is_refused = faults.refuses or self.n_running >= 2 * self.slots
+        if is_refused or (faults.refuses_first and self.arrivals[attempt] == 1):
             self._record(attempt, request, is_run=False)
             mark = ("Lavendergap-Not-Executed", "1")
-            return Reply(status=503, headers=(echo, mark))
+            return Reply(
+                status=503, headers=(echo, mark), is_repeated=faults.repeats_refusals
+            )
         self._record(attempt, request, is_run=True)
         return await self._work(attempt, request, connection)
 
