--- a/lab/soak.py
+++ b/lab/soak.py
@@ -48,9 +48,11 @@
 SEED_DURATION_S = 14.0
 N_CALLERS = 6
 CALLER_PAUSE_S = 0.05
-# Callers that keep connections for longer than a planned stop takes.
-N_PAUSING_CALLERS = 12
+# Callers that keep connections for longer than a planned stop takes, and send bookings
+# to a service of its own, whose servers work for longer than the end of a stop takes.
+N_PAUSING_CALLERS = 96
 LONG_PAUSE_S = (0.5, 6.0)
+LEDGER_WORK_S = 0.8
 REQUEST_DEADLINE_MS = 1_500
 # A change must be in force within 3 s of its acceptance on hosts that reach the store;
 # one second more is allowed for a busy machine.
@@ -110,6 +112,7 @@
         self.bookings: list[str] = []
         self.n_requests = 0
         self.retired: list[Leaf] = []
+        self.ledger: list[Leaf] = []
         self.n_host_faults = 0
         # The hosts in a planned stop, and the requests whose connections they ended
         # without an answer.
@@ -142,6 +145,11 @@
         for shard in [*self.shards, "desk"]:
             for zone in ZONES[:2]:
                 await self.add_leaf(shard, zone)
+        for zone in ZONES[:2]:
+            leaf = Leaf(service="ledger", zone=zone, slots=32)
+            leaf.faults = LeafFaults(work_s=LEDGER_WORK_S)
+            await self.platform.nursery.start(leaf.run, self.platform.store)
+            self.ledger.append(leaf)
         self.write_routes()
         for zone in ZONES:
             gateway = self.platform.add_gateway(zone)
@@ -170,6 +178,7 @@
             make_search_route("/all/", self.shards, top_k=N_RECORDS),
             make_one_route("/one/", "desk"),
             make_one_route("/book/", "desk", type="non_idempotent"),
+            make_one_route("/bill/", "ledger", type="non_idempotent", timeout_ms=2_000),
             make_one_route(f"/v{self.version}/", "desk"),
         ]
         if self.customers:
@@ -207,9 +216,8 @@
         http = h11.Connection(h11.CLIENT)
         while True:
             n_before = self.n_requests
-            path = rng.choice(("/book/", "/one/"))
             try:
-                answer = await self.ask(stream, http, path)
+                answer = await self.ask(stream, http, "/bill/")
             except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
                 if gateway.name in self.stopping:
                     self.cut.append(f"s{self.seed}-{n_before + 1}")
@@ -266,7 +274,7 @@
         """Send one request and check its answer."""
         self.n_requests += 1
         attempt = f"s{self.seed}-{self.n_requests}"
-        if path == "/book/":
+        if path in ("/book/", "/bill/"):
             self.bookings.append(attempt)
         headers = [
             ("Host", HOST_HEADER),
@@ -298,7 +306,8 @@
             self.check_joined(attempt, answer)
         elif answer.status == HTTPStatus.OK:
             proof = answer.get("lavendergap-server-stamp")
-            is_own = answer.body == make_answer_body("desk", attempt, b"")
+            service = "ledger" if path == "/bill/" else "desk"
+            is_own = answer.body == make_answer_body(service, attempt, b"")
             if not is_own or not proof.endswith(f".{attempt}"):
                 self.report_violation(
                     f"{path} {attempt}: not the complete answer to this request"
@@ -340,7 +349,7 @@
 
     def all_leaves(self) -> list[Leaf]:
         """Return all servers, including retired ones."""
-        return [*self.platform.leaves, *self.retired]
+        return [*self.platform.leaves, *self.retired, *self.ledger]
 
     # Faults.
 
@@ -563,21 +572,24 @@
         self.platform.evacuate(zone)
         accepted_at = trio.current_time()
         await trio.sleep(EVACUATE_MS / 1_000 + 0.5)
-        n_before = self.count_arrivals(zone)
+        before = self.count_arrivals(zone)
         await trio.sleep(1.0)
-        n_late_calls = self.count_arrivals(zone) - n_before
-        if n_late_calls and self.is_calm_since(accepted_at - QUIET_S):
+        late = self.count_arrivals(zone) - before
+        if late and self.is_calm_since(accepted_at - QUIET_S):
             self.report_violation(
-                f"{n_late_calls} late calls to {zone}, which was evacuated"
+                f"{late.total()} late calls to {zone}, which was evacuated: "
+                + ", ".join(late)
             )
         self.platform.end_evacuation(zone)
         self.evacuated.discard(zone)
 
-    def count_arrivals(self, zone: str) -> int:
-        """Count the requests to a data centre's servers, including retired ones."""
-        return sum(
-            leaf.arrivals.total() for leaf in self.all_leaves() if leaf.zone == zone
-        )
+    def count_arrivals(self, zone: str) -> Counter[str]:
+        """Count the arrivals of each attempt at a data centre's servers."""
+        arrivals = Counter[str]()
+        for leaf in self.all_leaves():
+            if leaf.zone == zone:
+                arrivals += leaf.arrivals
+        return arrivals
 
     async def change_routes(self) -> None:
         self.write_routes()
