--- a/src/lavendergap/transport/reuse.py
+++ b/src/lavendergap/coordination/reuse.py
@@ -1,10 +1,10 @@
 """Whether a connection to a backend server may carry another request."""
 
-from collections import deque
-
 # A server may reject a longer request before it has read it. The next request on the
 # connection would wait behind the rest of it, or be lost if the server closes.
 LONG_REQUEST_BYTES = 16_384
+# A connection is replaced when it has more of them.
+MAX_FAILED_ATTEMPTS = 256
 
 
 def has_read_request(*, n_bytes: int, n_sent: int, is_success: bool) -> bool:
@@ -32,29 +32,32 @@
 
     >>> failed = FailedAttempts()
     >>> failed.add(b"r1", deadline=2.0, now=1.0)
+    True
     >>> b"r1" in failed, b"r2" in failed
     (True, False)
     >>> failed.add(b"r2", deadline=9.0, now=2.5)
+    True
     >>> b"r1" in failed
     False
     """
 
-    __slots__ = ("_ids", "_by_age")
+    __slots__ = ("_deadlines",)
 
     def __init__(self) -> None:
-        self._ids: set[bytes] = set()
-        self._by_age: deque[tuple[float, bytes]] = deque()
+        self._deadlines: dict[bytes, float] = {}
 
     def __contains__(self, attempt: bytes) -> bool:
-        return attempt in self._ids
-
-    def __len__(self) -> int:
-        return len(self._ids)
-
-    def add(self, attempt: bytes, *, deadline: float, now: float) -> None:
-        """Add an id, and forget the oldest ones whose deadlines have passed."""
-        while self._by_age and self._by_age[0][0] <= now:
-            self._ids.discard(self._by_age.popleft()[1])
-        if attempt not in self._ids:
-            self._ids.add(attempt)
-            self._by_age.append((deadline, attempt))
+        return attempt in self._deadlines
+
+    def add(self, attempt: bytes, *, deadline: float, now: float) -> bool:
+        """Add an id, or return False if there are too many.
+
+        The oldest ones are dropped once their deadlines have passed.
+        """
+        deadlines = self._deadlines
+        while deadlines and next(iter(deadlines.values())) <= now:
+            del deadlines[next(iter(deadlines))]
+        if len(deadlines) >= MAX_FAILED_ATTEMPTS:
+            return False
+        deadlines[attempt] = deadline
+        return True
--- a/src/lavendergap/coordination/stopping.py
+++ b/src/lavendergap/coordination/stopping.py
@@ -1,4 +1,4 @@
-"""Which requests a host still begins after it was told to stop."""
+"""Which requests a stopping host still begins."""
 
 from dataclasses import dataclass, replace
 
@@ -29,11 +29,11 @@
     ends_at: float
 
     def may_begin(self, *, deadline: float, now: float) -> bool:
-        """Return whether a request with this deadline, come at `now`, is begun."""
+        """Return whether a request with this deadline may begin at `now`."""
         return now < self.notice_ends_at or deadline <= self.last_deadline
 
     def close(self) -> "StopPlan":
-        """Return the plan once no request runs any more: it begins none."""
+        """Return the plan with which no more requests are begun."""
         return replace(self, notice_ends_at=NEVER, last_deadline=NEVER)
 
 
--- a/src/lavendergap/entry/daemon.py
+++ b/src/lavendergap/entry/daemon.py
@@ -1,6 +1,5 @@
 """The daemon on an entry host: starts its components and stops them gracefully."""
 
-import functools
 import logging
 import secrets
 import signal
@@ -40,7 +39,7 @@
 from .fleet import Fleet
 from .owner import Owner
 from .peers import PeerService
-from .ports import OpenPorts
+from .ports import serve_ports
 from .process import BACKLOG, tune_garbage_collector
 from .search import Query
 from .status import HostStatus, MemberStatus, ServiceStatus, SettingsStatus
@@ -110,7 +109,8 @@
         self._pinnings: dict[str, Pinning] = {}
         self._stop = StopState()
         self._n_dropped = 0
-        self._ports = OpenPorts()
+        self._close_ports = trio.Event()
+        self._ports_closed = trio.Event()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -142,7 +142,7 @@
         nursery.start_soon(self._sweep)
         nursery.start_soon(self._tickets.resend_unconfirmed)
         nursery.start_soon(self._limits.run)
-        await self._open_ports(nursery)
+        await nursery.start(self._serve_ports)
         log_decision(
             logger,
             "started",
@@ -279,7 +279,10 @@
             ) from error
         return listener
 
-    async def _open_ports(self, nursery: trio.Nursery) -> None:
+    async def _serve_ports(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve callers and operators until the ports and their connections close."""
         drain = self._settings.control.drain_ms / 1_000
         handlers = Handlers(
             get_settings=lambda: self._settings,
@@ -287,21 +290,20 @@
             issue=self._tickets.issue,
             run=self._tickets.run,
             look_up=self._tickets.look_up,
-            get_stop_plan=self._stop.get_plan,
+            get_stop_plan=lambda: self._stop.plan,
             get_startup_problem=self._get_startup_problem,
         )
         self._callers = CallersApp(handlers=handlers)
         admin = AdminApp(
             get_not_ready_reason=self._get_not_ready_reason, get_status=self._get_status
         )
-        for app, address in (
-            (self._callers, self._own.callers),
-            (admin, self._own.admin),
-        ):
-            serve = functools.partial(
-                self._ports.serve, app, address, drain_limit=drain
-            )
-            await nursery.start(serve)
+        await serve_ports(
+            [(self._callers, self._own.callers), (admin, self._own.admin)],
+            stop=self._close_ports,
+            drain_limit=drain,
+            task_status=task_status,
+        )
+        self._ports_closed.set()
 
     async def _search(self, request: CallerRequest) -> SearchResult | Refusal:
         query = Query(
@@ -456,10 +458,9 @@
         with trio.move_on_at(plan.gives_up_at):
             await self._wait_until_idle()
         self._callers.give_up()
-        self._ports.stop.set()
+        self._close_ports.set()
         with trio.move_on_at(plan.ends_at):
-            while self._ports.n_open:
-                await trio.sleep(DRAIN_CHECK_INTERVAL_S)
+            await self._ports_closed.wait()
         await self._endpoint.send(self._membership.depart(now=trio.current_time()))
         log_decision(logger, "stopped", request_id=None, host=self._own.name)
         sys.stderr.flush()
--- a/src/lavendergap/entry/gateway.py
+++ b/src/lavendergap/entry/gateway.py
@@ -50,7 +50,7 @@
 from .livehosts import LiveHosts
 from .owner import Owner
 from .peers import PeerService
-from .ports import OpenPorts, PortLimits
+from .ports import PortLimits, serve_ports
 from .process import BACKLOG, tune_garbage_collector
 from .quarantine import RequestQuarantine
 from .status import GatewayStatus, list_most_used
@@ -119,7 +119,8 @@
         )
         self._catalog: Catalog | None = None
         self._stop = StopState()
-        self._ports = OpenPorts()
+        self._close_ports = trio.Event()
+        self._ports_closed = trio.Event()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -175,7 +176,7 @@
         nursery.start_soon(keep)
         nursery.start_soon(self._sweep)
         nursery.start_soon(self._poll_settings_file)
-        await self._open_ports(nursery)
+        await nursery.start(self._serve_ports)
         log_decision(
             logger,
             "started",
@@ -302,11 +303,14 @@
     def _handle_peer(self, channel: Channel, frame: Frame) -> None:
         self._peers.handle(channel, frame)
 
-    async def _open_ports(self, nursery: trio.Nursery) -> None:
+    async def _serve_ports(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve callers and operators until the ports and their connections close."""
         handlers = GatewayHandlers(
             get_routes=lambda: self._active_config.index,
             forward=self._forwarder.forward,
-            get_stop_plan=self._stop.get_plan,
+            get_stop_plan=lambda: self._stop.plan,
             admit=self._customer_use.admit,
             give_back=self._customer_limits.give_back,
         )
@@ -318,18 +322,14 @@
             get_status=self._get_status,
             get_warning=self._discovery.get_warning,
         )
-        for app, address in (
-            (self._callers, self._host.callers),
-            (admin, self._host.admin),
-        ):
-            serve = functools.partial(
-                self._ports.serve,
-                app,
-                address,
-                drain_limit=STOP_RESERVE_S,
-                limits=self._limits,
-            )
-            await nursery.start(serve)
+        await serve_ports(
+            [(self._callers, self._host.callers), (admin, self._host.admin)],
+            stop=self._close_ports,
+            drain_limit=STOP_RESERVE_S,
+            limits=self._limits,
+            task_status=task_status,
+        )
+        self._ports_closed.set()
 
     # Membership.
 
@@ -481,14 +481,13 @@
             await self._wait_until_idle()
         self._stop.plan = plan.close()
         self._owner.stop()
-        self._ports.stop.set()
+        self._close_ports.set()
         await self._endpoint.send(self._membership.depart(now=trio.current_time()))
         with trio.move_on_at(plan.gives_up_at):
             await self._wait_until_idle()
         self._callers.give_up()
         with trio.move_on_at(plan.ends_at):
-            while self._ports.n_open:
-                await trio.sleep(DRAIN_CHECK_INTERVAL_S)
+            await self._ports_closed.wait()
         log_decision(logger, "stopped", request_id=None, host=self._host.name)
 
     async def _wait_until_idle(self) -> None:
--- a/src/lavendergap/entry/ports.py
+++ b/src/lavendergap/entry/ports.py
@@ -1,7 +1,8 @@
 """Serves an ASGI application on one of the host's ports."""
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from typing import Any, cast
 
 import trio
@@ -31,40 +32,6 @@
         self.max_header_bytes = MAX_HEADERS_BYTES
 
 
-class OpenPorts:
-    """Counts the ports of a process that are open or have open connections.
-
-    `stop` closes the ports and idle connections, and ends others with their answers.
-    """
-
-    def __init__(self) -> None:
-        self.n_open = 0
-        self.stop = trio.Event()
-
-    async def serve(
-        self,
-        app: Callable[..., Awaitable[None]],
-        address: Address,
-        *,
-        drain_limit: float,
-        limits: PortLimits | None = None,
-        task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Serve a port until `stop`; see `serve_port`."""
-        self.n_open += 1
-        try:
-            await serve_port(
-                app,
-                address,
-                stop=self.stop,
-                drain_limit=drain_limit,
-                limits=limits,
-                task_status=task_status,
-            )
-        finally:
-            self.n_open -= 1
-
-
 class _LimitedConfig(Config):
     """The server's configuration; reads the current limits on each access."""
 
@@ -107,3 +74,29 @@
         shutdown_trigger=stop.wait,
         task_status=task_status,
     )
+
+
+async def serve_ports(
+    ports: Sequence[tuple[Callable[..., Awaitable[None]], Address]],
+    *,
+    stop: trio.Event,
+    drain_limit: float,
+    limits: PortLimits | None = None,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve several applications, each at its address, as `serve_port` does.
+
+    Returns once all ports and their connections have closed.
+    """
+    async with trio.open_nursery() as nursery:
+        for app, address in ports:
+            serve = partial(
+                serve_port,
+                app,
+                address,
+                stop=stop,
+                drain_limit=drain_limit,
+                limits=limits,
+            )
+            await nursery.start(serve)
+        task_status.started()
--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -15,6 +15,7 @@
 
 from .. import metrics
 from ..coordination.calls import Call, ServerReport, ServerState
+from ..coordination.reuse import has_read_request
 from ..logs import Category, get_logger, log_decision
 from ..protocol.backend import (
     MAX_VERSION,
@@ -26,7 +27,7 @@
 )
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
-from .reuse import has_read_request
+from .earlyanswers import report_early_answer
 from .stream import RequestStream, open_stream
 
 logger = get_logger(Category.CONNECTIONS)
@@ -288,20 +289,17 @@
         request for the rest of it.
         """
         if stream.n_sent < stream.n_bytes:
-            metrics.early_answers.inc()
-            log_decision(
-                logger,
-                "early answer",
+            report_early_answer(
                 request_id=None,
                 server=self.server.name,
                 n_bytes=stream.n_bytes,
                 n_sent=stream.n_sent,
             )
-        return has_read_request(
+        return reply.headers.get(b"attempt") == attempt and has_read_request(
             n_bytes=stream.n_bytes,
             n_sent=stream.n_sent,
             is_success=reply.is_success,
-        ) and (reply.headers.get(b"attempt") == attempt)
+        )
 
     def _recycle_or_close(self, connection: Connection, *, reusable: bool) -> None:
         # The rest of an abandoned answer would be read as the answer to the next
--- a/src/lavendergap/transport/bodydrain.py
+++ b/src/lavendergap/transport/bodydrain.py
@@ -9,6 +9,7 @@
 from .web import Receive, Scope, Send
 
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
+Message = dict[str, Any]
 
 # A body that takes longer is answered before it is complete.
 READ_TIMEOUT_S = 0.25
@@ -39,30 +40,34 @@
             return
         body = _Body(receive)
 
-        async def send_after_body(message: dict[str, Any]) -> None:
-            if message["type"] == "http.response.start":
-                await body.discard(limit_s=READ_TIMEOUT_S)
-                if not body.is_received:
-                    headers = [*message["headers"], (b"connection", b"close")]
-                    message = message | {"headers": headers}
-            elif not body.is_received:
-                # After the last part of an answer, which is therefore held back, the
-                # server closes the connection.
-                await send(message | {"more_body": True})
-                await body.discard(limit_s=LINGER_S)
-                message = message | {"body": b""}
+        async def send_after_body(message: Message) -> None:
             if body.is_received:
                 await send(message)
+            elif message["type"] == "http.response.start":
+                await _send_head(message, send, body)
             else:
-                await _send_while_discarding(message, send, body)
+                await _send_last_part(message, send, body)
 
         await self._app(scope, body.receive, send_after_body)
 
 
-async def _send_while_discarding(
-    message: dict[str, Any], send: Send, body: "_Body"
-) -> None:
-    """Send a part of an answer; the server may wait for the body to be received."""
+async def _send_head(message: Message, send: Send, body: "_Body") -> None:
+    await body.discard(limit_s=READ_TIMEOUT_S)
+    if not body.is_received:
+        headers = [*message["headers"], (b"connection", b"close")]
+        message = message | {"headers": headers}
+    await _send_while_discarding(message, send, body)
+
+
+async def _send_last_part(message: Message, send: Send, body: "_Body") -> None:
+    """Send the answer's last part in two, as the server closes after the last one."""
+    await _send_while_discarding(message | {"more_body": True}, send, body)
+    await body.discard(limit_s=LINGER_S)
+    await _send_while_discarding(message | {"body": b""}, send, body)
+
+
+async def _send_while_discarding(message: Message, send: Send, body: "_Body") -> None:
+    """Send a message; the server may wait until the body is received."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(body.discard)
         await send(message)
@@ -76,7 +81,7 @@
         self.is_received = False
         self._receive = receive
 
-    async def receive(self) -> dict[str, Any]:
+    async def receive(self) -> Message:
         message = await self._receive()
         if message["type"] == "http.disconnect" or not message.get("more_body"):
             self.is_received = True
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -16,6 +16,7 @@
 from .. import metrics
 from ..coordination.calls import Call, ServerReport
 from ..coordination.linelimit import LineLimit
+from ..coordination.reuse import has_read_request
 from ..logs import Category, get_logger, log_decision
 from ..protocol.backend import Reply, Verdict
 from ..protocol.forwarding import (
@@ -25,7 +26,7 @@
 )
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
-from .reuse import has_read_request
+from .earlyanswers import report_early_answer
 from .serverconnection import Exchange, Result, ServerConnection, has_input
 
 logger = get_logger(Category.CONNECTIONS)
@@ -46,8 +47,6 @@
 # An idle connection is closed after this share of the server's keep-alive timeout, so
 # that no request is sent while the server closes the connection.
 KEEP_ALIVE_SHARE = 0.7
-# The memory of a connection for failed attempts; it is closed when this is full.
-MAX_FAILED_ATTEMPTS = 256
 # Overloaded servers reject any number of requests.
 REJECTION_LINES_PER_S = 20
 # Servers of one kind state the same timeouts. A head, and so each text that is cached,
@@ -232,7 +231,8 @@
         """Return the connection that answered last, of those that may carry a call."""
         assert call.forward is not None
         attempt = call.forward.attempt
-        for connection in reversed(self._idle.copy()):
+        for index in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[index]
             if attempt in connection.failed_attempts:
                 continue
             age = now - connection.answered_at
@@ -240,8 +240,7 @@
                 return None
             # The server may have closed it before its task could run again.
             if age <= connection.idle_timeout_s and not has_input(connection):
-                self._idle.remove(connection)
-                return connection
+                return self._idle.pop(index)
             connection.drop(Reason.LOST_CONNECTION)
         return None
 
@@ -332,7 +331,9 @@
         silence_deadline = inf
         if call.idempotent and now - connection.answered_at > MAX_TRUSTED_IDLE_S:
             silence_deadline = now + left * UNTRUSTED_TIMEOUT_SHARE
-        rest = connection.send(exchange, data, silence_deadline=silence_deadline)
+        rest = connection.send(
+            exchange, data, now=now, silence_deadline=silence_deadline
+        )
         if rest:
             self._nursery.start_soon(connection.send_rest, exchange, rest)
 
@@ -372,7 +373,12 @@
         reader = exchange.reader
         assert exchange.call.forward is not None
         if exchange.n_sent < exchange.n_bytes:
-            self._log_early_answer(exchange)
+            report_early_answer(
+                request_id=exchange.call.request_id,
+                server=self.server.name,
+                n_bytes=exchange.n_bytes,
+                n_sent=exchange.n_sent,
+            )
         if not has_read_request(
             n_bytes=exchange.n_bytes,
             n_sent=exchange.n_sent,
@@ -388,12 +394,10 @@
         if headers.get(self._names.attempt) != attempt:
             return False
         if not reader.is_success or self._names.not_run in headers:
-            failed = connection.failed_attempts
-            if len(failed) >= MAX_FAILED_ATTEMPTS:
+            deadline = exchange.call.deadline
+            now = trio.current_time()
+            if not connection.failed_attempts.add(attempt, deadline=deadline, now=now):
                 return False
-            failed.add(
-                attempt, deadline=exchange.call.deadline, now=trio.current_time()
-            )
         idle_timeout_s = self._idle_timeout_s
         stated = headers.get(b"keep-alive")
         if stated is not None:
@@ -423,17 +427,6 @@
             n_dropped=n_dropped,
         )
 
-    def _log_early_answer(self, exchange: Exchange) -> None:
-        metrics.early_answers.inc()
-        log_decision(
-            logger,
-            "early answer",
-            request_id=exchange.call.request_id,
-            server=self.server.name,
-            n_bytes=exchange.n_bytes,
-            n_sent=exchange.n_sent,
-        )
-
     def _make_room(self) -> bool:
         """Return whether a connection may be opened, closing idle ones if needed.
 
--- a/src/lavendergap/transport/gateway.py
+++ b/src/lavendergap/transport/gateway.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Any
 
@@ -239,10 +239,7 @@
         )
         reserve_ms = self._reserve.get_ms(n_parts=count_parts(route), now=started)
         goal_ms = compute_goal(route, delay, reserve_ms=reserve_ms)
-        deadline = started + min(stated, route.timeout_ms) / 1_000
-        plan = self._handlers.get_stop_plan()
-        if plan is not None and plan.may_begin(deadline=deadline, now=started):
-            deadline = min(deadline, plan.gives_up_at)
+        left = min(stated, route.timeout_ms)
         target = scope["raw_path"]
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
@@ -257,7 +254,7 @@
             route=route,
             version=index.table.version,
             started=started,
-            deadline=deadline,
+            deadline=started + left / 1_000,
             goal=started + goal_ms / 1_000,
             customer=customer,
         )
@@ -307,10 +304,12 @@
         self, request: GatewayRequest, deferred: ExitStack
     ) -> GatewayResult:
         plan = self._handlers.get_stop_plan()
-        if plan is not None and not plan.may_begin(
-            deadline=request.deadline, now=trio.current_time()
-        ):
-            return NotRun(step=Step.ADMIT, peer="", reason=Reason.STOPPING)
+        if plan is not None:
+            now = trio.current_time()
+            if not plan.may_begin(deadline=request.deadline, now=now):
+                return NotRun(step=Step.ADMIT, peer="", reason=Reason.STOPPING)
+            deadline = min(request.deadline, plan.gives_up_at)
+            request = replace(request, deadline=deadline)
         refusal = await self._handlers.admit(request)
         if refusal is not None:
             return refusal
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -9,11 +9,11 @@
 import trio
 
 from ..coordination.calls import Call
+from ..coordination.reuse import FailedAttempts
 from ..protocol.backend import Reply
 from ..state.outcome import NotRun, Reason, Step, Unknown
 from .inputwatcher import get_input_watcher
 from .replies import ReplyReader, WrongAnswerError
-from .reuse import FailedAttempts
 
 READ_SIZE_BYTES = 65_536
 
@@ -154,7 +154,7 @@
         self._error: Exception | None = None
 
     def send(
-        self, exchange: Exchange, data: bytes, *, silence_deadline: float
+        self, exchange: Exchange, data: bytes, *, now: float, silence_deadline: float
     ) -> bytes:
         """Begin an exchange; return the part of `data` that is still to be sent.
 
@@ -164,7 +164,7 @@
         """
         exchange.connection = self
         exchange.n_bytes = len(data)
-        exchange.sent_at = trio.current_time()
+        exchange.sent_at = now
         self.n_exchanges += 1
         exchange.number = self.n_exchanges
         self._exchange = exchange
--- a/src/lavendergap/transport/stream.py
+++ b/src/lavendergap/transport/stream.py
@@ -44,7 +44,6 @@
         self._max_received = max_received
         self._n_received = 0
         self._unsent = b""
-        self._send_error: OSError | None = None
         self._poll = select.poll()
         self._poll.register(connected, select.POLLIN)
 
@@ -61,31 +60,25 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Send the buffered bytes and wait for data; empty if the server closed."""
-        if self._unsent and self._send_error is None:
+        if self._unsent:
             await self._send()
         while True:
-            if self._send_error is None:
-                await trio.lowlevel.wait_readable(self._socket)
+            await trio.lowlevel.wait_readable(self._socket)
             try:
                 data = self._socket.recv(max_bytes)
             except BlockingIOError:
-                data = b""
-                if self._send_error is None:
-                    continue
+                continue
             except OSError as error:
                 raise httpcore.ReadError(str(error)) from error
-            if not data and self._send_error is not None:
-                raise httpcore.WriteError(str(self._send_error)) from self._send_error
+            if not data and self._unsent:
+                raise httpcore.WriteError("closed before the request was sent")
             self._n_received += len(data)
             if self._n_received > self._max_received:
                 raise httpcore.ReadError("the answer is too large")
             return data
 
     async def _send(self) -> None:
-        """Send the buffered bytes, until done, until there is input, or until it fails.
-
-        After a failure, the server may have answered before it closed the connection.
-        """
+        """Send the buffered bytes, until done or until there is input."""
         while not self._send_now() and not self._has_input:
             async with trio.open_nursery() as nursery:
                 for wait in (trio.lowlevel.wait_readable, trio.lowlevel.wait_writable):
@@ -94,15 +87,17 @@
                     )
 
     def _send_now(self) -> bool:
-        """Send what the kernel accepts; return whether that was all, or failed."""
+        """Send what the kernel accepts; return whether that was all."""
         unsent = memoryview(self._unsent)
         try:
             n_sent = self._socket.send(unsent)
         except BlockingIOError:
             return False
         except OSError as error:
-            self._send_error = error
-            return True
+            # The server may have answered before it closed the connection.
+            if self._has_input:
+                return False
+            raise httpcore.WriteError(str(error)) from error
         self.n_sent += n_sent
         self._unsent = bytes(unsent[n_sent:])
         return not self._unsent
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -11,6 +11,7 @@
 import trio
 import trio.testing
 
+from lavendergap.coordination import reuse
 from lavendergap.coordination.calls import Call
 from lavendergap.protocol.backend import Verdict
 from lavendergap.state.forwarding import ForwardedRequest
@@ -368,7 +369,7 @@
 
     async def test_a_connection_with_many_rejections_is_replaced(self, monkeypatch):
         # Guards against a memory that grows while a server rejects requests.
-        monkeypatch.setattr(forward, "MAX_FAILED_ATTEMPTS", 3)
+        monkeypatch.setattr(reuse, "MAX_FAILED_ATTEMPTS", 3)
         async with open_bench(*[reject(attempt=b"r%d" % n) for n in range(8)]) as bench:
             for n in range(8):
                 await bench.call(make_call(b"r%d" % n))
