Skip the copy of a connection's last answer

Cause: a copy was told by its id, and then both it and the connection were given up, with the request that waited on it.

Change: an answer with the id of the connection's last request is skipped, once, and the answer after it is the one that was due. The connection is closed after that. `copy skipped` names the request and the server.

--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -328,6 +328,10 @@
             self._keep(connection)
             self._finish_unsent(exchange, Step.SEND, Reason.SERVER_ERROR)
             return
+        attempt = call.forward.attempt
+        if connection.last_attempt not in (b"", attempt):
+            exchange.reader.copied = (self._names.attempt, connection.last_attempt)
+        connection.last_attempt = attempt
         silence_deadline = inf
         if call.idempotent and now - connection.answered_at > MAX_TRUSTED_IDLE_S:
             silence_deadline = now + left * UNTRUSTED_TIMEOUT_SHARE
@@ -372,6 +376,9 @@
         """
         reader = exchange.reader
         assert exchange.call.forward is not None
+        if reader.has_skipped:
+            self._log_copy(exchange)
+            return False
         if exchange.n_sent < exchange.n_bytes:
             report_early_answer(
                 request_id=exchange.call.request_id,
@@ -427,6 +434,15 @@
             n_dropped=n_dropped,
         )
 
+    def _log_copy(self, exchange: Exchange) -> None:
+        metrics.dropped_answers.labels("copy of the last answer").inc()
+        log_decision(
+            logger,
+            "copy skipped",
+            request_id=exchange.call.request_id,
+            server=self.server.name,
+        )
+
     def _make_room(self) -> bool:
         """Return whether a connection may be opened, closing idle ones if needed.
 
--- a/src/lavendergap/transport/replies.py
+++ b/src/lavendergap/transport/replies.py
@@ -29,6 +29,10 @@
     `has_trailing_data` is whether bytes arrived after it. They belong to no request, so
     that later answers on the connection can no longer be assigned to requests.
 
+    A server may send its last answer again, at the point where this one is due. An
+    answer with the header `copied`, that of the last one, is skipped; `has_skipped` is
+    whether there was one.
+
     >>> reader = ReplyReader()
     >>> reader.feed(b"HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\no")
     >>> reader.is_whole
@@ -42,6 +46,8 @@
         "is_whole",
         "has_trailing_data",
         "may_keep_alive",
+        "copied",
+        "has_skipped",
         "_parser",
         "_has_no_body",
         "_has_head",
@@ -57,6 +63,8 @@
         self.is_whole = False
         self.has_trailing_data = False
         self.may_keep_alive = False
+        self.copied: tuple[bytes, bytes] | None = None
+        self.has_skipped = False
         self._parser = httptools.HttpResponseParser(self)
         self._has_no_body = has_no_body
         self._has_head = False
@@ -151,8 +159,20 @@
             raise WrongAnswerError("the answer is too large")
 
     def on_message_complete(self) -> None:
-        """Mark the answer as complete, unless it is an informational one."""
+        """Mark the answer as complete, unless it is an informational one or a copy."""
         if self._status < FIRST_FINAL_STATUS:
             self._headers = {}
+        elif self._is_copy():
+            self.has_skipped = True
+            self._has_head = False
+            self._headers = {}
+            self._parts = []
+            self._n_head_bytes = self._n_body_bytes = 0
         else:
             self.is_whole = True
+
+    def _is_copy(self) -> bool:
+        if self.copied is None or self.has_skipped or self.is_whole:
+            return False
+        name, value = self.copied
+        return self._headers.get(name) == value
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -115,6 +115,7 @@
         "local_port",
         "n_exchanges",
         "failed_attempts",
+        "last_attempt",
         "answered_at",
         "idle_timeout_s",
         "is_closed_by_server",
@@ -140,6 +141,7 @@
         self.local_port: int = raw.getsockname()[1]
         self.n_exchanges = 0
         self.failed_attempts = FailedAttempts()
+        self.last_attempt = b""
         self.answered_at = trio.current_time()
         self.idle_timeout_s = idle_timeout_s
         # Whether the server has closed its side.
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -355,6 +355,18 @@
             assert isinstance(await call(client, b"r1", b"{}"), Unknown)
             assert isinstance(await call(client, b"r1", b"{}"), Answered)
 
+    @pytest.mark.parametrize("status", [200, 429, 500, 503])
+    async def test_a_copy_does_not_cost_the_next_request_its_answer(self, status):
+        # Guards against "unknown" for another caller's request that the server answers.
+        copy = answer() if status == 200 else reject(status, is_marked=status != 500)
+        async with self.open(copy) as (copying, client):
+            await call(client, b"r1", b"{}", idempotent=False)
+            for attempt in (b"r2", b"r3"):
+                outcome = await call(client, attempt, b"{}", idempotent=False)
+                assert isinstance(outcome, Answered)
+            assert copying.runs == {b"r2": 1, b"r3": 1}
+            assert copying.n_connections == 2
+
     async def test_a_copy_without_an_id_proves_nothing_on_a_used_connection(self):
         # Guards against "not run" for another caller's request that the server runs.
         nameless = reject(attempt=b"").replace(b"x-attempt: \r\n", b"")
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -20,23 +20,30 @@
 ENDLESS = b"HTTP/1.1 200 OK\r\nx-proof: p\r\n\r\nwhole"
 
 
+COPY = b"HTTP/1.1 503 Full\r\nX-Attempt: r1\r\nContent-Length: 4\r\n\r\nfull"
+
+
 def read(data: bytes) -> ReplyReader:
     reader = ReplyReader()
     reader.feed(data)
     return reader
 
 
+def feed_in_pieces(reader: ReplyReader, data: bytes, cuts: list[int]) -> None:
+    places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+    for start, end in zip(places, places[1:], strict=False):
+        assert not reader.is_whole or start == len(data)
+        if start < end:
+            reader.feed(data[start:end])
+    assert reader.is_whole
+
+
 class TestWhole:
     @pytest.mark.parametrize("data", [WHOLE, CHUNKED])
     @given(cuts=st.lists(st.integers(0, 100), max_size=5))
     def test_however_the_bytes_come(self, data, cuts):
         reader = ReplyReader()
-        places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
-        for start, end in zip(places, places[1:], strict=False):
-            assert not reader.is_whole or start == len(data)
-            if start < end:
-                reader.feed(data[start:end])
-        assert reader.is_whole
+        feed_in_pieces(reader, data, cuts)
         assert reader.may_keep_alive
         assert not reader.has_trailing_data
         reply = reader.make_reply()
@@ -97,6 +104,39 @@
         assert read(CHUNKED + WHOLE).has_trailing_data
 
 
+class TestCopies:
+    """A copy of the last answer on the connection, before the one that is due."""
+
+    @staticmethod
+    def make_reader() -> ReplyReader:
+        reader = ReplyReader()
+        reader.copied = (b"x-attempt", b"r1")
+        return reader
+
+    @pytest.mark.parametrize("data", [WHOLE, CHUNKED])
+    @given(cuts=st.lists(st.integers(0, 150), max_size=5))
+    def test_the_answer_after_it_is_read(self, data, cuts):
+        reader = self.make_reader()
+        feed_in_pieces(reader, COPY + data, cuts)
+        assert reader.has_skipped
+        reply = reader.make_reply()
+        assert (reply.status, reply.body) == (200, b"whole")
+        assert b"x-attempt" not in reply.headers
+
+    def test_only_one_is_skipped(self):
+        # Guards against a server that sends copies without end.
+        reader = self.make_reader()
+        reader.feed(COPY + COPY)
+        assert reader.is_whole
+        assert reader.make_reply().status == 503
+
+    def test_a_connection_that_ends_after_it_has_no_answer(self):
+        reader = self.make_reader()
+        reader.feed(COPY)
+        assert not reader.is_whole
+        assert not reader.has_begun
+
+
 class TestInvalid:
     @pytest.mark.parametrize(
         "data",
