Word seven comments with the terms of the field

`tell` stood in comments and doc comments where `state`, `show`, `know`, `ask` or `distinguish` is meant; none is left in src. Comments only.

--- a/src/lavendergap/coordination/admission.py
+++ b/src/lavendergap/coordination/admission.py
@@ -36,7 +36,7 @@
 class ArrivalRate:
     """The rate of calls a second over the last half to one second.
 
-    It is 0 while there are too few calls to tell a rate from a burst.
+    It is 0 while there are too few calls to distinguish a rate from a burst.
 
     >>> arrivals = ArrivalRate()
     >>> for n in range(100):
--- a/src/lavendergap/coordination/limits/counting.py
+++ b/src/lavendergap/coordination/limits/counting.py
@@ -51,7 +51,7 @@
     # Requests for permits.
 
     def decide(self, customer: Customer, n_wanted: int, *, now: float) -> Grant:
-        """Grant up to `n_wanted` permits, or tell when to ask again."""
+        """Grant up to `n_wanted` permits, or state when to ask again."""
         count = self._update(customer, now=now)
         count.asked_at = now
         n = n_reserve = 0
--- a/src/lavendergap/entry/counting.py
+++ b/src/lavendergap/entry/counting.py
@@ -101,7 +101,7 @@
     # Decisions of this host.
 
     def grant(self, customer: Customer, n: int, now: float) -> PermitGrant:
-        """Grant up to `n` permits, or tell when to ask again."""
+        """Grant up to `n` permits, or state when to ask again."""
         if self.is_leaving:
             return _make_grant(n=0)
         grant = self._counting.decide(customer, n, now=now)
@@ -202,7 +202,7 @@
         if name == ANY_CUSTOMER:
             return self._describe_hosts(now)
         if customer is None:
-            # Without this version's customers this host cannot tell who counted.
+            # Without this version's customers it is not known here who counted.
             return CountHandover(
                 customer=name, tokens=0.0, was_counting=False, rank=1, is_sure=False
             )
@@ -267,7 +267,7 @@
 
     def _inform_if_due(self, now: float) -> None:
         self.view.is_only_host = self._is_only_host()
-        # Before it has joined, this host knows no other that could tell.
+        # Before it has joined, this host knows no other that it could ask.
         can_ask = self.view.is_joined and not self.view.is_alone_too_soon(now=now)
         if self.view.is_blind and can_ask and now >= self._inform_at:
             self._inform_at = now + INFORM_INTERVAL_S
--- a/src/lavendergap/entry/discovery.py
+++ b/src/lavendergap/entry/discovery.py
@@ -36,7 +36,7 @@
 # enough for three probes, since seeds that start at the same time miss the first one.
 SEEDS_WAIT_S = 2.0
 # A host that has found others registers no sooner than this after its start: until then
-# its list of members is incomplete, and it cannot tell whether it has to register.
+# its list of members is incomplete, and does not show whether it has to register.
 REGISTER_AFTER_S = 4.0
 # Interval of checks whether a host has to register because others are gone.
 REGISTER_CHECK_INTERVAL_S = 2.0
--- a/src/lavendergap/state/check.py
+++ b/src/lavendergap/state/check.py
@@ -70,7 +70,7 @@
     """Report peers, and groups, with the same name.
 
     Log lines, outcomes and shard ownership identify peers and groups by name only;
-    two with the same name could not be told apart.
+    two with the same name could not be distinguished.
     """
     peers: dict[str, str] = {}
     groups: dict[str, str] = {}
