--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,85 +1,167 @@
-"""Case 4: a server's entry is removed while both hosts that watch are down."""
+"""Case 4: a server spoils a few of its answers, and gateways end by themselves."""
 
 import sys
+from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
 
+import h11
 import trio
 
+from lab.gateways import read_answer
 from review import rig_2 as rig
-from standins.leafservers import SERVERS, LeafFaults
+from standins.http import Connection, Reply, Request
+from standins.leafservers import Leaf, LeafFaults
 
-SETTLE_S = 8.0
-PER_S = 30.0
-OBSERVED_S = 8.0
-RESTART_S = 3.5
-WORK_S = 0.2
-# How long a server that leaves serves on: its drain time and a little longer.
-SERVES_ON_S = rig.BOUNDS["drain_ms"] / 1_000 + 0.6
+SETTLE_S = 6.0
+WORK_S = 0.1
+SPOILED_SHARE = 0.04
+SPOILED_FOR_S = 5.5
+N_CONNECTIONS = 8
+PAUSE_S = 0.05
+RESTART_S = 0.3
+DEADLINE_MS = 1_500
+# The repeated digits of a spoiled answer.
+SPOILED = "timeout=" + 400 * "9"
+N_EXCUSED = 3
+
+
+class SpoilingLeaf(Leaf):
+    """A server that spoils a share of its answers while `is_spoiling` is set."""
+
+    def __init__(self, **options: object) -> None:
+        super().__init__(**options)
+        self.is_spoiling = False
+        self.n_spoiled = 0
+        self.rng = Random(7)
+
+    async def handle(self, request: Request, connection: Connection) -> Reply | None:
+        reply = await super().handle(request, connection)
+        if reply is None or not self.is_spoiling:
+            return reply
+        if self.rng.random() >= SPOILED_SHARE:
+            return reply
+        self.n_spoiled += 1
+        return replace(reply, headers=(*reply.headers, ("Keep-Alive", SPOILED)))
+
+
+@dataclass
+class Sent:
+    """A request over a connection, and its status if it was answered."""
+
+    machine: str
+    attempt: str
+    is_kept: bool
+    status: int | None = None
+    is_cut: bool = False
 
 
 async def play(record: Callable[[str], None]) -> str:
     async with rig.open_site(record) as site:
-        leaf = _make_leaf()
-        await site.add_leaf(leaf)
-        await site.add_leaf(_make_leaf())
-        route = rig.make_route("/one/", "desk", type="non_idempotent")
+        options = {"service": "desk", "slots": 16, "faults": LeafFaults(work_s=WORK_S)}
+        spoiling = SpoilingLeaf(zone="ptl-a", **options)
+        sound = [Leaf(zone=zone, **options) for zone in ("ptl-a", "ptl-b", "ptl-b")]
+        for leaf in (spoiling, *sound):
+            await site.add_leaf(leaf)
+        route = rig.make_route("/one/", "desk", timeout_ms=2_000, type="non_idempotent")
         site.write_manifest(3, [route])
-        for zone in ("ptl-a", "ptl-a", "ptl-b", "ptl-b", "sea-a"):
+        for zone in ("ptl-a", "ptl-a", "ptl-b"):
             site.add_machine(zone)
         await site.wait_ready()
         await trio.sleep(SETTLE_S)
-        watchers = site.find_watchers()
-        record(f"watchers: {[machine.name for machine in watchers]}")
-        others = [m for m in site.machines if m not in watchers]
-        started = trio.current_time()
-        until = started + 2.0 + OBSERVED_S
-        async with trio.open_nursery() as nursery:
-            for machine in others:
-                nursery.start_soon(_load, site, machine, until)
-            # A release: the new server starts first, then the old one leaves.
-            await trio.sleep(1.5)
-            await site.add_leaf(_make_leaf())
-            await trio.sleep(0.5)
-            if rig.IS_TROUBLED:
-                for machine in watchers:
-                    machine.kill()
-                record(f"{trio.current_time():.3f} killed the watchers")
-            await trio.sleep(0.1)
-            site.store.remove(SERVERS, leaf.server_id)
-            removed_at = trio.current_time()
-            record(f"{removed_at:.3f} removed {leaf.server_id}")
-            await trio.sleep_until(started + 2.0 + RESTART_S)
-            if rig.IS_TROUBLED:
-                for machine in watchers:
-                    machine.start()
-            await trio.sleep_until(removed_at + SERVES_ON_S)
-            rig.end_leaf(leaf)
-            record(f"{trio.current_time():.3f} {leaf.server_id} has ended")
-        limit = removed_at + rig.BOUNDS["drain_ms"] / 1_000
-        names = {machine.name for machine in others}
-        for at, attempt in leaf.times:
-            record(f"{at:.3f} {attempt} reached {leaf.server_id}")
-        late = [
-            (at, attempt)
-            for at, attempt in leaf.times
-            if at > limit and attempt.rpartition(".")[0] in names
+        ends: Counter[str] = Counter()
+        requests: list[Sent] = []
+        with trio.move_on_after(SPOILED_FOR_S + 3.0):
+            async with trio.open_nursery() as nursery:
+                for machine in site.machines:
+                    nursery.start_soon(_supervise, machine, ends, record)
+                    for _ in range(N_CONNECTIONS):
+                        nursery.start_soon(_call, site, machine, requests)
+                await trio.sleep(1.0)
+                spoiling.is_spoiling = rig.IS_TROUBLED
+                record(f"{trio.current_time():.3f} spoils: {spoiling.is_spoiling}")
+                await trio.sleep(SPOILED_FOR_S)
+                spoiling.is_spoiling = False
+        for sent in requests:
+            answer = "cut" if sent.is_cut else sent.status
+            record(f"sent {sent.attempt} kept {sent.is_kept} -> {answer}")
+        ran_by_sound = {attempt for leaf in sound for attempt in leaf.runs}
+        lost = [
+            sent
+            for sent in requests
+            if sent.is_kept and sent.is_cut and sent.attempt in ran_by_sound
         ]
-        if not late:
-            return ""
-        last = max(at for at, _ in late) - removed_at
-        return (
-            f"{len(late)} requests reached it later than 3 s, the last after "
-            f"{last:.2f} s; {site.count_lost(leaf)} that it ran got no answer"
-        )
+        record(f"spoiled {spoiling.n_spoiled}, ends {dict(ends)}, lost {len(lost)}")
+        if ends or len(lost) > N_EXCUSED:
+            return (
+                f"processes ended by themselves {ends.total()} times after "
+                f"{spoiling.n_spoiled} spoiled answers; {len(lost)} requests that "
+                "sound servers ran got no answer"
+            )
+        return ""
+
 
+async def _supervise(
+    machine: rig.Machine, ends: Counter[str], record: Callable[[str], None]
+) -> None:
+    """Start the process again when it has ended, as the platform does."""
+    while True:
+        await trio.sleep(0.02)
+        if machine.has_ended():
+            ends[machine.name] += 1
+            code = machine.process.poll() if machine.process else None
+            record(f"{trio.current_time():.3f} {machine.name} ended, exit code {code}")
+            await trio.sleep(RESTART_S)
+            machine.start()
 
-def _make_leaf() -> rig.TimedLeaf:
-    faults = LeafFaults(work_s=WORK_S)
-    return rig.TimedLeaf(service="desk", zone="ptl-a", slots=8, faults=faults)
 
+async def _call(site: rig.Site, machine: rig.Machine, requests: list[Sent]) -> None:
+    """Send requests over a kept connection, over a new one when it was closed."""
+    while True:
+        try:
+            stream = await trio.open_tcp_stream(machine.ip, machine.ports[0])
+            async with stream:
+                await _use(site, machine, stream, requests)
+        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+            await trio.sleep(PAUSE_S)
 
-async def _load(site: rig.Site, machine: rig.Machine, until: float) -> None:
-    await site.load(machine, "/one/x", per_s=PER_S, until=until)
+
+async def _use(
+    site: rig.Site,
+    machine: rig.Machine,
+    stream: trio.SocketStream,
+    requests: list[Sent],
+) -> None:
+    http = h11.Connection(h11.CLIENT)
+    is_kept = False
+    while True:
+        site.n_sent += 1
+        attempt = f"{machine.name}.{site.n_sent}"
+        sent = Sent(machine=machine.name, attempt=attempt, is_kept=is_kept)
+        requests.append(sent)
+        headers = [
+            ("Host", rig.CALLER_HOST),
+            ("Lavendergap-Attempt-Id", attempt),
+            ("Lavendergap-Deadline-Ms", str(DEADLINE_MS)),
+            ("Content-Length", "2"),
+        ]
+        request = h11.Request(method="POST", target="/one/x", headers=headers)
+        data = http.send(request) or b""
+        data += http.send(h11.Data(data=b"{}")) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        try:
+            await stream.send_all(data)
+            answer = await read_answer(stream, http)
+        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+            sent.is_cut = True
+            raise
+        sent.status = answer.status
+        if answer.get("connection") == "close":
+            return
+        http.start_next_cycle()
+        is_kept = True
+        await trio.sleep(PAUSE_S)
 
 
 if __name__ == "__main__":
