Keep what peers send from ending the process

Cause: values of other processes were used as they parsed, and an error that nobody expected was raised in a task whose nursery is that of all connections. `_read_keep_alive` multiplied an integer of any size by 0.7 (OverflowError), `ServerConnection` kept the error and raised it again.

Evidence: the traceback in the gateway's log; `bad field` and `wrong answer` are new and name the server, the field and the value. Ruled out: the memory limit and trio's own checks, which show no such traceback.

Bytes that follow an answer to `lavendergap entry` close its connection, as the next call on it was lost.

The soak draws odd numbers and endless bytes, and reports hosts that end by themselves.

--- a/lab/soak.py
+++ b/lab/soak.py
@@ -24,6 +24,7 @@
 
 from standins.leafservers import SERVERS, Leaf, LeafFaults, make_answer_body
 from standins.objectstore import StoreCopy, StoreMode
+from standins.spoiled import ENDLESS_KINDS, ODD_NUMBERS
 
 from .gateways import (
     DRAIN_MS,
@@ -76,6 +77,13 @@
 # that is killed or frozen while running one may not report it to its peers, so each
 # such fault allows one more.
 MAX_CRASH_REQUESTS = 4
+ODD_FIELDS = (
+    ("Keep-Alive", "timeout={}"),
+    ("Lavendergap-Server-Load", "{},0,8"),
+    ("Lavendergap-Server-Load", "0,{},8"),
+    ("Retry-After", "{}"),
+)
+END_CHECK_INTERVAL_S = 0.05
 HELD_BACK_TEXT = b"held back"
 NOT_RUN_STATUSES = (
     HTTPStatus.SERVICE_UNAVAILABLE,
@@ -536,6 +544,8 @@
             LeafFaults(n_copies=2),
             LeafFaults(work_s=30.0),
             LeafFaults(refuses_first=True, repeats_refusals=True),
+            LeafFaults(odd_headers=(self.draw_odd_header(),)),
+            LeafFaults(endless=self.rng.choice(ENDLESS_KINDS)),
         )
         fault = self.rng.choice(faults)
         for leaf in leaves:
@@ -544,6 +554,21 @@
         for leaf in leaves:
             leaf.faults = LeafFaults()
 
+    def draw_odd_header(self) -> tuple[str, str]:
+        name, template = self.rng.choice(ODD_FIELDS)
+        return name, template.format(self.rng.choice(ODD_NUMBERS))
+
+    async def watch_ends(self) -> None:
+        """Report and restart hosts that end by themselves, until cancelled."""
+        while True:
+            for gateway in self.platform.gateways:
+                code = gateway.process.poll() if gateway.process else None
+                # A process that is killed by a signal has a negative code.
+                if code is not None and code > 0:
+                    self.report_violation(f"{gateway.name} ended with exit code {code}")
+                    gateway.start()
+            await trio.sleep(END_CHECK_INTERVAL_S)
+
     async def replace_leaf(self) -> None:
         """Replace a server, and check that calls to the drained one stop in time."""
         leaf = self.rng.choice(self.platform.leaves)
@@ -668,6 +693,7 @@
                     callers.start_soon(soak.send_rarely, number)
                 callers.start_soon(soak.repeat_crash_request)
                 callers.start_soon(soak.take_store_copies)
+                callers.start_soon(soak.watch_ends)
                 if soak.customers:
                     run_customers = partial(
                         soak.customers.run,
--- a/src/lavendergap/protocol/backend.py
+++ b/src/lavendergap/protocol/backend.py
@@ -8,6 +8,8 @@
 
 from ..coordination.calls import Call, ServerReport, ServerState
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
+from .jsontext import check_json
+from .numbers import read_count
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -16,12 +18,13 @@
 MIN_NON_SUCCESS_STATUS = 300
 # The largest version that fits into the messages between peers.
 MAX_VERSION = 2**63 - 1
+# A server that reports more running or waiting calls, or more slots, is faulty.
+MAX_REPORTED_CALLS = 1_000_000
 SERVER_STATES: dict[bytes, ServerState] = {
     b"serving": "serving",
     b"starting": "starting",
     b"draining": "draining",
 }
-_check_json = msgspec.json.Decoder(msgspec.Raw).decode
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,8 +97,8 @@
         if fields.get(b"index-version") != b"%d" % call.version:
             return wrong_answer
     try:
-        _check_json(reply.body)
-    except msgspec.DecodeError:
+        check_json(reply.body)
+    except ValueError:
         return wrong_answer
     return Answered(body=reply.body)
 
@@ -142,9 +145,9 @@
         in_use, slots, queued = fields[b"load"].split(b"/")
         versions = _read_versions(fields.get(b"index-versions", b""))
         return ServerReport(
-            in_use=int(in_use),
-            slots=int(slots),
-            queued=int(queued),
+            in_use=read_count(in_use, most=MAX_REPORTED_CALLS),
+            slots=read_count(slots, most=MAX_REPORTED_CALLS),
+            queued=read_count(queued, most=MAX_REPORTED_CALLS),
             state=SERVER_STATES[fields.get(b"server-state", b"serving")],
             versions=versions,
         )
@@ -153,8 +156,5 @@
 
 
 def _read_versions(text: bytes) -> tuple[int, ...]:
-    versions = tuple([int(v) for v in text.split(b",") if v.strip()])
-    for version in versions:
-        if not 0 <= version <= MAX_VERSION:
-            raise ValueError(version)
-    return versions
+    stated = [each for each in text.split(b",") if each.strip()]
+    return tuple([read_count(each, most=MAX_VERSION) for each in stated])
--- a/src/lavendergap/protocol/forwarding.py
+++ b/src/lavendergap/protocol/forwarding.py
@@ -14,7 +14,8 @@
 from ..coordination.calls import ServerReport
 from ..state.forwarding import ForwardedRequest, Headers
 from ..state.outcome import Answered, Coverage, NotRun, Outcome, Reason, Step, Unknown
-from .backend import MIN_NON_SUCCESS_STATUS, Reply, Verdict
+from .backend import MAX_REPORTED_CALLS, MIN_NON_SUCCESS_STATUS, Reply, Verdict
+from .numbers import read_count
 
 # Not forwarded (RFC 9110, 7.6.1). Content-Length is set anew for the body sent.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -37,6 +38,9 @@
 MAX_CACHED_LOADS = 1_024
 # Longer reports are not cached, so that a faulty server cannot fill the memory.
 MAX_CACHED_LOAD_BYTES = 32
+# Longer than any digest. The proofs of all parts of a query share one message between
+# hosts, and are separated by commas in the answer.
+MAX_PART_PROOF_BYTES = 256
 MISDIRECTED_REQUEST_STATUS = 421
 MIN_SERVER_ERROR_STATUS = 500
 # To a caller, these statuses promise that the request has not run and never will.
@@ -190,6 +194,8 @@
     if reply.status >= MIN_NON_SUCCESS_STATUS:
         return Unknown(step=Step.RECEIVE, peer=server, reason=Reason.SERVER_ERROR)
     proof = reply.headers[names.proof]
+    if len(proof) > MAX_PART_PROOF_BYTES or b"," in proof:
+        return Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
     return Answered(body=reply.body, headers=((names.proof, proof),))
 
 
@@ -253,8 +259,8 @@
 def read_load(text: bytes | None) -> ServerReport | None:
     """Return the load that a server reports, or None if it is missing or invalid.
 
-    >>> read_load(b"3,0,8").in_use, read_load(b"3,x")
-    (3, None)
+    >>> read_load(b"3,0,8").in_use, read_load(b"3,x"), read_load(b"3,0," + b"9" * 400)
+    (3, None, None)
     """
     if text is None:
         return None
@@ -265,7 +271,10 @@
 
 def _parse_load(text: bytes) -> ServerReport | None:
     try:
-        in_use, queued, slots = map(int, text.split(b",")[:3])
+        in_use, queued, slots = [
+            read_count(number, most=MAX_REPORTED_CALLS)
+            for number in text.split(b",", 3)[:3]
+        ]
     except ValueError:
         return None
     return ServerReport(
--- a/src/lavendergap/protocol/objects.py
+++ b/src/lavendergap/protocol/objects.py
@@ -151,7 +151,7 @@
     """
     try:
         return _SETTINGS_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise ObjectError(key=key, problem=str(error)) from None
 
 
@@ -164,7 +164,7 @@
     key = make_index_key(service)
     try:
         index = _INDEX_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise ObjectError(key=key, problem=str(error)) from None
     for problem in _check_index(index):
         raise ObjectError(key=key, problem=problem)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -320,7 +320,7 @@
             packed.changes = _decode_changes(_inflate(packed.deflated))
         elif isinstance(packed, _PackedState) and packed.deflated:
             packed.entries = _decode_entries(_inflate(packed.deflated))
-    except (msgspec.MsgspecError, UnicodeDecodeError, zlib.error) as error:
+    except (ValueError, RecursionError, zlib.error) as error:
         raise BadFrameError(problem=str(error)) from error
     match packed:
         case _PackedSearch():
--- a/src/lavendergap/protocol/resolved.py
+++ b/src/lavendergap/protocol/resolved.py
@@ -104,7 +104,7 @@
     """
     try:
         message = _DECODER.decode(_decompress(data))
-    except (zlib.error, msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (zlib.error, ValueError, RecursionError) as error:
         raise ObjectError(key="resolved settings", problem=str(error)) from None
     if message.format not in (FORMAT, FORMAT_WITH_CUSTOMERS):
         expected = f"{FORMAT} or {FORMAT_WITH_CUSTOMERS}"
--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -25,8 +25,10 @@
     build_headers,
     check_reply,
 )
+from ..protocol.jsontext import decode_json
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
+from .badfields import report_bad_field, report_wrong_answer
 from .earlyanswers import report_early_answer
 from .stream import RequestStream, open_stream
 
@@ -136,15 +138,30 @@
             self._mean_latency_s += LATENCY_SMOOTHING_FACTOR * (
                 elapsed - self._mean_latency_s
             )
-            return check_reply(
-                result,
-                call,
-                attempt=attempt,
-                server=self.server.name,
-                is_first=connection is None,
+            return self._make_verdict(
+                result, call, attempt=attempt, is_first=connection is None
             )
         return Verdict(outcome=result, report=None)
 
+    def _make_verdict(
+        self, reply: Reply, call: Call, *, attempt: bytes, is_first: bool
+    ) -> Verdict:
+        """Return the verdict on an answer; an unexpected error loses the attempt."""
+        server = self.server.name
+        try:
+            verdict = check_reply(
+                reply, call, attempt=attempt, server=server, is_first=is_first
+            )
+        except Exception:
+            logger.exception("cannot evaluate the answer of %s", server)
+            outcome = Unknown(step=Step.CHECK, peer=server, reason=Reason.WRONG_ANSWER)
+            return Verdict(outcome=outcome, report=None)
+        if verdict.report is None:
+            for field in (b"load", b"index-versions"):
+                if field in reply.headers:
+                    report_bad_field(server, field, reply.headers[field])
+        return verdict
+
     def _compute_timeout(
         self, connection: Connection, *, left: float, now: float
     ) -> float:
@@ -173,7 +190,10 @@
         )
         if not isinstance(result, Reply) or result.status != 200:
             return None
-        return _parse_health(result.body)
+        report = _parse_health(result.body)
+        if report is None:
+            report_wrong_answer(self.server.name, "the health report is malformed")
+        return report
 
     def _make_refusal(self, step: Step, reason: Reason) -> Verdict:
         outcome = NotRun(step=step, peer=self.server.name, reason=reason)
@@ -238,12 +258,21 @@
                 reusable = self._may_reuse(connection.stream, reply, attempt)
                 return reply
             return self._classify_timeout(connection, reused=idle is not None)
-        except (httpcore.NetworkError, httpcore.ProtocolError):
+        except httpcore.NetworkError:
+            return self._classify_loss(connection)
+        except httpcore.ProtocolError as error:
+            if connection is not None and connection.stream.n_received:
+                report_wrong_answer(self.server.name, str(error))
+            return self._classify_loss(connection)
+        except Exception:
+            # An unexpected error must not end the process and the requests of others.
+            logger.exception("cannot read the answer of %s", self.server.name)
             return self._classify_loss(connection)
         finally:
             if connection is None:
                 self._release()
             else:
+                connection.stream.end()
                 self._recycle_or_close(connection, reusable=reusable)
 
     def _classify_loss(self, connection: Connection | None) -> Outcome:
@@ -304,7 +333,11 @@
     def _recycle_or_close(self, connection: Connection, *, reusable: bool) -> None:
         # The rest of an abandoned answer would be read as the answer to the next
         # request, so only a connection whose answer was read completely is reused.
-        if reusable and connection.http.is_idle():
+        if (
+            reusable
+            and connection.http.is_idle()
+            and not _has_trailing_data(connection)
+        ):
             connection.answered_at = trio.current_time()
             self._idle.append(connection)
         else:
@@ -332,6 +365,15 @@
         await self.close_idle(now=float("inf"))
 
 
+def _has_trailing_data(connection: Connection) -> bool:
+    """Return whether bytes followed the answer, which belong to no request.
+
+    The next answer would be read from behind them.
+    """
+    data, is_closed = connection.http._h11_state.trailing_data
+    return bool(data) or is_closed
+
+
 async def _receive(
     http: httpcore.AsyncHTTP11Connection, request: httpcore.Request
 ) -> Reply:
@@ -350,8 +392,8 @@
 
 def _parse_health(body: bytes) -> ServerReport | None:
     try:
-        health = msgspec.json.decode(body, type=HealthBody)
-    except msgspec.DecodeError:
+        health = decode_json(body, HealthBody)
+    except ValueError:
         return None
     return ServerReport(
         in_use=0,
--- a/src/lavendergap/transport/callers.py
+++ b/src/lavendergap/transport/callers.py
@@ -18,6 +18,7 @@
     get_retry_after_ms,
     name_outcome,
 )
+from ..protocol.jsontext import check_json
 from ..state.customers import Customer
 from ..state.outcome import NotRun, Reason, Step, Unknown
 from ..state.settings import Service, Settings
@@ -48,7 +49,6 @@
 
 PORT = "callers"
 KEY_HEADER = b"customer-key"
-_check_json = msgspec.json.Decoder(msgspec.Raw).decode
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -238,8 +238,8 @@
             require_json(scope)
             body = await read_body(scope, receive, limit=service.max_body_bytes)
             try:
-                _check_json(body)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                check_json(body)
+            except ValueError as error:
                 raise BadRequestError(
                     status=HTTPStatus.BAD_REQUEST,
                     problem="malformed body",
--- a/src/lavendergap/transport/channel.py
+++ b/src/lavendergap/transport/channel.py
@@ -122,6 +122,10 @@
             logger.warning("bad frame from %s: %s", self._peer_name, group.exceptions)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             loss = LossReason.RESET
+        except* Exception as group:
+            # A peer's message must not end the process and the requests of others.
+            loss = LossReason.BAD_FRAME
+            logger.error("cannot handle a frame of %s", self._peer_name, exc_info=group)
         finally:
             checks.discard(self)
             metrics.peer_channels.dec()
--- a/src/lavendergap/transport/forward.py
+++ b/src/lavendergap/transport/forward.py
@@ -24,8 +24,10 @@
     check_forwarded_reply,
     render_request,
 )
+from ..protocol.numbers import read_count
 from ..state.outcome import NotRun, Outcome, Reason, Step, Unknown
 from ..state.settings import Server
+from .badfields import report_bad_field
 from .earlyanswers import report_early_answer
 from .serverconnection import Exchange, Result, ServerConnection, has_input
 
@@ -52,6 +54,7 @@
 # Servers of one kind state the same timeouts. A head, and so each text that is cached,
 # has at most `MAX_HEAD_BYTES`.
 MAX_CACHED_KEEP_ALIVES = 16
+MAX_KEEP_ALIVE_S = 1_000_000_000
 
 EndCall = Callable[[Verdict], None]
 
@@ -205,7 +208,7 @@
         call = exchange.call
         assert call.forward is not None
         try:
-            return check_forwarded_reply(
+            verdict = check_forwarded_reply(
                 result,
                 call.forward,
                 names=self._names,
@@ -216,6 +219,11 @@
         except Exception:
             logger.exception("cannot evaluate the answer of %s", self.server.name)
             return self._make_unknown(Step.CHECK, Reason.SERVER_ERROR)
+        if verdict.report is None:
+            load = result.headers.get(self._names.load)
+            if load is not None:
+                report_bad_field(self.server.name, self._names.load, load)
+        return verdict
 
     def _finish_unsent(self, exchange: Exchange, step: Step, reason: Reason) -> None:
         outcome = NotRun(step=step, peer=self.server.name, reason=reason)
@@ -408,7 +416,11 @@
         idle_timeout_s = self._idle_timeout_s
         stated = headers.get(b"keep-alive")
         if stated is not None:
-            idle_timeout_s = min(idle_timeout_s, _read_keep_alive(stated))
+            try:
+                idle_timeout_s = min(idle_timeout_s, _read_keep_alive(stated))
+            except ValueError:
+                report_bad_field(self.server.name, b"keep-alive", stated)
+                return False
         connection.idle_timeout_s = idle_timeout_s
         if connection.idle_timeout_s <= 0:
             return False
@@ -482,11 +494,13 @@
 def _read_keep_alive(text: bytes) -> float:
     """Return how long an idle connection may be reused, in seconds.
 
+    Raises ValueError if the stated timeout is not a number of usual size.
+
     >>> _read_keep_alive(b"timeout=10"), _read_keep_alive(b"")
     (7.0, inf)
     """
     for field in text.split(b","):
         name, _, value = field.partition(b"=")
-        if name.strip().lower() == b"timeout" and value.strip().isdigit():
-            return KEEP_ALIVE_SHARE * int(value)
+        if name.strip().lower() == b"timeout":
+            return KEEP_ALIVE_SHARE * read_count(value, most=MAX_KEEP_ALIVE_S)
     return float("inf")
--- a/src/lavendergap/transport/gossip.py
+++ b/src/lavendergap/transport/gossip.py
@@ -195,7 +195,13 @@
 ) -> None:
     while True:
         message, sender = await endpoint.receive()
-        sends = membership.receive(message, sender=sender, now=clock())
+        try:
+            sends = membership.receive(message, sender=sender, now=clock())
+        except Exception:
+            # A datagram must not end the process and the requests of others.
+            endpoint.metrics.refused.labels("received", "error").inc()
+            logger.exception("cannot handle a datagram of %s", sender)
+            continue
         _report(membership, endpoint.metrics, on_change)
         await endpoint.send(sends)
         endpoint.wake()
--- a/src/lavendergap/transport/httpclient.py
+++ b/src/lavendergap/transport/httpclient.py
@@ -11,9 +11,12 @@
 import httpcore
 import trio
 
+from ..logs import Category, get_logger
 from ..state.outcome import Reason, Step
 from ..state.settings import Address
 
+logger = get_logger(Category.CONNECTIONS)
+
 MAX_ANSWER_BYTES = 8_000_000
 """Lists of objects and answers to queries are longer than a single object."""
 
@@ -123,6 +126,11 @@
         except (httpcore.NetworkError, httpcore.ProtocolError):
             self._retire(generation)
             return progress.fail(Reason.LOST_CONNECTION)
+        except Exception:
+            # An unexpected error must not end the process and the requests of others.
+            logger.exception("cannot read the answer of %s", self.address)
+            self._retire(generation)
+            return progress.fail(Reason.WRONG_ANSWER)
         finally:
             generation.n_calls -= 1
             await self._close_if_retired(generation)
--- a/src/lavendergap/transport/platform.py
+++ b/src/lavendergap/transport/platform.py
@@ -6,8 +6,7 @@
 from typing import TypeVar
 from urllib.parse import quote, urlencode
 
-import msgspec
-
+from ..protocol.jsontext import decode_json
 from ..state.outcome import Reason, Step
 from ..state.settings import Address
 from .httpclient import FailedCall, HttpClient, HttpReply
@@ -276,6 +275,6 @@
     if not isinstance(reply, HttpReply) or reply.status != HTTPStatus.OK:
         return _classify_failure(reply)
     try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_json(reply.body, kind)
+    except ValueError:
         return _INVALID_ANSWER
--- a/src/lavendergap/transport/replies.py
+++ b/src/lavendergap/transport/replies.py
@@ -12,7 +12,13 @@
 
 # Larger than any valid answer; a faulty server must not exhaust the memory.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# Limits the head, with informational answers before it, the framing of chunks and the
+# trailers. A faulty server may send any of them without end.
 MAX_HEAD_BYTES = 64 * 1024
+# Bytes on the connection for each byte of a body in the smallest chunks, with some room
+# for extensions.
+MAX_BYTES_PER_BODY_BYTE = 16
+MIN_STATUS = 100
 FIRST_FINAL_STATUS = 200  # lower ones are informational and precede the answer
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
@@ -55,7 +61,7 @@
         "_status",
         "_headers",
         "_parts",
-        "_n_head_bytes",
+        "_n_bytes",
         "_n_body_bytes",
     )
 
@@ -72,7 +78,7 @@
         self._status = 0
         self._headers: dict[bytes, bytes] = {}
         self._parts: list[bytes] = []
-        self._n_head_bytes = 0
+        self._n_bytes = 0
         self._n_body_bytes = 0
 
     def feed(self, data: bytes) -> None:
@@ -80,16 +86,19 @@
         if self.is_whole:
             self.has_trailing_data = True
             return
-        if not self._has_head:
-            self._n_head_bytes += len(data)
+        self._n_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.is_whole:
-                raise WrongAnswerError(str(error)) from error
+                # A callback's own error is the context of the parser's.
+                problem = str(error.__context__ or error)
+                raise WrongAnswerError(problem) from error
             self.has_trailing_data = True
-        if not self._has_head and self._n_head_bytes > MAX_HEAD_BYTES:
-            raise WrongAnswerError("the head is too long")
+        if not self.is_whole and self._n_bytes > (
+            MAX_HEAD_BYTES + MAX_BYTES_PER_BODY_BYTE * self._n_body_bytes
+        ):
+            raise WrongAnswerError("the head, chunk framing or trailers are too long")
 
     def end(self) -> None:
         """Handle the end of the connection, which may complete the answer."""
@@ -100,7 +109,12 @@
     @property
     def has_begun(self) -> bool:
         """Whether any byte of an answer was received."""
-        return self._n_head_bytes > 0
+        return self._n_bytes > 0
+
+    @property
+    def n_bytes(self) -> int:
+        """The number of bytes received of the answer so far."""
+        return self._n_bytes
 
     @property
     def is_success(self) -> bool:
@@ -126,15 +140,20 @@
             self.has_trailing_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if not self.is_whole:
-            self._headers[name.lower()] = value
+        """Store a header; ignore a trailer, which must not replace a header.
+
+        The parser leaves white space at a value's end, which cannot be forwarded.
+        """
+        if not self._has_head:
+            self._headers[name.lower()] = value.rstrip(b" \t")
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is marked."""
         if self.is_whole:
             return
         self._status = self._parser.get_status_code()
+        if self._status < MIN_STATUS:
+            raise WrongAnswerError(f"the status {self._status}")
         if self._status < FIRST_FINAL_STATUS:
             return
         self._has_head = True
@@ -167,7 +186,7 @@
             self._has_head = False
             self._headers = {}
             self._parts = []
-            self._n_head_bytes = self._n_body_bytes = 0
+            self._n_bytes = self._n_body_bytes = 0
         else:
             self.is_whole = True
 
--- a/src/lavendergap/transport/serverconnection.py
+++ b/src/lavendergap/transport/serverconnection.py
@@ -10,11 +10,16 @@
 
 from ..coordination.calls import Call
 from ..coordination.reuse import FailedAttempts
+from ..logs import Category, get_logger
 from ..protocol.backend import Reply
 from ..state.outcome import NotRun, Reason, Step, Unknown
+from .answermemory import MIN_COUNTED_BYTES, get_answer_memory
+from .badfields import report_wrong_answer
 from .inputwatcher import get_input_watcher
 from .replies import ReplyReader, WrongAnswerError
 
+logger = get_logger(Category.CONNECTIONS)
+
 READ_SIZE_BYTES = 65_536
 
 # How an exchange ended: a complete answer, or whether the request may have run.
@@ -125,8 +130,8 @@
         "_is_open",
         "_close_reason",
         "_watcher",
+        "_memory",
         "_closed",
-        "_error",
     )
 
     def __init__(
@@ -152,8 +157,8 @@
         self._is_open = True
         self._close_reason = Reason.LOST_CONNECTION
         self._watcher = get_input_watcher()
+        self._memory = get_answer_memory()
         self._closed = trio.Event()
-        self._error: Exception | None = None
 
     def send(
         self, exchange: Exchange, data: bytes, *, now: float, silence_deadline: float
@@ -208,6 +213,7 @@
             self._close_reason = reason
             self._closed.set()
             self._watcher.discard(self.raw)
+            self._memory.discard(self)
             trio.lowlevel.notify_closing(self.raw)
             self.raw.close()
             self._owner.on_closed(self)
@@ -233,8 +239,6 @@
         while True:
             with self._silence_scope:
                 await self._closed.wait()
-            if self._error is not None:
-                raise self._error
             if self._closed.is_set():
                 return False
             if self._silence_scope.deadline < inf:
@@ -243,15 +247,25 @@
             self._silence_scope = trio.CancelScope()
 
     def _on_input(self) -> None:
+        exchange = self._exchange
         try:
             if not self._receive():
                 self._end(Reason.LOST_CONNECTION)
-        except WrongAnswerError:
+        except WrongAnswerError as error:
+            self.reject(str(error))
+        except Exception:
+            # An unexpected error must not end the process and the requests of others.
+            peer = exchange.peer if exchange is not None else ""
+            logger.exception("cannot read the answer of %s", peer)
             self._end(Reason.WRONG_ANSWER)
-        except Exception as error:
-            # Raised again in this connection's task, not in that of all connections.
-            self._error = error
-            self.drop(Reason.LOST_CONNECTION)
+            if exchange is not None:
+                exchange.lose(Reason.WRONG_ANSWER)
+
+    def reject(self, problem: str) -> None:
+        """Close the connection; the answer in progress counts as a wrong one."""
+        if self._exchange is not None:
+            report_wrong_answer(self._exchange.peer, problem)
+        self._end(Reason.WRONG_ANSWER)
 
     def _end(self, reason: Reason) -> None:
         """Close, if open, and finish the exchange in progress."""
@@ -281,7 +295,10 @@
                 return False
             reader.end()
         if not reader.is_whole:
-            return True
+            if reader.n_bytes > MIN_COUNTED_BYTES:
+                self._memory.count(self, reader.n_bytes)
+            return self._is_open
+        self._memory.discard(self)
         self._exchange = None
         if self._silence_scope.deadline < inf:
             self._silence_scope.deadline = inf
--- a/src/lavendergap/transport/stream.py
+++ b/src/lavendergap/transport/stream.py
@@ -13,6 +13,8 @@
 import httpcore
 import trio
 
+from .answermemory import MIN_COUNTED_BYTES, get_answer_memory
+
 
 async def open_stream(ip: str, port: int, *, max_received: int) -> "RequestStream":
     """Connect to an address; raises httpcore.ConnectError on failure."""
@@ -34,15 +36,18 @@
     that the kernel accepted: while it is 0, the request cannot have run. Sending stops
     while there is input, since a server may answer before it has read a long request,
     and need not read the rest. An answer of more than `max_received` bytes raises
-    httpcore.ReadError, since a faulty server must not exhaust the memory.
+    httpcore.RemoteProtocolError, since a faulty server must not exhaust the memory.
+    `n_received` counts the bytes of the answer.
     """
 
     def __init__(self, *, connected: socket.socket, max_received: int) -> None:
         self.n_bytes = 0
         self.n_sent = 0
         self._socket = connected
+        self.n_received = 0
         self._max_received = max_received
-        self._n_received = 0
+        self._memory = get_answer_memory()
+        self._problem = ""
         self._unsent = b""
         self._poll = select.poll()
         self._poll.register(connected, select.POLLIN)
@@ -51,7 +56,16 @@
         """Reset the counts for the next request."""
         self.n_bytes = 0
         self.n_sent = 0
-        self._n_received = 0
+        self.n_received = 0
+
+    def end(self) -> None:
+        """Release the memory that is counted for the answer."""
+        self._memory.discard(self)
+
+    def reject(self, problem: str) -> None:
+        """Give up the answer that is being received; `read` raises the problem."""
+        self._problem = problem
+        self.close()
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Buffer the bytes; the first read after the request sends them."""
@@ -63,20 +77,29 @@
         if self._unsent:
             await self._send()
         while True:
-            await trio.lowlevel.wait_readable(self._socket)
+            self._raise_if_rejected()
             try:
+                await trio.lowlevel.wait_readable(self._socket)
                 data = self._socket.recv(max_bytes)
             except BlockingIOError:
                 continue
-            except OSError as error:
+            except (OSError, trio.ClosedResourceError) as error:
+                self._raise_if_rejected()
                 raise httpcore.ReadError(str(error)) from error
             if not data and self._unsent:
                 raise httpcore.WriteError("closed before the request was sent")
-            self._n_received += len(data)
-            if self._n_received > self._max_received:
-                raise httpcore.ReadError("the answer is too large")
+            self.n_received += len(data)
+            if self.n_received > self._max_received:
+                raise httpcore.RemoteProtocolError("the answer is too large")
+            if self.n_received > MIN_COUNTED_BYTES:
+                self._memory.count(self, self.n_received)
+            self._raise_if_rejected()
             return data
 
+    def _raise_if_rejected(self) -> None:
+        if self._problem:
+            raise httpcore.RemoteProtocolError(self._problem)
+
     async def _send(self) -> None:
         """Send the buffered bytes, until done or until there is input."""
         while not self._send_now() and not self._has_input:
@@ -112,6 +135,7 @@
 
     def close(self) -> None:
         """Close at once; the server sees this and cancels the request."""
+        self.end()
         if self._socket.fileno() >= 0:
             trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
--- a/standins/http.py
+++ b/standins/http.py
@@ -12,12 +12,16 @@
 import msgspec
 import trio
 
+from .spoiled import make_endless
+
 MAX_BODY_BYTES = 2_000_000
 MAX_RECEIVE_BYTES = 65_536
 IDLE_TIMEOUT_S = 3_600.0
 IDLE_UPDATE_INTERVAL_S = 60.0
 BACKLOG = 512
 ACCEPT_PAUSE_S = 0.05
+ENDLESS_PIECE_BYTES = 16_384
+MAX_ENDLESS_BYTES = 64_000_000
 STATUSES_WITHOUT_BODY = (204, 304)
 EMPTY_RESPONSE = h11.Response(status_code=204, headers=[])
 END_OF_MESSAGE = h11.EndOfMessage()
@@ -46,12 +50,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reply:
-    """One reply; `n_body_bytes_sent`, `n_copies`, `is_repeated` make it a faulty one.
+    """One reply; all fields from `n_body_bytes_sent` on make it a faulty one.
 
     With `n_body_bytes_sent`, only so many bytes of the body are sent and the connection
     is closed, while Content-Length is that of the whole body. With `n_copies`, the
     reply is sent several times. If it `is_repeated`, it is sent again when the next
-    request on the connection has arrived.
+    request on the connection has arrived. `endless` is the kind of bytes that are sent
+    in its place until the client closes.
     """
 
     status: int
@@ -60,6 +65,7 @@
     n_body_bytes_sent: int | None = None
     n_copies: int = 1
     is_repeated: bool = False
+    endless: str = ""
 
 
 def make_json_reply(
@@ -136,6 +142,9 @@
         length = len(reply.body)
         lines = [f"HTTP/1.1 {reply.status} {_get_phrase(reply.status)}"]
         lines += [f"{name}: {value}" for name, value in reply.headers]
+        if reply.endless:
+            await self._send_endless(reply, lines)
+            return False
         # Replies with these statuses carry neither a body nor Content-Length.
         if reply.status not in STATUSES_WITHOUT_BODY:
             lines.append(f"Content-Length: {length}")
@@ -150,6 +159,15 @@
             self._repeated = head + reply.body
         return is_kept
 
+    async def _send_endless(self, reply: Reply, lines: list[str]) -> None:
+        head = "".join(f"{line}\r\n" for line in lines).encode("latin-1")
+        start, piece = make_endless(
+            reply.endless, head, reply.body, n_bytes=ENDLESS_PIECE_BYTES
+        )
+        await self._stream.send_all(start)
+        for _ in range(MAX_ENDLESS_BYTES // len(piece)):
+            await self._stream.send_all(piece)
+
     async def send_repeated(self) -> None:
         """Send the last reply again, if it is to be repeated."""
         if self._repeated:
--- a/standins/leafservers.py
+++ b/standins/leafservers.py
@@ -30,7 +30,8 @@
     that `refuses_first` at its first sight of a request; one that `fails` answers 500,
     and one that `resets_connections` resets the connection instead of answering. Each
     answer is sent `n_copies` times. With `repeats_refusals`, each refusal is sent again
-    when the next request arrives.
+    when the next request arrives. `odd_headers` are added to each answer, and `endless`
+    is the kind of bytes without end that is sent in its place.
     """
 
     work_s: float = 0.005
@@ -40,6 +41,8 @@
     fails: bool = False
     resets_connections: bool = False
     n_copies: int = 1
+    odd_headers: tuple[tuple[str, str], ...] = ()
+    endless: str = ""
 
 
 @dataclass(kw_only=True)
@@ -182,6 +185,7 @@
             ("Lavendergap-Attempt-Id", attempt),
             ("Lavendergap-Server-Stamp", f"{self.server_id}.{attempt}"),
             ("Lavendergap-Server-Load", f"{self.n_running},0,{self.slots}"),
+            *self.faults.odd_headers,
         )
         if self.faults.fails:
             return Reply(status=500, headers=headers)
@@ -190,6 +194,7 @@
             headers=headers,
             body=make_answer_body(self.service, attempt, request.body),
             n_copies=self.faults.n_copies,
+            endless=self.faults.endless,
         )
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -161,6 +161,7 @@
         [
             (Call(), b'{"query": ', 400, "malformed body"),
             (Call(), b"\xff\xfe", 400, "malformed body"),
+            (Call(), b"[" * 60_000, 400, "malformed body"),
             (Call(content_length="9999999"), b"{}", 413, "body too large"),
             (Call(), b'"' + b"x" * 70_000 + b'"', 413, "body too large"),
             (Call(content_type="text/html"), b"{}", 415, "wrong media type"),
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -37,6 +37,9 @@
 WRONG_FIELDS = [
     {"service": ""},
     {"service": 7},
+    {"slots": int(400 * "9")},
+    {"seq_no": int(400 * "9")},
+    {"born": int(400 * "9")},
     {"service": None},
     {"address": "10.0.0.1"},
     {"address": "10.0.0.1:65536"},
