Tell outages of the store from the loss of hosts that watch it

Cause: a host that had no announcements for 2.1 s took the silence for an outage of the store, and kept the entries that the next announcement removed for another 2.2 s, although the store had answered each call.

Evidence: `entries kept`, new, on the code before (trial, virtual clock): of three hosts one asked and dropped the entry after 0.6 s, the two others logged it then and dropped the entry 2.2 s later. Ruled out by it: that hosts ask too late, or that the answer is not announced.

Change: an outage follows from who had answers of the store and whose calls failed (coordination/outages.py); announcements carry the sender's. Six standbys ask from 1.75 s of silence on, one after the other. The report of an outage's end ends back-offs and watches from before it, and standbys ask again before lapsed entries are dropped.

Why it works: without failed calls, the time since anyone's last answer is shorter than any outage in which entries lapse unseen, so that the removal is real; with them, the entry is kept until its server had the time to register again, unless another host was answered throughout.

test_packing cut the last field of a message to get one without an epoch; it now cuts the two later ones as well.

--- a/lab/soak.py
+++ b/lab/soak.py
@@ -126,6 +126,8 @@
         # without an answer.
         self.stopping: set[str] = set()
         self.cut: list[str] = []
+        # Hosts that are frozen for longer than a caller waits for an answer.
+        self.frozen: set[str] = set()
         self.n_crash_requests = 0
         self.evacuated: set[str] = set()
         self.store_copies: deque[StoreCopy] = deque(maxlen=N_STORE_COPIES)
@@ -204,6 +206,9 @@
                 await self.use_connection(gateway, rng)
             except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
                 await trio.sleep(CALLER_PAUSE_S)
+            except trio.TooSlowError:
+                if gateway.name not in self.frozen:
+                    raise
 
     async def send_rarely(self, number: int) -> None:
         """Send requests with long pauses over connections that are kept meanwhile."""
@@ -216,6 +221,9 @@
                     await self.keep_connection(stream, gateway, rng)
             except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
                 await trio.sleep(CALLER_PAUSE_S)
+            except trio.TooSlowError:
+                if gateway.name not in self.frozen:
+                    raise
 
     async def keep_connection(
         self, stream: trio.SocketStream, gateway: Gateway, rng: Random
@@ -588,6 +596,48 @@
                 f"{n_late_calls} late calls to {leaf.server_id}, which was draining"
             )
 
+    async def lose_hosts_and_server(self) -> None:
+        """Lose two hosts as a server's entry is removed; check that calls to it end.
+
+        Two hosts watch the store for all, so that at times both are lost.
+        """
+        lost = self.rng.sample(self.platform.gateways, 2)
+        leaf = self.rng.choice(self.platform.leaves)
+        await self.add_leaf(leaf.service, leaf.zone)
+        await trio.sleep(1.0)
+        self.platform.leaves.remove(leaf)
+        self.retired.append(leaf)
+        is_frozen = self.rng.random() < 0.5
+        is_lost_first = self.rng.random() < 0.5
+        if is_lost_first:
+            self.lose_hosts(lost, is_frozen=is_frozen)
+            await trio.sleep(self.rng.uniform(0.0, 0.5))
+        self.platform.store.remove(SERVERS, leaf.server_id)
+        removed_at = trio.current_time()
+        if not is_lost_first:
+            await trio.sleep(self.rng.uniform(0.0, 0.1))
+            self.lose_hosts(lost, is_frozen=is_frozen)
+        await trio.sleep_until(removed_at + DRAIN_MS / 1_000)
+        n_before = sum(leaf.arrivals.values())
+        await trio.sleep(1.0)
+        n_late_calls = sum(leaf.arrivals.values()) - n_before
+        if n_late_calls:
+            self.report_violation(
+                f"{n_late_calls} late calls to {leaf.server_id}, which was removed as "
+                f"{' and '.join(host.name for host in lost)} were lost"
+            )
+        for gateway in lost:
+            gateway.kill()
+            gateway.start()
+
+    def lose_hosts(self, gateways: list[Gateway], *, is_frozen: bool) -> None:
+        """Freeze or kill hosts."""
+        for gateway in gateways:
+            self.mark_disturbed(gateway)
+            gateway.send(signal.SIGSTOP if is_frozen else signal.SIGKILL)
+            if is_frozen:
+                self.frozen.add(gateway.name)
+
     async def evacuate(self) -> None:
         """Evacuate a data centre, and check that calls to its servers stop in time."""
         zone = self.rng.choice(ZONES)
@@ -637,6 +687,7 @@
         await self.evacuate()
         if self.customers:
             await self.customers.check_end(self.write_routes)
+        await self.lose_hosts_and_server()
         for attempt in self.bookings:
             n_runs = sum(leaf.runs[attempt] for leaf in self.all_leaves())
             if n_runs > 1:
--- a/src/lavendergap/coordination/feeds.py
+++ b/src/lavendergap/coordination/feeds.py
@@ -74,6 +74,7 @@
         self._fingerprint = 0
         self._entries: dict[str, bytes] = {}
         self._store_returned_at = float("-inf")
+        self._restored_until = float("-inf")
         self._lapse_ends: dict[str, float] = {}
 
     @property
@@ -129,6 +130,13 @@
         """Record the time at which the store answers again after an outage."""
         self._store_returned_at = now
 
+    def record_no_outage(self, *, now: float) -> bool:
+        """Drop what was kept for an outage that there was not; return whether any."""
+        self._store_returned_at = float("-inf")
+        if now >= self._restored_until:
+            self._lapse_ends = dict.fromkeys(self._lapse_ends, now)
+        return self.drop_lapsed(now=now)
+
     def apply_listing(
         self,
         listing: FeedListing,
@@ -165,7 +173,7 @@
         what was registered again after the first.
         """
         self.record_store_return(now=now)
-        keep_until = now + self._restore_grace_s
+        keep_until = self._restored_until = now + self._restore_grace_s
         self._lapse_ends = dict.fromkeys(self._lapse_ends, keep_until)
         return keep_until
 
--- a/src/lavendergap/entry/feedcopy.py
+++ b/src/lavendergap/entry/feedcopy.py
@@ -6,6 +6,7 @@
 
 from .. import metrics
 from ..coordination.feeds import N_BUCKETS, FeedCopy, Summarize
+from ..coordination.outages import Change, OutageDetector
 from ..logs import Category, get_logger, log_decision
 from ..protocol.messages import FeedState, FeedUpdate
 from ..state.feeds import FeedChanges, FeedEntry, FeedListing, StorePosition
@@ -39,6 +40,9 @@
             restore_grace_s=restore_grace_s,
             summarize=summarize,
         )
+        self.outages = OutageDetector()
+        # Set and replaced when another host reports the end of an outage.
+        self.store_returned = trio.Event()
         self.is_loaded = False
         self.confirmed_at = trio.current_time()
         self._on_change = on_change
@@ -67,6 +71,8 @@
         now = trio.current_time()
         has_changed = self.copy.apply_listing(listing, now=now, buckets=buckets)
         self.confirm()
+        if self.copy.position.epoch != before.epoch:
+            self.outages.forget_outage()
         self._log_restore(before, source)
         if has_changed or not self.is_loaded:
             self.is_loaded = True
@@ -75,10 +81,46 @@
 
     def apply_changes(self, changes: FeedChanges, source: str) -> None:
         """Apply changes that follow the copy's position."""
+        n_kept = self.copy.n_lapsed
         if self.copy.apply_changes(changes, now=trio.current_time()):
             self._report_change(source)
+        if self.copy.n_lapsed > n_kept:
+            log_decision(
+                logger,
+                "entries kept",
+                request_id=None,
+                feed=self.feed,
+                n_kept=self.copy.n_lapsed - n_kept,
+                source=source,
+            )
+
+    def record_answer(self, began: float) -> None:
+        """Record that the store has answered a call of this host."""
+        now = trio.current_time()
+        change = self.outages.record_answer(began=began, now=now)
+        self._handle_outage(change, "store", now)
+
+    def _handle_outage(self, change: Change, source: str, now: float) -> None:
+        """Keep the entries that lapsed in an outage, or drop them if there was none."""
+        match change:
+            case Change.NONE:
+                return
+            case Change.OUTAGE:
+                self.copy.record_store_return(now=self.outages.returned_at)
+            case Change.REFUTED:
+                if self.copy.record_no_outage(now=now):
+                    self._report_change(source)
+        log_decision(
+            logger,
+            f"store {change.value}",
+            request_id=None,
+            feed=self.feed,
+            source=source,
+            outage_s=format_age(self.outages.outage_s),
+            has_failed=self.outages.has_failed,
+        )
 
-    def apply_update(self, update: FeedUpdate, host: str, *, is_stale: bool) -> bool:
+    def apply_update(self, update: FeedUpdate, host: str) -> bool:
         """Apply an update; return whether the copy needs nothing more from it."""
         copy = self.copy
         before = copy.position
@@ -87,9 +129,14 @@
         if update.position.epoch < before.epoch:
             return True  # The sender has not noticed yet that the store was restored.
         now = trio.current_time()
-        if is_stale or update.position.epoch > before.epoch:
-            # No host had an answer from the store for a while: entries removed now may
-            # have lapsed during an outage.
+        change = self.outages.record_report(update.contact, now=now)
+        self._handle_outage(change, host, now)
+        if change is Change.OUTAGE:
+            self.store_returned.set()
+            self.store_returned = trio.Event()
+        if update.position.epoch > before.epoch:
+            # Entries that are missing may have been lost with the store's history.
+            self.outages.forget_outage()
             copy.record_store_return(now=now)
         is_outdated = update.position < before
         changes = () if is_outdated else update.changes
--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -24,6 +24,9 @@
 N_HOLDERS = 2
 """The second one continues while the loss of the first one is not yet detected."""
 
+N_STANDBYS = 6
+"""Hosts that ask the store before all others when both holders are silent."""
+
 STARTUP_TIME_S = 3.0
 """How long after its start a host watches only for its data centre.
 
@@ -61,10 +64,17 @@
         """Return this host's rank among the watch holders, from 0, or None."""
         if not self.is_past_startup() and not self._is_alone():
             return None
-        holders = choose_watch_holders(self._membership.members(), N_HOLDERS)
-        if self._own_name not in holders:
-            return None
-        return holders.index(self._own_name)
+        rank = self._get_watch_rank()
+        return rank if rank is not None and rank < N_HOLDERS else None
+
+    def get_standby_rank(self) -> int | None:
+        """Return this host's rank among the standbys of the holders, or None."""
+        rank = self._get_watch_rank() if self.is_past_startup() else None
+        return rank - N_HOLDERS if rank is not None and rank >= N_HOLDERS else None
+
+    def _get_watch_rank(self) -> int | None:
+        hosts = choose_watch_holders(self._membership.members(), N_HOLDERS + N_STANDBYS)
+        return hosts.index(self._own_name) if self._own_name in hosts else None
 
     def leads_data_centre(self) -> bool:
         """Return whether this host watches for its data centre during startup."""
--- a/src/lavendergap/entry/feeds.py
+++ b/src/lavendergap/entry/feeds.py
@@ -42,18 +42,24 @@
 
     `watch_wait_s` is the duration of a holder's long poll: how often it announces that
     nothing has changed, and for how long a silent connection can hide a change. A host
-    without an update for `stale_after_s`, which is longer, asks the store itself.
+    without an update for `stale_after_s`, which is longer, asks the store itself; the
+    first standby does so after `standby_after_s`.
     """
 
     watch_wait_s: float
+    standby_after_s: float
     stale_after_s: float
 
 
 # Fast enough to act on a change within the 3 s that a leaving server goes on serving.
-FAST_TIMING = FeedTiming(watch_wait_s=1.5, stale_after_s=2.1)
+FAST_TIMING = FeedTiming(watch_wait_s=1.5, standby_after_s=1.75, stale_after_s=2.1)
 # Changes are announced at once with either timing. This one is for feeds where a host
 # that missed an announcement may be some seconds behind.
-RELAXED_TIMING = FeedTiming(watch_wait_s=4.0, stale_after_s=5.6)
+RELAXED_TIMING = FeedTiming(watch_wait_s=4.0, standby_after_s=4.7, stale_after_s=5.6)
+# The next standby asks this much later, if it has not received the answer to the first.
+STANDBY_INTERVAL_S = 0.04
+# Standbys ask this long before lapsed entries are dropped.
+LAPSE_CHECK_S = 0.12
 # Added to the delay, so that the first host to ask spares the others their calls.
 STALE_JITTER_SHARE = 0.25
 # After a change, a host that watches for its data centre during startup waits this long
@@ -90,6 +96,9 @@
     def get_holder_rank(self) -> int | None:
         """Return this host's rank among the watch holders, from 0, or None."""
 
+    def get_standby_rank(self) -> int | None:
+        """Return this host's rank among the standbys of the holders, or None."""
+
     def is_past_startup(self) -> bool:
         """Return whether this host has run long enough to have found the others."""
 
@@ -176,9 +185,10 @@
     async def _list(self, *, may_be_stale: bool) -> None:
         """List the feed, or fetch it from a peer while the store does not answer."""
         while True:
+            began = trio.current_time()
             match await self._source.list_feed(self.feed, may_be_stale=may_be_stale):
                 case FeedListing() as listing:
-                    self._record_contact()
+                    self._record_contact(began)
                     if may_be_stale:
                         self._tracked.apply_listing(_drop_revision(listing), "store")
                     elif self._tracked.apply_listing(listing, "store"):
@@ -206,16 +216,17 @@
                 rank is None and is_starting and self._peers.leads_data_centre()
             )
             is_watching = rank is not None or is_leading
-            if not is_watching and not self.is_stale:
+            if not is_watching and not self._is_overdue:
                 await self._wait_for_update(is_starting)
                 continue
             if not self._can_be_continued:
                 return
             base = self.copy.position
+            began = trio.current_time()
             wait = self._timing.watch_wait_s if is_watching else 0.0
-            match await self._source.watch_feed(self.feed, after=base, wait_s=wait):
+            match await self._watch(base, wait):
                 case FeedChanges() as changes if self._follows_copy(changes, base):
-                    self._record_contact()
+                    self._record_contact(began)
                     self._tracked.confirm()
                     self._n_expired = 0
                     relevant = self._select_relevant(changes.changes)
@@ -229,7 +240,7 @@
                             STARTUP_PAUSE_S if is_leading else BATCHING_PAUSE_S
                         )
                 case FeedChanges() | HistoryExpired():
-                    self._record_contact()
+                    self._record_contact(began)
                     if self.copy.position != base:
                         continue  # An update has replaced the copy meanwhile.
                     await self._handle_expiry()
@@ -237,6 +248,26 @@
                 case StoreUnavailable() as lost:
                     await self._handle_loss(lost)
 
+    async def _watch(
+        self, base: StorePosition, wait_s: float
+    ) -> FeedChanges | HistoryExpired | StoreUnavailable | None:
+        """Watch the feed; None if another host reports the end of an outage meanwhile.
+
+        The store may have lost a watch that began before the outage.
+        """
+        answer: FeedChanges | HistoryExpired | StoreUnavailable | None = None
+        returned = self._tracked.store_returned
+        async with trio.open_nursery() as nursery:
+
+            async def cancel_on_return() -> None:
+                await returned.wait()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(cancel_on_return)
+            answer = await self._source.watch_feed(self.feed, after=base, wait_s=wait_s)
+            nursery.cancel_scope.cancel()
+        return answer
+
     @property
     def _can_be_continued(self) -> bool:
         """Whether the copy's position is one to watch from, not only its epoch."""
@@ -268,7 +299,7 @@
 
     async def _wait_for_update(self, is_starting: bool) -> None:
         """Wait until an update is overdue, or this host may have to watch itself."""
-        until = self._tracked.confirmed_at + self._draw_stale_delay()
+        until = self._draw_ask_time()
         if is_starting:
             until = min(until, trio.current_time() + STARTUP_PAUSE_S)
         await trio.sleep_until(until)
@@ -293,9 +324,36 @@
         """Whether the store or a peer last confirmed the copy too long ago."""
         return self._tracked.unconfirmed_s >= self._timing.stale_after_s
 
-    def _draw_stale_delay(self) -> float:
-        jitter = STALE_JITTER_SHARE * self._random.random()
-        return self._timing.stale_after_s * (1.0 + jitter)
+    @property
+    def _is_overdue(self) -> bool:
+        """Whether this host has to ask the store, as it gets no announcements."""
+        return trio.current_time() >= self._ask_at
+
+    @property
+    def _ask_at(self) -> float:
+        """When this host asks the store if it gets no announcement, at the earliest.
+
+        The standbys ask first, one after the other, and announce the answer. They are
+        soon enough that no outage goes unseen in which entries of live servers lapse,
+        and ask again before lapsed entries are dropped.
+        """
+        confirmed_at = self._tracked.confirmed_at
+        rank = self._peers.get_standby_rank()
+        if rank is None:
+            return confirmed_at + self._timing.stale_after_s
+        ask_at = confirmed_at + self._timing.standby_after_s
+        if self.copy.next_lapse_at is not None:
+            check_at = self.copy.next_lapse_at - LAPSE_CHECK_S
+            if confirmed_at < check_at:
+                ask_at = min(ask_at, check_at)
+        return ask_at + rank * STANDBY_INTERVAL_S
+
+    def _draw_ask_time(self) -> float:
+        ask_at = self._ask_at
+        if self._peers.get_standby_rank() is None:
+            jitter = STALE_JITTER_SHARE * self._random.random()
+            ask_at += self._timing.stale_after_s * jitter
+        return ask_at
 
     def _announce(
         self, *, base: StorePosition, changes: tuple[FeedChange, ...]
@@ -307,12 +365,13 @@
                 position=self.copy.position,
                 changes=changes,
                 fingerprint=self.copy.fingerprint,
+                contact=self._tracked.outages.make_report(now=trio.current_time()),
             )
         )
 
-    def _record_contact(self) -> None:
+    def _record_contact(self, began: float) -> None:
         """Record that the store has answered, whatever its answer proves."""
-        now = trio.current_time()
+        self._tracked.record_answer(began)
         if self._n_failures:
             log_decision(
                 logger,
@@ -322,11 +381,11 @@
                 n_failures=self._n_failures,
                 unconfirmed_s=format_age(self._tracked.unconfirmed_s),
             )
-            self.copy.record_store_return(now=now)
         self._n_failures = 0
 
     async def _handle_loss(self, lost: StoreUnavailable) -> None:
         self._n_failures += 1
+        self._tracked.outages.record_failure(now=trio.current_time())
         metrics.store_losses.labels(self.feed, lost.reason.value).inc()
         if self._n_failures == 1:
             log_decision(
@@ -340,7 +399,8 @@
                 epoch=self.copy.position.epoch,
             )
         pause = max(self._draw_pause(self._n_failures), lost.retry_after_s)
-        await trio.sleep(min(pause, MAX_RETRY_DELAY_S * 1.3))
+        with trio.move_on_after(min(pause, MAX_RETRY_DELAY_S * 1.3)):
+            await self._tracked.store_returned.wait()
 
     def _draw_pause(self, n_failures: int) -> float:
         """Return an exponential delay before the next call, with jitter."""
@@ -363,7 +423,7 @@
         relay forwards the update then, so that its neighbours can fetch from it what is
         missing.
         """
-        if self._tracked.apply_update(update, host, is_stale=self.is_stale):
+        if self._tracked.apply_update(update, host):
             on_applied()
             return
         if (update.changes and self._is_of_epoch(update)) or self._is_catching_up:
@@ -408,9 +468,11 @@
     async def _ask_store(self, update: FeedUpdate) -> bool:
         """Apply newer changes of the store; return whether they match the update."""
         base = self.copy.position
+        began = trio.current_time()
         answer = await self._source.watch_feed(self.feed, after=base, wait_s=0.0)
         if not isinstance(answer, FeedChanges):
             return False
+        self._tracked.record_answer(began)
         if not self._follows_copy(answer, base):
             return False
         self._tracked.confirm()
@@ -423,8 +485,10 @@
         If the sender is wrong, it learns so from this host's announcement.
         """
         before = self.copy.position
+        began = trio.current_time()
         match await self._source.list_feed(self.feed, may_be_stale=False):
             case FeedListing() as listing:
+                self._tracked.record_answer(began)
                 is_applied = self._tracked.apply_listing(listing, "store")
                 outcome = "matches" if self._matches(update) else "differs"
                 if is_applied and outcome == "differs":
--- a/src/lavendergap/protocol/messages.py
+++ b/src/lavendergap/protocol/messages.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from ..state.customers import NO_CUSTOMER, Precedence
-from ..state.feeds import FeedChange, FeedEntry, StorePosition
+from ..state.feeds import FeedChange, FeedEntry, StoreContact, StorePosition
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Outcome
 from ..state.quarantine import Strike
@@ -192,7 +192,8 @@
     `fingerprint` is that of the sender's copy after the changes; a receiver with the
     same fingerprint is up to date, whatever positions the two copies have. With
     `should_relay` the receiver relays the message to the other hosts of its data
-    centre.
+    centre. `contact` is the sender's, from which receivers tell an outage of the store
+    from the loss of other hosts.
     """
 
     feed: str
@@ -201,6 +202,7 @@
     changes: tuple[FeedChange, ...]
     fingerprint: int
     should_relay: bool = False
+    contact: StoreContact = StoreContact()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/lavendergap/protocol/packing.py
+++ b/src/lavendergap/protocol/packing.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..state.customers import NO_CUSTOMER, Precedence
-from ..state.feeds import FeedChange, FeedEntry, StorePosition
+from ..state.feeds import FeedChange, FeedEntry, StoreContact, StorePosition
 from ..state.forwarding import ForwardedRequest
 from ..state.outcome import Answered, NotRun, Outcome, Reason, Step, Unknown
 from ..state.quarantine import Strike
@@ -105,6 +105,8 @@
     # All changes, compressed; `changes` is then empty.
     deflated: bytes = b""
     epoch: int = 0
+    steady_ms: int = 0
+    failing_ms: int = 0
 
 
 class _PackedFetch(msgspec.Struct, array_like=True, tag=4):
@@ -157,6 +159,9 @@
 MAX_CACHED_DEFLATED = 4
 """Size of the cache of compressed entries, which are sent to many hosts alike."""
 
+MAX_AGE_S = 3_600.0
+"""Longer ages of the store's answers are sent as this."""
+
 MAX_INFLATED_BYTES = 4_000_000
 """Limit on decompressed entries, about the longest frame, to bound memory use."""
 
@@ -257,10 +262,16 @@
             update.should_relay,
             deflated,
             update.position.epoch,
+            _pack_age(update.contact.steady_s),
+            _pack_age(update.contact.failing_s),
         )
     )
 
 
+def _pack_age(seconds: float) -> int:
+    return int(min(seconds, MAX_AGE_S) * 1_000)
+
+
 def pack_fetch(frame_id: int, fetch: FeedFetch) -> bytes:
     """Return the bytes of a FeedFetch, without the length prefix."""
     return _encode(_PackedFetch(frame_id, fetch.feed, fetch.hashes))
@@ -358,6 +369,9 @@
         ),
         fingerprint=packed.fingerprint,
         should_relay=packed.should_relay,
+        contact=StoreContact(
+            steady_s=packed.steady_ms / 1_000, failing_s=packed.failing_ms / 1_000
+        ),
     )
 
 
--- a/src/lavendergap/state/feeds.py
+++ b/src/lavendergap/state/feeds.py
@@ -72,6 +72,18 @@
     retry_after_s: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreContact:
+    """What a host knows of the store from its own calls, right after an answer.
+
+    The store has answered all its calls of the last `steady_s` seconds. Before that,
+    its calls had failed since `failing_s` seconds before now; 0 if none had.
+    """
+
+    steady_s: float = 0.0
+    failing_s: float = 0.0
+
+
 class FeedSource(Protocol):
     """Reads the store's feeds. Its methods return errors and raise none."""
 
--- a/tests/feedfakes.py
+++ b/tests/feedfakes.py
@@ -90,11 +90,13 @@
         self,
         *,
         rank: int | None = 0,
+        standby_rank: int | None = None,
         is_starting: bool = False,
         is_leading: bool = False,
         near: tuple[str, ...] = (),
     ) -> None:
         self.rank = rank
+        self.standby_rank = standby_rank
         self.is_starting = is_starting
         self.is_leading = is_leading
         self.near = near
@@ -106,6 +108,9 @@
     def get_holder_rank(self) -> int | None:
         return self.rank
 
+    def get_standby_rank(self) -> int | None:
+        return self.standby_rank
+
     def is_past_startup(self) -> bool:
         return not self.is_starting
 
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -41,7 +41,7 @@
     read_length_prefix,
 )
 from lavendergap.state.customers import Precedence
-from lavendergap.state.feeds import FeedChange, FeedEntry, StorePosition
+from lavendergap.state.feeds import FeedChange, FeedEntry, StoreContact, StorePosition
 from lavendergap.state.forwarding import ForwardedRequest
 from lavendergap.state.outcome import Answered, NotRun, Reason, Step
 from lavendergap.state.quarantine import Strike
@@ -188,10 +188,19 @@
     def test_a_message_without_an_epoch_is_of_epoch_0(self, message):
         body = encode_frame(Frame(id=1, message=message))[LENGTH_PREFIX.size :]
         fields = msgspec.msgpack.decode(body)
-        older = decode_frame(msgspec.msgpack.encode(fields[:-1]), is_packed=True)
+        n_later = 2 if isinstance(message, FeedUpdate) else 0
+        body = msgspec.msgpack.encode(fields[: -1 - n_later])
+        older = decode_frame(body, is_packed=True)
         assert isinstance(older.message, FeedUpdate | FeedState)
         assert older.message.position == replace(message.position, epoch=0)
 
+    def test_an_update_without_the_sender_s_contact(self):
+        [message, *_] = [m for m in self.FEEDS if isinstance(m, FeedUpdate)]
+        body = encode_frame(Frame(id=1, message=message))[LENGTH_PREFIX.size :]
+        fields = msgspec.msgpack.decode(body)
+        older = decode_frame(msgspec.msgpack.encode(fields[:-2]), is_packed=True)
+        assert older.message == replace(message, contact=StoreContact())
+
     @pytest.mark.parametrize("message", FEEDS, ids=lambda m: type(m).__name__)
     def test_fields_of_a_newer_release_are_skipped(self, message):
         body = encode_frame(Frame(id=1, message=message))[LENGTH_PREFIX.size :]
