Rank the hosts that watch the store once for all feeds

Each feed's reader now asks for this host's rank up to four times a turn, as the standbys have ranks, too; ranking 550 hosts takes a millisecond.

--- a/src/lavendergap/entry/feedpeers.py
+++ b/src/lavendergap/entry/feedpeers.py
@@ -27,6 +27,8 @@
 N_STANDBYS = 6
 """Hosts that ask the store before all others when both holders are silent."""
 
+MAX_RANKING_AGE_S = 0.1
+
 STARTUP_TIME_S = 3.0
 """How long after its start a host watches only for its data centre.
 
@@ -59,6 +61,8 @@
         self._nursery = nursery
         self._random = random
         self._startup_ends_at = trio.current_time() + STARTUP_TIME_S
+        self._ranked: tuple[str, ...] = ()
+        self._ranked_at = float("-inf")
 
     def get_holder_rank(self) -> int | None:
         """Return this host's rank among the watch holders, from 0, or None."""
@@ -73,8 +77,14 @@
         return rank - N_HOLDERS if rank is not None and rank >= N_HOLDERS else None
 
     def _get_watch_rank(self) -> int | None:
-        hosts = choose_watch_holders(self._membership.members(), N_HOLDERS + N_STANDBYS)
-        return hosts.index(self._own_name) if self._own_name in hosts else None
+        # Ranking 550 hosts takes a millisecond, and each feed asks several times.
+        now = trio.current_time()
+        if now - self._ranked_at > MAX_RANKING_AGE_S:
+            members = self._membership.members()
+            self._ranked = choose_watch_holders(members, N_HOLDERS + N_STANDBYS)
+            self._ranked_at = now
+        ranked = self._ranked
+        return ranked.index(self._own_name) if self._own_name in ranked else None
 
     def leads_data_centre(self) -> bool:
         """Return whether this host watches for its data centre during startup."""
