Limit the chunks of an answer

A body in chunks of one byte without end took 1.5 s of the processor on a gateway and 2.8 s on a host of `lavendergap entry`, in slices of a fifth of a second in which no other request went on.

The limit of bytes ends such a body at 1 MB, which is 150,000 chunks there; each is an event of the parser.

Change: a body has 16,384 chunks at most, 4,096 on `lavendergap entry`. The new test holds it to half a second of the processor; it failed before with 1.5 s and 2.8 s.

--- a/src/lavendergap/transport/backend.py
+++ b/src/lavendergap/transport/backend.py
@@ -35,6 +35,8 @@
 logger = get_logger(Category.CONNECTIONS)
 
 MAX_ANSWER_BYTES = 1024 * 1024
+# Each chunk costs processor time; a body of more than these is not a usual one.
+MAX_CHUNKS = 4_096
 PROBE_TIMEOUT_S = 0.5
 # A request that must not run twice reuses only a connection that carried an answer
 # this recently: on a stale connection its outcome would be unknown.
@@ -380,7 +382,11 @@
     response = await http.handle_async_request(request)
     assert isinstance(response.stream, AsyncIterable)
     try:
-        parts = [part async for part in response.stream]
+        parts = []
+        async for part in response.stream:
+            parts.append(part)
+            if len(parts) > MAX_CHUNKS:
+                raise httpcore.RemoteProtocolError("the answer has too many chunks")
     finally:
         await response.aclose()
     return Reply(
--- a/src/lavendergap/transport/httpclient.py
+++ b/src/lavendergap/transport/httpclient.py
@@ -20,6 +20,9 @@
 MAX_ANSWER_BYTES = 8_000_000
 """Lists of objects and answers to queries are longer than a single object."""
 
+MAX_CHUNKS = 16_384
+"""Each chunk costs processor time; a body of more than these is not a usual one."""
+
 MAX_CONNECTIONS = 32
 """Each pending watch holds a connection."""
 
@@ -152,9 +155,11 @@
             extensions={"trace": progress.trace},
         ) as response:
             received = bytearray()
+            n_chunks = 0
             async for part in response.aiter_stream():
                 received += part
-                if len(received) > MAX_ANSWER_BYTES:
+                n_chunks += 1
+                if len(received) > MAX_ANSWER_BYTES or n_chunks > MAX_CHUNKS:
                     return progress.fail(Reason.WRONG_ANSWER)
             names = {
                 name.decode("latin-1").lower(): value.decode("latin-1")
--- a/src/lavendergap/transport/replies.py
+++ b/src/lavendergap/transport/replies.py
@@ -18,6 +18,8 @@
 # Bytes on the connection for each byte of a body in the smallest chunks, with some room
 # for extensions.
 MAX_BYTES_PER_BODY_BYTE = 16
+# Each chunk costs processor time; a body of more than these is not a usual one.
+MAX_CHUNKS = 16_384
 MIN_STATUS = 100
 FIRST_FINAL_STATUS = 200  # lower ones are informational and precede the answer
 CONTENT_LENGTH = b"content-length"
@@ -63,6 +65,7 @@
         "_body",
         "_n_bytes",
         "_n_body_bytes",
+        "_n_chunks",
     )
 
     def __init__(self, *, has_no_body: bool = False) -> None:
@@ -81,6 +84,7 @@
         self._body = bytearray()
         self._n_bytes = 0
         self._n_body_bytes = 0
+        self._n_chunks = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raises `WrongAnswerError` if they are invalid."""
@@ -186,7 +190,8 @@
         # A list of the parts would take many times their length for small chunks.
         self._body += data
         self._n_body_bytes += len(data)
-        if self._n_body_bytes > MAX_ANSWER_BYTES:
+        self._n_chunks += 1
+        if self._n_body_bytes > MAX_ANSWER_BYTES or self._n_chunks > MAX_CHUNKS:
             raise WrongAnswerError("the answer is too large")
 
     def on_message_complete(self) -> None:
--- a/tests/test_spoiled_answers.py
+++ b/tests/test_spoiled_answers.py
@@ -1,6 +1,7 @@
 """Servers that send odd numbers, or bytes without end, to each of our clients."""
 
 import gc
+import time
 import tracemalloc
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
@@ -37,6 +38,7 @@
 from tests.test_forward import make_call
 
 LIMIT_S = 3.0
+MAX_CHUNKS_CPU_S = 0.5
 ODD_FIELDS = (
     "Keep-Alive: timeout={}",
     "x-load: {},0,8",
@@ -174,6 +176,14 @@
                 gc.enable()
             assert n_bytes < MAX_ANSWER_BYTES
 
+    async def test_small_chunks_without_end_take_little_time(self, kind):
+        # A megabyte of chunks of one byte took seconds of the processor.
+        async with open_client(kind, Reply(status=200, endless="chunks")) as bench:
+            send, *_ = bench
+            started = time.process_time()
+            await send()
+            assert time.process_time() - started < MAX_CHUNKS_CPU_S
+
 
 class TestOtherPeers:
     @pytest.mark.parametrize("endless", ENDLESS_KINDS)
