--- a/standins/http.py
+++ b/standins/http.py
@@ -56,7 +56,7 @@
     is closed, while Content-Length is that of the whole body. With `n_copies`, the
     reply is sent several times. If it `is_repeated`, it is sent again when the next
     request on the connection has arrived. `endless` is the kind of bytes that are sent
-    in its place until the client closes.
+    in its place until the client closes, with `endless_pause_s` between two pieces.
     """
 
     status: int
@@ -66,6 +66,7 @@
     n_copies: int = 1
     is_repeated: bool = False
     endless: str = ""
+    endless_pause_s: float = 0.0
 
 
 def make_json_reply(
@@ -162,11 +163,15 @@
     async def _send_endless(self, reply: Reply, lines: list[str]) -> None:
         head = "".join(f"{line}\r\n" for line in lines).encode("latin-1")
         start, piece = make_endless(
-            reply.endless, head, reply.body, n_bytes=ENDLESS_PIECE_BYTES
+            reply.endless,
+            head,
+            reply.body,
+            n_bytes=1 if reply.endless_pause_s else ENDLESS_PIECE_BYTES,
         )
         await self._stream.send_all(start)
         for _ in range(MAX_ENDLESS_BYTES // len(piece)):
             await self._stream.send_all(piece)
+            await trio.sleep(reply.endless_pause_s)
 
     async def send_repeated(self) -> None:
         """Send the last reply again, if it is to be repeated."""
--- a/tests/test_spoiled_answers.py
+++ b/tests/test_spoiled_answers.py
@@ -76,7 +76,9 @@
 
 
 @asynccontextmanager
-async def open_client(kind: str, *spoiled: Reply, connections: int = 2):
+async def open_client(
+    kind: str, *spoiled: Reply, connections: int = 2, within_s: float = 2 * LIMIT_S
+):
     """Yield a function that makes one call, and the client it uses."""
     spoiler = Spoiler(spoiled=list(spoiled))
     async with trio.open_nursery() as nursery:
@@ -98,7 +100,7 @@
             client = BackendClient(server=server, idle_timeout_s=10.0)
 
         async def send() -> Outcome:
-            deadline = trio.current_time() + 2 * LIMIT_S
+            deadline = trio.current_time() + within_s
             call = CALL if kind == "backend" else make_call()
             call = replace(call, deadline=deadline)
             return (await client.call(call, attempt=b"a1", fresh=False)).outcome
@@ -130,6 +132,20 @@
             assert client.n_open == 0
             assert isinstance(await send(), Answered)
 
+    @pytest.mark.parametrize("endless", ENDLESS_KINDS)
+    async def test_slow_bytes_without_end_end_at_the_deadline(self, kind, endless):
+        # Each byte in time could keep the attempt and its connection open for good.
+        spoiled = Reply(status=200, endless=endless, endless_pause_s=0.02)
+        async with open_client(kind, spoiled, within_s=0.5) as (send, client, http):
+            with trio.fail_after(1.5):
+                outcome = await send()
+            is_after = endless == "bytes after an answer"
+            assert isinstance(outcome, Answered) is is_after
+            await client.close_idle(now=trio.current_time() + 0.1)
+            await wait_until_closed(http)
+            assert client.n_open == 0
+            assert isinstance(await send(), Answered)
+
     @pytest.mark.parametrize("number", ODD_NUMBERS)
     @pytest.mark.parametrize("template", ODD_FIELDS)
     async def test_an_odd_number_harms_no_later_request(self, kind, template, number):
